Soak with an oracle; a repeat follows the running request

Its silence was itself a fault: urllib3 sets the connect timeout on the socket again with each request, so 1 s of silence ended a call that had 10 s.

Change: one of a request's connections reads the upstream and the others follow it; the silence bound is set where the library takes it from.

--- a/src/peridotmast/client.py
+++ b/src/peridotmast/client.py
@@ -19,6 +19,7 @@
 _FIRST_PAUSE_MS = 20
 _LAST_PAUSE_MS = 1000
 _COMMENT = ': peridotmast '
+_NO_CONNECTION = 'no_connection'
 
 
 @dataclasses.dataclass
@@ -36,6 +37,10 @@
     """Whether the answer's end was received."""
     accepted: bool = False
     """Whether a router accepted the request."""
+    maybe_sent: bool = False
+    """Whether a router may have begun it."""
+    routers: list[str] = dataclasses.field(default_factory=list)
+    """Routers that it went through."""
     failure: ty.Optional[failures.Failure] = None
     """Why there is no whole answer."""
     resumes: int = 0
@@ -188,7 +193,10 @@
                 }
             failure = follower.follow(attempt.address(), path, body)
             if failure is not None:
-                answer.failure = attempt.judge(failure, answer.accepted)
+                lost = failure.kind is failures.FailureKind.UNAVAILABLE
+                answer.maybe_sent |= lost and failure.reason != _NO_CONNECTION
+                owed = answer.accepted or answer.maybe_sent
+                answer.failure = attempt.judge(failure, owed)
                 answer.resumes += answer.failure is None
         return answer
 
@@ -266,9 +274,13 @@
         return chosen
 
     def judge(
-        self, failure: failures.Failure, accepted: bool
+        self, failure: failures.Failure, maybe_run: bool
     ) -> ty.Optional[failures.Failure]:
-        """Return the failure if it is final; else wait for the next try."""
+        """Return the failure if it is final; else wait for the next try.
+
+        A refusal is true of its own attempt only; where an earlier attempt
+        may have begun the request, the whole is not "not run".
+        """
         kinds = failures.FailureKind
         if failure.reason == 'moved':
             self._next = failure.detail
@@ -281,11 +293,11 @@
         )
         leaving = failure.reason.startswith('leaving')
         refused = failure.kind is kinds.NOT_RUN and not leaving
-        if final or (refused and not accepted and not self._retry_refused):
+        if final or (refused and not maybe_run and not self._retry_refused):
             return failure
         pause = max(failure.retry_after_ms, self._pause)
         if self._clock.now() + pause >= self._deadline:
-            if accepted and failure.kind is not kinds.NOT_RUN:
+            if maybe_run:
                 return failures.unknown('deadline', failure.reason)
             return failure
         self._client.forget()
@@ -316,7 +328,7 @@
         self._rest = b''
         try:
             if stream.connect() is not None:
-                return failures.unavailable('no_connection', address)
+                return failures.unavailable(_NO_CONNECTION, address)
             status = stream.send('POST', path, body)
             if isinstance(status, failures.Failure):
                 return failures.unavailable(status.reason, status.detail)
@@ -366,7 +378,9 @@
         self, values: dict[str, str]
     ) -> ty.Optional[failures.Failure]:
         self._answer.upstream = values.get('upstream', self._answer.upstream)
-        self._answer.router = values.get('router', self._answer.router)
+        if 'router' in values:
+            self._answer.router = values['router']
+            self._answer.routers.append(values['router'])
         if 'moved' in values:
             return failures.unavailable('moved', values['moved'])
         return None
--- a/src/peridotmast/green.py
+++ b/src/peridotmast/green.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import typing as ty
 import warnings
 
@@ -63,10 +64,10 @@
 
 async def _outcome(
     awaitable: ty.Any,
-) -> tuple[ty.Any, ty.Optional[Exception]]:
+) -> tuple[ty.Any, ty.Optional[BaseException]]:
     try:
         return await awaitable, None
-    except Exception as exc:
+    except (Exception, asyncio.CancelledError) as exc:
         return None, exc
 
 
--- a/src/peridotmast/http_client.py
+++ b/src/peridotmast/http_client.py
@@ -104,7 +104,8 @@
         """Open the connection; a failure means that nothing was sent."""
         try:
             self._conn.connect()
-            self._conn.sock.settimeout(self._silence_ms / 1000)
+            # The library sets this on the socket again with each request.
+            self._conn.timeout = self._silence_ms / 1000
         except _HTTP_ERRORS as exc:
             self.close()
             return failures.not_run('no_connection', str(exc)[:200])
--- /dev/null
+++ b/src/peridotmast/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load, faults, oracle and reports: how the promises are measured."""
--- /dev/null
+++ b/src/peridotmast/load/soak.py
@@ -0,0 +1,106 @@
+"""A long randomised run with faults of every kind."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing as ty
+
+from peridotmast.embedded import fleet as fleet_
+from peridotmast import green
+from peridotmast.load import arrivals as arrivals_
+from peridotmast.load import driver as driver_
+from peridotmast.load import faults as faults_
+from peridotmast.load import oracle as oracle_
+from peridotmast.load import report as report_
+from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.standin import engine
+
+_REPLACE_MS = 1200
+_SHARE_OF_DRAFTS_MS = 25_000
+
+WORKLOADS = (
+    pb.Workload(
+        name='counter', team='kalnins', work='interactive', rate=11,
+        tokens_min=10, tokens_max=50, prompt_words=20, shared_words=64,
+        groups=4, idempotent=True, deadline_ms=15_000, closes_at=3600,
+    ),
+    pb.Workload(
+        name='schedules', team='noor', work='draft', rate=2.5,
+        tokens_min=100, tokens_max=260, prompt_words=60, shared_words=64,
+        groups=4, idempotent=True, deadline_ms=_SHARE_OF_DRAFTS_MS,
+        closes_at=3600,
+    ),
+    pb.Workload(
+        name='tags', team='kalnins', work='standard', rate=2,
+        tokens_min=5, tokens_max=25, prompt_words=20, shared_words=16,
+        groups=2, idempotent=False, tickets=0.5, deadline_ms=10_000,
+        closes_at=3600,
+    ),
+    pb.Workload(
+        name='holds', team='noor', work='interactive', rate=6,
+        service='booking', idempotent=False, tickets=0.4, twice=0.2,
+        prompt_words=4, shared_words=0, groups=1, tokens_min=1,
+        tokens_max=1, deadline_ms=10_000, closes_at=3600,
+    ),
+)  # fmt: skip
+
+
+def shape(policy: str = 'scored', resume: bool = True) -> fleet_.FleetShape:
+    """Return the fleet that soaks and comparisons run on."""
+    return fleet_.FleetShape(
+        routers=4,
+        domains=4,
+        engines=2,
+        times=engine.EngineTimes(step_ms=10, batch=24),
+        router={
+            'policy': policy,
+            'resume': resume,
+            'probe_interval_ms': 200,
+            'suspect_ms': 800,
+            'first_byte_timeout_ms': 1000,
+            'token_timeout_ms': 700,
+            'drain_grace_ms': 500,
+        },
+    )
+
+
+def run(
+    seconds: float, seed: int, folder: str, progress: driver_.Progress
+) -> list[str]:
+    """Run, write the report, and return the promises that broke."""
+    fleet = fleet_.Fleet(shape(), seed)
+    fleet.start()
+    oracle = oracle_.Oracle(fleet)
+    faults = faults_.FaultDriver(fleet, _REPLACE_MS)
+    timetable = faults_.draw(seconds, seed)
+    arrivals = arrivals_.draw(WORKLOADS, seconds, seed)
+    fault_task = green.spawn(faults.run, timetable)
+    driver = driver_.LoadDriver(fleet, oracle, seed)
+    driver.run(arrivals, progress)
+    fault_task.wait()
+    faults.wait()
+    verdict = oracle.judge(faults.noticed, faults.drained)
+    report = make_report(fleet, oracle, faults, verdict)
+    report['digest'] = arrivals_.digest(arrivals, timetable)
+    report['late_ms'] = driver.late_ms
+    report_.write(folder, report)
+    fleet.stop()
+    return verdict.broken()
+
+
+def make_report(
+    fleet: fleet_.Fleet,
+    oracle: oracle_.Oracle,
+    faults: faults_.FaultDriver,
+    verdict: oracle_.Verdict,
+) -> dict[str, ty.Any]:
+    """Return the figures of a run over stand-ins."""
+    return {
+        **dataclasses.asdict(verdict),
+        **report_.latencies(oracle.outcomes),
+        'faults': dict(faults.counts),
+        'operator_conflicts': faults.races_lost,
+        'cost': round(fleet.cloud.cost(), 6),
+        'platform_calls': dict(fleet.objects.counts),
+        'lost': oracle.lost[:50],
+    }
--- a/src/peridotmast/router/desk.py
+++ b/src/peridotmast/router/desk.py
@@ -225,7 +225,10 @@
     def _permit_and_place(
         self, call: call_.Call, entry: ledger_.Entry, forwarded: bool
     ) -> ty.Union[_Taken, ledger_.Entry, failures.Failure]:
-        if not call.idempotent:
+        if call.resume is not None and call.resume.upstream:
+            # Going on with a stream that runs needs no right to start one.
+            self._use_resume_point(call, entry)
+        elif not call.idempotent:
             permit = self._guard.permit(call)
             if isinstance(permit, once_.Elsewhere):
                 return self._forward(call, entry, permit, forwarded)
--- a/src/peridotmast/router/ledger.py
+++ b/src/peridotmast/router/ledger.py
@@ -48,8 +48,10 @@
     """The `call.Call` that it stands for, while it runs here."""
     handed_to: str = ''
     """Peer address that took the request over."""
-    generation: int = 0
-    """Grows with each connection of the caller; only the last one works."""
+    reader: ty.Any = None
+    """The one of the caller's connections that reads the upstream."""
+    progress_at: int = 0
+    """When the reader last moved on, on the router's clock, in ms."""
     since: int = 0
     """When it was begun or ended, on the router's clock, in ms."""
     changed: ty.Any = dataclasses.field(default_factory=green.Event)
--- a/src/peridotmast/router/relay.py
+++ b/src/peridotmast/router/relay.py
@@ -24,6 +24,8 @@
 
 _REATTACHES = 3
 _MOVE_WAIT_MS = 2500
+_FOLLOW_MS = 10
+_TAKEOVER_MS = 500
 _Promise = invariants_.Promise
 
 
@@ -46,7 +48,7 @@
     """The upstream said that it did not run it."""
 
     SUPERSEDED = 'superseded'
-    """The caller came back on another connection, which goes on."""
+    """Another connection of the caller's reads the stream now."""
 
     HANDED_OVER = 'handed_over'
     """A peer goes on with it."""
@@ -126,8 +128,7 @@
         place : admission.Place or None
             Where to begin; None to go on where the entry says.
         """
-        entry.generation += 1
-        journey = _Journey(call, entry, entry.generation, position)
+        journey = _Journey(call, entry, position)
         self.active += 1
         entry.connections += 1
         try:
@@ -135,6 +136,8 @@
         finally:
             self.active -= 1
             entry.connections -= 1
+            if entry.reader is journey:
+                entry.reader = None
             entry.since = self._clock.now()
 
     def _run(
@@ -149,6 +152,12 @@
                     place.release()
                 yield from ending
                 return
+            if not self._may_read(journey):
+                if place is not None:
+                    place.release()
+                    place = None
+                green.sleep_ms(_FOLLOW_MS)
+                continue
             if place is None:
                 found = self._next_place(journey)
                 if isinstance(found, failures.Failure):
@@ -171,12 +180,27 @@
             return []
         if entry.handed_to:
             return [Moved(entry.handed_to)]
-        if journey.superseded:
-            return [failures.conflict('superseded', 'resumed elsewhere')]
         if entry.state == ledger_.UNKNOWN:
             return [failures.unknown('outcome_unknown')]
         return None
 
+    def _may_read(self, journey: _Journey) -> bool:
+        """Return whether this connection reads the upstream.
+
+        One of a request's connections does, and the others follow the
+        tokens that it takes in. Where it stands still for longer than an
+        upstream may, its caller is gone, and another takes its place.
+        """
+        entry = journey.entry
+        stands_still = self._clock.now() - entry.progress_at
+        patience = self._cfg.first_byte_timeout_ms + _TAKEOVER_MS
+        if entry.reader is None or stands_still > patience:
+            entry.reader = journey
+        if entry.reader is not journey:
+            return False
+        entry.progress_at = self._clock.now()
+        return True
+
     # ------------------------------------------------------------- attempts
 
     def _attempt(
@@ -327,6 +351,7 @@
     ) -> ty.Optional[Broken]:
         """Take frames in; return why the stream ends, if it does."""
         entry = journey.entry
+        entry.progress_at = self._clock.now()
         own = journey.call.stream_id
         for frame in items:
             if frame['s'] != own:
@@ -465,7 +490,6 @@
         self,
         call: call_.Call,
         entry: ledger_.Entry,
-        generation: int,
         position: int,
     ) -> None:
         self.call = call
@@ -477,11 +501,10 @@
         self.attach_to = ''
         self.started_at = 0
         self.broken: ty.Optional[Broken] = None
-        self._generation = generation
 
     @property
     def superseded(self) -> bool:
-        return self.entry.generation != self._generation
+        return self.entry.reader is not self
 
     def new_tokens(self) -> list[str]:
         """Return tokens that the caller does not have yet."""
--- a/src/peridotmast/rpc.py
+++ b/src/peridotmast/rpc.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import typing as ty
 
 import grpc
@@ -106,6 +107,8 @@
             return green.wait_for(
                 self._call(address, method, request, timeout_ms)
             )
+        except asyncio.CancelledError:
+            return failures.unavailable('cancelled', 'the channel was closed')
         except grpc.aio.AioRpcError as exc:
             if exc.code() in (
                 grpc.StatusCode.UNAVAILABLE,
--- a/src/peridotmast/standin/engine.py
+++ b/src/peridotmast/standin/engine.py
@@ -113,7 +113,7 @@
         self.totals = collections.Counter[str]()
         """Tokens generated, prefilled and recomputed, streams begun."""
         self.begun = collections.Counter[str]()
-        """Times that each stream id was begun here."""
+        """Times that each stream was begun here from its prompt alone."""
         self.last_begun_ms = 0
         """When the last stream was begun, on the machine's clock."""
         self.app = self._routes(seed)
@@ -269,7 +269,8 @@
         self.totals['recomputed'] += stream.recomputed
         self.totals['prefilled'] += stream.to_prefill
         self.totals['streams'] += 1
-        self.begun[stream.stream_id] += 1
+        if not given and not held:
+            self.begun[stream.stream_id] += 1
         self.last_begun_ms = self._clock.now()
         self._streams[stream.stream_id] = stream
         entry = (int(body.get('priority', 2)), next(self._order), stream)
