--- a/src/peridotmast/embedded/fleet.py
+++ b/src/peridotmast/embedded/fleet.py
@@ -238,7 +238,11 @@
 
     def engines(self) -> list[engine_.Engine]:
         """Return all engines ever."""
-        return self.guests('engine')
+        return [
+            guest
+            for guest in self.guests('engine')
+            if isinstance(guest, engine_.Engine)
+        ]
 
     def services(self) -> list[plain_service.PlainService]:
         """Return all services ever."""
--- a/src/peridotmast/http_server.py
+++ b/src/peridotmast/http_server.py
@@ -12,6 +12,7 @@
 
 MAX_CONNECTIONS = 20_000
 MAX_LINE_BYTES = 8192
+SEND_BUFFER_BYTES = 65536
 IDLE_SECONDS = 60
 
 Application = ty.Callable[..., ty.Iterable[bytes]]
@@ -55,6 +56,11 @@
         self._sock = green.listen(
             (host.strip('[]'), int(port)), family, backlog=1024
         )
+        # Accepted connections inherit it: a caller that takes nothing holds
+        # this much of the kernel's memory, not megabytes.
+        self._sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
+        )
         bound = self._sock.getsockname()
         self.address = ids.Address(f'{host}:{bound[1]}')
         """Address that is listened on, with the real port."""
--- a/src/peridotmast/platform/object_store.py
+++ b/src/peridotmast/platform/object_store.py
@@ -120,7 +120,7 @@
                 return result
             if self._clock.now() + backoff >= deadline:
                 return unsure or result
-            green.sleep_ms(backoff * self._jitter.uniform(0.5, 1.5))
+            self._pause(backoff * self._jitter.uniform(0.5, 1.5))
             backoff = min(backoff * 2, _LAST_BACKOFF_MS)
 
     def list_under(
@@ -139,6 +139,9 @@
         )
         return self._many(path, wait_ms)
 
+    def _pause(self, ms: float) -> None:
+        green.sleep_ms(ms)
+
     def _try_update(
         self, key: str, change: Change
     ) -> ty.Union[Stored, failures.Failure]:
--- a/src/peridotmast/router/token_bucket.py
+++ b/src/peridotmast/router/token_bucket.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from peridotmast import clock as clock_
 
 
@@ -40,7 +42,7 @@
             return 0
         if not self.rate:
             return 60_000
-        return int((1 - self._level) / self.rate * 1000) + 1
+        return math.ceil((1 - self._level) / self.rate * 1000)
 
     def _fill(self) -> None:
         now = self._clock.now()
--- a/src/peridotmast/standin/engine.py
+++ b/src/peridotmast/standin/engine.py
@@ -114,6 +114,8 @@
         """Tokens generated, prefilled and recomputed, streams begun."""
         self.begun = collections.Counter[str]()
         """Times that each stream was begun here from its prompt alone."""
+        self.on_import: ty.Callable[[], bool] = lambda: True
+        """Called when a KV cache arrives; says whether it is taken."""
         self.last_begun_ms = 0
         """When the last stream was begun, on the machine's clock."""
         self.app = self._routes(seed)
@@ -194,6 +196,8 @@
         )
 
     def _import(self, req: web.Request) -> web.Response:
+        if not self.on_import():
+            return web.error_response(503, 'no_memory', self.name)
         body = req.json()
         self._kv[body['stream_id']] = body['kv_tokens']
         return web.json_response({})
