--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -457,3 +457,35 @@
 
     assert fleet.wait_until(known, 5000)
     context.odd = engine
+
+
+@then('each answer is whole or its outcome is unknown')
+def whole_or_unknown(context):
+    context.answers = fleet_steps.answers_of(context)
+    kinds = []
+    for number, answer in enumerate(context.answers):
+        if fleet_steps.whole(answer, number, context.size):
+            kinds.append('whole')
+        else:
+            kinds.append(answer.failure.kind.value)
+    assert set(kinds) == {'whole', 'outcome_unknown'}, kinds
+
+
+@then('every stream was begun at most once')
+def begun_at_most_once(context):
+    for engine in context.fleet.engines():
+        assert all(count == 1 for count in engine.begun.values())
+    total = sum(len(engine.begun) for engine in context.fleet.engines())
+    assert total == len(context.answers), total
+
+
+@then('all were refused as not run')
+def all_refused(context):
+    for answer in fleet_steps.answers_of(context):
+        kind = answer.failure.kind
+        assert kind is failures.FailureKind.NOT_RUN, answer.failure
+
+
+@then('no stream was begun')
+def no_stream_begun(context):
+    assert not any(engine.begun for engine in context.fleet.engines())
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -10,8 +10,8 @@
 import memory_store
 
 from peridotmast import clock as clock_
-from peridotmast import http_client
 from peridotmast.coordination import lease as lease_
+from peridotmast import http_client
 from peridotmast.standin import engine as engine_
 
 
--- a/features/steps/odd_engine.py
+++ b/features/steps/odd_engine.py
@@ -6,8 +6,8 @@
 
 from peridotmast import green
 from peridotmast import http_server
-from peridotmast import web
 from peridotmast.standin import answers
+from peridotmast import web
 
 ODD_TIMES = 3
 
--- a/features/steps/once_nodes.py
+++ b/features/steps/once_nodes.py
@@ -13,11 +13,11 @@
 import prometheus_client
 
 from peridotmast import clock as clock_
+from peridotmast.coordination import claims as claims_
+from peridotmast.coordination import membership as membership_
 from peridotmast import failures
 from peridotmast import green
 from peridotmast import ids
-from peridotmast.coordination import claims as claims_
-from peridotmast.coordination import membership as membership_
 from peridotmast.router import admission as admission_
 from peridotmast.router import call as call_
 from peridotmast.router import desk as desk_
--- a/features/steps/once_steps.py
+++ b/features/steps/once_steps.py
@@ -56,7 +56,8 @@
 
 
 @when(
-    '"{other}" claims "{request_id}" between the read and the write of "{name}"'
+    '"{other}" claims "{request_id}" between the read and the write '
+    'of "{name}"'
 )
 def claim_between(context, other, request_id, name):
     world = context.world
--- a/src/peridotmast/controller/controller.py
+++ b/src/peridotmast/controller/controller.py
@@ -28,6 +28,7 @@
 _ORDER_MS = 60_000
 _DRAIN_MS = 8000
 _CALL_MS = 1000
+_ASKED_AT_ONCE = 32
 
 
 class Controller:
@@ -72,6 +73,7 @@
         )
         """The lease that this controller contends for."""
         self._http = http_client.HttpClient(_ORDER_MS)
+        self._quick = http_client.HttpClient(_CALL_MS)
         self._router = rpc.RpcClient(pb_grpc.OperatorsStub, file.tls)
         self._refused: dict[tuple[str, bool], int] = {}
         self._ordered_models: set[tuple[str, str]] = set()
@@ -125,7 +127,7 @@
             prices,
             planner.fleet_of(records),
             self._clock.wall(),
-            self._observed(live),
+            self._observed(config, live),
             self._refused_now(config.policy),
         )
         wanted = plan.wanted(self._clock.wall())
@@ -296,17 +298,33 @@
         since = self._draining[record.upstream.name]
         if self._clock.now() - since > _DRAIN_MS:
             return True
-        reply = self._http.call(
-            'GET', record.upstream.address, '/v1/load', timeout_ms=_CALL_MS
-        )
-        if isinstance(reply, failures.Failure) or reply.status != 200:
-            return False
         waited = self._clock.now() - since > 2 * self._cfg.tick_ms
-        return waited and reply.json().get('running', 1) == 0
+        return waited and self._share_busy(record) == 0
 
-    def _observed(self, live: dict[str, pb.UpstreamRecord]) -> float:
+    def _observed(
+        self, config: pb.Config, live: dict[str, pb.UpstreamRecord]
+    ) -> float:
         """Return the demand in tokens/s that the engines' load tells."""
-        return 0.0
+        if not config.models:
+            return 0.0
+        engines = [
+            record
+            for record in live.values()
+            if record.state == pb.UPSTREAM_STATE_LIVE
+            and record.upstream.kind == 'engine'
+        ]
+        pool = green.GreenPool(_ASKED_AT_ONCE)
+        busy = sum(pool.imap(self._share_busy, engines))
+        return busy * config.models[0].vm_tokens_per_second
+
+    def _share_busy(self, record: pb.UpstreamRecord) -> float:
+        """Return the work in an engine as a share of its slots."""
+        reply = self._quick.call('GET', record.upstream.address, '/v1/load')
+        if isinstance(reply, failures.Failure) or reply.status != 200:
+            return 0.0
+        load = reply.json()
+        slots = record.upstream.slots or 1
+        return (load['running'] + load['waiting']) / slots
 
     def _refused_now(self, policy: pb.Policy) -> list[tuple[str, bool]]:
         limit = self._clock.now() - policy.refused_ms
