--- a/features/silence.feature
+++ b/features/silence.feature
@@ -6,6 +6,7 @@
     And 300 ms pass
     And the open connections of every engine go silent
     Then every answer is whole
+    And no caller had to ask again
     And no token was computed again
 
   Scenario: An engine swallows new connections
--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -332,6 +332,12 @@
         engine.mute()
 
 
+@then('no caller had to ask again')
+def none_asked_again(context):
+    resumes = [answer.resumes for answer in context.answers]
+    assert not any(resumes), resumes
+
+
 @given('the engine of "{domain}" swallows everything')
 def engine_swallows(context, domain):
     for name in engines_in(context, domain):
--- a/src/peridotmast/router/upstreams.py
+++ b/src/peridotmast/router/upstreams.py
@@ -36,6 +36,8 @@
     """One upstream as this router sees it."""
 
     record: pb.UpstreamRecord
+    rank: bytes = b''
+    """Place in this router's order of preference, by hashing."""
     in_flight: int = 0
     """Requests of this router that it works on."""
     others: int = 0
@@ -100,7 +102,7 @@
         self._subset_size = subset
         self._jitter = random.Random(seed)
         self._views: dict[str, UpstreamView] = {}
-        self._subset: ty.Optional[set[str]] = None
+        self._subset: ty.Optional[list[UpstreamView]] = None
         self._listeners: list[ty.Callable[[UpstreamView], None]] = []
         self.digest = 0
         """Exclusive or of the hashes of all names and states."""
@@ -118,7 +120,9 @@
         if view is None:
             if record.state == GONE:
                 return False
-            view = self._views[name] = UpstreamView(pb.UpstreamRecord())
+            view = self._views[name] = UpstreamView(
+                pb.UpstreamRecord(), self._rendezvous(name)
+            )
         else:
             self.digest ^= _hash(view.record)
         view.record = record
@@ -141,16 +145,16 @@
         return list(self._views.values())
 
     def usable(self, kind: str, service: str = '') -> list[UpstreamView]:
-        """Return upstreams that new work may be sent to now."""
+        """Return upstreams that new work may be sent to now.
+
+        The subset holds live ones only: each change of state makes it anew.
+        """
         now = self._clock.now()
-        subset = self._my_subset()
         return [
             view
-            for view in self._views.values()
-            if view.record.state == LIVE
-            and view.record.upstream.kind == kind
+            for view in self._my_subset()
+            if view.record.upstream.kind == kind
             and view.record.upstream.service == service
-            and view.name in subset
             and self._lets_through(view, now)
         ]
 
@@ -197,33 +201,33 @@
             return view.in_flight == 0
         return True
 
-    def _my_subset(self) -> set[str]:
+    def _my_subset(self) -> list[UpstreamView]:
         if self._subset is None:
             self._subset = self._choose_subset()
         return self._subset
 
-    def _choose_subset(self) -> set[str]:
-        """Return the names that this router serves, by rendezvous hashing.
+    def _choose_subset(self) -> list[UpstreamView]:
+        """Return what this router serves: engines by rendezvous hashing.
 
         Failure domains take turns, so that the loss of one leaves most.
         """
         live = [v for v in self._views.values() if v.record.state == LIVE]
         engines = [v for v in live if v.record.upstream.kind == 'engine']
-        others = {v.name for v in live if v.record.upstream.kind != 'engine'}
+        others = [v for v in live if v.record.upstream.kind != 'engine']
         domains: dict[str, list[UpstreamView]] = {}
-        for view in sorted(engines, key=self._rendezvous):
+        for view in sorted(engines, key=lambda view: view.rank):
             domain = view.record.upstream.failure_domain
             domains.setdefault(domain, []).append(view)
         turns = [
-            (turn, domain, view.name)
+            (turn, domain, view)
             for domain, views in domains.items()
-            for turn, view in enumerate(views)
+            for turn, view in enumerate(views[: self._subset_size])
         ]
-        chosen = sorted(turns)[: self._subset_size]
-        return others | {name for _, _, name in chosen}
+        turns.sort(key=lambda item: item[:2])
+        return others + [view for _, _, view in turns[: self._subset_size]]
 
-    def _rendezvous(self, view: UpstreamView) -> bytes:
-        text = f'{self._router}|{view.name}'.encode()
+    def _rendezvous(self, name: str) -> bytes:
+        text = f'{self._router}|{name}'.encode()
         return hashlib.blake2b(text, digest_size=8).digest()
 
 
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -150,8 +150,8 @@
     Mutation(
         'send work to leaving upstreams',
         ROUTER + 'upstreams.py',
-        'if view.record.state == LIVE\n            and view.record.upstream.kind == kind',
-        'if view.record.upstream.kind == kind',
+        'live = [v for v in self._views.values() if v.record.state == LIVE]',
+        'live = [v for v in self._views.values() if v.record.state != GONE]',
         'reclaim',
         # A second check stands right before the sending.
         ROUTER + 'relay.py',
