--- /dev/null
+++ b/features/steps/program_steps.py
@@ -0,0 +1,209 @@
+"""Steps that run the programs as processes of their own."""
+
+from __future__ import annotations
+
+import json
+import os
+import re
+import signal
+import socket
+import subprocess
+import sys
+import time
+from urllib import request
+
+from behave import given
+from behave import then
+from behave import when
+import fleet_steps
+
+from peridotmast.embedded import fleet as fleet_
+
+BIN = os.path.dirname(sys.executable)
+PROMPT = 'hello'
+
+
+def free_ports(count):
+    socks = [socket.create_server(('127.0.0.1', 0)) for _ in range(count)]
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+def begin(context, program, text):
+    path = f'{context.folder}/{program}-{len(context.processes)}.ini'
+    with open(path, 'w') as file:
+        file.write(text)
+    process = subprocess.Popen(
+        [f'{BIN}/peridotmast-{program}', '--config', path],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
+        text=True,
+    )
+    context.processes.append(process)
+
+    def end():
+        process.kill()
+        process.wait()
+        process.stdout.close()
+
+    context.closing.append(end)
+    return process
+
+
+def wait_listening(port):
+    for _ in range(200):
+        try:
+            socket.create_connection(('127.0.0.1', port), 0.2).close()
+            return
+        except OSError:
+            time.sleep(0.05)
+    raise AssertionError(f'nothing listens on {port}')
+
+
+def command(context, *args, timeout=30):
+    return subprocess.run(
+        [f'{BIN}/peridotmast', '--router', context.peers[0], *args],
+        capture_output=True,
+        text=True,
+        timeout=timeout,
+    )
+
+
+@given('a stand-in, two routers and a controller, each a process')
+def separate_processes(context):
+    context.processes = []
+    ports = free_ports(4)
+    # The stand-in's platform takes three ports in a row.
+    base = free_ports(1)[0]
+    standin = begin(
+        context, 'standin', f'[standin]\nlisten = 127.0.0.1:{base}\n'
+    )
+    platform = ''.join(standin.stdout.readline() for _ in range(4))
+    assert 'objects' in platform, platform
+    for number in range(2):
+        begin(
+            context,
+            'router',
+            f'[router]\nname = router-{number}\n'
+            f'listen = 127.0.0.1:{ports[2 * number]}\n'
+            f'peer_listen = 127.0.0.1:{ports[2 * number + 1]}\n'
+            f'failure_domain = fd-{number + 1}\n'
+            'drain_grace_ms = 300\nprobe_interval_ms = 200\n' + platform,
+        )
+        wait_listening(ports[2 * number])
+    begin(context, 'controller', '[controller]\nname = c1\n' + platform)
+    context.addresses = [f'127.0.0.1:{ports[n]}' for n in (0, 2)]
+    context.peers = [f'127.0.0.1:{ports[n]}' for n in (1, 3)]
+    for _ in range(100):
+        listed = command(context, 'upstream', 'list').stdout
+        nodes = command(context, 'node', 'list').stdout
+        if listed.count('engine') == 4 and nodes.count('alive') == 2:
+            return
+        time.sleep(0.1)
+    raise AssertionError((listed, nodes))
+
+
+def send_args(context, size):
+    return [
+        'send',
+        context.addresses[0],
+        PROMPT,
+        '--team',
+        'kalnins',
+        '--model',
+        fleet_steps.MODEL,
+        '--max-tokens',
+        str(size),
+    ]
+
+
+@when('an answer is asked for with the command line')
+def ask_by_command(context):
+    context.run = command(context, *send_args(context, 12))
+
+
+@then('the command ends with 0 and printed 12 tokens')
+def printed_tokens(context):
+    assert context.run.returncode == 0, context.run
+    wanted = ''.join(fleet_steps.expected(PROMPT, 12))
+    assert context.run.stdout.rstrip('\n') == wanted, context.run
+
+
+@then('the command line lists 2 routers and 4 engines')
+def lists(context):
+    nodes = command(context, 'node', 'list').stdout
+    assert len(nodes.splitlines()) == 2, nodes
+    engines = command(context, 'upstream', 'list').stdout
+    assert engines.count(' engine ') == 4, engines
+
+
+def change(context, team, *options):
+    path = f'{context.folder}/{team}.ini'
+    with open(path, 'w') as file:
+        file.write(fleet_.CONFIG + f'\n[team {team}]\n')
+    context.run = command(context, 'config', 'apply', path, *options)
+
+
+@when('the configuration is changed with the command line')
+def change_by_command(context):
+    status = command(context, 'config', 'status').stdout
+    context.base = re.search(r'committed\s+(\d+)', status)[1]
+    change(context, 'first', '--comment', 'a team more')
+
+
+@then('it is committed and in force at 2 routers')
+def committed_in_force(context):
+    assert context.run.returncode == 0, context.run
+    assert 'in force at 2 routers' in context.run.stdout, context.run
+    history = command(context, 'config', 'history').stdout
+    assert 'a team more' in history, history
+
+
+@when('it is changed again from the version before')
+def change_from_before(context):
+    change(context, 'second', '--base', context.base)
+
+
+@then('the command ends with 3 and shows the other change')
+def ends_with_conflict(context):
+    assert context.run.returncode == 3, context.run
+    assert '[team first]' in context.run.stderr, context.run
+
+
+def in_work(address):
+    with request.urlopen(f'http://{address}/healthz') as reply:
+        return json.load(reply)['in_work']
+
+
+@when('a router is killed while an answer streams')
+def killed_while_streaming(context):
+    context.stream = subprocess.Popen(
+        [f'{BIN}/peridotmast', *send_args(context, 400)],
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    context.read = context.stream.stdout.read(40)
+    busy = [in_work(address) for address in context.addresses]
+    assert sorted(busy) == [0, 1], busy
+    context.processes[1 + busy.index(1)].send_signal(signal.SIGKILL)
+    context.survivor = context.processes[1 + busy.index(0)]
+
+
+@then("the answer's end is printed by the other router")
+def end_printed(context):
+    rest = context.stream.communicate(timeout=40)[0]
+    text = (context.read + rest).rstrip('\n')
+    assert context.stream.returncode == 0, text[-200:]
+    assert text == ''.join(fleet_steps.expected(PROMPT, 400)), text[-80:]
+
+
+@when('the other router is told to stop')
+def told_to_stop(context):
+    context.survivor.send_signal(signal.SIGTERM)
+
+
+@then('it ends with 0 after its drain')
+def ends_after_drain(context):
+    assert context.survivor.wait(timeout=30) == 0
--- a/src/peridotmast/cli/load.py
+++ b/src/peridotmast/cli/load.py
@@ -10,7 +10,9 @@
 from peridotmast.cli import _program
 from peridotmast.load import compare as compare_
 from peridotmast.load import config_run
+from peridotmast.load import diff
 from peridotmast.load import event as event_
+from peridotmast.load import experiment
 from peridotmast.load import lease_trials
 from peridotmast.load import overhead as overhead_
 from peridotmast.load import overload as overload_
@@ -111,3 +113,29 @@
 def slopes(seed: int, out: str) -> None:
     """Measure every slope that docs/CAPACITY.md is worked out from."""
     _end(slopes_.run(seed, out, _progress), out)
+
+
+@main.command('run')
+@click.argument('path')
+@click.option('--check', is_flag=True, help='Only check the experiment.')
+@_common
+def run_experiment(path: str, check: bool, seed: int, out: str) -> None:
+    """Run the experiment file at PATH."""
+    loaded, found = experiment.load(path)
+    if found:
+        click.echo(str(found), err=True)
+        sys.exit(_program.BAD_SETTINGS)
+    if not check:
+        _end(experiment.run(loaded, seed, out, _progress), out)
+
+
+@main.command('diff')
+@click.argument('first')
+@click.argument('second')
+def diff_reports(first: str, second: str) -> None:
+    """Compare the reports in two folders."""
+    try:
+        click.echo('\n'.join(diff.lines(first, second)))
+    except (OSError, ValueError) as exc:
+        click.echo(str(exc), err=True)
+        sys.exit(_program.BAD_SETTINGS)
--- /dev/null
+++ b/src/peridotmast/load/experiment.py
@@ -0,0 +1,152 @@
+"""Experiments from INI files: a fleet, workloads, faults, a report."""
+
+from __future__ import annotations
+
+import os
+import typing as ty
+
+from peridotmast.embedded import fleet as fleet_
+from peridotmast import findings as findings_
+from peridotmast import ini
+from peridotmast.load import arrivals as arrivals_
+from peridotmast.load import driver as driver_
+from peridotmast.load import faults as faults_
+from peridotmast.load import oracle as oracle_
+from peridotmast.load import page
+from peridotmast.load import plots
+from peridotmast.load import report as report_
+from peridotmast.load import trial as trial_
+from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.standin import engine
+
+_WORKS = ('interactive', 'standard', 'draft')
+_SERVICES = ('', 'booking')
+
+
+def load(path: str) -> tuple[pb.ExperimentFile, findings_.Findings]:
+    """Read and check the experiment at `path`."""
+    experiment, found = ini.load_file(path, pb.ExperimentFile)
+    kinds = [kind.value for kind in faults_.FaultKind]
+    for fault in experiment.faults:
+        if fault.kind and fault.kind not in kinds:
+            text = f'[fault {fault.name}] kind: one of {", ".join(kinds)}'
+            found.add(path, text)
+    for workload in experiment.workloads:
+        place = f'[workload {workload.name}]'
+        if workload.work not in _WORKS:
+            found.add(path, f'{place} work: one of {", ".join(_WORKS)}')
+        if workload.tokens_max < workload.tokens_min:
+            found.add(path, f'{place} tokens_max is below tokens_min')
+        if workload.service not in _SERVICES:
+            found.add(path, f'{place} service: the stand-in has booking')
+    if not experiment.workloads and not found:
+        found.add(path, 'there is no [workload NAME]')
+    return experiment, found
+
+
+def run(
+    experiment: pb.ExperimentFile,
+    seed: int,
+    folder: str,
+    progress: driver_.Progress,
+) -> list[str]:
+    """Run, write report, plots and page, and return what fell short."""
+    seconds = experiment.run.seconds
+    arrivals = arrivals_.draw(experiment.workloads, seconds, seed)
+    faults = sorted(experiment.faults, key=lambda fault: fault.at)
+    trial = trial_.Trial(
+        _shape(experiment),
+        arrivals,
+        faults,
+        seed,
+        experiment.fleet.replace_ms,
+    )
+    report = trial.run(progress)
+    _add_targets(report, experiment)
+    report['workloads'] = _by_workload(trial.outcomes)
+    report_.write(folder, report)
+    _draw(folder, trial, faults)
+    page.write(folder, report)
+    found = trial.verdict.broken()
+    return found + ([] if report['meets_target'] else ['latency target'])
+
+
+def _shape(experiment: pb.ExperimentFile) -> fleet_.FleetShape:
+    cfg = experiment.fleet
+    return fleet_.FleetShape(
+        routers=cfg.routers,
+        domains=cfg.domains,
+        engines=cfg.engines,
+        times=engine.EngineTimes(step_ms=cfg.step_ms, batch=cfg.batch),
+        router={
+            'probe_interval_ms': 200,
+            'suspect_ms': 800,
+            'first_byte_timeout_ms': 1000,
+            'token_timeout_ms': 700,
+            'drain_grace_ms': 500,
+        },
+    )
+
+
+def _add_targets(
+    report: dict[str, ty.Any], experiment: pb.ExperimentFile
+) -> None:
+    targets = experiment.run
+    meets = (
+        report['first_token_ms']['p95'] <= targets.ttft_target_ms
+        and report['between_tokens_ms']['p95'] <= targets.tpot_target_ms
+    )
+    report['targets'] = {
+        'ttft_ms': targets.ttft_target_ms,
+        'tpot_ms': targets.tpot_target_ms,
+    }
+    report['meets_target'] = meets
+    report['cost_at_target'] = report['cost'] if meets else None
+    tokens = report['generated_tokens'] - report['recomputed_tokens']
+    report['cost_a_million_tokens'] = (
+        round(report['cost'] / tokens * 1e6, 4) if meets and tokens else None
+    )
+
+
+def _by_workload(
+    outcomes: list[oracle_.Outcome],
+) -> dict[str, dict[str, ty.Any]]:
+    names = sorted({outcome.arrival.workload for outcome in outcomes})
+    result = {}
+    for name in names:
+        own = [o for o in outcomes if o.arrival.workload == name]
+        result[name] = {
+            'requests': len(own),
+            'failed': sum(o.failure is not None for o in own),
+            **report_.latencies(own, own[0].arrival.work),
+        }
+    return result
+
+
+def _draw(
+    folder: str, trial: trial_.Trial, faults: ty.Sequence[pb.Fault]
+) -> None:
+    """Draw first-token times over the run, a line for each kind of work."""
+    series = {}
+    answers = [o for o in trial.outcomes if o.answer and o.answer.arrivals]
+    start = min((o.answer.began for o in answers if o.answer), default=0)
+    for work in _WORKS:
+        points = sorted(
+            (
+                (o.answer.began - start) / 1000,
+                float(o.answer.arrivals[0] - o.answer.began),
+            )
+            for o in answers
+            if o.answer and o.arrival.work == work
+        )
+        if points:
+            series[work] = tuple(zip(*points))
+    for fault in faults:
+        series[fault.kind] = ((fault.at, fault.at), (0.0, 50.0))
+    plots.lines(
+        os.path.join(folder, 'first_token.png'),
+        'First token, ms; short bars are faults',
+        series,
+        'seconds',
+        'ms',
+    )
--- a/src/peridotmast/load/slopes.py
+++ b/src/peridotmast/load/slopes.py
@@ -12,14 +12,14 @@
 import prometheus_client
 
 from peridotmast import clock as clock_
-from peridotmast import green
-from peridotmast import ids
-from peridotmast import ini
 from peridotmast.controller import planner
 from peridotmast.coordination import claims as claims_
 from peridotmast.coordination import config_feed
 from peridotmast.coordination import membership as membership_
 from peridotmast.embedded import fleet as fleet_
+from peridotmast import green
+from peridotmast import ids
+from peridotmast import ini
 from peridotmast.load import driver as driver_
 from peridotmast.load import overhead
 from peridotmast.load import platform_calls
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -451,6 +451,7 @@
                 'state': self._drain.state.value,
                 'config': self.feed.version,
                 'members': len(self.members.serving()),
+                'in_work': self.desk.in_work,
             }
         )
 
