--- a/src/peridotmast/cli/load.py
+++ b/src/peridotmast/cli/load.py
@@ -109,10 +109,11 @@
 
 
 @main.command()
+@click.option('--router', default='', help='A router process to read too.')
 @_common
-def slopes(seed: int, out: str) -> None:
+def slopes(router: str, seed: int, out: str) -> None:
     """Measure every slope that docs/CAPACITY.md is worked out from."""
-    _end(slopes_.run(seed, out, _progress), out)
+    _end(slopes_.run(seed, out, _progress, router), out)
 
 
 @main.command('run')
--- a/src/peridotmast/load/slopes.py
+++ b/src/peridotmast/load/slopes.py
@@ -17,7 +17,9 @@
 from peridotmast.coordination import config_feed
 from peridotmast.coordination import membership as membership_
 from peridotmast.embedded import fleet as fleet_
+from peridotmast import failures
 from peridotmast import green
+from peridotmast import http_client
 from peridotmast import ids
 from peridotmast import ini
 from peridotmast.load import driver as driver_
@@ -45,11 +47,24 @@
 _VMS = (200, 1000, 4000)
 _STREAMS = (25, 50, 100)
 _WATCH_S = 5.0
+_PROCESS_S = 15.0
 
 
-def run(seed: int, folder: str, progress: driver_.Progress) -> list[str]:
-    """Measure everything and write rows and straight-line fits."""
+def run(
+    seed: int, folder: str, progress: driver_.Progress, router: str = ''
+) -> list[str]:
+    """Measure everything and write rows and straight-line fits.
+
+    Parameters
+    ----------
+    router : str
+        HTTP address of a router that runs as a process of its own, whose
+        idle processor time and memory are read from its metrics.
+    """
     measured: dict[str, ty.Any] = {}
+    if router:
+        progress('process')
+        measured['process'] = _process(router)
     for name, func, size in _MEASURES:
         progress(name)
         gc.collect()
@@ -57,6 +72,11 @@
         measured[name] = {'rows': rows, 'fits': _fits(rows, size)}
     report_.write(folder, measured)
     nodes = measured['routers']['rows']
+    _plot(folder, nodes)
+    return []
+
+
+def _plot(folder: str, nodes: Rows) -> None:
     plots.lines(
         os.path.join(folder, 'slopes.png'),
         'One process with N routers and the stand-ins, idle',
@@ -69,7 +89,32 @@
         'routers',
         '%',
     )
-    return []
+
+
+def _process(address: str) -> dict[str, float]:
+    """Return an idle router's share of a core, and its memory in MB."""
+    first = _process_metrics(address)
+    green.sleep_ms(_PROCESS_S * 1000)
+    last = _process_metrics(address)
+    spent = (
+        last['process_cpu_seconds_total'] - first['process_cpu_seconds_total']
+    )
+    return {
+        'cpu_share': round(spent / _PROCESS_S, 5),
+        'resident_mb': round(last['process_resident_memory_bytes'] / 2**20, 1),
+    }
+
+
+def _process_metrics(address: str) -> dict[str, float]:
+    reply = http_client.HttpClient().call('GET', address, '/metrics')
+    if isinstance(reply, failures.Failure):
+        raise OSError(f'{address}: {reply.reason}')
+    pairs = (line.split(' ') for line in reply.body.decode().splitlines())
+    return {
+        pair[0]: float(pair[1])
+        for pair in pairs
+        if len(pair) == 2 and pair[0].startswith('process_')
+    }
 
 
 def _fits(rows: Rows, size: str) -> dict[str, dict[str, float]]:
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -81,6 +81,7 @@
         self._tasks = green.Tasks(self._on_error)
         self.registry = prometheus_client.CollectorRegistry()
         """Metrics of this router."""
+        prometheus_client.ProcessCollector(registry=self.registry)
         self.metrics = router_metrics.RouterMetrics(self.registry)
         """Counters of this router."""
         self.checks = invariants_.Invariants(
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -142,9 +142,9 @@
     ),
     Mutation(
         'no bound on silence',
-        'peridotmast/http_client.py',
-        'elif not green.readiness.wait(self._fd, self._silence_ms):',
-        'elif not green.readiness.wait(self._fd, 600_000):',
+        ROUTER + 'relay.py',
+        'stream.set_silence(self._cfg.token_timeout_ms)',
+        'stream.set_silence(600_000)',
         'silence',
     ),
     Mutation(
