Exchange what differs, not everything; docs; end what nobody waits for

Cause: worked out for the plan, a digest that differs while news is on its way would have made nodes exchange all 5,700 upstreams, 530 kB a time, several times a minute; a router's load was told to all with each change by 8. Entries of routers that are gone stayed in the platform; an idempotent request that was given up was kept as unknown, so a repeat could not run it.

Change: digests by 64 buckets, compared only after two differences in a row; load is told when it doubles or halves; entries are removed; given-up idempotent requests are forgotten. Code without a caller is gone.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,8 @@
 	PYTHONWARNINGS=ignore $(BIN)/behave --format progress --no-capture features
 
 check: $(VENV)/.installed
-	$(BIN)/ruff format --check src features
-	$(BIN)/flake8 src features
+	$(BIN)/ruff format --check src features tools
+	$(BIN)/flake8 src features tools/pages.py
 	$(BIN)/mypy
 	PATH="$(CURDIR)/$(BIN):$$PATH" tools/check_generated.sh
+	$(BIN)/python tools/pages.py --check
--- a/features/config.feature
+++ b/features/config.feature
@@ -70,6 +70,11 @@
   Scenario: Random orders of statements about members
     Then in 300 random orders all memberships come out alike
 
+  Scenario: A router that missed news finds out by itself
+    Given a fleet of 4 routers and 2 engines
+    When "router-1" learns of 100 upstreams and tells nobody
+    Then every router knows them
+
   Scenario: Operators and peers show certificates
     Given two routers that talk over TLS
     Then the routers know each other
--- a/features/steps/config_steps.py
+++ b/features/steps/config_steps.py
@@ -143,6 +143,36 @@
     assert sum(router._watch.is_due() for router in routers) == count
 
 
+@when('"{name}" learns of {count:d} upstreams and tells nobody')
+def learns_silently(context, name, count):
+    router = fleet_steps.routers_of(context)[name]
+    context.names = [f'quiet-{number}' for number in range(count)]
+    for quiet in context.names:
+        upstream = pb.Upstream(
+            name=quiet,
+            address='127.0.0.1:1',
+            failure_domain='fd-1',
+            kind='service',
+            service='nothing',
+        )
+        record = pb.UpstreamRecord(
+            upstream=upstream, state=pb.UPSTREAM_STATE_LIVE
+        )
+        assert router.table.merge(record)
+
+
+@then('every router knows them')
+def knows_them(context):
+    def known():
+        return all(
+            router.table.get(name) is not None
+            for router in context.fleet.routers
+            for name in context.names
+        )
+
+    assert context.fleet.wait_until(known, 15_000)
+
+
 # ------------------------------------------------------------ without sockets
 
 
@@ -274,7 +304,7 @@
             for member in members.all()
             if member.state != pb.MEMBER_STATE_DEAD
         }
-        found.append((known, members.digest))
+        found.append((known, members.digest.parts))
     assert found[0] == found[1] == found[2], found
 
 
--- a/features/steps/once_nodes.py
+++ b/features/steps/once_nodes.py
@@ -168,7 +168,6 @@
             router_metrics.RouterMetrics(
                 prometheus_client.CollectorRegistry()
             ),
-            None,
         )
         self.peers_see = peer_service.PeerService(
             clock,
--- a/src/peridotmast/clock.py
+++ b/src/peridotmast/clock.py
@@ -54,8 +54,3 @@
     def advance(self, ms: int) -> None:
         """Move the clock on by `ms` milliseconds."""
         self._now += ms
-
-
-def seconds(ms: int) -> float:
-    """Return `ms` milliseconds in seconds, for libraries that want them."""
-    return ms / 1000
--- a/src/peridotmast/coordination/config_feed.py
+++ b/src/peridotmast/coordination/config_feed.py
@@ -82,16 +82,6 @@
             return False
         return self.offer(found.version, found.value)
 
-    def watch(self, wait_ms: int) -> bool:
-        """Wait on the platform for a newer version; false if it is out."""
-        found = self._store.watch(CONFIG_KEY, self.version, wait_ms)
-        if isinstance(found, failures.Failure):
-            return False
-        for stored in found[0]:
-            if stored.value is not None:
-                self.offer(stored.version, stored.value)
-        return True
-
     def commit(
         self, document: str, base_version: int, by: str, comment: str, at: int
     ) -> ty.Union[object_store.Stored, failures.Failure]:
--- a/src/peridotmast/coordination/gossip.py
+++ b/src/peridotmast/coordination/gossip.py
@@ -1,9 +1,9 @@
 """Spread of what routers must know of each other, at constant cost a node.
 
 Each node probes one peer an interval. A probe carries a few rumors and a
-digest of all that the sender knows; where digests still differ after the
-rumors, the two exchange everything. News is also pushed at once to a few
-peers, who push it on when it is new to them.
+digest of all that the sender knows; where digests differ twice in a row, the
+two compare digests of buckets and exchange those that differ. News is also
+pushed at once to a few peers, who push it on when it is new to them.
 """
 
 from __future__ import annotations
@@ -32,8 +32,11 @@
     def merge(self, rumor: pb.Rumor, sender: str) -> bool:
         """Take a rumor in; say whether it was news."""
 
-    def everything(self) -> list[pb.Rumor]:
-        """Return all that is known."""
+    def parts(self) -> list[int]:
+        """Return a digest of each bucket of what is known."""
+
+    def in_buckets(self, buckets: ty.Collection[int]) -> list[pb.Rumor]:
+        """Return all that is known in the named buckets."""
 
     def digest(self) -> bytes:
         """Return a value that is equal where knowledge is."""
@@ -77,7 +80,7 @@
         self._choice = random.Random(seed)
         self._spreading: list[_Spreading] = []
         self._order: list[str] = []
-        self._mismatches: dict[str, int] = {}
+        self._mismatches = 0
         self.sent_bytes = 0
         """Bytes of requests and replies that this node has sent."""
         self.messages = 0
@@ -103,12 +106,15 @@
             self.spread(pb.Rumor(member=suspect))
 
     def sync(self, address: str) -> bool:
-        """Exchange everything with the peer at `address`."""
-        request = pb.SyncRequest(rumors=self._knowledge.everything())
+        """Exchange what differs with the peer at `address`."""
+        request = pb.SyncRequest(parts=self._knowledge.parts())
         reply = self._call(address, 'Sync', request)
         if isinstance(reply, failures.Failure):
             return False
+        mine = self._knowledge.in_buckets(reply.differing)
         self._take(reply.rumors, '', address)
+        if reply.differing:
+            self._call(address, 'Sync', pb.SyncRequest(rumors=mine))
         return True
 
     def on_probe(self, request: pb.ProbeRequest) -> pb.ProbeReply:
@@ -124,9 +130,17 @@
         return reply
 
     def on_sync(self, request: pb.SyncRequest) -> pb.SyncReply:
-        """Answer an exchange of everything."""
+        """Answer an exchange: give the buckets that differ."""
         self._take(request.rumors, '', '')
-        reply = pb.SyncReply(rumors=self._knowledge.everything())
+        pairs = zip(request.parts, self._knowledge.parts())
+        differing = [
+            bucket
+            for bucket, (theirs, ours) in enumerate(pairs)
+            if theirs != ours
+        ]
+        reply = pb.SyncReply(
+            differing=differing, rumors=self._knowledge.in_buckets(differing)
+        )
         self.sent_bytes += reply.ByteSize()
         return reply
 
@@ -165,12 +179,12 @@
 
     def _compare(self, peer: pb.Member, digest: bytes) -> None:
         if digest == self._knowledge.digest():
-            self._mismatches.pop(peer.name, None)
+            self._mismatches = 0
             return
-        count = self._mismatches.get(peer.name, 0) + 1
-        self._mismatches[peer.name] = count
-        if count >= _SYNC_AFTER_MISMATCHES or not self._spreading:
-            self._mismatches.pop(peer.name, None)
+        self._mismatches += 1
+        # Once may be news on its way; twice in a row is worth a look.
+        if self._mismatches >= _SYNC_AFTER_MISMATCHES:
+            self._mismatches = 0
             self.sync(peer.peer_address)
 
     def _take(
--- a/src/peridotmast/coordination/membership.py
+++ b/src/peridotmast/coordination/membership.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import hashlib
 import typing as ty
 
 from peridotmast import clock as clock_
+from peridotmast.coordination import bucket_digest
 from peridotmast import ids
 from peridotmast.schema import peridotmast_pb2 as pb
 
@@ -45,8 +45,9 @@
         self._since: dict[str, int] = {me.name: clock.now()}
         self._adopters: dict[str, str] = {}
         self._listeners: list[ty.Callable[[pb.Member], None]] = []
-        self.digest = _hash(me)
-        """Exclusive or of the hashes of all entries."""
+        self.digest = bucket_digest.BucketDigest()
+        """Digest of all entries but dead ones."""
+        self._flip(me)
 
     def listen(self, listener: ty.Callable[[pb.Member], None]) -> None:
         """Call `listener` with each entry that changed."""
@@ -164,8 +165,8 @@
     def _replace(self, member: pb.Member) -> None:
         known = self._members.get(member.name)
         if known is not None:
-            self.digest ^= _hash(known)
-        self.digest ^= _hash(member)
+            self._flip(known)
+        self._flip(member)
         self._members[member.name] = member
         self._since[member.name] = self._clock.now()
         self._adopters.update(dict.fromkeys(member.adopted, member.name))
@@ -181,17 +182,17 @@
             if member.state == DEAD and now - self._since[name] > _FORGET_MS
         ]
         for name in old:
-            self.digest ^= _hash(self._members.pop(name))
+            del self._members[name]
             del self._since[name]
 
+    def _flip(self, member: pb.Member) -> None:
+        """Enter a member into the digest, or take it out.
 
-def _rank(member: pb.Member) -> tuple[int, int, int]:
-    return member.incarnation, member.revision, member.state
+        Nodes forget dead ones at different times, so these don't count.
+        """
+        if member.state != DEAD:
+            self.digest.flip(member.name, str(_rank(member)))
 
 
-def _hash(member: pb.Member) -> int:
-    if member.state == DEAD:
-        # Nodes forget dead members at different times.
-        return 0
-    text = f'{member.name}|{_rank(member)}'.encode()
-    return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest(), 'big')
+def _rank(member: pb.Member) -> tuple[int, int, int]:
+    return member.incarnation, member.revision, member.state
--- a/src/peridotmast/embedded/fleet.py
+++ b/src/peridotmast/embedded/fleet.py
@@ -10,7 +10,6 @@
 from peridotmast import clock as clock_
 from peridotmast.controller import controller as controller_
 from peridotmast.coordination import config_feed
-from peridotmast import failures
 from peridotmast import green
 from peridotmast import ini
 from peridotmast.platform import object_store
@@ -309,11 +308,3 @@
 def recomputed_tokens(fleet: Fleet) -> int:
     """Return the tokens that the engines computed again."""
     return sum(engine.totals['recomputed'] for engine in fleet.engines())
-
-
-def is_not_run(failure: ty.Any) -> bool:
-    """Return whether `failure` says that nothing was run."""
-    return (
-        isinstance(failure, failures.Failure)
-        and failure.kind is failures.FailureKind.NOT_RUN
-    )
--- a/src/peridotmast/http_client.py
+++ b/src/peridotmast/http_client.py
@@ -144,10 +144,6 @@
         """Change the bound on each silence from here on."""
         self._silence_ms = silence_ms
 
-    def header(self, name: str) -> str:
-        """Return a header of the answer, or an empty string."""
-        return self._resp.headers.get(name, '')
-
     def read_some(self) -> ty.Union[bytes, failures.Failure]:
         """Return the next bytes of the answer; empty at its end."""
         try:
--- a/src/peridotmast/http_server.py
+++ b/src/peridotmast/http_server.py
@@ -79,12 +79,6 @@
         for thread in list(self._pool.coroutines_running):
             thread.kill()
 
-    def stop_accepting(self) -> None:
-        """Accept no more; connections at work go on to their end."""
-        if self._task is not None:
-            # The server closes the idle ones and waits for the others.
-            green.spawn(self._task.kill)
-
     def _serve(self) -> None:
         try:
             wsgi.server(
--- a/src/peridotmast/platform/object_store.py
+++ b/src/peridotmast/platform/object_store.py
@@ -79,8 +79,7 @@
             A conflict means that nothing was written; an unknown outcome
             means that it may have been.
         """
-        headers = {'If-Match': str(version)}
-        reply = self._call('PUT', _path(key), value, headers)
+        reply = self._call('PUT', _path(key), value, _if_match(version))
         if isinstance(reply, failures.Failure):
             return failures.unknown(reply.reason, reply.detail)
         if reply.status == 412:
@@ -91,6 +90,15 @@
             return failures.unknown('platform_error', str(reply.status))
         return Stored(key, _version(reply), value)
 
+    def delete(
+        self, key: str, version: ids.Version
+    ) -> ty.Optional[failures.Failure]:
+        """Delete an object that is still at `version`."""
+        reply = self._call('DELETE', _path(key), None, _if_match(version))
+        if isinstance(reply, failures.Failure):
+            return failures.unknown(reply.reason, reply.detail)
+        return None if reply.status == 200 else _refused(reply)
+
     def update(
         self, key: str, change: Change, patience_ms: int
     ) -> ty.Union[Stored, failures.Failure]:
@@ -195,6 +203,10 @@
     return failures.unavailable('platform_error', str(reply.status))
 
 
+def _if_match(version: ids.Version) -> dict[str, str]:
+    return {'If-Match': str(version)}
+
+
 def _version(reply: http_client.Reply) -> ids.Version:
     return ids.Version(int(reply.headers.get('ETag', '0')))
 
--- a/src/peridotmast/router/desk.py
+++ b/src/peridotmast/router/desk.py
@@ -52,7 +52,6 @@
         peers: rpc.RpcClient,
         pacer: retry.RetryPacer,
         metrics: router_metrics.RouterMetrics,
-        spawn: ty.Callable[..., None],
     ) -> None:
         self._clock = clock
         self._admission = admission
@@ -64,7 +63,6 @@
         self._peers = peers
         self._pacer = pacer
         self._metrics = metrics
-        self._spawn = spawn
         self._log = logs.get('desk', router=members.me.name)
         self.in_work = 0
         """Calls being worked on."""
@@ -189,7 +187,7 @@
             if left <= 0:
                 return failures.unknown('deadline', 'still running')
             if self._ledger.find(entry.key) is not entry:
-                return failures.not_run('refused', 'first try was refused')
+                return _first_try_failed(entry)
             with green.Timeout(left / 1000, False):
                 entry.changed.wait()
         if entry.state == ledger_.UNKNOWN:
@@ -376,5 +374,11 @@
     place: ty.Any
 
 
+def _first_try_failed(entry: ledger_.Entry) -> failures.Failure:
+    if entry.state == ledger_.ACCEPTED:
+        return failures.not_run('refused', 'the first try was refused')
+    return failures.unknown('given_up', 'the first try had no answer')
+
+
 def _position(call: call_.Call) -> int:
     return call.resume.position if call.resume is not None else 0
--- a/src/peridotmast/router/knowledge.py
+++ b/src/peridotmast/router/knowledge.py
@@ -4,6 +4,7 @@
 
 import typing as ty
 
+from peridotmast.coordination import bucket_digest
 from peridotmast.coordination import config_feed as config_feed_
 from peridotmast.coordination import membership as membership_
 from peridotmast.router import once as once_
@@ -49,11 +50,22 @@
             news = True
         return news
 
-    def everything(self) -> list[pb.Rumor]:
-        """Return all that is known."""
-        members = [pb.Rumor(member=m) for m in self._members.all()]
+    def parts(self) -> list[int]:
+        """Return a digest of each bucket of members and upstreams."""
+        pairs = zip(self._members.digest.parts, self._table.digest.parts)
+        return [members ^ upstreams for members, upstreams in pairs]
+
+    def in_buckets(self, buckets: ty.Collection[int]) -> list[pb.Rumor]:
+        """Return all that is known in the named buckets, and the versions."""
+        members = [
+            pb.Rumor(member=member)
+            for member in self._members.all()
+            if bucket_digest.bucket_of(member.name) in buckets
+        ]
         records = [
-            pb.Rumor(upstream=view.record) for view in self._table.all()
+            pb.Rumor(upstream=view.record)
+            for view in self._table.all()
+            if bucket_digest.bucket_of(view.name) in buckets
         ]
         return [*members, *records, self.versions()]
 
@@ -65,7 +77,7 @@
 
     def digest(self) -> bytes:
         """Return a value that is equal where knowledge is."""
-        mixed = self._members.digest ^ self._table.digest
+        mixed = self._members.digest.total() ^ self._table.digest.total()
         versions = self._feed.version * 1_000_003 + self._guard.epoch
         mixed ^= versions * 0x9E3779B97F4A7C15
         return (mixed & 0xFFFFFFFFFFFFFFFF).to_bytes(8, 'big')
--- a/src/peridotmast/router/ledger.py
+++ b/src/peridotmast/router/ledger.py
@@ -160,8 +160,18 @@
         entry.set_state(state)
         self._trim()
 
+    def give_up(self, entry: Entry) -> None:
+        """Stop working on an entry that has no answer.
+
+        What may be run again is forgotten, so that a repeat runs it.
+        """
+        if entry.idempotent or entry.state == ACCEPTED:
+            self.drop(entry)
+        else:
+            self.end(entry, UNKNOWN)
+
     def drop(self, entry: Entry) -> None:
-        """Forget an entry of which nothing was sent."""
+        """Forget an entry that a repeat may begin anew."""
         self._running.pop(entry.key, None)
         entry.set_state(entry.state)
 
--- a/src/peridotmast/router/relay.py
+++ b/src/peridotmast/router/relay.py
@@ -482,12 +482,8 @@
 
     def _give_up(self, journey: _Journey, failure: failures.Failure) -> None:
         entry = journey.entry
-        if entry.ended or journey.superseded:
-            return
-        if entry.state == ledger_.ACCEPTED:
-            self._ledger.drop(entry)
-        else:
-            self._ledger.end(entry, ledger_.UNKNOWN)
+        if not entry.ended and not journey.superseded:
+            self._ledger.give_up(entry)
 
 
 class _Journey:
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -214,7 +214,6 @@
             self._peers,
             pacer,
             self.metrics,
-            self._tasks.spawn,
         )
         """The way of every call in."""
         self._mover = mover_.ReclaimMover(
@@ -332,7 +331,7 @@
     def stop(self) -> None:
         """End, at once; call `drain` before for a planned stop."""
         if self._drain.state is drain_.DrainState.EMPTY:
-            self._deregister()
+            self._deregister(self.members.me)
         self.kill()
         self._tracer.close()
 
@@ -377,8 +376,14 @@
             ), _START_MS,
         )  # fmt: skip
 
-    def _deregister(self) -> None:
-        self._register()
+    def _deregister(self, gone: pb.Member) -> None:
+        """Remove the entry of a router's run that is over."""
+        key = MEMBERS_PREFIX + gone.name
+        stored = self.store.get(key)
+        if isinstance(stored, failures.Failure) or stored.value is None:
+            return
+        if pb.Member.FromString(stored.value).incarnation == gone.incarnation:
+            self.store.delete(key, stored.version)
 
     def _announce(self) -> None:
         self._spread(pb.Rumor(member=self.members.me))
@@ -430,13 +435,17 @@
     def _keep_house(self) -> None:
         for member in self.members.expire():
             self.gossip.spread(pb.Rumor(member=member), urgent=True)
+            if self._watch.is_due():
+                self._tasks.spawn('deregister', self._deregister, member)
         self.table.forget_gone()
         self.metrics.waiting.set(self.admission.waiting)
         for entry in self.ledger.abandoned(_ABANDONED_MS):
             # Its caller never came back for the rest.
-            self.ledger.end(entry, ledger_.UNKNOWN)
-        if abs(self.members.me.load - self.desk.in_work) > 8:
-            self.members.change_me(load=self.desk.in_work)
+            self.ledger.give_up(entry)
+        # Told only when it doubles or halves: each change goes to all.
+        told, load = self.members.me.load, self.desk.in_work
+        if not told // 2 <= load <= max(8, told * 2):
+            self.members.change_me(load=load)
             self.gossip.spread(pb.Rumor(member=self.members.me))
 
     # ------------------------------------------------------------- handlers
--- a/src/peridotmast/router/service_call.py
+++ b/src/peridotmast/router/service_call.py
@@ -70,10 +70,10 @@
     def _give_up(
         self, entry: ledger_.Entry, failure: failures.Failure
     ) -> failures.Failure:
-        if entry.state == ledger_.ACCEPTED:
-            self._ledger.drop(entry)
+        sent = entry.state != ledger_.ACCEPTED
+        self._ledger.give_up(entry)
+        if not sent:
             return failures.not_run(failure.reason, failure.detail, 1000)
-        self._ledger.end(entry, ledger_.UNKNOWN)
         return failures.unknown(failure.reason, failure.detail)
 
     def _attempt(
--- a/src/peridotmast/router/upstreams.py
+++ b/src/peridotmast/router/upstreams.py
@@ -9,6 +9,7 @@
 import typing as ty
 
 from peridotmast import clock as clock_
+from peridotmast.coordination import bucket_digest
 from peridotmast import ids
 from peridotmast.router import prefix_record
 from peridotmast.schema import peridotmast_pb2 as pb
@@ -104,8 +105,8 @@
         self._views: dict[str, UpstreamView] = {}
         self._subset: ty.Optional[list[UpstreamView]] = None
         self._listeners: list[ty.Callable[[UpstreamView], None]] = []
-        self.digest = 0
-        """Exclusive or of the hashes of all names and states."""
+        self.digest = bucket_digest.BucketDigest()
+        """Digest of all names and states but gone ones."""
 
     def listen(self, listener: ty.Callable[[UpstreamView], None]) -> None:
         """Call `listener` with each upstream whose state changed."""
@@ -124,9 +125,9 @@
                 pb.UpstreamRecord(), self._rendezvous(name)
             )
         else:
-            self.digest ^= _hash(view.record)
+            self._flip(view.record)
         view.record = record
-        self.digest ^= _hash(record)
+        self._flip(record)
         self._subset = None
         if record.state != LIVE:
             now = self._clock.now()
@@ -189,7 +190,15 @@
             if view.record.state == GONE and view.left_at < limit
         ]
         for name in old:
-            self.digest ^= _hash(self._views.pop(name).record)
+            del self._views[name]
+
+    def _flip(self, record: pb.UpstreamRecord) -> None:
+        """Enter an upstream into the digest, or take it out.
+
+        Nodes forget gone ones at different times, so these don't count.
+        """
+        if record.state != GONE:
+            self.digest.flip(record.upstream.name, str(record.state))
 
     def _lets_through(self, view: UpstreamView, now: int) -> bool:
         if view.breaker is Breaker.OPEN:
@@ -229,11 +238,3 @@
     def _rendezvous(self, name: str) -> bytes:
         text = f'{self._router}|{name}'.encode()
         return hashlib.blake2b(text, digest_size=8).digest()
-
-
-def _hash(record: pb.UpstreamRecord) -> int:
-    if record.state == GONE:
-        # Nodes forget gone upstreams at different times.
-        return 0
-    text = f'{record.upstream.name}|{record.state}'.encode()
-    return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest(), 'big')
