Ask an upstream again for a model that it had not loaded

Cause, found by reading: an upstream that answered once that it has not loaded a model was left out for that model for good, so a VM that a router asked before its load ended stayed idle for that router.

Change: the answer counts for one second.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -65,6 +65,12 @@
     Then "u1" is not usable
     And a statement that "u1" is live changes nothing
 
+  Scenario: An upstream that had not loaded a model is asked again later
+    When "u1" answers that it has not loaded "m"
+    Then a request with a deadline of 50 ms that waits is refused as "deadline" and waits no more
+    When 1000 ms pass on the clock
+    Then a request for "m" is placed at "u1"
+
   Scenario: A router serves a subset that is spread over failure domains
     Given 600 engines in 5 failure domains and a subset of 40
     Then the router serves 40 engines, 8 in each failure domain
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -274,6 +274,19 @@
     context.upstreams.get(name).in_flight -= 1
 
 
+@when('"{name}" answers that it has not loaded "{model}"')
+def not_loaded(context, name, model):
+    view = context.upstreams.get(name)
+    view.models_missing[model] = context.clock.now()
+
+
+@then('a request for "{model}" is placed at "{name}"')
+def placed_at(context, model, name):
+    place = context.admission.place(make_call(context))
+    assert place.view.name == name
+    place.release()
+
+
 @when('"{name}" is marked as leaving')
 def mark_leaving(context, name):
     assert context.upstreams.merge(
--- a/src/peridotmast/router/admission.py
+++ b/src/peridotmast/router/admission.py
@@ -205,7 +205,8 @@
         kind = 'service' if call.service else 'engine'
         usable = self._table.usable(kind, call.service)
         if call.model:
-            usable = [v for v in usable if call.model not in v.models_missing]
+            now = self._clock.now()
+            usable = [v for v in usable if not v.lacks(call.model, now)]
         preferred = [view for view in usable if view.name not in ask.avoid]
         return self._policy.choose(call, preferred) or self._policy.choose(
             call, usable
--- a/src/peridotmast/router/upstreams.py
+++ b/src/peridotmast/router/upstreams.py
@@ -22,6 +22,7 @@
 _FIRST_OPEN_MS = 250
 _LAST_OPEN_MS = 8000
 _FORGET_MS = 600_000
+_MISSING_MS = 1000
 
 
 class Breaker(enum.Enum):
@@ -61,7 +62,7 @@
     )
     """Prompt prefixes that it probably has in its cache."""
     models_missing: dict[str, int] = dataclasses.field(default_factory=dict)
-    """Models that it answered it has not, and when, in ms."""
+    """Models that it answered it has not, and when, in ms; see `lacks`."""
 
     @property
     def name(self) -> ids.UpstreamName:
@@ -78,6 +79,11 @@
         """Requests that it works on at once."""
         return self.record.upstream.slots or 1
 
+    def lacks(self, model: str, now: int) -> bool:
+        """Return whether it said lately that it has not loaded `model`."""
+        said = self.models_missing.get(model)
+        return said is not None and now - said < _MISSING_MS
+
     @property
     def load(self) -> int:
         """Requests that it works on, as well as this router can know."""
