Check position, owner and own answer where tokens are taken in

Cause, found by reading: three of the program's promises were declared and never checked; and a stream that was attached again kept the bound for a first token (4 s) for its whole life instead of the one for tokens (2 s).

Change: the checks stand where a token is appended; each connection has a first token of its own.

--- a/src/peridotmast/router/relay.py
+++ b/src/peridotmast/router/relay.py
@@ -320,6 +320,8 @@
         stream: http_client.Stream,
     ) -> ty.Generator[Item, None, Broken]:
         reader = frames.FrameReader()
+        # Each connection has a first token of its own to wait for.
+        journey.started_at = 0
         while True:
             data = stream.read_some()
             if journey.superseded:
@@ -361,7 +363,7 @@
             if 't' in frame:
                 position = frame['p']
                 if position == len(entry.tokens):
-                    entry.tokens.append(frame['t'])
+                    self._append(journey, frame)
                 elif position > len(entry.tokens):
                     return Broken.BROKE_OFF
                 continue
@@ -373,6 +375,16 @@
                 return self._ended(entry, frame)
         return None
 
+    def _append(self, journey: _Journey, frame: dict[str, ty.Any]) -> None:
+        """Take one token in, and check what must hold whenever one is."""
+        entry, check = journey.entry, self._checks.check
+        grows = frame['p'] == len(entry.tokens) < entry.max_tokens
+        check(_Promise.POSITION_GROWS, grows, entry.key)
+        own = frame['s'] == journey.call.stream_id
+        check(_Promise.OWN_ANSWER, own, entry.key)
+        check(_Promise.ONE_OWNER, not journey.superseded, entry.key)
+        entry.tokens.append(frame['t'])
+
     def _ended(self, entry: ledger_.Entry, frame: dict[str, ty.Any]) -> Broken:
         if frame['n'] != len(entry.tokens):
             return Broken.BROKE_OFF
