Declare and cancel events with the command line

Cause: an event could only be declared by applying a whole document.

Change: event declare and event cancel change the committed document and commit it from its version.

--- a/features/programs.feature
+++ b/features/programs.feature
@@ -9,6 +9,10 @@
     Then it is committed and in force at 2 routers
     When it is changed again from the version before
     Then the command ends with 3 and shows the other change
+    When an event is declared with the command line
+    Then it is listed and planned
+    When the event is cancelled with the command line
+    Then no event is listed
     When a router is killed while an answer streams
     Then the answer's end is printed by the other router
     When the other router is told to stop
--- a/features/steps/program_steps.py
+++ b/features/steps/program_steps.py
@@ -164,6 +164,38 @@
     assert '[team first]' in context.run.stderr, context.run
 
 
+@when('an event is declared with the command line')
+def declare_event(context):
+    start = str(int(time.time() * 1000) + 86_400_000)
+    done = command(
+        context, 'event', 'declare', 'opening', '--start-ms', start,
+        '--tokens-per-second', '5000', '--model', fleet_steps.MODEL,
+    )  # fmt: skip
+    assert done.returncode == 0, done
+
+
+@then('it is listed and planned')
+def listed_and_planned(context):
+    assert 'opening' in command(context, 'event', 'list').stdout
+    plan = command(context, 'event', 'plan').stdout
+    assert 'VMs for opening' in plan and '#' in plan, plan
+
+
+@when('the event is cancelled with the command line')
+def cancel_event(context):
+    done = command(context, 'event', 'cancel', 'opening')
+    assert done.returncode == 0, done
+    again = command(context, 'event', 'cancel', 'opening')
+    assert again.returncode == 1 and 'no event' in again.stderr, again
+
+
+@then('no event is listed')
+def none_listed(context):
+    assert not command(context, 'event', 'list').stdout.strip()
+    status = command(context, 'config', 'status', '--document').stdout
+    assert '[team first]' in status, status
+
+
 def in_work(address):
     with request.urlopen(f'http://{address}/healthz') as reply:
         return json.load(reply)['in_work']
--- a/src/peridotmast/cli/main.py
+++ b/src/peridotmast/cli/main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import sys
 import typing as ty
 
@@ -95,10 +96,22 @@
         base = operator.call(
             'ConfigStatus', pb.ConfigStatusRequest()
         ).committed_version
+    _commit(operator, _read(path), base, comment, path, wait)
+
+
+def _commit(
+    operator: Operator,
+    document: str,
+    base: int,
+    comment: str,
+    path: str = 'configuration',
+    wait: bool = True,
+) -> None:
+    """Commit `document`; end with the exit code of what stands in the way."""
     reply = operator.call(
         'ConfigApply',
         pb.ConfigApplyRequest(
-            document=_read(path), base_version=base, comment=comment
+            document=document, base_version=base, comment=comment
         ),
     )
     if reply.conflict:
@@ -167,6 +180,48 @@
         click.echo(line)
 
 
+@event.command('declare')
+@click.argument('name')
+@click.option('--start-ms', required=True, type=int, help='ms since 1970.')
+@click.option('--duration-ms', default=3_600_000, show_default=True)
+@click.option('--tokens-per-second', required=True, type=float)
+@click.option('--model', required=True)
+@click.pass_obj
+def event_declare(
+    operator: Operator,
+    name: str,
+    start_ms: int,
+    duration_ms: int,
+    tokens_per_second: float,
+    model: str,
+) -> None:
+    """Add an event to the committed configuration."""
+    status = operator.call('ConfigStatus', pb.ConfigStatusRequest())
+    section = (
+        f'\n[event {name}]\nstart_ms = {start_ms}\n'
+        f'duration_ms = {duration_ms}\n'
+        f'tokens_per_second = {tokens_per_second:g}\nmodel = {model}\n'
+    )
+    document = status.document.rstrip('\n') + '\n' + section
+    _commit(operator, document, status.committed_version, f'declare {name}')
+
+
+@event.command('cancel')
+@click.argument('name')
+@click.pass_obj
+def event_cancel(operator: Operator, name: str) -> None:
+    """Take an event out of the committed configuration."""
+    status = operator.call('ConfigStatus', pb.ConfigStatusRequest())
+    title = re.escape(f'[event {name}]')
+    document, found = re.subn(
+        rf'(?ms)^{title}[ \t]*$.*?(?=^\[|\Z)', '', status.document
+    )
+    if not found:
+        click.echo(f'no event {name}', err=True)
+        sys.exit(1)
+    _commit(operator, document, status.committed_version, f'cancel {name}')
+
+
 @event.command('list')
 @click.pass_obj
 def event_list(operator: Operator) -> None:
