Freeze a router that serves, and let it thaw

Cause: freezes of real processes were not tested.

Change: a scenario stops the serving router with SIGSTOP in the middle of an answer; the caller goes on at the other, and after SIGCONT both are alive.

--- a/features/programs.feature
+++ b/features/programs.feature
@@ -17,3 +17,10 @@
     Then the answer's end is printed by the other router
     When the other router is told to stop
     Then it ends with 0 after its drain
+
+  Scenario: A router is frozen while it serves, and thaws
+    Given a stand-in, two routers and a controller, each a process
+    When a router is frozen while an answer streams
+    Then the answer's end is printed by the other router
+    When the frozen router goes on
+    Then both routers are alive again
--- a/features/steps/program_steps.py
+++ b/features/steps/program_steps.py
@@ -203,6 +203,33 @@
 
 @when('a router is killed while an answer streams')
 def killed_while_streaming(context):
+    stop_busy(context, signal.SIGKILL)
+
+
+@when('a router is frozen while an answer streams')
+def frozen_while_streaming(context):
+    stop_busy(context, signal.SIGSTOP)
+
+
+@when('the frozen router goes on')
+def goes_on(context):
+    context.stopped.send_signal(signal.SIGCONT)
+
+
+@then('both routers are alive again')
+def both_alive(context):
+    survivor = context.processes.index(context.survivor) - 1
+    context.peers = [context.peers[survivor]]
+    for _ in range(100):
+        nodes = command(context, 'node', 'list').stdout
+        if nodes.count('alive') == 2:
+            return
+        time.sleep(0.1)
+    raise AssertionError(nodes)
+
+
+def stop_busy(context, how):
+    """Stop the router that serves an answer in the middle of it."""
     context.stream = subprocess.Popen(
         [f'{BIN}/peridotmast', *send_args(context, 400)],
         stdout=subprocess.PIPE,
@@ -211,7 +238,8 @@
     context.read = context.stream.stdout.read(40)
     busy = [in_work(address) for address in context.addresses]
     assert sorted(busy) == [0, 1], busy
-    context.processes[1 + busy.index(1)].send_signal(signal.SIGKILL)
+    context.stopped = context.processes[1 + busy.index(1)]
+    context.stopped.send_signal(how)
     context.survivor = context.processes[1 + busy.index(0)]
 
 
