Placement looks at 128 near upstreams and a prompt's home, and reads sums of their work

Change: each router spreads requests over 128 upstreams near to it; a prompt's home is looked up on a circle (multi-probe consistent hashing, Appleton and O'Reilly 2015); a view keeps the sum of its work; beacons touch only what their router has work at; housekeeping only what is not live. With up to 128 upstreams all are looked at as before.

--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -21,7 +21,8 @@
   Scenario: A beacon that nobody signed changes nothing
     Given a fleet of 2 routers that sign their beacons
     When a forged beacon says that a third router serves
-    Then every directory names all 2, near ones first
+    Then no router has heard of a third one
+    And every directory names all 2, near ones first
 
   Scenario: A revision that nothing is left of is not asked for for ever
     Given a fleet of 2 routers
--- a/features/limits.feature
+++ b/features/limits.feature
@@ -73,6 +73,27 @@
     Then requests that share a beginning go to the same engine from all of them
     And 200 beginnings are spread over all 5
 
+  Scenario: Of thousands of engines a router looks at few for a request
+    Given 3000 idle engines as seen by 3 routers
+    Then each looks at 129 of them for a request
+    And requests that share a beginning go to the same engine from all of them
+    When the home of the first beginning leaves
+    Then only the beginnings that were at home there go elsewhere
+
+  Scenario: A router whose own engines all fail looks at the others
+    Given 300 idle engines as seen by 1 routers
+    When all that it looks at fail
+    Then a request without a beginning goes to another one
+
+  Scenario: Other routers' work counts until they say less or fall silent
+    Given 3 idle engines as seen by 1 routers
+    When routers "r1" and "r2" say that they have 2 requests at each
+    Then 4 requests count at each
+    When router "r1" says that it has none any more
+    Then 2 requests count at each
+    When only "r1" is heard
+    Then 0 requests count at each
+
   Scenario: A home that is too busy is passed over
     Given 5 idle engines as seen by 3 routers
     When the home of a beginning has 40000 unread tokens
--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -13,11 +13,13 @@
 from peridotmast import clock as clock_
 from peridotmast import green
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import candidates
 from peridotmast.serving import exchange as exchange_
 from peridotmast.serving import health as health_
 from peridotmast.serving import placement
 from peridotmast.serving import quota as quota_
 from peridotmast.serving import retry_budget
+from peridotmast.serving import upstream_view
 from peridotmast.serving import upstreams as upstreams_
 
 STEP_MS = 50
@@ -306,6 +308,12 @@
     )
 
 
+def places_of(table, router=0):
+    return placement.Placement(
+        table, placement.ScoredPolicy(f'fd-{router}'), f'router-{router}'
+    )
+
+
 def choose(places, exchange):
     place = places.choose(exchange, SERVICE)
     place.release()
@@ -320,7 +328,7 @@
         table.get('engine-0').health.answered_badly()
         table.get('engine-0').health.succeeded()
         table.get('engine-1').health.succeeded()
-    context.places = placement.Placement(table, placement.ScoredPolicy('fd-0'))
+    context.places = places_of(table)
 
 
 @then('the other one is chosen while both are idle')
@@ -334,7 +342,7 @@
 def one_silent(context):
     context.clock = clock_.ManualClock()
     table = table_of(context.clock, 2)
-    context.places = placement.Placement(table, placement.ScoredPolicy('fd-0'))
+    context.places = places_of(table)
     context.waits = context.places.choose(exchange_with('b0'), SERVICE)
     context.waits.was_read()
 
@@ -363,8 +371,7 @@
     context.clock = clock_.ManualClock()
     context.tables = [table_of(context.clock, count) for _ in range(routers)]
     context.views = [
-        placement.Placement(table, placement.ScoredPolicy(f'fd-{number}'))
-        for number, table in enumerate(context.tables)
+        places_of(table, number) for number, table in enumerate(context.tables)
     ]
 
 
@@ -387,12 +394,105 @@
     assert min(found.values()) > count / engines / 2, found
 
 
+class Watched(placement.ScoredPolicy):
+    """Notes how many upstreams it was to order."""
+
+    seen = 0
+
+    def order(self, exchange, service, views, home):
+        self.seen = len(views)
+        return super().order(exchange, service, views, home)
+
+
+@then('each looks at {count:d} of them for a request')
+def looks_at(context, count):
+    for number, table in enumerate(context.tables):
+        policy = Watched(f'fd-{number}')
+        places = placement.Placement(table, policy, f'router-{number}')
+        # Most homes are not among the engines that are near.
+        seen = set()
+        for beginning in range(20):
+            choose(places, exchange_with(f'b{beginning}'))
+            seen.add(policy.seen)
+        assert max(seen) == count, seen
+
+
+@when('the home of the first beginning leaves')
+def home_leaves(context):
+    context.left = context.homes[0]
+    for table in context.tables:
+        record = pb.UpstreamRecord()
+        record.CopyFrom(table.get(context.left).record)
+        record.state, record.revision = upstreams_.LEAVING, table.revision + 1
+        table.merge(record)
+
+
+@then('only the beginnings that were at home there go elsewhere')
+def only_those(context):
+    for number, home in enumerate(context.homes):
+        found = choose(context.views[0], exchange_with(f'b{number}'))
+        assert (found != home) == (home == context.left), (number, found)
+
+
+def without_beginning():
+    exchange = exchange_with('none')
+    exchange.prompt = exchange_.Prompt('m', 100, 20, ())
+    return exchange
+
+
+@when('all that it looks at fail')
+def all_near_fail(context):
+    context.failing = set()
+    for _ in range(candidates.NEAR):
+        name = choose(context.views[0], without_beginning())
+        context.failing.add(name)
+        health = context.tables[0].get(name).health
+        health.failed()
+        health.failed()
+
+
+@then('a request without a beginning goes to another one')
+def goes_to_another(context):
+    assert len(context.failing) == candidates.NEAR
+    found = choose(context.views[0], without_beginning())
+    assert found not in context.failing
+
+
+@when('routers "{a}" and "{b}" say that they have {count:d} requests at each')
+def say_they_have(context, a, b, count):
+    (table,) = context.tables
+    for router in (a, b):
+        table.take_loads(
+            router,
+            [
+                pb.UpstreamLoad(upstream=view.name, running=count)
+                for view in table.all()
+            ],
+        )
+
+
+@when('router "{router}" says that it has none any more')
+def says_none(context, router):
+    context.tables[0].take_loads(router, [])
+
+
+@when('only "{router}" is heard')
+def only_heard(context, router):
+    context.tables[0].forget_loads({router})
+
+
+@then('{count:d} requests count at each')
+def count_at_each(context, count):
+    counts = {view.load().running for view in context.tables[0].all()}
+    assert counts == {count}, counts
+
+
 @when('the home of a beginning has {tokens:d} unread tokens')
 def busy_home(context, tokens):
     context.home = choose(context.views[0], exchange_with('b0'))
     for table in context.tables:
-        view = table.get(context.home)
-        view.others['r9'] = upstreams_.Load(5, tokens, tokens)
+        load = upstream_view.Load(5, tokens, tokens)
+        table.get(context.home).set_other('r9', load)
 
 
 @then('requests with that beginning go elsewhere')
--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -307,6 +307,12 @@
     green.sleep_ms(100)
 
 
+@then('no router has heard of a third one')
+def heard_of_none(context):
+    for router in context.fleet.routers:
+        assert router.members.get('router-9') is None, router.cfg.name
+
+
 def bare_peering(clock, watches, asked):
     """Return a peering that only compares what peers know."""
     members = members_.Members(
--- a/src/peridotmast/load/slopes.py
+++ b/src/peridotmast/load/slopes.py
@@ -43,6 +43,8 @@
 _WATCH_S = 5.0
 _PROCESS_S = 15.0
 _BEACONS = 200
+_PLACEMENTS = 30
+_WORKED_AT = 20
 
 
 def run(
@@ -241,21 +243,38 @@
         news.revision = count + 1
         news.state = pb.UPSTREAM_STATE_LEAVING
         places = placement.Placement(
-            table, placement.ScoredPolicy('region-1-fd-1')
+            table, placement.ScoredPolicy('region-1-fd-1'), 'edge-1'
         )
-        reply = pb.UpstreamsReply(upstreams=records)
+        _place(places, service)
+        steady_us = _timed(lambda: _place(places, service), _PLACEMENTS)
+        merge_us = _timed(lambda: table.merge(news))
         rows.append(
             {
                 'upstreams': float(count),
-                'merge_us': _timed(lambda: table.merge(news)),
-                'placement_us': _timed(lambda: _place(places, service), 3),
+                'merge_us': merge_us,
+                'first_after_change_us': _timed(
+                    lambda: _place(places, service)
+                ),
+                'placement_us': steady_us,
+                'beacon_us': _timed(lambda: _take_loads(table), 50),
                 'held_bytes': held,
-                'reply_bytes': float(reply.ByteSize()),
+                'reply_bytes': float(
+                    pb.UpstreamsReply(upstreams=records).ByteSize()
+                ),
             }
         )
     return rows
 
 
+def _take_loads(table: upstreams_.UpstreamTable) -> None:
+    """Take in what a peer with work at some upstreams tells."""
+    loads = [
+        pb.UpstreamLoad(upstream=f'i-{number:010x}', running=3)
+        for number in range(_WORKED_AT)
+    ]
+    table.take_loads('edge-2', loads)
+
+
 def _table_of(
     records: ty.Sequence[pb.UpstreamRecord],
 ) -> upstreams_.UpstreamTable:
--- a/src/peridotmast/platform/dialect.py
+++ b/src/peridotmast/platform/dialect.py
@@ -7,7 +7,7 @@
 from peridotmast.platform import names
 from peridotmast.serving import dialect
 from peridotmast.serving import exchange as exchange_
-from peridotmast.serving import upstreams as upstreams_
+from peridotmast.serving import upstream_view
 from peridotmast.wire import connection
 
 _MOST_URGENT, _LEAST_URGENT = 0, 9
@@ -28,7 +28,7 @@
     def headers(
         self,
         exchange: exchange_.Exchange,
-        view: upstreams_.UpstreamView,
+        view: upstream_view.UpstreamView,
         left_ms: int,
         resume: ty.Optional[dialect.ResumePoint] = None,
     ) -> connection.Headers:
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -192,7 +192,9 @@
             clock, self.pool, dialect.PlatformDialect(), self.decisions
         )
         places = placement.Placement(
-            self.table, placement.POLICIES[cfg.policy](cfg.failure_domain)
+            self.table,
+            placement.POLICIES[cfg.policy](cfg.failure_domain),
+            cfg.name,
         )
         relay = stream_relay.StreamRelay(
             clock, sender, places, self._budget, metrics, self.decisions
--- a/src/peridotmast/serving/dialect.py
+++ b/src/peridotmast/serving/dialect.py
@@ -7,7 +7,7 @@
 import typing as ty
 
 from peridotmast.serving import exchange as exchange_
-from peridotmast.serving import upstreams as upstreams_
+from peridotmast.serving import upstream_view
 from peridotmast.wire import connection as connection_
 
 
@@ -44,7 +44,7 @@
     def headers(
         self,
         exchange: exchange_.Exchange,
-        view: upstreams_.UpstreamView,
+        view: upstream_view.UpstreamView,
         left_ms: int,
         resume: ty.Optional[ResumePoint] = None,
     ) -> connection_.Headers:
--- a/src/peridotmast/serving/health.py
+++ b/src/peridotmast/serving/health.py
@@ -104,6 +104,8 @@
 
     def failing_share(self) -> float:
         """Return the part of recent requests that failed, from 0 to 1."""
+        if not self._bad:
+            return 0.0
         self._age()
         total = self._good + self._bad + _PRIOR
         return self._bad / total
--- a/src/peridotmast/serving/mover.py
+++ b/src/peridotmast/serving/mover.py
@@ -12,6 +12,7 @@
 from peridotmast.serving import decisions as decisions_
 from peridotmast.serving import placement
 from peridotmast.serving import stream_relay
+from peridotmast.serving import upstream_view
 from peridotmast.serving import upstreams as upstreams_
 
 _LAST_MS = 800
@@ -93,7 +94,7 @@
         self._leaving: set[str] = set()
         self._log = logs.get('mover')
 
-    def on_change(self, view: upstreams_.UpstreamView) -> None:
+    def on_change(self, view: upstream_view.UpstreamView) -> None:
         """Take note of an upstream whose state has changed."""
         leaves = view.record.state in (upstreams_.LEAVING, upstreams_.GONE)
         if not leaves or view.name in self._leaving:
@@ -102,7 +103,7 @@
             self._leaving.add(view.name)
             self._spawn('move_off', self._move_off, view)
 
-    def _move_off(self, view: upstreams_.UpstreamView) -> None:
+    def _move_off(self, view: upstream_view.UpstreamView) -> None:
         began = self._clock.now()
         green.sleep_ms(_REPORT_LAG_MS)
         left = self._control.leaves_ms(view.address)
@@ -125,7 +126,7 @@
                 self._spawn('move', self.move, stream, view)
 
     def move(
-        self, stream: stream_relay.Stream, view: upstreams_.UpstreamView
+        self, stream: stream_relay.Stream, view: upstream_view.UpstreamView
     ) -> None:
         """Move one stream to where it fits best."""
         exchange = stream.exchange
@@ -160,7 +161,7 @@
         self,
         stream: stream_relay.Stream,
         event: str,
-        view: upstreams_.UpstreamView,
+        view: upstream_view.UpstreamView,
         detail: str = '',
     ) -> None:
         self._decisions.note(
--- a/src/peridotmast/serving/placement.py
+++ b/src/peridotmast/serving/placement.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
-import hashlib
 import itertools
 import typing as ty
 
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import candidates as candidates_
 from peridotmast.serving import exchange as exchange_
+from peridotmast.serving import upstream_view
 from peridotmast.serving import upstreams as upstreams_
 
-Views = ty.Sequence[upstreams_.UpstreamView]
+Views = ty.Sequence[upstream_view.UpstreamView]
 
 _RUNNING_TOKENS = 150
 """What a request that an engine works on delays a new one, as tokens of a
@@ -42,9 +43,19 @@
     """Orders upstreams for a request."""
 
     def order(
-        self, exchange: exchange_.Exchange, service: pb.Service, views: Views
-    ) -> list[upstreams_.UpstreamView]:
-        """Return `views`, best first."""
+        self,
+        exchange: exchange_.Exchange,
+        service: pb.Service,
+        views: Views,
+        home: ty.Optional[upstream_view.UpstreamView],
+    ) -> list[upstream_view.UpstreamView]:
+        """Return `views`, best first.
+
+        Parameters
+        ----------
+        home : UpstreamView, optional
+            The one that is to hold prompts which begin like this one.
+        """
 
 
 class ScoredPolicy:
@@ -52,9 +63,7 @@
 
     Counted in tokens of prompt to be read first: those that are waiting
     there, those of the request which it does not hold, and what stands for
-    a batch, a memory or a bad spell. Prompts that begin alike have one home
-    each, by rendezvous hashing over the live upstreams, so all routers send
-    them to where they are held without asking each other.
+    a batch, a memory or a bad spell.
 
     Parameters
     ----------
@@ -66,12 +75,15 @@
         self._domain = failure_domain
 
     def order(
-        self, exchange: exchange_.Exchange, service: pb.Service, views: Views
-    ) -> list[upstreams_.UpstreamView]:
+        self,
+        exchange: exchange_.Exchange,
+        service: pb.Service,
+        views: Views,
+        home: ty.Optional[upstream_view.UpstreamView],
+    ) -> list[upstream_view.UpstreamView]:
         """Return `views`, best first."""
         prompt = exchange.prompt
         shared = sum(part.tokens for part in prompt.shared)
-        home = home_of(prompt, views) if shared else None
         scored = [
             (self._score(prompt, shared, service, view, home), view.name, view)
             for view in views
@@ -84,8 +96,8 @@
         prompt: exchange_.Prompt,
         shared: int,
         service: pb.Service,
-        view: upstreams_.UpstreamView,
-        home: ty.Optional[upstreams_.UpstreamView],
+        view: upstream_view.UpstreamView,
+        home: ty.Optional[upstream_view.UpstreamView],
     ) -> float:
         load = view.load()
         score = float(load.unread + prompt.tokens_in)
@@ -108,8 +120,12 @@
     """Takes the upstream with the smallest share of its slots in use."""
 
     def order(
-        self, exchange: exchange_.Exchange, service: pb.Service, views: Views
-    ) -> list[upstreams_.UpstreamView]:
+        self,
+        exchange: exchange_.Exchange,
+        service: pb.Service,
+        views: Views,
+        home: ty.Optional[upstream_view.UpstreamView],
+    ) -> list[upstream_view.UpstreamView]:
         """Return `views`, least loaded first."""
         return sorted(
             views,
@@ -124,8 +140,12 @@
         self._turns = itertools.count()
 
     def order(
-        self, exchange: exchange_.Exchange, service: pb.Service, views: Views
-    ) -> list[upstreams_.UpstreamView]:
+        self,
+        exchange: exchange_.Exchange,
+        service: pb.Service,
+        views: Views,
+        home: ty.Optional[upstream_view.UpstreamView],
+    ) -> list[upstream_view.UpstreamView]:
         """Return `views` in the order of names, begun at the next turn."""
         ordered = sorted(views, key=lambda view: view.name)
         start = next(self._turns) % max(1, len(ordered))
@@ -144,27 +164,25 @@
     """A request's work at one upstream; `release` it when done."""
 
     def __init__(
-        self, view: upstreams_.UpstreamView, exchange: exchange_.Exchange
+        self, view: upstream_view.UpstreamView, exchange: exchange_.Exchange
     ) -> None:
         self.view = view
         """The upstream."""
         prompt = exchange.prompt
-        self._load = upstreams_.Load(
+        self._load = upstream_view.Load(
             1, prompt.tokens_in, prompt.tokens_in + prompt.tokens_out
         )
-        if not view.mine.running:
-            view.was_heard()
-        view.mine.add(self._load)
+        view.take_on(self._load)
 
     def was_read(self) -> None:
         """Note that the first event has come: its prompt is read."""
-        self.view.mine.unread -= self._load.unread
+        self.view.hand_back(upstream_view.Load(unread=self._load.unread))
         self._load.unread = 0
 
     def release(self) -> None:
         """Take the work away; doing so twice is the same as once."""
-        self.view.mine.add(self._load, -1)
-        self._load = upstreams_.Load()
+        self.view.hand_back(self._load)
+        self._load = upstream_view.Load()
 
 
 class Placement:
@@ -176,13 +194,20 @@
         The upstreams.
     policy : Policy
         Orders them.
+    router : str
+        Name of this router.
     """
 
     def __init__(
-        self, table: upstreams_.UpstreamTable, policy: Policy
+        self,
+        table: upstreams_.UpstreamTable,
+        policy: Policy,
+        router: str,
     ) -> None:
         self._table = table
         self._policy = policy
+        self._router = router
+        self._candidates: dict[str, candidates_.Candidates] = {}
 
     def choose(
         self,
@@ -197,25 +222,46 @@
         avoid : collection of str
             Upstreams that it is not sent to again.
         """
-        live = [
-            view
-            for view in self._table.live(service.name)
-            if view.name not in avoid
-        ]
-        usable = [view for view in live if view.health.lets_through()]
-        # An open breaker is a guess; with nothing else it is overruled.
-        ordered = self._policy.order(exchange, service, usable or live)
+        among = self._among(service.name)
+        home = self._home(among, exchange.prompt, avoid)
+        views = _usable(among.near, avoid)
+        if home is not None and home not in views:
+            views.append(home)
+        if not views:
+            # An open breaker is a guess; with nothing else it is overruled.
+            views = _usable(among.views, avoid) or [
+                view for view in among.views if view.name not in avoid
+            ]
+        ordered = self._policy.order(exchange, service, views, home)
         return Place(ordered[0], exchange) if ordered else None
 
+    def _among(self, service: str) -> candidates_.Candidates:
+        live = self._table.live(service)
+        known = self._candidates.get(service)
+        if known is None or known.views is not live:
+            known = candidates_.Candidates(self._router, live)
+            self._candidates[service] = known
+        return known
 
-def home_of(
-    prompt: exchange_.Prompt, views: Views
-) -> ty.Optional[upstreams_.UpstreamView]:
-    """Return the upstream that holds prompts which begin like `prompt`."""
-    deepest = prompt.shared[-1].id
-    return max(views, key=lambda view: _rank(deepest, view.name), default=None)
-
-
-def _rank(part: str, name: str) -> bytes:
-    text = f'{part}|{name}'.encode()
-    return hashlib.blake2b(text, digest_size=8).digest()
+    def _home(
+        self,
+        among: candidates_.Candidates,
+        prompt: exchange_.Prompt,
+        avoid: ty.Collection[str],
+    ) -> ty.Optional[upstream_view.UpstreamView]:
+        """Return the upstream that is to hold what `prompt` begins with."""
+        if not sum(part.tokens for part in prompt.shared):
+            return None
+        homes = among.homes(prompt.shared[-1].id)
+        return next(iter(_usable(homes, avoid)), None)
+
+
+def _usable(
+    views: Views, avoid: ty.Collection[str]
+) -> list[upstream_view.UpstreamView]:
+    """Return those that a request may be sent to and that answer."""
+    return [
+        view
+        for view in views
+        if view.name not in avoid and view.health.lets_through()
+    ]
