Soak with routers as processes: killed, frozen, all killed at once; fleet split

Cause: the soak ran all routers in one process, so none could be frozen, and a kill was only a stop. Shape, guest and process routers are modules of their own.

--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -12,7 +12,7 @@
 from behave import when
 
 from peridotmast import clock as clock_
-from peridotmast.embedded import fleet as fleet_
+from peridotmast.embedded import shape as shape_
 from peridotmast import green
 from peridotmast.platform import names
 from peridotmast.wire import connection as connection_
@@ -96,7 +96,7 @@
 def reach_both(context, count, path):
     for _ in range(count):
         assert helpers.ask(fleet_steps.front(context), path).status == 200
-    for service in (fleet_.SERVICE, 'other'):
+    for service in (shape_.SERVICE, 'other'):
         came = [
             arrival
             for guest in helpers.guests(context, service)
@@ -138,7 +138,7 @@
 @when('a caller sends a request without an id or a deadline')
 def without_id(context):
     raw = (
-        f'POST /holds/x HTTP/1.1\r\nHost: {fleet_.HOST}\r\n'
+        f'POST /holds/x HTTP/1.1\r\nHost: {shape_.HOST}\r\n'
         f'{names.AUTHORIZATION}: {helpers.KEY}\r\n'
         'Content-Length: 0\r\n\r\n'
     ).encode()
@@ -190,7 +190,7 @@
 
 
 HEAD = (
-    f'POST /holds/x HTTP/1.1\r\nHost: {fleet_.HOST}\r\n'
+    f'POST /holds/x HTTP/1.1\r\nHost: {shape_.HOST}\r\n'
     f'{names.REQUEST_ID}: raw-1\r\n{names.AUTHORIZATION}: {helpers.KEY}\r\n'
 )
 
--- a/features/steps/chat_steps.py
+++ b/features/steps/chat_steps.py
@@ -8,7 +8,7 @@
 from behave import when
 import helpers
 
-from peridotmast.embedded import fleet as fleet_
+from peridotmast.embedded import shape as shape_
 from peridotmast import green
 from peridotmast.load import oracle
 from peridotmast.wire import calls
@@ -93,7 +93,7 @@
     ]
     green.sleep_ms(300)
     busiest = max(
-        helpers.guests(context, fleet_.ENGINES),
+        helpers.guests(context, shape_.ENGINES),
         key=lambda guest: guest.upstream.app.in_work,
     )
     context.fleet.lose(busiest)
@@ -119,7 +119,7 @@
     def on_text(text):
         seen.append(text)
         if len(seen) == 5:
-            for guest in helpers.guests(context, fleet_.ENGINES):
+            for guest in helpers.guests(context, shape_.ENGINES):
                 if guest.upstream.app.in_work:
                     context.fleet.lose(guest)
 
--- a/features/steps/config_steps.py
+++ b/features/steps/config_steps.py
@@ -14,7 +14,7 @@
 
 from peridotmast.coordination import config_feed
 from peridotmast.coordination import objects
-from peridotmast.embedded import fleet as fleet_
+from peridotmast.embedded import shape as shape_
 from peridotmast import failures
 from peridotmast import green
 from peridotmast import invariants
@@ -127,7 +127,7 @@
     context.results = []
 
     def commit(router, name):
-        text = f'{fleet_.DOCUMENT}\n# {name}\n'
+        text = f'{shape_.DOCUMENT}\n# {name}\n'
         context.results.append(
             (text, router.config.commit(text, base, name, '', 1))
         )
@@ -145,9 +145,9 @@
     feed = context.fleet.routers[0].config
     helpers.wait_until(lambda: feed.own.version, 'a document')
     base = feed.own.version
-    context.newer = f'{fleet_.DOCUMENT}\n# newer\n'
+    context.newer = f'{shape_.DOCUMENT}\n# newer\n'
     assert isinstance(feed.commit(context.newer, base, 'a', '', 1), int)
-    context.stale = feed.commit(fleet_.DOCUMENT, base, 'b', '', 2)
+    context.stale = feed.commit(shape_.DOCUMENT, base, 'b', '', 2)
 
 
 @then('that one is told of the conflict and the newer document stays')
@@ -197,7 +197,7 @@
 
     store.app._answer = lose_once
     context.result = router.config.commit(
-        fleet_.DOCUMENT + '\n# lost\n', base, 'me', '', 1
+        shape_.DOCUMENT + '\n# lost\n', base, 'me', '', 1
     )
 
 
--- a/features/steps/duty_steps.py
+++ b/features/steps/duty_steps.py
@@ -18,7 +18,7 @@
 from peridotmast.coordination import members as members_
 from peridotmast.duties import holder as holder_
 from peridotmast.duties import usage_reporter
-from peridotmast.embedded import fleet as fleet_
+from peridotmast.embedded import shape as shape_
 from peridotmast import green
 from peridotmast import invariants
 from peridotmast.schema import peridotmast_pb2 as pb
@@ -277,7 +277,7 @@
 def counts(context):
     live = [
         guest
-        for guest in helpers.guests(context, fleet_.ENGINES)
+        for guest in helpers.guests(context, shape_.ENGINES)
         if guest.record.state == 1
     ]
     spot = [g for g in live if g.record.reclaimable]
--- a/features/steps/experiment_steps.py
+++ b/features/steps/experiment_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import pathlib
 
 from behave import then
@@ -49,6 +50,29 @@
 
 @then('seeds {first:d} to {last:d} have each kind of fault at least once')
 def each_kind(context, first, last):
-    wanted = {kind.value for kind in faults.FaultKind}
-    for seed in range(first, last + 1):
-        assert {fault.kind for fault in faults.draw(40, seed)} == wanted
+    for among in (faults.EMBEDDED, faults.IN_PROCESSES):
+        wanted = {kind.value for kind in among}
+        for seed in range(first, last + 1):
+            drawn = faults.draw(40, seed, among=among)
+            assert {fault.kind for fault in drawn} == wanted
+    assert set(faults.IN_PROCESSES) == set(faults.FaultKind)
+
+
+@when(
+    '{seconds:d} s of random load and faults with seed {seed:d} are run on'
+    ' processes'
+)
+def run_on_processes(context, seconds, seed):
+    context.broken = soak.run(
+        seconds, seed, context.folder, lambda line: None, processes=True
+    )
+    with open(f'{context.folder}/report.json', encoding='utf-8') as file:
+        context.report = json.load(file)
+
+
+@then('no promise is broken and every kind of fault was brought about')
+def none_broken(context):
+    assert not context.broken, (context.broken, context.report['lost'])
+    kinds = {kind.value for kind in faults.FaultKind}
+    assert set(context.report['faults']) == kinds, context.report['faults']
+    assert context.report['answered_whole'], context.report
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -10,11 +10,12 @@
 import helpers
 
 from peridotmast.embedded import fleet as fleet_
+from peridotmast.embedded import shape as shape_
 from peridotmast import green
 from peridotmast.platform import names
 from peridotmast.standin import engine as engine_
 
-CONFIG = fleet_.CONFIG
+CONFIG = shape_.CONFIG
 
 
 def with_route(config, name, **values):
@@ -104,7 +105,7 @@
 
 @given('a fleet of {count:d} routers whose scaling is "{scaling}"')
 def fleet_with_scaling(context, count, scaling):
-    document = fleet_.DOCUMENT.replace('fixed', scaling)
+    document = shape_.DOCUMENT.replace('fixed', scaling)
     times = engine_.EngineTimes(boot_ms=300)
     helpers.start_fleet(context, routers=count, document=document, times=times)
 
@@ -201,25 +202,25 @@
 
 @given('engines cut one event in {count:d}')
 def engines_cut(context, count):
-    spoil(context, fleet_.ENGINES, cut=1 / count)
+    spoil(context, shape_.ENGINES, cut=1 / count)
 
 
 @given('no engine takes copies')
 def no_copies(context):
-    for guest in helpers.guests(context, fleet_.ENGINES):
+    for guest in helpers.guests(context, shape_.ENGINES):
         guest.upstream.app.moves_refused = True
 
 
 @given('a router that starts while the store is out')
 def router_in_outage(context):
-    shape = fleet_.FleetShape(routers=0)
+    shape = shape_.FleetShape(routers=0)
     context.fleet = fleet_.Fleet(shape, seed=7)
     context.fleet.start()
     context.fleet.store.app.set_faults(outage=1.0)
     context.router = context.fleet.add_router('router-1')
 
 
-def seen_by_all(context, count, service=fleet_.ENGINES):
+def seen_by_all(context, count, service=shape_.ENGINES):
     """Wait until every router knows so many live upstreams."""
     helpers.wait_until(
         lambda: all(
--- a/features/steps/helpers.py
+++ b/features/steps/helpers.py
@@ -9,6 +9,7 @@
 
 from peridotmast import clock as clock_
 from peridotmast.embedded import fleet as fleet_
+from peridotmast.embedded import shape as shape_
 from peridotmast import failures
 from peridotmast import green
 from peridotmast.platform import names
@@ -24,7 +25,7 @@
     """Start a fleet that is stopped with the scenario."""
     router = {'fatal_invariants': True, **values.pop('router', {})}
     bounds = {'lease_ms': 1000, **values.pop('bounds', {})}
-    shape = fleet_.FleetShape(router=router, bounds=bounds, **values)
+    shape = shape_.FleetShape(router=router, bounds=bounds, **values)
     context.fleet = fleet_.Fleet(shape, seed=7)
     context.fleet.start()
     return context.fleet
@@ -65,7 +66,7 @@
     method='POST',
     body=b'seat 1',
     headers=(),
-    host=fleet_.HOST,
+    host=shape_.HOST,
     key=KEY,
     deadline_ms=LONG_MS,
     request_id='',
--- a/features/steps/program_steps.py
+++ b/features/steps/program_steps.py
@@ -14,7 +14,7 @@
 from behave import then
 from behave import when
 
-from peridotmast.embedded import fleet as fleet_
+from peridotmast.embedded import shape as shape_
 from peridotmast.load import oracle
 
 BIN = os.path.dirname(sys.executable)
@@ -165,7 +165,7 @@
 def apply(context, text, *args):
     path = f'{context.folder}/document.ini'
     with open(path, 'w') as file:
-        file.write(fleet_.DOCUMENT + text)
+        file.write(shape_.DOCUMENT + text)
     return command(context, 'config', 'apply', path, *args)
 
 
--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -15,6 +15,7 @@
 from peridotmast.coordination import members as members_
 from peridotmast.coordination import watchers
 from peridotmast.embedded import fleet as fleet_
+from peridotmast.embedded import shape as shape_
 from peridotmast import green
 from peridotmast import ini
 from peridotmast.platform import names
@@ -151,7 +152,7 @@
 
 @then('no call to the platform came with a lower number')
 def no_lower_number(context):
-    assert not context.fleet.cloud.fencing_falls()
+    assert not context.fleet.cloud.out_of_turn
 
 
 @when('a router is killed')
@@ -269,7 +270,7 @@
     secret = f'{context.folder}/secret'
     with open(secret, 'w') as file:
         file.write('the fleet shares this')
-    context.fleet = fleet_.Fleet(fleet_.FleetShape(routers=0), seed=7)
+    context.fleet = fleet_.Fleet(shape_.FleetShape(routers=0), seed=7)
     context.fleet.start()
     file_of = context.fleet.router_file
 
@@ -379,7 +380,7 @@
 
 @when('an engine says that it leaves')
 def engine_leaves(context):
-    context.leaver = helpers.guests(context, fleet_.ENGINES)[0]
+    context.leaver = helpers.guests(context, shape_.ENGINES)[0]
     context.fleet.announce_leaving(context.leaver)
 
 
@@ -540,7 +541,7 @@
     reply = calls.HttpCalls().call(
         'POST',
         router.chat_address,
-        f'/v1/services/{fleet_.SERVICE}/hold',
+        f'/v1/services/{shape_.SERVICE}/hold',
         body,
         {
             'traceparent': f'00-{TRACE}-00f067aa0ba902b7-01',
--- a/features/steps/stream_steps.py
+++ b/features/steps/stream_steps.py
@@ -10,7 +10,7 @@
 import helpers
 
 from peridotmast import clock as clock_
-from peridotmast.embedded import fleet as fleet_
+from peridotmast.embedded import shape as shape_
 from peridotmast import green
 from peridotmast.platform import names
 from peridotmast.wire import event_reader
@@ -36,7 +36,7 @@
     return next(
         (
             guest
-            for guest in helpers.guests(context, fleet_.ENGINES)
+            for guest in helpers.guests(context, shape_.ENGINES)
             if guest.upstream.app.runs[request_id]
         ),
         None,
@@ -146,7 +146,7 @@
     sock = helpers.raw_connect(fleet_steps.front(context))
     sock.sendall(
         (
-            f'POST {path} HTTP/1.1\r\nHost: {fleet_.HOST}\r\n'
+            f'POST {path} HTTP/1.1\r\nHost: {shape_.HOST}\r\n'
             f'{names.REQUEST_ID}: leaver\r\n'
             f'{names.AUTHORIZATION}: {helpers.KEY}\r\n'
             f'{names.TOKENS}: 10,{tokens}\r\nContent-Length: 0\r\n\r\n'
@@ -193,7 +193,7 @@
 def reads_nothing(context):
     context.sock = open_raw(context, '/once/x', 200_000)
     context.closing.append(context.sock.close)
-    for guest in helpers.guests(context, fleet_.ENGINES):
+    for guest in helpers.guests(context, shape_.ENGINES):
         guest.upstream.times.step_ms = 0.2
         guest.upstream.times.stride = 2000
 
@@ -213,7 +213,7 @@
 def reclaim_fullest(context, ms):
     engines = [
         guest
-        for guest in helpers.guests(context, fleet_.ENGINES)
+        for guest in helpers.guests(context, shape_.ENGINES)
         if guest.record.reclaimable and not guest.upstream.app.leaves_at
     ]
     fullest = max(engines, key=lambda guest: guest.upstream.app.in_work)
@@ -227,7 +227,7 @@
     return sum(
         guest.upstream.totals[name]
         for guest in context.fleet.guests
-        if guest.record.upstream.service == fleet_.ENGINES
+        if guest.record.upstream.service == shape_.ENGINES
     )
 
 
@@ -246,7 +246,7 @@
 
 @when('an engine says that it leaves while callers go on asking')
 def leaves_under_load(context):
-    context.leaver = helpers.guests(context, fleet_.ENGINES)[0]
+    context.leaver = helpers.guests(context, shape_.ENGINES)[0]
     clock = context.fleet.clock
     context.left_at = clock.now() + 300
     green.spawn_after_ms(300, context.fleet.announce_leaving, context.leaver)
@@ -277,7 +277,7 @@
 def leaves_and_cut(context):
     context.cut = context.fleet.routers[0]
     context.cut.store.address = '127.0.0.1:1'
-    context.leaver = helpers.guests(context, fleet_.ENGINES)[0]
+    context.leaver = helpers.guests(context, shape_.ENGINES)[0]
     context.left_at = context.fleet.clock.now()
     context.fleet.store.app.set_faults(0)
     for address in list(context.cut.store._http._pool._idle):
@@ -300,7 +300,7 @@
 
 @when("the store is out and an engine's entry runs out meanwhile")
 def entry_runs_out(context):
-    context.leaver = helpers.guests(context, fleet_.ENGINES)[0]
+    context.leaver = helpers.guests(context, shape_.ENGINES)[0]
     context.fleet.store.app.set_faults(600, outage=1.0)
     green.sleep_ms(300)
     context.states = []
--- a/src/peridotmast/cli/load.py
+++ b/src/peridotmast/cli/load.py
@@ -53,10 +53,11 @@
 
 @main.command()
 @click.option('--seconds', default=40.0, show_default=True)
+@click.option('--processes', is_flag=True, help='Each router is a process.')
 @_common
-def soak(seconds: float, seed: int, out: str) -> None:
+def soak(seconds: float, processes: bool, seed: int, out: str) -> None:
     """Run random load with every kind of fault and judge the promises."""
-    _end(soak_.run(seconds, seed, out, _progress), out)
+    _end(soak_.run(seconds, seed, out, _progress, processes), out)
 
 
 @main.command()
--- a/src/peridotmast/cli/quickstart.py
+++ b/src/peridotmast/cli/quickstart.py
@@ -9,6 +9,7 @@
 
 from peridotmast.cli import _program
 from peridotmast.embedded import fleet as fleet_
+from peridotmast.embedded import shape as shape_
 from peridotmast import green
 from peridotmast.load import caller as caller_
 from peridotmast.load import oracle
@@ -37,11 +38,11 @@
 def quickstart(once: bool, trace_file: str) -> None:
     """Serve requests on stand-ins while a failure domain is reclaimed."""
     logs.setup('error')
-    fleet = fleet_.Fleet(fleet_.FleetShape(trace_file=trace_file), seed=1)
+    fleet = fleet_.Fleet(shape_.FleetShape(trace_file=trace_file), seed=1)
     fleet.start()
     click.echo(
         f'{len(fleet.routers)} routers, '
-        f'{len(fleet.running(fleet_.ENGINES))} engines in '
+        f'{len(fleet.running(shape_.ENGINES))} engines in '
         f'{len(fleet.domains)} failure domains'
     )
     run = _Run(fleet)
@@ -106,7 +107,7 @@
 
     def _hold(self, number: int) -> None:
         caller = self._fleet.caller('noor', seed=100 + number)
-        answer = caller.call(fleet_.SERVICE, 'hold', f'seat {number}')
+        answer = caller.call(shape_.SERVICE, 'hold', f'seat {number}')
         self._count(answer, f'done:seat {number}')
 
     def _count(self, answer: caller_.Answer, wanted: str) -> None:
--- a/src/peridotmast/cli/standin.py
+++ b/src/peridotmast/cli/standin.py
@@ -6,6 +6,7 @@
 
 from peridotmast.cli import _program
 from peridotmast.embedded import fleet as fleet_
+from peridotmast.embedded import shape as shape_
 from peridotmast import ini
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.standin import engine
@@ -25,7 +26,7 @@
         )
     _program.begin(settings.telemetry.log_level)
     cfg = settings.standin
-    shape = fleet_.FleetShape(
+    shape = shape_.FleetShape(
         routers=0,
         domains=cfg.domains,
         engines=cfg.engines,
--- a/src/peridotmast/embedded/fleet.py
+++ b/src/peridotmast/embedded/fleet.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-import dataclasses
 import itertools
 import typing as ty
 
 from peridotmast import clock as clock_
 from peridotmast.coordination import config_feed
+from peridotmast.embedded import guest as guest_
+from peridotmast.embedded import shape as shape_
 from peridotmast import green
 from peridotmast import ini
 from peridotmast.load import caller as caller_
@@ -21,136 +22,18 @@
 from peridotmast.standin import plain_service
 from peridotmast.standin import store as store_
 
-HOST = 'peridot.example'
-"""Host of the routes of the default configuration."""
-ENGINES = 'draft-pool'
-"""Service of model engines in the default configuration."""
-SERVICE = 'booking'
-"""Plain service in the default configuration."""
-
-CONFIG = f"""\
-[team kalnins]
-keys = key-kalnins
-weight = 2
-
-[team noor]
-keys = key-noor
-
-[route chat]
-host = {HOST}
-prefix = /chat/
-kind = streaming
-services = {ENGINES}
-timeout_ms = 60000
-target_ms = 1300
-attempts = 4
-resumable = true
-
-[route once]
-host = {HOST}
-prefix = /once/
-kind = streaming
-services = {ENGINES}
-timeout_ms = 60000
-target_ms = 1300
-
-[route holds]
-host = {HOST}
-prefix = /holds/
-kind = non_idempotent
-services = {SERVICE}
-timeout_ms = 8000
-target_ms = 400
-
-[route pages]
-host = {HOST}
-prefix = /pages/
-kind = idempotent
-services = {SERVICE}
-timeout_ms = 8000
-target_ms = 400
-attempts = 3
-
-[service {ENGINES}]
-engine = true
-slots = 32
-event_tokens = 2
-moves = true
-scaled = true
-scale_max = 4
-boot_ms = 300
-reclaimable_price = 0.25
-
-[service {SERVICE}]
-slots = 16
-
-[limits]
-"""
-"""What the operators of the embedded fleet write to the platform."""
-
-DOCUMENT = """\
-[model draft-7b]
-route = chat
-adapters = letters, schedules
-
-[policy]
-scaling = fixed
-"""
-"""The product's own document of the embedded fleet."""
-
 _READY_MS = 10_000
 _HOUR_MS = 3_600_000
 _RECLAIMABLE = 0.25
 """Price of a reclaimable engine as a part of a firm one's."""
 
 
-@dataclasses.dataclass
-class FleetShape:
-    """How large the fleet is and how its parts are set."""
-
-    routers: int = 3
-    domains: int = 4
-    engines: int = 1
-    """Engines in each failure domain."""
-    services: int = 2
-    times: engine_.EngineTimes = dataclasses.field(
-        default_factory=engine_.EngineTimes
-    )
-    config: str = CONFIG
-    document: str = DOCUMENT
-    router: dict[str, ty.Any] = dataclasses.field(default_factory=dict)
-    """Settings of the routers that differ from the defaults."""
-    bounds: dict[str, ty.Any] = dataclasses.field(default_factory=dict)
-    """Bounds that differ from the defaults."""
-    trace_file: str = ''
-    chat: bool = True
-    """Whether routers listen for the chat API too."""
-
-
-class Guest:
-    """One upstream that runs, with its entry in the store."""
-
-    def __init__(self, record: pb.UpstreamRecord, upstream: ty.Any) -> None:
-        self.record = record
-        """What its entry says."""
-        self.upstream = upstream
-        """The stand-in."""
-        self.began_ms = 0
-        self.ended_ms = 0
-        """When it was stopped, on the fleet's clock; 0 while it runs."""
-
-    @property
-    def name(self) -> str:
-        """Id of this run."""
-        return self.record.upstream.name
-
-
 class Fleet:
     """The embedded fleet.
 
     Parameters
     ----------
-    shape : FleetShape
+    shape : shape_.FleetShape
         Its size and settings.
     seed : int
         Seed of the stand-ins' faults.
@@ -161,11 +44,11 @@
 
     def __init__(
         self,
-        shape: ty.Optional[FleetShape] = None,
+        shape: ty.Optional[shape_.FleetShape] = None,
         seed: int = 0,
         listen: str = '',
     ) -> None:
-        self.shape = shape or FleetShape()
+        self.shape = shape or shape_.FleetShape()
         """Its size and settings."""
         self.clock = clock_.SystemClock()
         """Clock of all parts."""
@@ -185,7 +68,7 @@
             for number, domain in enumerate(self.domains)
         }
         """Price of a firm engine by failure domain."""
-        self.guests: list[Guest] = []
+        self.guests: list[guest_.Guest] = []
         """Upstreams, those that were stopped too."""
         self.routers: list[router_.Router] = []
         """Routers, those that were stopped or killed too."""
@@ -232,10 +115,7 @@
             green.sleep_ms(20)
 
     def _is_ready(self) -> bool:
-        running = self.serving()
-        return all(
-            len(router.members.serving()) >= len(running) for router in running
-        )
+        return all(self._sees_all(router) for router in self.serving())
 
     # --------------------------------------------------------- configuration
 
@@ -268,8 +148,11 @@
     # ------------------------------------------------------------- upstreams
 
     def add_engine(
-        self, domain: str, reclaimable: bool = False, service: str = ENGINES
-    ) -> Guest:
+        self,
+        domain: str,
+        reclaimable: bool = False,
+        service: str = shape_.ENGINES,
+    ) -> guest_.Guest:
         """Start an engine and enter it in the store."""
         name = f'engine-{next(self._numbers)}'
         engine = engine_.Engine(
@@ -279,7 +162,9 @@
             engine, domain, service, self.shape.times.batch, reclaimable
         )
 
-    def add_service(self, domain: str, service: str = SERVICE) -> Guest:
+    def add_service(
+        self, domain: str, service: str = shape_.SERVICE
+    ) -> guest_.Guest:
         """Start an upstream of a plain service and enter it in the store."""
         name = f'service-{next(self._numbers)}'
         upstream = plain_service.PlainService(
@@ -287,7 +172,7 @@
         )
         return self._enter(upstream, domain, service, 16, False)
 
-    def running(self, service: str = '') -> list[Guest]:
+    def running(self, service: str = '') -> list[guest_.Guest]:
         """Return the upstreams that run, of one service or all."""
         return [
             guest
@@ -303,7 +188,7 @@
             sum(
                 self._price(guest) * ((guest.ended_ms or now) - guest.began_ms)
                 for guest in self.guests
-                if guest.record.upstream.service == ENGINES
+                if guest.record.upstream.service == shape_.ENGINES
             )
             / _HOUR_MS
         )
@@ -312,20 +197,22 @@
         self, team: str, seed: int = 0, failure_domain: str = ''
     ) -> caller_.Caller:
         """Return a caller of the chat API with a team's key."""
-        addresses = [r.chat_address for r in self.serving()]
+        # With none at the moment, the last ones come back at their addresses.
+        routers = self.serving() or self.routers
+        addresses = [router.chat_address for router in routers]
         return caller_.Caller(addresses, f'key-{team}', failure_domain, seed)
 
-    def drop_entry(self, guest: Guest) -> None:
+    def drop_entry(self, guest: guest_.Guest) -> None:
         """Let an upstream's entry run out."""
         self.store.drop(names.UPSTREAM_KIND, guest.name)
 
-    def announce_leaving(self, guest: Guest) -> None:
+    def announce_leaving(self, guest: guest_.Guest) -> None:
         """Let an upstream say that it leaves; it goes on serving."""
         guest.upstream.app.draining = True
         guest.record.state = pb.UPSTREAM_STATE_LEAVING
         self._write_entry(guest)
 
-    def lose(self, guest: Guest, keep_entry: bool = False) -> None:
+    def lose(self, guest: guest_.Guest, keep_entry: bool = False) -> None:
         """Take an upstream's VM away at once."""
         if guest.ended_ms:
             return
@@ -334,7 +221,7 @@
         if not keep_entry:
             self.drop_entry(guest)
 
-    def reclaim(self, domain: str, notice_ms: int) -> list[Guest]:
+    def reclaim(self, domain: str, notice_ms: int) -> list[guest_.Guest]:
         """Take the reclaimable engines of a failure domain on notice."""
         taken = [
             guest
@@ -354,13 +241,22 @@
         self, name: str, wait: bool = False, **settings: ty.Any
     ) -> router_.Router:
         """Start a router; one of the same name stands for its next run."""
-        router = router_.Router(self.router_file(name, **settings))
-        router.start()
+        router = self._run(self.router_file(name, **settings))
         self.routers.append(router)
         if wait:
             self.wait_ready()
         return router
 
+    def restart(self, router: ty.Any) -> None:
+        """Start the next run of a router that ended, at its addresses."""
+        self.add_router(
+            router.cfg.name,
+            listen=router.address,
+            chat_listen=router.chat_address,
+            peer_listen=router.peer_address,
+            failure_domain=router.cfg.failure_domain,
+        )
+
     def router_file(self, name: str, **settings: ty.Any) -> pb.RouterFile:
         """Return the settings of a router."""
         number = len(self.routers)
@@ -378,7 +274,7 @@
             values.setdefault('chat_listen', '127.0.0.1:0')
         seeds = values.pop('seeds', None)
         if seeds is None:
-            seeds = [r.members.me.peer_address for r in self.routers]
+            seeds = [router.peer_address for router in self.routers]
         cfg = ini.defaults(pb.RouterSettings, **values)
         cfg.seeds.extend(seeds)
         return pb.RouterFile(
@@ -398,8 +294,25 @@
         """Return the routers that run."""
         return [router for router in self.routers if router.is_running]
 
+    def broken_promises(self) -> int:
+        """Return how often routers found a promise broken in themselves."""
+        return sum(router.checks.broken for router in self.routers)
+
+    def store_calls(self) -> int:
+        """Return the calls of the store by all routers."""
+        return sum(self.store.app.calls.values())
+
     # --------------------------------------------------------------- private
 
+    def _run(self, file: pb.RouterFile) -> ty.Any:
+        router = router_.Router(file)
+        router.start()
+        return router
+
+    def _sees_all(self, router: ty.Any) -> bool:
+        """Return whether one of the routers names all to callers."""
+        return len(router.members.serving()) >= len(self.serving())
+
     def _enter(
         self,
         upstream: ty.Any,
@@ -407,7 +320,7 @@
         service: str,
         slots: int,
         reclaimable: bool,
-    ) -> Guest:
+    ) -> guest_.Guest:
         record = pb.UpstreamRecord(
             upstream=pb.Upstream(
                 name=upstream.name,
@@ -419,17 +332,17 @@
             state=pb.UPSTREAM_STATE_LIVE,
             reclaimable=reclaimable,
         )
-        guest = Guest(record, upstream)
+        guest = guest_.Guest(record, upstream)
         guest.began_ms = self.clock.now()
         self.guests.append(guest)
         self._write_entry(guest)
         return guest
 
-    def _price(self, guest: Guest) -> float:
+    def _price(self, guest: guest_.Guest) -> float:
         price = self.prices[guest.record.upstream.failure_domain]
         return price * (_RECLAIMABLE if guest.record.reclaimable else 1)
 
-    def _write_entry(self, guest: Guest) -> None:
+    def _write_entry(self, guest: guest_.Guest) -> None:
         self.store.put(
             names.UPSTREAM_KIND,
             guest.name,
--- a/src/peridotmast/load/config_run.py
+++ b/src/peridotmast/load/config_run.py
@@ -6,6 +6,7 @@
 import typing as ty
 
 from peridotmast.embedded import fleet as fleet_
+from peridotmast.embedded import shape as shape_
 from peridotmast import green
 from peridotmast.load import driver as driver_
 from peridotmast.load import report as report_
@@ -24,7 +25,7 @@
         self._changes = changes
         self._draws = random.Random(seed)
         self._fleet = fleet_.Fleet(
-            fleet_.FleetShape(routers=nodes, services=1), seed
+            shape_.FleetShape(routers=nodes, services=1), seed
         )
         self._calm_ms: list[float] = []
         self._faulty_ms: list[float] = []
--- a/src/peridotmast/load/event.py
+++ b/src/peridotmast/load/event.py
@@ -6,6 +6,7 @@
 import typing as ty
 
 from peridotmast.embedded import fleet as fleet_
+from peridotmast.embedded import shape as shape_
 from peridotmast import green
 from peridotmast.load import arrivals as arrivals_
 from peridotmast.load import driver as driver_
@@ -59,7 +60,7 @@
 
     def __init__(self, name: str, scaling: str, engines: int) -> None:
         self.name = name
-        shape = fleet_.FleetShape(
+        shape = shape_.FleetShape(
             routers=3,
             domains=4,
             engines=engines,
@@ -70,7 +71,7 @@
                 read_per_step=_READ_PER_STEP,
                 boot_ms=_BOOT_MS,
             ),
-            config=fleet_.CONFIG.replace(
+            config=shape_.CONFIG.replace(
                 'boot_ms = 300', f'boot_ms = {_BOOT_MS}'
             ),
             document=DOCUMENT.format(scaling=scaling),
@@ -119,7 +120,7 @@
         green.sleep_ms((_LEAD_S + 1.0) * 1000)
         taken = [
             guest.record.upstream.failure_domain
-            for guest in self.fleet.running(fleet_.ENGINES)
+            for guest in self.fleet.running(shape_.ENGINES)
             if guest.record.reclaimable
         ]
         if taken:
@@ -128,7 +129,7 @@
 
     def _watch(self, began: int) -> None:
         while True:
-            count = len(self.fleet.running(fleet_.ENGINES))
+            count = len(self.fleet.running(shape_.ENGINES))
             second = (self.fleet.clock.now() - began) / 1000
             self.capacity.append((second, count))
             green.sleep_ms(100)
--- a/src/peridotmast/load/experiment.py
+++ b/src/peridotmast/load/experiment.py
@@ -5,7 +5,7 @@
 import os
 import typing as ty
 
-from peridotmast.embedded import fleet as fleet_
+from peridotmast.embedded import shape as shape_
 from peridotmast import findings as findings_
 from peridotmast import ini
 from peridotmast.load import arrivals as arrivals_
@@ -71,9 +71,9 @@
     return found + ([] if report['meets_target'] else ['latency target'])
 
 
-def _shape(experiment: pb.ExperimentFile) -> fleet_.FleetShape:
+def _shape(experiment: pb.ExperimentFile) -> shape_.FleetShape:
     cfg = experiment.fleet
-    return fleet_.FleetShape(
+    return shape_.FleetShape(
         routers=cfg.routers,
         domains=cfg.domains,
         engines=cfg.engines,
--- a/src/peridotmast/load/faults.py
+++ b/src/peridotmast/load/faults.py
@@ -9,9 +9,13 @@
 import typing as ty
 
 from peridotmast.embedded import fleet as fleet_
+from peridotmast.embedded import guest as guest_
+from peridotmast.embedded import shape as shape_
 from peridotmast import failures
 from peridotmast import green
+from peridotmast import rpc
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.schema import peridotmast_pb2_grpc as pb_grpc
 
 
 class FaultKind(enum.Enum):
@@ -31,25 +35,46 @@
     LOST_REPLIES = 'lost_replies'
     CLOUD_OUTAGE = 'cloud_outage'
     OPERATOR_RACE = 'operator_race'
+    FREEZE_ROUTER = 'freeze_router'
+    KILL_ALL_ROUTERS = 'kill_all_routers'
 
 
+IN_PROCESSES = tuple(FaultKind)
+"""Kinds that can be brought about where routers are processes."""
+EMBEDDED = tuple(
+    kind
+    for kind in FaultKind
+    if kind not in (FaultKind.FREEZE_ROUTER, FaultKind.KILL_ALL_ROUTERS)
+)
+"""Kinds that can be brought about where routers share one process."""
+
+_OPERATOR_MS = 5000
+"""Bound on one call of an operator."""
+
 _WEIGHTS = {
     FaultKind.RECLAIM_DOMAIN: 2,
     FaultKind.RECLAIM_VM: 2,
 }
 
 
-def draw(seconds: float, seed: int, share: float = 0.85) -> list[pb.Fault]:
+def draw(
+    seconds: float,
+    seed: int,
+    share: float = 0.85,
+    among: ty.Sequence[FaultKind] = EMBEDDED,
+) -> list[pb.Fault]:
     """Return a timetable on which every kind of fault comes at least once.
 
     Parameters
     ----------
     share : float
         Part of the time in which faults come; the rest is for recovery.
+    among : sequence of FaultKind
+        Kinds to draw from.
     """
     draws = random.Random(f'faults|{seed}')
-    kinds = [kind for kind in FaultKind for _ in range(_WEIGHTS.get(kind, 1))]
-    extra = draws.choices(list(FaultKind), k=int(seconds // 8))
+    kinds = [kind for kind in among for _ in range(_WEIGHTS.get(kind, 1))]
+    extra = draws.choices(among, k=int(seconds // 8))
     timetable = [
         pb.Fault(
             name=f'f{number}',
@@ -85,6 +110,9 @@
         """When upstreams got notice, in ms of the fleet's clock."""
         self.drained: set[str] = set()
         """Chat addresses of routers that were stopped as planned."""
+        self.thawed: list[int] = []
+        """When frozen routers went on, in ms of the fleet's clock."""
+        self._operators = rpc.RpcClient(pb_grpc.OperatorsStub)
         self.races_lost = 0
         """Operators who were told of a conflict."""
 
@@ -112,7 +140,7 @@
     def _reclaim_domain(self, fault: pb.Fault) -> None:
         domains = self._fleet.domains
         domain = domains[fault.target % len(domains)]
-        engines = self._fleet.running(fleet_.ENGINES)
+        engines = self._fleet.running(shape_.ENGINES)
         self._reclaim(
             [g for g in engines if g.record.upstream.failure_domain == domain],
             fault.for_ms,
@@ -123,7 +151,7 @@
         if guest is not None:
             self._reclaim([guest], fault.for_ms)
 
-    def _reclaim(self, guests: list[fleet_.Guest], notice_ms: int) -> None:
+    def _reclaim(self, guests: list[guest_.Guest], notice_ms: int) -> None:
         now = self._fleet.clock.now()
         for guest in guests:
             self.noticed[guest.name] = now
@@ -161,15 +189,15 @@
             green.sleep_ms(fault.for_ms)
             guest.upstream.app.faults = {}
 
-    def _pick_engine(self, target: int) -> ty.Optional[fleet_.Guest]:
+    def _pick_engine(self, target: int) -> ty.Optional[guest_.Guest]:
         live = [
             guest
-            for guest in self._fleet.running(fleet_.ENGINES)
+            for guest in self._fleet.running(shape_.ENGINES)
             if guest.record.state == pb.UPSTREAM_STATE_LIVE
         ]
         return live[target % len(live)] if len(live) > 1 else None
 
-    def _replace(self, guests: ty.Iterable[fleet_.Guest]) -> None:
+    def _replace(self, guests: ty.Iterable[guest_.Guest]) -> None:
         green.sleep_ms(self._replace_ms)
         for guest in guests:
             self._fleet.add_engine(guest.record.upstream.failure_domain)
@@ -190,6 +218,22 @@
             router.stop()
             self._replace_router(router.cfg.failure_domain)
 
+    def _freeze_router(self, fault: pb.Fault) -> None:
+        router = self._pick_router(fault.target)
+        if router is not None:
+            router.freeze()
+            green.sleep_ms(fault.for_ms)
+            router.thaw()
+            self.thawed.append(self._fleet.clock.now())
+
+    def _kill_all_routers(self, fault: pb.Fault) -> None:
+        killed = self._fleet.serving()
+        for router in killed:
+            router.stop()
+        green.sleep_ms(self._replace_ms)
+        for router in killed:
+            self._fleet.restart(router)
+
     def _pick_router(self, target: int) -> ty.Any:
         live = [
             router
@@ -226,21 +270,32 @@
     def _operator_race(self, fault: pb.Fault) -> None:
         """Two operators commit from one base; one must be told so."""
         live = self._fleet.serving()
-        first, second = live[0], live[-1]
-        base = max(first.config.own.version, second.config.own.version)
-        document = self._fleet.shape.document
-
-        def commit(router: ty.Any, name: str) -> ty.Any:
-            text = f'{document}\n# by {name} in {fault.name}\n'
-            return router.config.commit(text, base, name, fault.name, 0)
-
+        if not live:
+            return
+        addresses = live[0].peer_address, live[-1].peer_address
+        status = self._operate(
+            addresses[0], 'ConfigStatus', pb.ConfigStatusRequest()
+        )
+        if isinstance(status, failures.Failure):
+            return
         tasks = [
-            green.spawn(commit, first, 'one'),
-            green.spawn(commit, second, 'two'),
+            green.spawn(
+                self._operate,
+                address,
+                'ConfigApply',
+                pb.ConfigApplyRequest(
+                    document=f'{self._fleet.shape.document}\n# by {number}\n',
+                    base_version=status.document_version,
+                    comment=fault.name,
+                ),
+            )
+            for number, address in enumerate(addresses)
         ]
-        results = [task.wait() for task in tasks]
+        replies = [task.wait() for task in tasks]
         self.races_lost += sum(
-            isinstance(result, failures.Failure)
-            and result.kind is failures.FailureKind.CONFLICT
-            for result in results
+            not isinstance(reply, failures.Failure) and reply.conflict
+            for reply in replies
         )
+
+    def _operate(self, address: str, method: str, request: ty.Any) -> ty.Any:
+        return self._operators.call(address, method, request, _OPERATOR_MS)
--- a/src/peridotmast/load/oracle.py
+++ b/src/peridotmast/load/oracle.py
@@ -21,11 +21,14 @@
     'work_to_leaving_upstreams',
     'cut_by_planned_stop',
     'reports_that_differ',
+    'duties_out_of_turn',
     'invariant_violations',
 )
 """Counts of a verdict that must be zero."""
 
 _LEAVING_BOUND_MS = 2000
+_THAW_MS = 300
+"""Time after a thaw in which a call that was on its way may still arrive."""
 _Kinds = failures.FailureKind
 
 
@@ -54,6 +57,8 @@
     work_to_leaving_upstreams: int = 0
     cut_by_planned_stop: int = 0
     reports_that_differ: int = 0
+    duties_out_of_turn: int = 0
+    """Calls of the platform with a lower fencing number than one before."""
     invariant_violations: int = 0
     outcome_unknown: int = 0
     """Requests that may have run and got no answer."""
@@ -81,7 +86,12 @@
         """Note what one caller saw."""
         self.outcomes.append(outcome)
 
-    def judge(self, noticed: dict[str, int], drained: set[str]) -> Verdict:
+    def judge(
+        self,
+        noticed: dict[str, int],
+        drained: set[str],
+        thawed: ty.Sequence[int],
+    ) -> Verdict:
         """Return the verdict.
 
         Parameters
@@ -90,6 +100,8 @@
             When each reclaimed VM got notice, in ms.
         drained : set of str
             Chat addresses of routers that were stopped as planned.
+        thawed : sequence of int
+            When frozen routers went on, in ms.
         """
         verdict = Verdict(requests=len(self.outcomes))
         refused: collections.Counter[str] = collections.Counter()
@@ -102,8 +114,11 @@
         verdict.work_to_leaving_upstreams = self._late_work(noticed)
         cloud = self._fleet.cloud
         verdict.reports_that_differ = len(cloud.conflicting_reports())
-        for router in self._fleet.routers:
-            verdict.invariant_violations += router.checks.broken
+        verdict.duties_out_of_turn = sum(
+            not any(0 <= at - thaw <= _THAW_MS for thaw in thawed)
+            for at in cloud.out_of_turn
+        )
+        verdict.invariant_violations = self._fleet.broken_promises()
         for guest in self._fleet.guests:
             totals = getattr(guest.upstream, 'totals', {})
             verdict.recomputed_tokens += totals.get('recomputed', 0)
--- a/src/peridotmast/load/overhead.py
+++ b/src/peridotmast/load/overhead.py
@@ -8,6 +8,7 @@
 
 from peridotmast import clock as clock_
 from peridotmast.embedded import fleet as fleet_
+from peridotmast.embedded import shape as shape_
 from peridotmast import failures
 from peridotmast import green
 from peridotmast.load import driver as driver_
@@ -35,7 +36,7 @@
 
 def run(seed: int, folder: str, progress: driver_.Progress) -> list[str]:
     """Measure both paths, write the report, return what fell short."""
-    shape = fleet_.FleetShape(
+    shape = shape_.FleetShape(
         routers=1,
         domains=2,
         services=0,
@@ -74,7 +75,7 @@
     """Run `streams` streams side by side, begun a few ms apart."""
     first: list[float] = []
     tasks = []
-    engines = fleet.running(fleet_.ENGINES)
+    engines = fleet.running(shape_.ENGINES)
     began = time.process_time()
     for number in range(streams):
         guest = engines[number % len(engines)]
@@ -98,7 +99,7 @@
     deadline = began + 60_000
     assert conn.connect(1000) is None
     headers = [
-        ('Host', fleet_.HOST),
+        ('Host', shape_.HOST),
         (names.REQUEST_ID, f'overhead-{number}-{began}'),
         (names.AUTHORIZATION, f'{names.KEY_SCHEME}key-kalnins'),
         (names.TOKENS, f'24,{_TOKENS}'),
--- a/src/peridotmast/load/overload.py
+++ b/src/peridotmast/load/overload.py
@@ -5,7 +5,7 @@
 import resource
 import typing as ty
 
-from peridotmast.embedded import fleet as fleet_
+from peridotmast.embedded import shape as shape_
 from peridotmast.load import arrivals as arrivals_
 from peridotmast.load import driver as driver_
 from peridotmast.load import report as report_
@@ -38,7 +38,7 @@
         _workload('drafts', 'draft', per_second * _DRAFT, 6000),
     ]
     arrivals = arrivals_.draw(workloads, SECONDS, seed)
-    shape = fleet_.FleetShape(
+    shape = shape_.FleetShape(
         routers=2,
         domains=_DOMAINS,
         times=engine.EngineTimes(step_ms=_STEP_MS, batch=_BATCH),
--- a/src/peridotmast/load/platform_calls.py
+++ b/src/peridotmast/load/platform_calls.py
@@ -8,6 +8,7 @@
 import numpy
 
 from peridotmast.embedded import fleet as fleet_
+from peridotmast.embedded import shape as shape_
 from peridotmast import green
 from peridotmast.load import arrivals as arrivals_
 from peridotmast.load import driver as driver_
@@ -37,7 +38,7 @@
 
 def measure(routers: int, seed: int) -> dict[str, float]:
     """Return calls, control bytes and processor time at one size."""
-    fleet = fleet_.Fleet(fleet_.FleetShape(routers=routers), seed)
+    fleet = fleet_.Fleet(shape_.FleetShape(routers=routers), seed)
     fleet.start()
     green.sleep_ms(1500)
     before, began, spent = _counts(fleet), time.time(), time.process_time()
--- a/src/peridotmast/load/slopes.py
+++ b/src/peridotmast/load/slopes.py
@@ -16,6 +16,7 @@
 from peridotmast.coordination import members as members_
 from peridotmast.duties import capacity_plan
 from peridotmast.embedded import fleet as fleet_
+from peridotmast.embedded import shape as shape_
 from peridotmast import failures
 from peridotmast import green
 from peridotmast.load import driver as driver_
@@ -148,7 +149,7 @@
 
 
 def _idle_routers(count: int, seed: int) -> dict[str, float]:
-    fleet = fleet_.Fleet(fleet_.FleetShape(routers=count), seed)
+    fleet = fleet_.Fleet(shape_.FleetShape(routers=count), seed)
     fleet.start()
     green.sleep_ms(1500)
     resident = _resident_mb()
@@ -188,7 +189,7 @@
     """Streams through one router: processor time an event, memory."""
     rows = []
     for count in _STREAMS:
-        shape = fleet_.FleetShape(
+        shape = shape_.FleetShape(
             routers=1,
             domains=2,
             services=0,
--- a/src/peridotmast/load/soak.py
+++ b/src/peridotmast/load/soak.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from peridotmast.embedded import fleet as fleet_
+from peridotmast.embedded import process_fleet
+from peridotmast.embedded import shape as shape_
 from peridotmast.load import arrivals as arrivals_
 from peridotmast.load import driver as driver_
 from peridotmast.load import faults as faults_
@@ -40,9 +44,9 @@
 )  # fmt: skip
 
 
-def shape(policy: str = 'scored') -> fleet_.FleetShape:
+def shape(policy: str = 'scored') -> shape_.FleetShape:
     """Return the fleet that soaks and comparisons run on."""
-    return fleet_.FleetShape(
+    return shape_.FleetShape(
         routers=4,
         domains=4,
         engines=2,
@@ -52,15 +56,37 @@
     )
 
 
+def process_shape() -> shape_.FleetShape:
+    """Return the fleet of a soak with processes, its engines scaled."""
+    document = shape_.DOCUMENT.replace('fixed', 'planner')
+    return dataclasses.replace(shape(), document=document)
+
+
 def run(
-    seconds: float, seed: int, folder: str, progress: driver_.Progress
+    seconds: float,
+    seed: int,
+    folder: str,
+    progress: driver_.Progress,
+    processes: bool = False,
 ) -> list[str]:
-    """Run, write the report, and return the promises that broke."""
+    """Run, write the report, and return the promises that broke.
+
+    Parameters
+    ----------
+    processes : bool
+        Whether each router is a process, which can be frozen and of which
+        all can be killed at once.
+    """
     trial = trial_.Trial(
-        shape(),
+        process_shape() if processes else shape(),
         arrivals_.draw(WORKLOADS, seconds, seed),
-        faults_.draw(seconds, seed),
+        faults_.draw(
+            seconds,
+            seed,
+            among=faults_.IN_PROCESSES if processes else faults_.EMBEDDED,
+        ),
         seed,
+        make_fleet=process_fleet.ProcessFleet if processes else fleet_.Fleet,
     )
     report_.write(folder, trial.run(progress))
     return trial.verdict.broken()
--- a/src/peridotmast/load/trial.py
+++ b/src/peridotmast/load/trial.py
@@ -6,6 +6,7 @@
 import typing as ty
 
 from peridotmast.embedded import fleet as fleet_
+from peridotmast.embedded import shape as shape_
 from peridotmast import green
 from peridotmast.load import arrivals as arrivals_
 from peridotmast.load import driver as driver_
@@ -23,11 +24,13 @@
 class Trial:
     """What is run, and afterwards what came of it."""
 
-    shape: fleet_.FleetShape
+    shape: shape_.FleetShape
     arrivals: list[arrivals_.Arrival]
     timetable: list[pb.Fault]
     seed: int
     replace_ms: int = 1200
+    make_fleet: ty.Callable[..., fleet_.Fleet] = fleet_.Fleet
+    """Makes the fleet of a shape and a seed."""
     verdict: oracle_.Verdict = dataclasses.field(
         default_factory=oracle_.Verdict
     )
@@ -37,17 +40,19 @@
 
     def run(self, progress: driver_.Progress = silent) -> dict[str, ty.Any]:
         """Run it and return its figures."""
-        fleet = fleet_.Fleet(self.shape, self.seed)
-        fleet.start()
-        oracle = oracle_.Oracle(fleet)
-        faults = faults_.FaultDriver(fleet, self.replace_ms)
-        driver = driver_.LoadDriver(fleet, oracle, self.seed)
+        fleet = self.make_fleet(self.shape, self.seed)
         try:
+            fleet.start()
+            oracle = oracle_.Oracle(fleet)
+            faults = faults_.FaultDriver(fleet, self.replace_ms)
+            driver = driver_.LoadDriver(fleet, oracle, self.seed)
             fault_task = green.spawn(faults.run, self.timetable)
             driver.run(self.arrivals, progress)
             fault_task.wait()
             faults.wait()
-            self.verdict = oracle.judge(faults.noticed, faults.drained)
+            self.verdict = oracle.judge(
+                faults.noticed, faults.drained, faults.thawed
+            )
             self.outcomes = oracle.outcomes
             return self._figures(fleet, oracle, faults, driver)
         finally:
@@ -66,7 +71,7 @@
             'faults': dict(faults.counts),
             'operator_conflicts': faults.races_lost,
             'cost': round(fleet.cost(), 6),
-            'store_calls': sum(r.store.calls for r in fleet.routers),
+            'store_calls': fleet.store_calls(),
             'digest': arrivals_.digest(self.arrivals, self.timetable),
             'late_ms': driver.late_ms,
             'lost': oracle.lost[:50],
--- a/src/peridotmast/standin/cloud.py
+++ b/src/peridotmast/standin/cloud.py
@@ -5,6 +5,7 @@
 import dataclasses
 import typing as ty
 
+from peridotmast import clock as clock_
 from peridotmast.platform import names
 from peridotmast.standin import faulty_app
 from peridotmast import web
@@ -52,10 +53,14 @@
         self, on_order: OnOrder, address: str = '127.0.0.1:0', seed: int = 0
     ) -> None:
         self._on_order = on_order
+        self._clock = clock_.SystemClock()
+        self._highest: dict[str, int] = {}
         self.orders: list[Order] = []
         """Orders taken, in order."""
         self.reports: list[Report] = []
         """Reports, in order."""
+        self.out_of_turn: list[int] = []
+        """Moments of calls with a lower fencing number than one before."""
         self.app = faulty_app.FaultyApp('cloud', seed)
         """Its interface, whose faults may be set."""
         self.app.route('POST', names.USAGE_PATH, self._usage)
@@ -82,16 +87,22 @@
             if first.setdefault(report.window, report.counts) != report.counts
         ]
 
-    def fencing_falls(self) -> bool:
-        """Return whether a call came with a lower number than one before."""
-        reports = [report.fencing for report in self.reports]
-        orders = [order.fencing for order in self.orders]
-        return reports != sorted(reports) or orders != sorted(orders)
+    def _duty(self, req: web.Request, duty: str) -> tuple[str, int]:
+        """Return the holder that calls, and its fencing number."""
+        fencing = int(req.header(names.FENCING) or 0)
+        if fencing < self._highest.get(duty, 0):
+            self.out_of_turn.append(self._clock.now())
+        self._highest[duty] = max(fencing, self._highest.get(duty, 0))
+        return req.header(names.HOLDER), fencing
 
     def _usage(self, req: web.Request) -> web.Response:
         body = req.json()
         self.reports.append(
-            Report(body[names.WINDOW], body[names.COUNTS], *_duty(req))
+            Report(
+                body[names.WINDOW],
+                body[names.COUNTS],
+                *self._duty(req, names.USAGE_PATH),
+            )
         )
         return web.json_response({})
 
@@ -100,13 +111,8 @@
         service, domain = body[names.SERVICE], body[names.FAILURE_DOMAIN]
         count = int(body[names.WANTED])
         reclaimable = bool(body.get(names.RECLAIMABLE))
+        duty = self._duty(req, f'{names.SCALE_PATH} {service} {domain}')
         if not self._on_order(service, domain, count, reclaimable):
             return web.error_response(409, 'none', domain)
-        self.orders.append(
-            Order(service, domain, count, reclaimable, *_duty(req))
-        )
+        self.orders.append(Order(service, domain, count, reclaimable, *duty))
         return web.json_response({})
-
-
-def _duty(req: web.Request) -> tuple[str, int]:
-    return req.header(names.HOLDER), int(req.header(names.FENCING) or 0)
