--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -335,7 +335,7 @@
         context.clock,
         context.clock.wall,
     )
-    context.scaler._settled = True
+    context.scaler.needs.settled = True
     context.service = pb.Service(name='pool')
     context.live = count
     context.revision = 0
@@ -343,13 +343,16 @@
 
 def need(context, ms=0):
     context.clock.advance(ms)
-    return context.scaler.need_of(context.service, context.live, 0).count
+    per_engine = context.scaler_config.policy.tokens_per_second
+    return context.scaler.needs.of(
+        context.service.name, context.live, 0, per_engine
+    ).count
 
 
 @given('a scaler with {count:d} upstreams at the start of its fleet')
 def scaler_at_start(context, count):
     a_scaler(context, count)
-    context.scaler._settled = False
+    context.scaler.needs.settled = False
     context.demand.known = False
 
 
@@ -358,7 +361,8 @@
     context.live = count
     for number in range(count):
         enter(context, f'u-{number}', 'fd-1', False)
-    assert not context.scaler._is_settled()
+    context.scaler.needs.look()
+    assert not context.scaler.needs.settled
     context.clock.advance(ms)
     context.scaler.act(1)
 
@@ -424,7 +428,7 @@
             boot_ms=4000,
         )
     )
-    context.scaler._settled = False
+    context.scaler.needs.settled = False
     for number in range(count):
         enter(context, f'firm-{number}', START_DOMAINS[number % 4], False)
 
--- /dev/null
+++ b/src/peridotmast/duties/need.py
@@ -0,0 +1,115 @@
+"""How many upstreams of each service the demand needs."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+
+from peridotmast import clock as clock_
+from peridotmast.duties import demand as demand_
+from peridotmast.serving import upstreams as upstreams_
+
+_LEAST_NEEDED = 2
+"""Upstreams that are held for the smallest demand."""
+
+_CALM_MS = 5000
+"""Time for which fewer upstreams must be enough before one is given back:
+arrivals come in clumps, and a new one takes a boot to come."""
+
+_PRIOR_SHARE = 0.5
+"""Part of what a fleet starts with that counts as needed until its demand is
+known: it is started for its usual peak, on dearer upstreams."""
+
+_SETTLED_MS = 1500
+"""Time for which no upstream may have come before any is given back: they
+enter the store one by one while the fleet starts."""
+
+
+@dataclasses.dataclass
+class Need:
+    """How many upstreams carry a service's demand."""
+
+    count: int
+    since: int
+    """Since when fewer would do, in ms."""
+    known: bool
+    """Whether it follows from the demand."""
+
+
+class Needs:
+    """Rises with the demand at once and falls slowly.
+
+    Until the demand is known, a part of what the operators started with is
+    taken for what is needed.
+
+    Parameters
+    ----------
+    table : upstreams.UpstreamTable
+        What there is.
+    demand : demand.Demand
+        What is asked for.
+    clock : clock.Clock
+        Times the falls.
+    """
+
+    def __init__(
+        self,
+        table: upstreams_.UpstreamTable,
+        demand: demand_.Demand,
+        clock: clock_.Clock,
+    ) -> None:
+        self._table = table
+        self._demand = demand
+        self._clock = clock
+        self._needs: dict[str, Need] = {}
+        self._seen: set[str] = set()
+        self._new_at = 0
+        self.settled = False
+        """Whether what the fleet starts with has come."""
+
+    def forget(self) -> None:
+        """Begin anew with the next look at each service."""
+        self._needs = {}
+
+    def look(self) -> None:
+        """Take note of the upstreams that have come."""
+        names = {view.name for view in self._table.all() if view.is_there}
+        now = self._clock.now()
+        if names - self._seen:
+            self._new_at = now
+        self._seen |= names
+        self.settled = self.settled or now - self._new_at >= _SETTLED_MS
+
+    def of(
+        self, service: str, live: int, planned: int, per_engine: float
+    ) -> Need:
+        """Return how many upstreams carry the demand of `service`.
+
+        Parameters
+        ----------
+        live : int
+            Upstreams that there are.
+        planned : int
+            Upstreams that live events ask for now.
+        per_engine : float
+            Tokens a second that one carries.
+        """
+        now = self._clock.now()
+        rate = self._demand.rate(service)
+        wanted = max(_LEAST_NEEDED, planned, math.ceil(rate / per_engine))
+        known = self._demand.is_known(service)
+        if not self.settled:
+            return Need(wanted, now, known)
+        need = self._needs.get(service)
+        if need is None:
+            prior = max(wanted, math.ceil(live * _PRIOR_SHARE))
+            need = Need(wanted if known else prior, now, known)
+            self._needs[service] = need
+        if wanted >= need.count or (known and not need.known):
+            need.count = wanted
+            need.since = now
+        elif known and now - need.since >= _CALM_MS:
+            need.count -= 1
+            need.since = now
+        need.known = need.known or known
+        return need
--- /dev/null
+++ b/src/peridotmast/duties/scale_round.py
@@ -0,0 +1,243 @@
+"""One look at the upstreams of one service, and the orders that follow."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing as ty
+
+from peridotmast.duties import capacity_plan
+from peridotmast.duties import order_book
+from peridotmast import failures
+from peridotmast import logs
+from peridotmast.schema import peridotmast_pb2 as pb
+
+
+class Orders(ty.Protocol):
+    """Where upstreams are ordered."""
+
+    def order(
+        self,
+        service: str,
+        failure_domain: str,
+        count: int,
+        reclaimable: bool,
+        fencing: int,
+    ) -> ty.Optional[failures.Failure]:
+        """Order so many upstreams of a service in a failure domain."""
+
+
+class ScaleRound:
+    """Orders what is missing, gives back what is too much.
+
+    Parameters
+    ----------
+    orders : Orders
+        Where upstreams are ordered.
+    book : order_book.OrderBook
+        What was ordered and refused before.
+    service : pb.Service
+        The service.
+    live : capacity_plan.Mix
+        What there is.
+    needed : int
+        Upstreams that are to be left at any loss.
+    fencing : int
+        Number of the holder that orders.
+    demand : int
+        Tokens a second that `needed` was worked out from, for the log.
+    may_be_reclaimed : bool
+        Whether reclaimable upstreams may be ordered.
+    """
+
+    def __init__(
+        self,
+        orders: Orders,
+        book: order_book.OrderBook,
+        service: pb.Service,
+        live: capacity_plan.Mix,
+        needed: int,
+        fencing: int,
+        demand: int,
+        may_be_reclaimed: bool = True,
+    ) -> None:
+        self._orders = orders
+        self._book = book
+        self._service = service
+        self._domains = list(service.domains)
+        self._live = live
+        self._needed = needed
+        self._fencing = fencing
+        self._demand = demand
+        self._may_be_reclaimed = may_be_reclaimed
+        self._log = logs.get('scaler')
+
+    def order_reclaimable(self) -> None:
+        """Order reclaimable upstreams that are missing or would be cheaper.
+
+        Each refusal changes what is to be had, and with it the plan.
+        """
+        if not self._may_be_reclaimed:
+            return
+        for _ in self._domains:
+            market = self._market(optimistic=True)
+            grown = capacity_plan.cheapest_mix(
+                market, self._needed, self._expected()
+            )
+            ideal = capacity_plan.cheapest_mix(market, self._needed)
+            wanted = grown
+            if market.price(ideal) < market.price(grown):
+                wanted = ideal
+            refused = [
+                domain
+                for domain in self._domains
+                if not self._raise_to(domain, True, wanted.reclaimable[domain])
+            ]
+            if not refused:
+                return
+
+    def order_firm(self) -> None:
+        """Order firm upstreams in place of what is not to be had."""
+        grown = capacity_plan.cheapest_mix(
+            self._market(optimistic=False), self._needed, self._expected()
+        )
+        for domain in self._domains:
+            self._raise_to(domain, False, grown.firm[domain])
+
+    def give_back(self, one: bool) -> bool:
+        """Give upstreams back that what is live can do without.
+
+        Parameters
+        ----------
+        one : bool
+            Whether to stop after the first.
+
+        Returns
+        -------
+        bool
+            Whether any was given back.
+        """
+        gave = self._give_one_back()
+        while gave and not one and self._give_one_back():
+            pass
+        return gave
+
+    # --------------------------------------------------------------- what is
+
+    def _expected(self) -> capacity_plan.Mix:
+        """Return what there is, and what was ordered and will come."""
+        reclaimable, firm = (
+            {
+                domain: self._book.expected(
+                    self._key(domain, is_reclaimable), count
+                )
+                for domain, count in counts.items()
+            }
+            for is_reclaimable, counts in self._kinds(self._live)
+        )
+        return capacity_plan.Mix(reclaimable, firm)
+
+    def _market(self, optimistic: bool) -> capacity_plan.Market:
+        """Return what is to be had.
+
+        Parameters
+        ----------
+        optimistic : bool
+            Whether to count on what was refused and may be tried again.
+        """
+        reclaimable, firm = (
+            {
+                domain: count
+                for domain, count in counts.items()
+                if self._is_shut(self._key(domain, is_reclaimable), optimistic)
+            }
+            for is_reclaimable, counts in self._kinds(self._expected())
+        )
+        if not self._may_be_reclaimed:
+            reclaimable = dict.fromkeys(self._domains, 0)
+        return dataclasses.replace(
+            capacity_plan.market_of(self._service),
+            reclaimable_most=reclaimable,
+            firm_most=firm,
+        )
+
+    @staticmethod
+    def _kinds(
+        mix: capacity_plan.Mix,
+    ) -> tuple[tuple[bool, capacity_plan.Counts], ...]:
+        """Return the counts of a mix, each with whether it is reclaimable."""
+        return (True, mix.reclaimable), (False, mix.firm)
+
+    def _is_shut(self, key: order_book.Key, optimistic: bool) -> bool:
+        if not self._book.is_closed(key):
+            return False
+        return not (optimistic and self._book.may_order(key))
+
+    def _key(self, domain: str, reclaimable: bool) -> order_book.Key:
+        return self._service.name, domain, reclaimable
+
+    # ---------------------------------------------------------------- orders
+
+    def _give_one_back(self) -> bool:
+        market = self._market(optimistic=False)
+        found = capacity_plan.spare(market, self._live, self._needed)
+        if found is None or self._expected().total < self._live.total:
+            return False
+        domain, reclaimable = found
+        counts = self._live.reclaimable if reclaimable else self._live.firm
+        if not self._order(domain, reclaimable, counts[domain] - 1):
+            return False
+        self._live = self._live.less(domain, reclaimable)
+        return True
+
+    def _raise_to(self, domain: str, reclaimable: bool, count: int) -> bool:
+        """Order up to `count`; false where it was refused."""
+        key = self._key(domain, reclaimable)
+        counts = self._live.reclaimable if reclaimable else self._live.firm
+        if count <= self._book.expected(key, counts[domain]):
+            return True
+        if not self._book.may_order(key):
+            return False
+        return self._order(domain, reclaimable, count)
+
+    def _order(self, domain: str, reclaimable: bool, count: int) -> bool:
+        failure = self._orders.order(
+            self._service.name, domain, count, reclaimable, self._fencing
+        )
+        self._note(domain, reclaimable, count, failure)
+        self._log.info(
+            'order',
+            service=self._service.name,
+            failure_domain=domain,
+            reclaimable=reclaimable,
+            count=count,
+            live=self._live.total,
+            left=self._live.left,
+            needed=self._needed,
+            demand=self._demand,
+            fencing=self._fencing,
+            outcome='given' if failure is None else failure.reason,
+            detail='' if failure is None else failure.detail,
+        )
+        return failure is None
+
+    def _note(
+        self,
+        domain: str,
+        reclaimable: bool,
+        count: int,
+        failure: ty.Optional[failures.Failure],
+    ) -> None:
+        """Enter what came of an order into the book."""
+        book = self._book
+        key = self._key(domain, reclaimable)
+        others = [self._key(other, reclaimable) for other in self._domains]
+        if failure is None:
+            was_closed = book.is_closed(key)
+            book.given(key, count, self._service.boot_ms)
+            if was_closed:
+                book.open_others(others)
+        elif failure.kind is failures.FailureKind.CONFLICT:
+            book.refused(key)
+            book.close_others(key, others)
+        else:
+            book.failed(key)
