--- a/tools/played.py
+++ b/tools/played.py
@@ -37,9 +37,7 @@
         )
     )
     names = sorted(alone)
-    never = sum(
-        pairs[pair] == 0 for pair in itertools.combinations(names, 2)
-    )
+    never = sum(pairs[pair] == 0 for pair in itertools.combinations(names, 2))
     lines = [
         f'{len(played)} days with {len(names)} kinds; of '
         f'{len(names) * (len(names) - 1) // 2} pairs {never} were not '
