Router in parts: knowledge, serving, faces

Now what is known from the store, what stands on a request's way and what is listened on are modules; the router joins them. Behaviour as before.

--- a/features/steps/duty_steps.py
+++ b/features/steps/duty_steps.py
@@ -30,16 +30,18 @@
 @when('{count:d} requests are sent to all routers within a window')
 def within_a_window(context, count):
     fleet = context.fleet
-    clock = fleet.routers[0]._fleet_clock
+    clock = fleet.routers[0].knowledge.fleet_clock
     green.sleep_ms(1000 - clock.now() % 1000 + 20)
-    context.window = fleet.routers[0].usage.window_now()
+    context.window = fleet.routers[0].serving.usage.window_now()
     tasks = [
         green.spawn(helpers.ask, fleet.routers[n % 3].address)
         for n in range(count)
     ]
     for task in tasks:
         assert task.wait().status == 200
-    assert fleet.routers[0].usage.window_now() == context.window, 'too slow'
+    assert fleet.routers[0].serving.usage.window_now() == context.window, (
+        'too slow'
+    )
 
 
 @then('that window\'s report says {count:d} for "{team}"')
--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -61,7 +61,7 @@
         for body in context.bodies
     ]  # fmt: skip
     green.sleep_ms(150)
-    assert context.stopping.gateway.in_work == count
+    assert context.stopping.serving.gateway.in_work == count
     context.drain = green.spawn(context.stopping.drain)
     green.sleep_ms(100)
 
@@ -91,7 +91,7 @@
 def empty_in_time(context):
     with green.Timeout(8):
         context.drain.wait()
-    assert context.stopping.gateway.in_work == 0
+    assert context.stopping.serving.gateway.in_work == 0
 
 
 @then('after {ms:d} ms a stream that may last longer than it is refused')
@@ -112,7 +112,7 @@
 @then('it is empty by the time its stop is over')
 def empty_when_over(context):
     context.drain.wait()
-    assert context.stopping.gateway.in_work == 0
+    assert context.stopping.serving.gateway.in_work == 0
     all_whole(context)
 
 
@@ -316,21 +316,25 @@
 
 def bare_peering(clock, watches, asked):
     """Return a peering that only compares what peers know."""
-    members = members_.Members(
-        pb.Member(name='me', incarnation=1), clock, 1000
-    )
-    config = types.SimpleNamespace(
-        routes=types.SimpleNamespace(version=3),
-        own=types.SimpleNamespace(version=0),
+    knowledge = types.SimpleNamespace(
+        members=members_.Members(
+            pb.Member(name='me', incarnation=1), clock, 1000
+        ),
+        config=types.SimpleNamespace(
+            routes=types.SimpleNamespace(version=3),
+            own=types.SimpleNamespace(version=0),
+        ),
+        table=upstreams_.UpstreamTable(clock),
+        is_watching=lambda what: watches,
     )
-    peering = peering_.Peering(
-        clock, members, config, upstreams_.UpstreamTable(clock),
-        *[None] * 8,
+    return peering_.Peering(
+        clock,
+        knowledge,
+        None,
+        None,
+        None,
         lambda name, *rest: asked.append(name),
-        lambda what: watches,
-        lambda: None,
-    )  # fmt: skip
-    return peering
+    )
 
 
 @given('a router that does not watch and one that does')
@@ -400,7 +404,7 @@
     ahead, context.behind = context.fleet.routers
     ahead.table.revision += 100
     context.begun = []
-    for watch in context.behind._watches:
+    for watch in context.behind.knowledge._watches:
         watch._wait.fire = lambda: context.begun.append(1)
 
 
--- a/features/steps/stream_steps.py
+++ b/features/steps/stream_steps.py
@@ -202,7 +202,9 @@
 def gives_up(context):
     router = context.fleet.routers[0]
     helpers.wait_until(
-        lambda: router.gateway.in_work == 0, 'the router gives it up', 15_000
+        lambda: router.serving.gateway.in_work == 0,
+        'the router gives it up',
+        15_000,
     )
 
 
--- /dev/null
+++ b/src/peridotmast/router/faces.py
@@ -0,0 +1,134 @@
+"""The HTTP faces of one router: platform, chat API, metrics."""
+
+from __future__ import annotations
+
+import typing as ty
+
+import prometheus_client
+
+from peridotmast import clock as clock_
+from peridotmast.coordination import members as members_
+from peridotmast.platform import callers
+from peridotmast.platform import directory as directory_
+from peridotmast.router import chat_api
+from peridotmast.router import knowledge as knowledge_
+from peridotmast.router import serving as serving_
+from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast import web
+from peridotmast.wire import server as server_
+
+_RESOLVE_TTL_S = 2.0
+"""How long callers may keep an answer on where to connect: a router that is
+lost is left alone after that, and each question costs about a millisecond."""
+
+
+class Faces:
+    """Listens where the settings say, and hands requests to the gateway.
+
+    Parameters
+    ----------
+    file : pb.RouterFile
+        Checked settings.
+    clock : clock.Clock
+        Times requests.
+    knowledge : knowledge.Knowledge
+        Configuration and members.
+    serving : serving.Serving
+        Answers requests.
+    registry : prometheus_client.CollectorRegistry
+        What metrics show.
+    """
+
+    def __init__(
+        self,
+        file: pb.RouterFile,
+        clock: clock_.Clock,
+        knowledge: knowledge_.Knowledge,
+        serving: serving_.Serving,
+        registry: prometheus_client.CollectorRegistry,
+    ) -> None:
+        cfg = file.router
+        self._knowledge = knowledge
+        self._registry = registry
+        self._limits = server_.ServerLimits(write_ms=cfg.write_ms)
+        face = callers.PlatformCallers(
+            clock, serving.gateway, self._limits, serving.decisions
+        )
+        self.front = server_.HttpServer(cfg.listen, face, self._limits)
+        """Where the platform's callers connect."""
+        self.chat: ty.Optional[server_.HttpServer] = None
+        """Where the chat API is served, if anywhere."""
+        if cfg.chat_listen:
+            app = self._own_app()
+            chat_api.ChatApi(
+                clock,
+                knowledge.config,
+                serving.gateway,
+                knowledge.members,
+                int(_RESOLVE_TTL_S * 1000),
+            ).routes(app)
+            self.chat = server_.HttpServer(cfg.chat_listen, app)
+        directory = directory_.PlatformDirectory(
+            knowledge.members, _RESOLVE_TTL_S
+        )
+        self.others = {
+            name: server_.HttpServer(address, application)
+            for name, address, application in (
+                ('ready', cfg.ready_listen, directory.ready),
+                ('directory', cfg.directory_listen, directory.resolve),
+                ('metrics', file.telemetry.metrics_listen, self._own_app()),
+            )
+            if address
+        }
+        """The other servers by name."""
+
+    def start(self) -> None:
+        """Begin to take connections."""
+        for server in self._servers():
+            server.start()
+
+    def stop(self) -> None:
+        """End at once."""
+        for server in self._servers():
+            server.stop()
+
+    def close_idle(self) -> None:
+        """Close kept connections, and the others after their answers."""
+        self.front.close_idle()
+        if self.chat is not None:
+            self.chat.close_idle()
+
+    def set_limits(self, limits: pb.CallerLimits) -> None:
+        """Put what callers may send, and how slowly, into force."""
+        if limits.max_header_bytes:
+            self._limits.max_header_bytes = limits.max_header_bytes
+            self._limits.max_body_bytes = limits.max_body_bytes
+            self._limits.header_ms = limits.header_timeout_ms
+            self._limits.idle_ms = limits.idle_timeout_ms
+
+    def _servers(self) -> list[server_.HttpServer]:
+        chat = [self.chat] if self.chat else []
+        return [self.front, *chat, *self.others.values()]
+
+    def _own_app(self) -> web.WebApp:
+        app = web.WebApp('http')
+        app.route('GET', '/metrics', self._show_metrics)
+        app.route('GET', '/healthz', self._show_health)
+        return app
+
+    def _show_metrics(self, req: web.Request) -> web.Response:
+        return web.Response(
+            200,
+            prometheus_client.generate_latest(self._registry),
+            prometheus_client.CONTENT_TYPE_LATEST,
+        )
+
+    def _show_health(self, req: web.Request) -> web.Response:
+        me, config = self._knowledge.members.me, self._knowledge.config
+        serving = me.ready and me.state == members_.ALIVE
+        body = {
+            'serving': serving,
+            'config': config.routes.version,
+            'document': config.own.version,
+        }
+        return web.json_response(body, 200 if serving else 503)
--- /dev/null
+++ b/src/peridotmast/router/knowledge.py
@@ -0,0 +1,155 @@
+"""What one router knows of platform and fleet, and how it stays up to date."""
+
+from __future__ import annotations
+
+import functools
+import typing as ty
+
+from peridotmast import clock as clock_
+from peridotmast.coordination import beacons as beacons_
+from peridotmast.coordination import config_feed
+from peridotmast.coordination import fleet_clock
+from peridotmast.coordination import kind_watch
+from peridotmast.coordination import members as members_
+from peridotmast.coordination import outage as outage_
+from peridotmast.coordination import registry as registry_
+from peridotmast.coordination import upstream_feed
+from peridotmast.coordination import watchers as watchers_
+from peridotmast import green
+from peridotmast import invariants as invariants_
+from peridotmast.platform import config_codec
+from peridotmast.platform import names
+from peridotmast.platform import store as store_
+from peridotmast.platform import upstream_codec
+from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import upstreams as upstreams_
+
+_KINDS = {
+    'config': (names.CONFIG_KIND, config_feed.KIND),
+    'upstreams': (names.UPSTREAM_KIND,),
+}
+"""Kinds of objects that what routers know is made from."""
+
+_SILENT_BEACONS = 5
+"""Beacons missed after which callers are not sent to a peer any more: a few
+may be lost in a row, and a dead one costs a caller a connection."""
+
+_REGISTER_MS = 1000
+
+
+class Knowledge:
+    """The platform's store, and what is known from it.
+
+    Parameters
+    ----------
+    file : pb.RouterFile
+        Checked settings.
+    clock : clock.Clock
+        Times everything.
+    checks : invariants.Invariants
+        Promises that are checked on the way.
+    """
+
+    def __init__(
+        self,
+        file: pb.RouterFile,
+        clock: clock_.Clock,
+        checks: invariants_.Invariants,
+    ) -> None:
+        cfg, platform, bounds = file.router, file.platform, file.bounds
+        lapse_ms = int(bounds.lapse_s * 1000)
+        self._clock = clock
+        self.outage = outage_.Outage(clock, lapse_ms)
+        """Whether the store answers."""
+        self.store = store_.PlatformStore(
+            platform.objects, platform.timeout_ms, self.outage
+        )
+        """The platform's store."""
+        me = pb.Member(
+            name=cfg.name,
+            incarnation=clock.wall(),
+            failure_domain=cfg.failure_domain,
+            region=cfg.region,
+            state=members_.ALIVE,
+        )
+        self.members = members_.Members(
+            me, clock, _SILENT_BEACONS * cfg.beacon_ms, beacons_.AT_ONCE
+        )
+        """The routers, this one too."""
+        self.table = upstreams_.UpstreamTable(clock, bounds.drain_ms, lapse_ms)
+        """The upstreams."""
+        self.config = config_feed.ConfigFeed(
+            self.store, names.CONFIG_NAME, config_codec.read_config, checks
+        )
+        """The configuration in force."""
+        self.fleet_clock = fleet_clock.FleetClock(clock)
+        """True time, as far as the fleet can tell."""
+        self.watchers = watchers_.Watchers(self.members)
+        """Which routers watch the store."""
+        self._upstreams = upstream_feed.UpstreamFeed(
+            self.table, upstream_codec.read_upstream
+        )
+        self._registry = registry_.Registry(self.store, self.members)
+        self._watches: list[kind_watch.KindWatch] = []
+
+    @property
+    def is_enough(self) -> bool:
+        """Whether it is known what to do with callers."""
+        return bool(self.config.routes.version and self.table.all())
+
+    def begin(
+        self,
+        tasks: green.Tasks,
+        is_outage_felt: ty.Callable[[], bool],
+        tell: ty.Callable[[], None],
+    ) -> None:
+        """Begin to follow the store, and enter this router there.
+
+        Parameters
+        ----------
+        is_outage_felt : callable
+            Says whether what is missing may be missing due to an outage.
+        tell : callable
+            Called once news was taken in.
+        """
+        for kind, follower in (
+            (names.CONFIG_KIND, self.config),
+            (config_feed.KIND, self.config),
+            (names.UPSTREAM_KIND, self._upstreams),
+        ):
+            watch = kind_watch.KindWatch(
+                self.store,
+                kind,
+                follower,
+                self._clock,
+                is_outage_felt,
+                tell,
+                functools.partial(self.watchers.is_due, kind),
+            )
+            self._watches.append(watch)
+            tasks.spawn(f'watch_{kind}', watch.run)
+        tasks.spawn('register', self._register)
+
+    def is_watching(self, what: str) -> bool:
+        """Return whether this router hears of `what` from the store itself.
+
+        Parameters
+        ----------
+        what : str
+            ``config`` or ``upstreams``.
+        """
+        return all(map(self.watchers.is_due, _KINDS[what]))
+
+    def overtaken(self) -> None:
+        """Ask the store anew: a peer had news that no watch has brought."""
+        for watch in self._watches:
+            watch.overtaken()
+
+    def tick(self) -> None:
+        """Give up and forget the upstreams whose time is over."""
+        self._upstreams.tick()
+        self.table.forget_gone()
+
+    def _register(self) -> None:
+        while not self._registry.enter():
+            green.sleep_ms(_REGISTER_MS)
--- a/src/peridotmast/router/peering.py
+++ b/src/peridotmast/router/peering.py
@@ -7,20 +7,13 @@
 import typing as ty
 
 from peridotmast import clock as clock_
-from peridotmast.coordination import config_feed as config_feed_
-from peridotmast.coordination import fleet_clock as fleet_clock_
 from peridotmast.coordination import lease as lease_
-from peridotmast.coordination import members as members_
-from peridotmast.coordination import outage as outage_
-from peridotmast.duties import demand as demand_
 from peridotmast import failures
 from peridotmast import logs
+from peridotmast.router import knowledge as knowledge_
+from peridotmast.router import serving as serving_
 from peridotmast import rpc
 from peridotmast.schema import peridotmast_pb2 as pb
-from peridotmast.serving import quota as quota_
-from peridotmast.serving import retry_budget
-from peridotmast.serving import upstreams as upstreams_
-from peridotmast.serving import usage as usage_
 
 _PATIENCE_MS = 300
 """How long a peer may be ahead before it is asked: the own watch usually
@@ -40,58 +33,36 @@
     ----------
     clock : clock.Clock
         Times how long a peer has been ahead.
-    members : members.Members
-        This router and its peers.
-    config : config_feed_.ConfigFeed
-        The configuration in force.
-    table : upstreams.UpstreamTable
-        The upstreams.
-    quota, usage, demand, budget, lease, fleet_clock, outage
-        What beacons carry the state of.
+    knowledge : knowledge.Knowledge
+        What is known from the store, and of the members.
+    serving : serving.Serving
+        What is counted on the way of requests.
+    lease : lease.Lease
+        The lease on the duties.
     peers : rpc.RpcClient
         Calls of peers.
     spawn : callable
         Runs a call in a task of its own.
-    is_watching : callable
-        Says whether this router hears of ``config`` or ``upstreams`` from
-        the store itself.
-    overtaken : callable
-        Called when a peer had news that no watch has brought in its time.
     """
 
     def __init__(
         self,
         clock: clock_.Clock,
-        members: members_.Members,
-        config: config_feed_.ConfigFeed,
-        table: upstreams_.UpstreamTable,
-        quota: quota_.Quota,
-        usage: usage_.Usage,
-        demand: demand_.Demand,
-        budget: retry_budget.RetryBudget,
+        knowledge: knowledge_.Knowledge,
+        serving: serving_.Serving,
         lease: lease_.Lease,
-        fleet_clock: fleet_clock_.FleetClock,
-        outage: outage_.Outage,
         peers: rpc.RpcClient,
         spawn: ty.Callable[..., None],
-        is_watching: ty.Callable[[str], bool],
-        overtaken: ty.Callable[[], None],
     ) -> None:
         self._clock = clock
-        self._members = members
-        self._config = config
-        self._table = table
-        self._quota = quota
-        self._usage = usage
-        self._demand = demand
-        self._budget = budget
+        self._knowledge = knowledge
+        self._members = members = knowledge.members
+        self._config = knowledge.config
+        self._table = knowledge.table
+        self._serving = serving
         self._lease = lease
-        self._fleet_clock = fleet_clock
-        self._outage = outage
         self._peers = peers
         self._spawn = spawn
-        self._is_watching = is_watching
-        self._overtaken = overtaken
         self._choice = random.Random(members.me.name)
         self._behind: dict[str, tuple[ty.Any, int]] = {}
         self._outage_at = -_FELT_MS
@@ -108,13 +79,13 @@
             document_version=self._config.own.version,
             upstreams_revision=self._table.revision,
             wall_ms=self._clock.wall(),
-            spends=self._quota.spends(),
+            spends=self._serving.quota.spends(),
             loads=self._table.my_loads(),
-            usage=self._usage.counts(),
-            demand=self._demand.counts(),
+            usage=self._serving.usage.counts(),
+            demand=self._serving.demand.counts(),
             lease=self._lease.hint(),
             other=self._some_peer(),
-            outage_felt=self._outage.is_felt(),
+            outage_felt=self._knowledge.outage.is_felt(),
         )
 
     def fill_news(self) -> pb.Beacon:
@@ -138,11 +109,11 @@
             return
         if beacon.HasField('other'):
             self._members.learn(beacon.other)
-        self._fleet_clock.hear(name, beacon.wall_ms)
+        self._knowledge.fleet_clock.hear(name, beacon.wall_ms)
         self._table.take_loads(name, beacon.loads)
-        self._quota.hear(name, member.incarnation, beacon.spends)
-        self._usage.hear(name, member.incarnation, beacon.usage)
-        self._demand.hear(name, member.incarnation, beacon.demand)
+        self._serving.quota.hear(name, member.incarnation, beacon.spends)
+        self._serving.usage.hear(name, member.incarnation, beacon.usage)
+        self._serving.demand.hear(name, member.incarnation, beacon.demand)
         if beacon.outage_felt:
             self._outage_at = self._clock.now()
         if beacon.lease.holder:
@@ -153,16 +124,18 @@
         """Take note of who has fallen silent."""
         self._members.tick()
         heard = self._members.heard()
-        self._quota.share = (1 + len(heard)) / self._members.counted()
-        self._budget.routers = self._members.counted()
+        self._serving.quota.share = (1 + len(heard)) / self._members.counted()
+        self._serving.budget.routers = self._members.counted()
         names = {peer.member.name for peer in heard}
         self._table.forget_loads(names)
-        self._quota.forget({p.member.name for p in self._members.peers()})
+        self._serving.quota.forget(
+            {p.member.name for p in self._members.peers()}
+        )
 
     def is_outage_felt(self) -> bool:
         """Return whether what is missing may be missing due to an outage."""
         heard = self._clock.now() - self._outage_at < _FELT_MS
-        return heard or self._outage.is_felt()
+        return heard or self._knowledge.outage.is_felt()
 
     # ------------------------------------------------------------ asking peers
 
@@ -260,7 +233,7 @@
         if known != own:
             since = now
         self._behind[what] = own, since
-        patience = _PATIENCE_MS if self._is_watching(what) else 0
+        patience = _PATIENCE_MS if self._knowledge.is_watching(what) else 0
         if now - since < patience or what in self._asking:
             return
         self._asking.add(what)
@@ -271,7 +244,7 @@
     ) -> None:
         try:
             if ask(address):
-                self._overtaken()
+                self._knowledge.overtaken()
         finally:
             self._asking.discard(what)
 
