--- a/src/peridotmast/platform/callers.py
+++ b/src/peridotmast/platform/callers.py
@@ -12,8 +12,11 @@
 from peridotmast.serving import exchange as exchange_
 from peridotmast.serving import gateway as gateway_
 from peridotmast.serving import reply as reply_
+from peridotmast.wire import caller_connection
 from peridotmast.wire import connection
+from peridotmast.wire import request_body
 from peridotmast.wire import server as server_
+from peridotmast.wire import strict_protocol
 
 _HOP = frozenset((
     'connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate',
@@ -86,7 +89,7 @@
     def __call__(
         self, environ: dict[str, ty.Any], start: ty.Callable[..., ty.Any]
     ) -> ty.Iterable[bytes]:
-        conn = environ[server_.CONNECTION]
+        conn = environ[strict_protocol.CONNECTION]
         entered = self._clock.now()
         headers = environ['headers_raw']
         request_id = _get(headers, names.REQUEST_ID)
@@ -94,12 +97,12 @@
             body = conn.read_body(
                 self._limits.max_body_bytes, self._limits.idle_ms
             )
-        except server_.BadBody as exc:
+        except request_body.BadBody as exc:
             return _refuse(start, exc.status, exc.reason, request_id)
         asked = gateway_.Asked(
             id=request_id,
             method=environ['REQUEST_METHOD'],
-            target=environ[server_.TARGET],
+            target=environ[strict_protocol.TARGET],
             host=_get(headers, 'Host'),
             key=_key(_get(headers, names.AUTHORIZATION)),
             headers=_end_to_end(headers),
@@ -112,7 +115,7 @@
         conn.watch()
         try:
             result = self._gateway.handle(asked)
-        except server_.CallerLeft:
+        except caller_connection.CallerLeft:
             self._decisions.note(request_id, 'caller_left')
             conn.unwatch()
             raise
@@ -145,7 +148,7 @@
     def __init__(
         self,
         reply: reply_.Reply,
-        conn: server_.Connection,
+        conn: caller_connection.CallerConnection,
         start: ty.Callable[..., ty.Any],
         decisions: decisions_.Decisions,
         request_id: str,
--- a/src/peridotmast/router/chat_api.py
+++ b/src/peridotmast/router/chat_api.py
@@ -21,7 +21,7 @@
 from peridotmast.serving import gateway as gateway_
 from peridotmast import tracing
 from peridotmast import web
-from peridotmast.wire import server as server_
+from peridotmast.wire import caller_connection
 
 MAX_ID = 120
 """Longest request id of a caller."""
@@ -219,7 +219,7 @@
             entered=self._clock.now(),
             patience_ms=body.deadline_ms or _DEADLINES_MS[work],
             prompt=exchange_.Prompt(),
-            caller=ty.cast(server_.Connection, req.connection),
+            caller=ty.cast(caller_connection.CallerConnection, req.connection),
             route=route,
             priority=PRIORITIES[work],
             traceparent=req.header(tracing.TRACEPARENT),
--- a/src/peridotmast/standin/engine.py
+++ b/src/peridotmast/standin/engine.py
@@ -17,6 +17,7 @@
 from peridotmast import web
 from peridotmast.wire import calls
 from peridotmast.wire import server as server_
+from peridotmast.wire import strict_protocol
 
 _COPY_KEPT_MS = 5000
 _DEFAULT_OUT = 20
@@ -168,7 +169,7 @@
         self, run: Run, sent: int, environ: dict[str, ty.Any]
     ) -> ty.Iterator[bytes]:
         number = next(self.numbers)
-        conn = environ[server_.CONNECTION]
+        conn = environ[strict_protocol.CONNECTION]
         try:
             while True:
                 ready = self._events_ready(run)
--- a/src/peridotmast/standin/faulty_app.py
+++ b/src/peridotmast/standin/faulty_app.py
@@ -8,7 +8,7 @@
 from peridotmast import clock as clock_
 from peridotmast import green
 from peridotmast import web
-from peridotmast.wire import server as server_
+from peridotmast.wire import caller_connection
 
 
 class FaultyApp(web.WebApp):
@@ -49,7 +49,9 @@
         return self._share('outage') >= 1
 
     def _answer(
-        self, environ: dict[str, ty.Any], conn: server_.Connection
+        self,
+        environ: dict[str, ty.Any],
+        conn: caller_connection.CallerConnection,
     ) -> web.Response:
         path = environ['PATH_INFO']
         if path in ('/faults', '/calls'):
--- a/src/peridotmast/standin/plain_service.py
+++ b/src/peridotmast/standin/plain_service.py
@@ -7,6 +7,7 @@
 from peridotmast import green
 from peridotmast.standin import upstream_app
 from peridotmast.wire import server as server_
+from peridotmast.wire import strict_protocol
 
 
 class PlainService:
@@ -71,7 +72,7 @@
         ]
         start('200 OK', headers)
         if self.hits('cut'):
-            environ[server_.CONNECTION].break_off()
+            environ[strict_protocol.CONNECTION].break_off()
             yield whole[: len(whole) // 2]
             raise ConnectionResetError('cut short')
         if self.hits('extra'):
--- a/src/peridotmast/standin/upstream_app.py
+++ b/src/peridotmast/standin/upstream_app.py
@@ -11,7 +11,7 @@
 from peridotmast import green
 from peridotmast.platform import names
 from peridotmast import web
-from peridotmast.wire import server as server_
+from peridotmast.wire import strict_protocol
 
 _HANG_MS = 600_000
 
@@ -92,7 +92,7 @@
     ) -> ty.Iterable[bytes]:
         request_id = _header(environ, names.REQUEST_ID)
         expected = _header(environ, names.EXPECT_UPSTREAM)
-        body = environ[server_.CONNECTION].read_body(8 << 20, 10_000)
+        body = environ[strict_protocol.CONNECTION].read_body(8 << 20, 10_000)
         if expected and expected != self.name:
             headers = [(names.UPSTREAM, self.name), ('Content-Length', '0')]
             start('421 Misdirected Request', headers)
@@ -118,7 +118,7 @@
         self.runs[request_id] += 1
         self.bodies[request_id] = body
         self.teams[request_id] = _header(environ, names.TEAM)
-        conn = environ[server_.CONNECTION]
+        conn = environ[strict_protocol.CONNECTION]
         if self.hits('hang'):
             green.sleep_ms(_HANG_MS)
         if self.hits('lose'):
@@ -153,7 +153,7 @@
     ) -> None:
         self._app = app
         self._id = request_id
-        self._conn = environ[server_.CONNECTION]
+        self._conn = environ[strict_protocol.CONNECTION]
         self._ended = False
         app.in_work += 1
         self._conn.watch()
--- a/src/peridotmast/web.py
+++ b/src/peridotmast/web.py
@@ -11,7 +11,9 @@
 from peridotmast import failures
 from peridotmast import green
 from peridotmast import logs
-from peridotmast.wire import server as server_
+from peridotmast.wire import caller_connection
+from peridotmast.wire import request_body
+from peridotmast.wire import strict_protocol
 
 _STATUS = {
     200: 'OK',
@@ -45,7 +47,7 @@
     headers: ty.Mapping[str, str]
     """The WSGI environment; see `header`."""
     body: bytes
-    connection: ty.Optional[server_.Connection] = None
+    connection: ty.Optional[caller_connection.CallerConnection] = None
     """Connection that it came over."""
 
     def header(self, name: str) -> str:
@@ -137,7 +139,7 @@
     def __call__(
         self, environ: dict[str, ty.Any], start: ty.Callable[..., ty.Any]
     ) -> ty.Iterable[bytes]:
-        conn = environ[server_.CONNECTION]
+        conn = environ[strict_protocol.CONNECTION]
         try:
             response = self._answer(environ, conn)
         except BaseException:
@@ -154,11 +156,13 @@
         return _Body(response, conn)
 
     def _answer(
-        self, environ: dict[str, ty.Any], conn: server_.Connection
+        self,
+        environ: dict[str, ty.Any],
+        conn: caller_connection.CallerConnection,
     ) -> Response:
         try:
             body = conn.read_body(self._max_body, self._body_ms)
-        except server_.BadBody as exc:
+        except request_body.BadBody as exc:
             return error_response(exc.status, exc.reason, 'body not taken')
         conn.watch()
         req = Request(
@@ -171,7 +175,7 @@
         )
         try:
             return self._dispatch(req)
-        except (server_.CallerLeft, ConnectionError):
+        except (caller_connection.CallerLeft, ConnectionError):
             raise
         except (Exception, green.Timeout) as exc:
             trace = ''.join(traceback.format_exception(exc)[-3:])
@@ -195,7 +199,9 @@
 class _Body:
     """A body as the server's iterable, closed with the answer."""
 
-    def __init__(self, response: Response, conn: server_.Connection) -> None:
+    def __init__(
+        self, response: Response, conn: caller_connection.CallerConnection
+    ) -> None:
         self._response = response
         self._conn = conn
         self._parts = iter(response.body)
--- /dev/null
+++ b/src/peridotmast/wire/request_body.py
@@ -0,0 +1,75 @@
+"""Bodies of requests, read by the strict grammar."""
+
+from __future__ import annotations
+
+import re
+import typing as ty
+
+MAX_LINE_BYTES = 8192
+"""Longest request line, and longest line of a trailer."""
+
+TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
+"""Pattern of a method or a header's name."""
+
+HEADER = re.compile(
+    rb'(' + TOKEN + rb'):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*?)[ \t]*\r\n'
+)
+"""One header with its line end."""
+
+_CHUNK_SIZE = re.compile(rb'([0-9A-Fa-f]{1,8})(?:;[^\r\n]*)?\r\n')
+
+
+class BadBody(Exception):
+    """A body that can't be taken.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status that tells the caller why.
+    reason : str
+        Short machine-readable cause.
+    """
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+
+
+def read_length(reader: ty.Any, max_bytes: int) -> bytes:
+    """Read a body of the length that its head tells."""
+    length = reader.content_length or 0
+    if length > max_bytes:
+        raise BadBody(413, 'body_too_large')
+    body = reader.read(length)
+    if len(body) < length:
+        raise BadBody(400, 'body_broken')
+    return body
+
+
+def read_chunks(reader: ty.Any, max_bytes: int) -> bytes:
+    """Read a chunked body by the strict grammar."""
+    if reader.should_send_hundred_continue:
+        reader.send_hundred_continue_response()
+        reader.is_hundred_continue_response_sent = True
+    file = reader.rfile
+    parts: list[bytes] = []
+    room = max_bytes
+    while True:
+        head = _CHUNK_SIZE.fullmatch(file.readline(256))
+        if head is None:
+            raise BadBody(400, 'bad_chunk')
+        size = int(head[1], 16)
+        if not size:
+            break
+        room -= size
+        if room < 0:
+            raise BadBody(413, 'body_too_large')
+        data = file.read(size + 2)
+        if len(data) < size + 2 or data[-2:] != b'\r\n':
+            raise BadBody(400, 'bad_chunk')
+        parts.append(data[:-2])
+    while (line := file.readline(MAX_LINE_BYTES)) != b'\r\n':
+        if HEADER.fullmatch(line) is None:
+            raise BadBody(400, 'bad_trailer')
+    return b''.join(parts)
--- /dev/null
+++ b/src/peridotmast/wire/strict_protocol.py
@@ -0,0 +1,188 @@
+"""The server's side of one connection: only what reads in one way."""
+
+from __future__ import annotations
+
+import http.client
+import re
+import socket
+import typing as ty
+
+from eventlet import wsgi
+
+from peridotmast import green
+from peridotmast.wire import caller_connection
+from peridotmast.wire import request_body
+
+LINGER_BYTES = 16 << 20
+LINGER_MS = 500
+"""What is still read, and for how long, of a request that was refused before
+its end: a connection closed with unread bytes is reset, and the reset would
+overtake the answer."""
+
+TARGET = 'peridotmast.target'
+"""Key of the raw request target in the WSGI environment."""
+
+CONNECTION = 'peridotmast.connection'
+"""Key of the `CallerConnection` in the WSGI environment."""
+
+_REQUEST_LINE = re.compile(
+    rb'(' + request_body.TOKEN + rb') ([\x21-\x7e]+) (HTTP/1\.[01])\r\n'
+)
+
+
+class StrictProtocol(wsgi.HttpProtocol):
+    """Takes only requests that can be read in one way.
+
+    The base class is lenient where a request's end is concerned (folded
+    headers, spaces before a colon, several lengths, bare line feeds), which
+    lets one request hide in another. What has two readings is refused here.
+    """
+
+    owner: ty.Any
+    """The `HttpServer` that has the connection: its limits, its idle ones."""
+    minimum_chunk_size = 1
+    close_connection: int = 0
+    broken = False
+    lingers = False
+    _header_timer: ty.Any = None
+
+    def _read_request_line(self) -> bytes:
+        limits = self.owner.limits
+        sock = self.connection
+        if self.owner.is_closing and self.close_connection == 0:
+            return b''
+        self.owner.idle.add(sock)
+        try:
+            sock.settimeout(limits.idle_ms / 1000)
+            first = self.rfile.peek(1)
+        except OSError:
+            return b''
+        finally:
+            self.owner.idle.discard(sock)
+        if not first:
+            return b''
+        self._header_timer = green.Timeout(limits.header_ms / 1000)
+        return self.rfile.readline(request_body.MAX_LINE_BYTES)
+
+    def handle_one_request(self) -> None:
+        self._header_timer = None
+        try:
+            super().handle_one_request()
+        except green.Timeout as exc:
+            if exc is not self._header_timer:
+                raise
+            self._answer_badly(408, 'Request Timeout')
+        except (ConnectionError, TimeoutError):
+            self.close_connection = 1
+        except OSError:
+            # Writing to a connection that was broken off on purpose.
+            if not self.broken:
+                raise
+        finally:
+            self._cancel_timer()
+
+    def parse_request(self) -> bool:
+        """Read the head; answer and return false where it is not right."""
+        status = self._parse_head()
+        if status:
+            self._cancel_timer()
+            self._answer_badly(status, http.client.responses[status])
+            return False
+        self.close_connection = self._closes()
+        return True
+
+    def get_environ(self) -> dict[str, ty.Any]:
+        self._cancel_timer()
+        if self.owner.is_closing:
+            self.close_connection = 1
+        env = super().get_environ()
+        env[TARGET] = self.path
+        env[CONNECTION] = caller_connection.CallerConnection(self)
+        return env
+
+    def finish(self) -> None:
+        if self.broken:
+            return
+        if self.lingers:
+            self._linger()
+        super().finish()
+
+    def _parse_head(self) -> int:
+        """Return 0, or the status that says what is wrong."""
+        line = _REQUEST_LINE.fullmatch(self.raw_requestline)
+        if line is None:
+            return 400
+        self.command = line[1].decode('ascii')
+        self.path = line[2].decode('ascii')
+        self.request_version = line[3].decode('ascii')
+        self.requestline = line[0].decode('ascii').rstrip()
+        self.headers = http.client.HTTPMessage()
+        room = self.owner.limits.max_header_bytes - len(line[0])
+        # The wrapper's own bounds would hide which one was passed.
+        file: ty.Any = getattr(self.rfile, 'fp', self.rfile)
+        while (raw := file.readline(max(2, room + 1))) != b'\r\n':
+            room -= len(raw)
+            if room < 0:
+                return 431
+            header = request_body.HEADER.fullmatch(raw)
+            if header is None:
+                return 400
+            self.headers[header[1].decode('ascii')] = header[2].decode(
+                'latin-1'
+            )
+        return self._check_framing()
+
+    def _check_framing(self) -> int:
+        lengths = self.headers.get_all('Content-Length', [])
+        codings = self.headers.get_all('Transfer-Encoding', [])
+        hosts = self.headers.get_all('Host', [])
+        if lengths and (codings or len(lengths) > 1):
+            return 400
+        if any(not (text.isascii() and text.isdigit()) for text in lengths):
+            return 400
+        if codings and (
+            [text.lower() for text in codings] != ['chunked']
+            or self.request_version == 'HTTP/1.0'
+        ):
+            return 400
+        if len(hosts) != 1 and self.request_version != 'HTTP/1.0':
+            return 400
+        return 0
+
+    def _closes(self) -> int:
+        tokens = ','.join(self.headers.get_all('Connection', [])).lower()
+        words = {word.strip() for word in tokens.split(',')}
+        if self.request_version == 'HTTP/1.0':
+            return 0 if 'keep-alive' in words else 1
+        return 1 if 'close' in words else 0
+
+    def _answer_badly(self, status: int, text: str) -> None:
+        self.close_connection = 1
+        self.lingers = True
+        try:
+            self.wfile.write(
+                f'HTTP/1.1 {status} {text}\r\nConnection: close\r\n'
+                'Content-Length: 0\r\n\r\n'.encode()
+            )
+            self.wfile.flush()
+        except OSError:
+            # Nobody is there to be told.
+            pass
+
+    def _linger(self) -> None:
+        """Take what is still under way, so that the answer arrives."""
+        try:
+            self.wfile.flush()
+            self.connection.shutdown(socket.SHUT_WR)
+            self.connection.settimeout(LINGER_MS / 1000)
+            left = LINGER_BYTES
+            with green.Timeout(LINGER_MS / 1000, False):
+                while left > 0 and (data := self.connection.recv(65536)):
+                    left -= len(data)
+        except OSError:
+            # Closed already; there is nothing to wait for.
+            pass
+
+    def _cancel_timer(self) -> None:
+        if self._header_timer is not None:
+            self._header_timer.cancel()
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -129,14 +129,14 @@
     ),
     Mutation(
         'read a head with two lengths',
-        WIRE + 'server.py',
+        WIRE + 'strict_protocol.py',
         'if lengths and (codings or len(lengths) > 1):',
         'if False:',
         'strict',
     ),
     Mutation(
         'let a body break off',
-        WIRE + 'server.py',
+        WIRE + 'request_body.py',
         "    if len(body) < length:\n        raise BadBody(400, 'body_broken')\n",
         '',
         'strict',
