Attempts are logged with what they were chosen by; refused bodies are logged

Cause: an attempt's line told where, not why, and a body that could not be taken left no line at all. Change: revision of the belief in the upstream, how many were compared, whether it is the prompt's home, requests and unread tokens there.

--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -61,6 +61,7 @@
     Given a fleet of 2 routers
     When a caller asks one router and an operator asks the other for its id
     Then the operator is told upstream, status and duration
+    And what the upstream was chosen by
 
   Scenario: Metrics and health
     Given a fleet of 1 routers
--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -508,6 +508,13 @@
     assert {step.router for step in context.steps} == {'router-1'}
 
 
+@then('what the upstream was chosen by')
+def told_grounds(context):
+    texts = ' '.join(step.text for step in context.steps)
+    for part in ('revision=', 'among=2', 'home=False', 'running=0'):
+        assert part in texts, texts
+
+
 @then(
     'its metrics count {count:d} requests with status 200 and their latencies'
 )
--- a/src/peridotmast/platform/callers.py
+++ b/src/peridotmast/platform/callers.py
@@ -98,6 +98,9 @@
                 self._limits.max_body_bytes, self._limits.idle_ms
             )
         except request_body.BadBody as exc:
+            self._decisions.note(
+                request_id, 'refused', reason=exc.reason, status=exc.status
+            )
             return _refuse(start, exc.status, exc.reason, request_id)
         asked = gateway_.Asked(
             id=request_id,
--- a/src/peridotmast/serving/desk.py
+++ b/src/peridotmast/serving/desk.py
@@ -278,6 +278,11 @@
             route=work.exchange.route.name,
             upstream=place.view.name,
             number=len(work.tried),
+            revision=place.view.record.revision,
+            among=place.grounds.among,
+            home=place.grounds.is_home,
+            running=place.grounds.running,
+            unread=place.grounds.unread,
             outcome=outcome,
             detail=result.detail if failed else '',
         )
--- a/src/peridotmast/serving/placement.py
+++ b/src/peridotmast/serving/placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import itertools
 import typing as ty
 
@@ -160,14 +161,33 @@
 """Policies by the name that settings give them."""
 
 
+@dataclasses.dataclass(frozen=True)
+class Grounds:
+    """What an upstream was chosen by, for the log."""
+
+    among: int = 1
+    """Upstreams that were compared."""
+    is_home: bool = False
+    """Whether it is to hold what the prompt begins with."""
+    running: int = 0
+    """Requests there, of all routers, as far as it is known."""
+    unread: int = 0
+    """Tokens of prompts that wait there to be read."""
+
+
 class Place:
     """A request's work at one upstream; `release` it when done."""
 
     def __init__(
-        self, view: upstream_view.UpstreamView, exchange: exchange_.Exchange
+        self,
+        view: upstream_view.UpstreamView,
+        exchange: exchange_.Exchange,
+        grounds: Grounds = Grounds(),
     ) -> None:
         self.view = view
         """The upstream."""
+        self.grounds = grounds
+        """What it was chosen by."""
         prompt = exchange.prompt
         self._load = upstream_view.Load(
             1, prompt.tokens_in, prompt.tokens_in + prompt.tokens_out
@@ -233,7 +253,11 @@
                 view for view in among.views if view.name not in avoid
             ]
         ordered = self._policy.order(exchange, service, views, home)
-        return Place(ordered[0], exchange) if ordered else None
+        if not ordered:
+            return None
+        best, load = ordered[0], ordered[0].load()
+        grounds = Grounds(len(views), best is home, load.running, load.unread)
+        return Place(best, exchange, grounds)
 
     def _among(self, service: str) -> candidates_.Candidates:
         live = self._table.live(service)
