A reclaimable upstream that the plan wants is not given back

Change: what the plan wants stays. Ruled out: keeping wanted firm ones too; with nothing reclaimable to be had the plan then kept 3 where 2 were needed for 10 s. Test: planner, "One that comes before the others it was ordered with is kept".

--- a/features/planner.feature
+++ b/features/planner.feature
@@ -32,6 +32,14 @@
     Given prices of 1.0, 0.8, 1.25 and 0.9 and reclaimable ones at 0.22 of them
     Then of 4 reclaimable and 2 firm upstreams for a need of 3 the dearest firm one goes
 
+  Scenario: One that comes before the others it was ordered with is kept
+    Given prices of 1.0, 0.8, 1.25 and 0.9 and reclaimable ones at 0.22 of them
+    And 5 are needed and one each is there, and 2 firm ones
+    When second ones are ordered in "a", "b" and "d" and that in "b" comes first
+    Then none is given back
+    When those in "a" and "d" have come too
+    Then the firm ones are given back and no reclaimable one
+
   Scenario: An order that was refused is tried less and less often
     Given an order book
     When an order is refused 3 times
--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -15,6 +15,7 @@
 from peridotmast.duties import demand as demand_
 from peridotmast.duties import event_plan
 from peridotmast.duties import order_book
+from peridotmast.duties import scale_round
 from peridotmast.duties import scaler as scaler_
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import upstreams as upstreams_
@@ -152,6 +153,74 @@
     assert capacity_plan.spare(context.market, tight, needed) is None
 
 
+class _TakenOrders:
+    """Takes every order and notes it."""
+
+    def __init__(self):
+        self.taken = []
+
+    def order(self, service, domain, count, reclaimable, fencing):
+        self.taken.append((domain, count, reclaimable))
+
+
+def look(context):
+    """Look at the service once, as the scaler does."""
+    service = pb.Service(
+        name='pool',
+        scaled=True,
+        domains=DOMAINS,
+        prices=(1.0, 0.8, 1.25, 0.9),
+        reclaimable_price=0.22,
+        scale_min=1,
+        scale_max=6,
+        boot_ms=4000,
+    )
+    context.orders.taken.clear()
+    round_ = scale_round.ScaleRound(
+        context.orders, context.book, service, context.there, 5, 1, 0
+    )
+    round_.order_reclaimable()
+    round_.order_firm()
+    round_.give_back(one=False)
+
+
+@given('{needed:d} are needed and one each is there, and {firm:d} firm ones')
+def needed_and_there(context, needed, firm):
+    context.clock = clock_.ManualClock()
+    context.book = order_book.OrderBook(context.clock)
+    context.orders = _TakenOrders()
+    context.there = capacity_plan.Mix(
+        dict.fromkeys(DOMAINS, 1), {**dict.fromkeys(DOMAINS, 0), 'b': firm}
+    )
+
+
+@when(
+    'second ones are ordered in "a", "b" and "d" and that in "b" comes first'
+)
+def b_comes_first(context):
+    look(context)
+    ordered = {(d, count, kind) for d, count, kind in context.orders.taken}
+    assert ordered == {(d, 2, True) for d in 'abd'}, ordered
+    context.there.reclaimable['b'] = 2
+    look(context)
+
+
+@then('none is given back')
+def none_given_back(context):
+    assert not context.orders.taken, context.orders.taken
+
+
+@when('those in "a" and "d" have come too')
+def all_have_come(context):
+    context.there.reclaimable.update(a=2, d=2)
+    look(context)
+
+
+@then('the firm ones are given back and no reclaimable one')
+def firm_given_back(context):
+    assert context.orders.taken == [('b', 1, False), ('b', 0, False)]
+
+
 # ----------------------------------------------------------------- order book
 
 KEY = ('pool', 'a', True)
--- a/src/peridotmast/duties/capacity_plan.py
+++ b/src/peridotmast/duties/capacity_plan.py
@@ -116,23 +116,30 @@
 
 
 def spare(
-    market: Market, mix: Mix, needed: int
+    market: Market, mix: Mix, needed: int, wanted: ty.Optional[Counts] = None
 ) -> ty.Optional[tuple[str, bool]]:
     """Return the dearest upstream that `mix` can do without.
 
+    Parameters
+    ----------
+    wanted : Counts, optional
+        Reclaimable ones that are to stay. One that came before the others
+        it was ordered with adds nothing until they have come too.
+
     Returns
     -------
     tuple or None
         Failure domain, and whether it is a reclaimable one.
     """
+    wanted = wanted or {}
     candidates = [
         (domain, is_reclaimable)
         for domain in market.prices
-        for is_reclaimable, counts in (
-            (False, mix.firm),
-            (True, mix.reclaimable),
+        for is_reclaimable, count in (
+            (False, mix.firm.get(domain, 0)),
+            (True, mix.reclaimable.get(domain, 0) - wanted.get(domain, 0)),
         )
-        if counts.get(domain, 0)
+        if count > 0
     ]
     good = [
         (market.price(mix) - market.price(mix.less(*candidate)), candidate)
--- a/src/peridotmast/duties/scale_round.py
+++ b/src/peridotmast/duties/scale_round.py
@@ -179,7 +179,10 @@
 
     def _give_one_back(self) -> bool:
         market = self._market(optimistic=False)
-        found = capacity_plan.spare(market, self._live, self._needed)
+        wanted = capacity_plan.cheapest_mix(market, self._needed)
+        found = capacity_plan.spare(
+            market, self._live, self._needed, wanted.reclaimable
+        )
         if found is None or self._expected().total < self._live.total:
             return False
         domain, reclaimable = found
