--- a/features/planner.feature
+++ b/features/planner.feature
@@ -72,6 +72,11 @@
     When the demand comes to be known as 3 upstreams'
     Then the need is 3 at once
 
+  Scenario: Reclaimable ones that come do not put off the end of a start
+    Given a scaler with 1 upstreams at the start of its fleet
+    When 9 upstreams are there, and 4 reclaimable ones come 1400 ms later
+    Then the start is over 100 ms after that
+
   Scenario: While there is no demand, what is too much goes all at once
     Given a fleet's start with 9 firm upstreams in 4 failure domains
     When the scaler acts until its reclaimable ones are there
--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -436,6 +436,28 @@
     context.scaler.act(1)
 
 
+@when(
+    '{count:d} upstreams are there, and {more:d} reclaimable ones come {ms:d}'
+    ' ms later'
+)
+def reclaimable_come(context, count, more, ms):
+    for number in range(count):
+        enter(context, f'u-{number}', 'fd-1', False)
+    context.scaler.needs.look()
+    context.clock.advance(ms)
+    for number in range(more):
+        enter(context, f'r-{number}', 'fd-1', True)
+    context.scaler.needs.look()
+    assert not context.scaler.needs.settled
+
+
+@then('the start is over {ms:d} ms after that')
+def start_is_over(context, ms):
+    context.clock.advance(ms)
+    context.scaler.needs.look()
+    assert context.scaler.needs.settled
+
+
 @when("the demand comes to be known as {count:d} upstreams'")
 def comes_to_be_known(context, count):
     context.demand.value = count * 1000.0
--- a/src/peridotmast/duties/need.py
+++ b/src/peridotmast/duties/need.py
@@ -72,8 +72,15 @@
         self._needs = {}
 
     def look(self) -> None:
-        """Take note of the upstreams that have come."""
-        names = {view.name for view in self._table.all() if view.is_there}
+        """Take note of the upstreams that the fleet starts with.
+
+        Those are firm; reclaimable ones come because they were ordered.
+        """
+        names = {
+            view.name
+            for view in self._table.all()
+            if view.is_there and not view.record.reclaimable
+        }
         now = self._clock.now()
         if names - self._seen:
             self._new_at = now
