The fleet's clock is reckoned four times a second; a soak keeps its routers' logs

Change: a cut is an answer whose connection ends without a word between a stop's beginning and the router's end, or that is told as cut off. Logs stay in the report.

--- a/features/steps/duty_steps.py
+++ b/features/steps/duty_steps.py
@@ -266,6 +266,7 @@
     for number, off in enumerate(walls):
         context.fleet_clock.hear(f'router-{number}', context.own.boot() + off)
     context.own.off = -3_600_000
+    green.sleep_ms(300)
 
 
 @then("the fleet's clock stays where it was")
--- a/src/peridotmast/coordination/fleet_clock.py
+++ b/src/peridotmast/coordination/fleet_clock.py
@@ -9,6 +9,10 @@
 _KEEP_MS = 10_000
 """How long a peer's reading counts; clocks drift little in that time."""
 
+_RECKON_MS = 250
+"""Time between two medians: the time is asked for with each request and each
+beacon, and a median of 62 clocks takes 0.1 ms."""
+
 
 class FleetClock:
     """The median of this router's and its peers' clocks.
@@ -26,6 +30,8 @@
     def __init__(self, clock: clock_.Clock) -> None:
         self._clock = clock
         self._offsets: dict[str, tuple[int, int]] = {}
+        self._median = 0
+        self._reckon_at = 0
 
     def hear(self, peer: str, wall_ms: int) -> None:
         """Take in the time of day that a peer has just sent."""
@@ -35,6 +41,11 @@
     def now(self) -> int:
         """Return ms since 1970, by the median of all clocks."""
         boot = self._clock.boot()
+        if boot >= self._reckon_at:
+            self._reckon(boot)
+        return boot + self._median
+
+    def _reckon(self, boot: int) -> None:
         self._offsets = {
             peer: (offset, at)
             for peer, (offset, at) in self._offsets.items()
@@ -42,4 +53,5 @@
         }
         mine = self._clock.wall() - boot
         offsets = [mine, *(offset for offset, _ in self._offsets.values())]
-        return boot + int(statistics.median(offsets))
+        self._median = int(statistics.median(offsets))
+        self._reckon_at = boot + _RECKON_MS
--- a/src/peridotmast/embedded/process_fleet.py
+++ b/src/peridotmast/embedded/process_fleet.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import tempfile
+import os
 import typing as ty
 
 from peridotmast.embedded import fleet as fleet_
@@ -20,18 +20,18 @@
         Its size and settings.
     seed : int
         Seed of the stand-ins' faults.
+    folder : str
+        Where the routers' settings and logs go, and stay.
     """
 
-    def __init__(self, shape: shape_.FleetShape, seed: int = 0) -> None:
+    def __init__(
+        self, shape: shape_.FleetShape, seed: int, folder: str
+    ) -> None:
         super().__init__(shape, seed)
-        self._folder = tempfile.TemporaryDirectory(prefix='peridotmast-')
+        self._folder = folder
+        os.makedirs(folder, exist_ok=True)
         self._started: list[process_router.ProcessRouter] = []
 
-    def stop(self) -> None:
-        """Stop everything at once."""
-        super().stop()
-        self._folder.cleanup()
-
     def broken_promises(self) -> int:
         """Return how often routers found a promise broken in themselves."""
         return sum(
@@ -40,7 +40,7 @@
         )
 
     def _run(self, file: pb.RouterFile) -> ty.Any:
-        router = process_router.ProcessRouter(file, self._folder.name)
+        router = process_router.ProcessRouter(file, self._folder)
         self._started.append(router)
         return router
 
--- a/src/peridotmast/load/caller.py
+++ b/src/peridotmast/load/caller.py
@@ -28,6 +28,11 @@
     address: str
     status: int = 0
     """0 where no answer came."""
+    ended: int = 0
+    """When its answer ended, one way or another, in ms."""
+    was_told: bool = False
+    """Whether the router said why there is no whole answer; else its
+    connection just ended."""
 
 
 @dataclasses.dataclass
@@ -196,6 +201,7 @@
         if failure is None:
             failure = self._read(conn, deadline, attempt, answer, on_text)
         conn.close()
+        attempt.ended = self._clock.now()
         answer.failure = failure
         self._resolved_at -= _KEEP_MS if failure is not None else 0
 
@@ -219,13 +225,15 @@
                 answer.text, answer.complete = whole.decode(), True
                 answer.arrivals = [self._clock.now()]
                 return None
+            attempt.was_told = True
             return _refusal(head, whole)
-        return self._read_events(conn, deadline, answer, on_text)
+        return self._read_events(conn, deadline, attempt, answer, on_text)
 
     def _read_events(
         self,
         conn: connection_.Connection,
         deadline: int,
+        attempt: Attempt,
         answer: Answer,
         on_text: ty.Callable[[str], None],
     ) -> ty.Optional[failures.Failure]:
@@ -244,6 +252,7 @@
                     return None
                 chunk = json.loads(line)
                 if 'error' in chunk:
+                    attempt.was_told = True
                     return failures.unknown(chunk['error']['reason'])
                 text = chunk['choices'][0]['delta'].get('content', '')
                 answer.text += text
--- a/src/peridotmast/load/faults.py
+++ b/src/peridotmast/load/faults.py
@@ -13,6 +13,7 @@
 from peridotmast.embedded import shape as shape_
 from peridotmast import failures
 from peridotmast import green
+from peridotmast.load import oracle as oracle_
 from peridotmast import rpc
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.schema import peridotmast_pb2_grpc as pb_grpc
@@ -48,6 +49,9 @@
 )
 """Kinds that can be brought about where routers share one process."""
 
+_NEVER = 1 << 62
+"""Moment that does not come, in ms."""
+
 _OPERATOR_MS = 5000
 """Bound on one call of an operator."""
 
@@ -108,8 +112,8 @@
         """Faults brought about, by kind."""
         self.noticed: dict[str, int] = {}
         """When upstreams got notice, in ms of the fleet's clock."""
-        self.drained: set[str] = set()
-        """Chat addresses of routers that were stopped as planned."""
+        self.drained: dict[str, oracle_.Span] = {}
+        """Stops as planned: chat address, and from when to when, in ms."""
         self.thawed: list[int] = []
         """When frozen routers went on, in ms of the fleet's clock."""
         self._operators = rpc.RpcClient(pb_grpc.OperatorsStub)
@@ -213,9 +217,11 @@
     def _drain_router(self, fault: pb.Fault) -> None:
         router = self._pick_router(fault.target)
         if router is not None:
-            self.drained.add(router.chat_address)
+            began = self._fleet.clock.now()
+            self.drained[router.chat_address] = began, _NEVER
             router.drain()
             router.stop()
+            self.drained[router.chat_address] = began, self._fleet.clock.now()
             self._replace_router(router.cfg.failure_domain)
 
     def _freeze_router(self, fault: pb.Fault) -> None:
--- a/src/peridotmast/load/oracle.py
+++ b/src/peridotmast/load/oracle.py
@@ -27,9 +27,15 @@
 """Counts of a verdict that must be zero."""
 
 _LEAVING_BOUND_MS = 2000
+_CUT_MS = 500
+"""Time after a router's end in which its callers see their connections go."""
 _THAW_MS = 300
 """Time after a thaw in which a call that was on its way may still arrive."""
 _Kinds = failures.FailureKind
+_NO_SPAN = (1, 0)
+
+Span = tuple[int, int]
+"""First and last moment of a time, in ms."""
 
 
 @dataclasses.dataclass
@@ -89,7 +95,7 @@
     def judge(
         self,
         noticed: dict[str, int],
-        drained: set[str],
+        drained: dict[str, Span],
         thawed: ty.Sequence[int],
     ) -> Verdict:
         """Return the verdict.
@@ -98,8 +104,8 @@
         ----------
         noticed : dict
             When each reclaimed VM got notice, in ms.
-        drained : set of str
-            Chat addresses of routers that were stopped as planned.
+        drained : dict
+            Stops as planned: chat address, and from when to when, in ms.
         thawed : sequence of int
             When frozen routers went on, in ms.
         """
@@ -127,7 +133,7 @@
         return verdict
 
     def _judge_one(
-        self, outcome: Outcome, verdict: Verdict, drained: set[str]
+        self, outcome: Outcome, verdict: Verdict, drained: dict[str, Span]
     ) -> None:
         answer = outcome.answer
         wanted = expected(outcome.arrival)
@@ -143,8 +149,7 @@
         failure = answer.failure
         if failure is not None and failure.kind is _Kinds.OUTCOME_UNKNOWN:
             verdict.outcome_unknown += 1
-            last = answer.attempts[-1]
-            verdict.cut_by_planned_stop += last.address in drained
+            verdict.cut_by_planned_stop += _was_cut(answer, drained)
         for attempt in answer.attempts:
             self._judge_attempt(outcome, attempt, verdict)
 
@@ -175,6 +180,19 @@
         self.lost.append(f'{ids} {what} {outcome.failure}')
 
 
+def _was_cut(answer: caller_.Answer, drained: dict[str, Span]) -> bool:
+    """Return whether a planned stop broke an answer off.
+
+    A next run of a router may have the address of one that was stopped; and
+    a stopping router may truly tell that an upstream broke off.
+    """
+    last = answer.attempts[-1]
+    began, ended = drained.get(last.address, _NO_SPAN)
+    reason = answer.failure.reason if answer.failure else ''
+    silent = not last.was_told or reason == 'cut_off'
+    return silent and began <= last.ended <= ended + _CUT_MS
+
+
 def expected(arrival: arrivals_.Arrival) -> str:
     """Return the answer that an arrival must get."""
     if arrival.service:
--- a/src/peridotmast/load/soak.py
+++ b/src/peridotmast/load/soak.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
+import os
+import typing as ty
 
 from peridotmast.embedded import fleet as fleet_
 from peridotmast.embedded import process_fleet
@@ -75,8 +78,12 @@
     ----------
     processes : bool
         Whether each router is a process, which can be frozen and of which
-        all can be killed at once.
+        all can be killed at once. Their logs stay in the folder.
     """
+    make_fleet: ty.Callable[..., fleet_.Fleet] = fleet_.Fleet
+    if processes:
+        logs = os.path.join(folder, 'routers')
+        make_fleet = functools.partial(process_fleet.ProcessFleet, folder=logs)
     trial = trial_.Trial(
         process_shape() if processes else shape(),
         arrivals_.draw(WORKLOADS, seconds, seed),
@@ -86,7 +93,7 @@
             among=faults_.IN_PROCESSES if processes else faults_.EMBEDDED,
         ),
         seed,
-        make_fleet=process_fleet.ProcessFleet if processes else fleet_.Fleet,
+        make_fleet=make_fleet,
     )
     report_.write(folder, trial.run(progress))
     return trial.verdict.broken()
--- a/src/peridotmast/serving/usage.py
+++ b/src/peridotmast/serving/usage.py
@@ -55,6 +55,7 @@
 
     def counts(self) -> list[pb.UsageCount]:
         """Return this router's counts, for its beacon."""
+        self._forget_ended()
         return [
             pb.UsageCount(window=window, requests=dict(counter))
             for window, counter in self._mine.items()
@@ -71,8 +72,6 @@
         for count in counts:
             known[count.window] = dict(count.requests)
         self._drop_old(known, self.window_now())
-        for key in [k for k, windows in self._others.items() if not windows]:
-            del self._others[key]
 
     def total(self, window: int) -> Counts:
         """Return the requests of each team in `window`, at all routers."""
@@ -81,6 +80,14 @@
             total.update(counts.get(window, {}))
         return dict(total)
 
+    def _forget_ended(self) -> None:
+        """Drop the runs of routers of which no window is kept any more."""
+        newest = self.window_now()
+        for key, windows in list(self._others.items()):
+            self._drop_old(windows, newest)
+            if not windows:
+                del self._others[key]
+
     def _drop_old(self, windows: dict[int, ty.Any], newest: int) -> None:
         for window in [w for w in windows if w <= newest - _KEPT_WINDOWS]:
             del windows[window]
