A request that has run is never said not to have run, repeatable or not

Change: once anything ran, the end is 502, with the same Retry-After. The judge of random histories now holds every kind of route to it. Tests: once, "An idempotent request that ran before it was refused is told so".

--- a/features/once.feature
+++ b/features/once.feature
@@ -31,5 +31,12 @@
     When 10 requests are sent to "/holds/seat"
     Then all have the status 503 and ran exactly 0 times
 
+  Scenario: An idempotent request that ran before it was refused is told so
+    Given a fleet of 1 routers with 2 services
+    And of two upstreams of "booking" one loses its answers and one refuses
+    When 10 requests are sent to "/pages/seat"
+    Then those that ran have the status 502 and the others 503
+    And all of them are told when to come back
+
   Scenario: Random upstreams, and the promises to every request
     Then in 40 random histories every status is true
--- a/features/steps/upstream_steps.py
+++ b/features/steps/upstream_steps.py
@@ -260,6 +260,27 @@
 # ----------------------------------------------------------------------- once
 
 
+@given('of two upstreams of "{service}" one loses its answers and one refuses')
+def one_loses_one_refuses(context, service):
+    first, second = helpers.guests(context, service)
+    first.upstream.app.faults = {'lose': 1.0}
+    second.upstream.app.faults = {'refuse': 1.0}
+
+
+@then('those that ran have the status 502 and the others 503')
+def ran_502(context):
+    ran = [helpers.runs_of(context, a.request_id) for a in context.answers]
+    assert any(ran), ran
+    for runs, answer in zip(ran, context.answers):
+        assert answer.status == (502 if runs else 503), (runs, answer)
+
+
+@then('all of them are told when to come back')
+def told_when(context):
+    for answer in context.answers:
+        assert float(answer.header(names.RETRY_AFTER)) > 0, answer
+
+
 @then('in {count:d} random histories every status is true')
 def random_histories(context, count):
     """Random faults; what callers are told must fit what was run."""
@@ -288,7 +309,8 @@
     runs = helpers.runs_of(context, answer.request_id)
     if path.startswith('/holds'):
         assert runs <= 1, (answer, runs)
-        assert answer.status != 503 or not runs, (answer, runs)
+    if answer.status in (408, 421, 429, 503):
+        assert not runs, (answer, runs)
     if answer.status == 200:
         assert answer.body == b'done:seat %d' % number, answer
         assert answer.complete and answer.header(names.SEAL), answer
--- a/src/peridotmast/failures.py
+++ b/src/peridotmast/failures.py
@@ -53,9 +53,9 @@
     return Failure(FailureKind.NOT_RUN, reason, detail, retry_after_ms)
 
 
-def unknown(reason: str, detail: str = '') -> Failure:
+def unknown(reason: str, detail: str = '', retry_after_ms: int = 0) -> Failure:
     """Return a `Failure` for work that may have run."""
-    return Failure(FailureKind.OUTCOME_UNKNOWN, reason, detail)
+    return Failure(FailureKind.OUTCOME_UNKNOWN, reason, detail, retry_after_ms)
 
 
 def unavailable(reason: str, detail: str = '') -> Failure:
--- a/src/peridotmast/serving/desk.py
+++ b/src/peridotmast/serving/desk.py
@@ -258,10 +258,15 @@
     def _closing(
         self, work: _Work, failure: failures.Failure
     ) -> failures.Failure:
-        """Return what the caller is told: a promise only where it holds."""
+        """Return what the caller is told: a promise only where it holds.
+
+        A request that may run again has still run; it is told when to come
+        back all the same.
+        """
         if work.runs and failure.kind is failures.FailureKind.NOT_RUN:
-            if not work.exchange.may_repeat:
-                return failures.unknown(failure.reason, failure.detail)
+            return failures.unknown(
+                failure.reason, failure.detail, failure.retry_after_ms
+            )
         return failure
 
     def _log_attempt(
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -43,6 +43,13 @@
         'if work.runs >= 3:',
         'once',
     ),
+    Mutation(
+        'promise of what ran that it did not',
+        SERVING + 'desk.py',
+        'if work.runs and failure.kind is failures.FailureKind.NOT_RUN:',
+        'if False:',
+        'once',
+    ),
     Mutation(
         'try more upstreams than the route allows',
         SERVING + 'desk.py',
