--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -185,18 +185,23 @@
         self.taken.append((domain, count, reclaimable))
 
 
-def look(context):
-    """Look at the service once, as the scaler does."""
-    service = pb.Service(
+def scaled_service(domains):
+    """Return a service whose engines are ordered, as it is configured."""
+    return pb.Service(
         name='pool',
         scaled=True,
-        domains=DOMAINS,
+        domains=domains,
         prices=(1.0, 0.8, 1.25, 0.9),
         reclaimable_price=0.22,
         scale_min=1,
         scale_max=6,
         boot_ms=4000,
     )
+
+
+def look(context):
+    """Look at the service once, as the scaler does."""
+    service = scaled_service(DOMAINS)
     context.orders.taken.clear()
     round_ = scale_round.ScaleRound(
         context.orders,
@@ -537,18 +542,7 @@
     a_scaler(context, count)
     context.demand.known = False
     context.orders = context.scaler._orders = _Orders(context)
-    context.scaler_config.services.append(
-        pb.Service(
-            name='pool',
-            scaled=True,
-            domains=START_DOMAINS,
-            prices=(1.0, 0.8, 1.25, 0.9),
-            reclaimable_price=0.22,
-            scale_min=1,
-            scale_max=6,
-            boot_ms=4000,
-        )
-    )
+    context.scaler_config.services.append(scaled_service(START_DOMAINS))
     context.scaler.needs.settled = False
     for number in range(count):
         enter(context, f'firm-{number}', START_DOMAINS[number % 4], False)
--- a/src/peridotmast/embedded/fleet.py
+++ b/src/peridotmast/embedded/fleet.py
@@ -33,7 +33,7 @@
 
     Parameters
     ----------
-    shape : shape_.FleetShape
+    shape : shape.FleetShape, optional
         Its size and settings.
     seed : int
         Seed of the stand-ins' faults.
