--- a/features/steps/config_steps.py
+++ b/features/steps/config_steps.py
@@ -221,7 +221,7 @@
     return config_feed.ConfigFeed(
         store or MemoryStore(),
         names.CONFIG_NAME,
-        config_codec.read_config,
+        config_codec,
         invariants.Invariants(registry, fatal=True),
     )
 
--- a/features/steps/doubt_steps.py
+++ b/features/steps/doubt_steps.py
@@ -22,7 +22,11 @@
 def entry(name, state=upstreams_.LIVE):
     record = pb.UpstreamRecord(
         upstream=pb.Upstream(
-            name=name, address='10.0.0.1:1', service=SERVICE, slots=4
+            name=name,
+            address='10.0.0.1:1',
+            service=SERVICE,
+            slots=4,
+            failure_domain='fd-1',
         ),
         state=state,
     )
--- /dev/null
+++ b/features/steps/entry_steps.py
@@ -0,0 +1,438 @@
+"""Steps of what others than the upstreams and operators may have written."""
+
+from __future__ import annotations
+
+import copy
+import json
+
+from behave import given
+from behave import then
+from behave import when
+import config_steps
+import doubt_steps
+import helpers
+import hypothesis
+from hypothesis import strategies
+
+from peridotmast import addresses
+from peridotmast import clock as clock_
+from peridotmast.coordination import beacon_check
+from peridotmast.coordination import objects
+from peridotmast.coordination import outage as outage_
+from peridotmast import failures
+from peridotmast.platform import config_codec
+from peridotmast.platform import fields as fields_
+from peridotmast.platform import names
+from peridotmast.platform import store as store_
+from peridotmast.platform import upstream_codec
+from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import upstreams as upstreams_
+from peridotmast.wire import calls
+
+SCALARS = strategies.one_of(
+    strategies.none(),
+    strategies.booleans(),
+    strategies.integers(),
+    strategies.floats(),
+    strategies.text(max_size=8),
+    strategies.sampled_from(['10.0.0.1:80', 'ready', 'pool', '\ud800']),
+)
+JSON = strategies.recursive(
+    SCALARS,
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(strategies.text(max_size=5), inner)
+    ),
+    max_leaves=6,
+)
+
+
+def draw(count, *given_, test):
+    """Run `test` on `count` examples, the same ones each time."""
+    settings = hypothesis.settings(
+        max_examples=count,
+        derandomize=True,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    settings(hypothesis.given(*given_)(test))()
+
+
+def places(value, path=()):
+    """Yield the path of each value within a document."""
+    yield path
+    items = ()
+    if isinstance(value, dict):
+        items = value.items()
+    elif isinstance(value, list):
+        items = enumerate(value)
+    for key, inner in items:
+        yield from places(inner, (*path, key))
+
+
+def altered(document, path, value):
+    """Return the document with another value at a place."""
+    if not path:
+        return value
+    document = copy.deepcopy(document)
+    inner = document
+    for key in path[:-1]:
+        inner = inner[key]
+    inner[path[-1]] = value
+    return document
+
+
+# -------------------------------------------------------------------- entries
+
+
+@when('the entry of "{name}" has {value} for "{field}"')
+def entry_has(context, name, value, field):
+    spec = {**doubt_steps.entry(name), field: json.loads(value)}
+    doubt_steps.changed(context, name, spec)
+
+
+@then('"{name}" may get no work while its entry is null, [], "a", 7 or {{}}')
+def values_of_another_type(context, name):
+    for spec in (None, [], 'a', 7, {}):
+        item = {names.META: {'name': name, names.REVISION: 50}}
+        item[names.SPEC] = spec
+        stored = store_.documents.stored(item)
+        doubt_steps.changed(context, name, stored.spec)
+        assert name not in doubt_steps.usable(context.upstreams), spec
+        doubt_steps.changed(context, name, doubt_steps.entry(name))
+        assert name in doubt_steps.usable(context.upstreams)
+
+
+@when(
+    '"{a}" turns unreadable in one change with one of "{b}" that says that it'
+    ' leaves'
+)
+def unreadable_and_leaving(context, a, b):
+    context.feed.on_changes(
+        objects.Changes(
+            [
+                objects.Stored(a, 20, {'capacity-slots': float('inf')}),
+                objects.Stored(
+                    b, 21, doubt_steps.entry(b, upstreams_.LEAVING)
+                ),
+            ],
+            21,
+        ),
+        False,
+    )
+
+
+@then(
+    'no entry of {count:d} drawn ones raises anything else, and each that is'
+    ' read can be used'
+)
+def drawn_entries(context, count):
+    whole = {**doubt_steps.entry('a'), names.BORN: 5, names.RECLAIMABLE: True}
+    everywhere = strategies.sampled_from(sorted(places(whole)))
+
+    def one(path, value):
+        table = upstreams_.UpstreamTable(clock_.ManualClock())
+        try:
+            record = upstream_codec.read_upstream(
+                'a', 1, altered(whole, path, value)
+            )
+        except fields_.Malformed as exc:
+            assert all(found.place and found.text for found in exc.found)
+            return
+        table.merge(record)
+        for view in table.all():
+            assert addresses.is_usable(view.address), view.address
+            assert view.service and view.slots > 0, view.record
+
+    draw(count, everywhere, JSON, test=one)
+
+
+# -------------------------------------------------------------- configuration
+
+
+def a_config():
+    config = pb.Config(
+        routes=[
+            pb.Route(
+                name='r',
+                host='h',
+                prefix='/x/',
+                kind=pb.STREAMING,
+                timeout_ms=1000,
+                target_ms=300,
+                attempts=2,
+                target_gap_ms=200,
+                services=['pool', 'other'],
+                weights=[3, 1],
+            )
+        ],
+        services=[
+            pb.Service(
+                name='pool',
+                max_connections=10,
+                engine=True,
+                slots=8,
+                memory_tokens=1000,
+                event_tokens=2,
+                scaled=True,
+                scale_max=3,
+                boot_ms=1000,
+                reclaimable_price=0.2,
+                domains=['fd-1'],
+                prices=[1.0],
+            )
+        ],
+        teams=[pb.Team(name='t', keys=['k'], rate=5, burst=9, priority=1)],
+    )
+    return config_codec.write_config(config, 7)
+
+
+@then('no configuration of {count:d} drawn ones raises anything else')
+def drawn_configs(context, count):
+    whole = a_config()
+    everywhere = strategies.sampled_from(
+        sorted(places(whole), key=lambda path: [str(key) for key in path])
+    )
+
+    def one(path, value):
+        document = altered(whole, path, value)
+        assert config_codec.read_version(document) >= 0
+        try:
+            config_codec.read_config(document)
+        except fields_.Malformed as exc:
+            assert all(found.place and found.text for found in exc.found)
+
+    config_codec.read_config(whole)
+    draw(count, everywhere, JSON, test=one)
+
+
+@given('a configuration in force')
+def config_in_force(context):
+    context.config_feed = config_steps.new_feed()
+    assert context.config_feed.offer_routes(a_config(), 'store')
+
+
+@when('one of a higher version has "{value}" for the timeout of a route')
+def malformed_timeout(context, value):
+    context.document = {**a_config(), 'version': 9}
+    context.document['routes'][0]['timeout-ms'] = value
+    assert not context.config_feed.offer_routes(context.document, 'store')
+
+
+@then('the one before stays in force and the findings name the place')
+def stays_in_force(context):
+    assert context.config_feed.routes.version == 7
+    try:
+        config_codec.read_config(context.document)
+    except fields_.Malformed as exc:
+        assert 'config routes[0] timeout-ms' in str(exc), exc
+    else:
+        raise AssertionError('it was read')
+
+
+@when('one of a higher version is as it must be')
+def higher_version(context):
+    document = {**a_config(), 'version': 11}
+    context.config_feed.offer_routes(document, 'store')
+
+
+@then('it is in force')
+def is_in_force(context):
+    assert context.config_feed.routes.version == 11
+
+
+# ----------------------------------------------------------------- raw answers
+
+
+class _OneAnswer:
+    """Stands for the connections of a store that gives one answer."""
+
+    def __init__(self, body):
+        self.body = body
+
+    def call(self, *args, **kwargs):
+        return calls.Reply(200, [], self.body)
+
+
+def answering(body):
+    store = store_.PlatformStore(
+        '127.0.0.1:1', 100, outage_.Outage(clock_.ManualClock(), 1000)
+    )
+    store._http = _OneAnswer(body)
+    return store
+
+
+def raw(name, revision, spec):
+    return (
+        f'{{"{names.META}":{{"name":"{name}","{names.REVISION}":{revision}}},'
+        f'"{names.SPEC}":{spec}}}'
+    )
+
+
+@given('a listing of "a", "b" and "c" in which the value of "b" is no JSON')
+def broken_listing(context):
+    context.raw = [
+        raw('a', 1, '{"x":[1,"]}"]}'),
+        raw('b', 2, '{"x":nothing at all}'),
+        raw('c', 3, '{"x":3}'),
+    ]
+    context.wanted = [
+        objects.Stored('a', 1, {'x': [1, ']}']}),
+        objects.Stored('b', 2, {}),
+        objects.Stored('c', 3, {'x': 3}),
+    ]
+
+
+@then('"a" and "c" are read as they are, and "b" as one without a value')
+def read_listing(context):
+    text = ','.join(context.raw)
+    body = f'{{"{names.ITEMS}":[{text}],"{names.MORE}":false,"{names.AT}":9}}'
+    listing = answering(body.encode()).list('k')
+    assert listing == objects.Listing(context.wanted, 9), listing
+
+
+@then('the changes of the three are read the same way')
+def read_changes(context):
+    text = ','.join(
+        f'{{"{names.DELETED}":false,"{names.OBJECT}":{item}}}'
+        for item in context.raw
+    )
+    body = f'{{"{names.EVENTS}":[{text}],"{names.AT}":9}}'
+    changes = answering(body.encode()).watch('k', 1, 0)
+    assert changes == objects.Changes(context.wanted, 9), changes
+
+
+@then('no answer of {count:d} drawn ones raises anything')
+def drawn_answers(context, count):
+    item = raw('a', 1, '{"x":1}')
+    listing = f'{{"{names.ITEMS}":[{item}],"{names.AT}":1}}'.encode()
+
+    def one(at, bytes_):
+        body = listing[:at] + bytes_ + listing[at + len(bytes_) :]
+        for found in (
+            answering(body).list('k'),
+            answering(body).watch('k', 1, 0),
+            answering(body).read('k', 'a'),
+            answering(body).write('k', 'a', {}, 1),
+        ):
+            assert isinstance(
+                found,
+                (
+                    failures.Failure,
+                    objects.Listing,
+                    objects.Changes,
+                    objects.Stored,
+                ),
+            )
+
+    draw(
+        count,
+        strategies.integers(0, len(listing)),
+        strategies.binary(max_size=6),
+        test=one,
+    )
+
+
+# ------------------------------------------------------------- peers' messages
+
+NUMBERS = strategies.integers(-(1 << 62), 1 << 62)
+TEXTS = strategies.one_of(
+    strategies.sampled_from(['', '127.0.0.1:7', 'a', 'u-1', '127.0.0.1:0']),
+    strategies.text(max_size=6),
+)
+MEMBERS = strategies.builds(
+    pb.Member,
+    name=TEXTS,
+    incarnation=NUMBERS,
+    address=TEXTS,
+    peer_address=TEXTS,
+    beacon_address=TEXTS,
+)
+BEACONS = strategies.builds(
+    pb.Beacon,
+    member=MEMBERS,
+    other=MEMBERS,
+    config_version=NUMBERS,
+    upstreams_revision=NUMBERS,
+    wall_ms=NUMBERS,
+    loads=strategies.lists(
+        strategies.builds(
+            pb.UpstreamLoad, upstream=TEXTS, running=NUMBERS, unread=NUMBERS
+        ),
+        max_size=2,
+    ),
+    demand=strategies.lists(
+        strategies.builds(pb.ServiceDemand, service=TEXTS, tokens=NUMBERS),
+        max_size=2,
+    ),
+    usage=strategies.lists(
+        strategies.builds(
+            pb.UsageCount,
+            window=NUMBERS,
+            requests=strategies.dictionaries(TEXTS, NUMBERS, max_size=2),
+        ),
+        max_size=2,
+    ),
+)
+
+
+@then(
+    'no beacon of {count:d} drawn ones raises anything or makes an upstream'
+    ' usable'
+)
+def drawn_beacons(context, count):
+    fleet = helpers.start_fleet(context, routers=1, services=0, domains=1)
+    router = fleet.routers[0]
+    known = {view.name for view in router.table.all()}
+    wrong = strategies.binary(max_size=40)
+
+    def one(beacon, bytes_):
+        router.beacons._unpack(bytes_)
+        found = beacon_check.check(beacon)
+        taken = router.beacons._unpack(router.beacons._pack(beacon))
+        assert (taken is None) == bool(found), found
+        if taken is not None:
+            router._peering.take(taken)
+            for peer in router.members.peers():
+                assert peer.member.name
+        assert {view.name for view in router.table.all()} == known
+
+    draw(count, BEACONS, wrong, test=one)
+
+
+@given('a router whose peer answers with bytes that are no configuration')
+def garbling_peer(context):
+    fleet = helpers.start_fleet(context, routers=1)
+    context.router = fleet.routers[0]
+    context.router._peering._peers = _Garbling()
+    context.lines = []
+
+    class Log:
+        def error(self, event, **values):
+            context.lines.append((event, values))
+
+    context.router._peering._log = Log()
+
+
+class _Garbling:
+    """Stands for the calls of a peer that answers anything."""
+
+    def call(self, address, method, request, timeout_ms):
+        return pb.ConfigReply(config=b'[[[', config_version=1 << 40)
+
+    def close(self):
+        pass
+
+
+@when('it asks the peer')
+def asks_peer(context):
+    context.version = context.router.config.routes.version
+    context.news = context.router._peering.ask_config('127.0.0.1:9')
+
+
+@then('nothing has changed and the peer is named in the log')
+def nothing_changed(context):
+    assert not context.news
+    assert context.router.config.routes.version == context.version
+    assert context.lines[0][1]['peer'] == '127.0.0.1:9', context.lines
--- /dev/null
+++ b/features/steps/incarnation_steps.py
@@ -0,0 +1,250 @@
+"""Steps of upstreams that start again under their id."""
+
+from __future__ import annotations
+
+from behave import given
+from behave import then
+from behave import when
+import doubt_steps
+import fleet_steps
+import helpers
+import stream_steps
+
+from peridotmast import clock as clock_
+from peridotmast.embedded import shape as shape_
+from peridotmast import failures
+from peridotmast import green
+from peridotmast.platform import engine_control
+from peridotmast.platform import names
+from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import candidates
+from peridotmast.serving import upstream_view
+from peridotmast.serving import upstreams as upstreams_
+from peridotmast import web
+from peridotmast.wire import server as server_
+
+
+def record(born, revision, state=upstreams_.LIVE):
+    return pb.UpstreamRecord(
+        upstream=pb.Upstream(
+            name='a',
+            address='10.0.0.1:1',
+            service=doubt_steps.SERVICE,
+            slots=4,
+            failure_domain='fd-1',
+            born=born,
+        ),
+        state=state,
+        revision=revision,
+    )
+
+
+@given('an upstream "a" that was born at {born:d}')
+def born_at(context, born):
+    context.upstreams = upstreams_.UpstreamTable(clock_.ManualClock())
+    context.ended = []
+    context.upstreams.listen_ends(context.ended.append)
+    context.upstreams.merge(record(born, 10))
+    context.before = context.upstreams.get('a')
+
+
+def tell_load(context, born):
+    load = pb.UpstreamLoad(
+        upstream='a', running=3, unread=900, memory=1000, born=born
+    )
+    context.upstreams.take_loads('router-2', [load])
+
+
+@given('it has work of two routers, fails and holds copies')
+def has_work(context):
+    view = context.before
+    view.take_on(upstream_view.Load(1, 100, 200))
+    tell_load(context, view.born)
+    for _ in range(3):
+        view.health.failed()
+    assert not view.health.lets_through()
+    context.homes = homes_of(view)
+
+
+def homes_of(view):
+    others = [
+        upstream_view.UpstreamView(
+            pb.UpstreamRecord(upstream=pb.Upstream(name=f'u-{n}')),
+            clock_.ManualClock(),
+            set(),
+        )
+        for n in range(4)
+    ]
+    among = candidates.Candidates('router-1', [view, *others])
+    return [among.homes(f'part-{n}')[0].name for n in range(200)]
+
+
+@when('its entry says that it was born at {born:d}')
+def entry_says(context, born):
+    assert context.upstreams.merge(record(born, 20))
+
+
+@then('"a" has no work, has not failed, and is at home elsewhere')
+def begins_anew(context):
+    view = context.upstreams.get('a')
+    assert view is not context.before
+    assert view.load() == upstream_view.Load(), view.load()
+    assert view.health.lets_through() and not view.health.failing_share()
+    assert homes_of(view) != context.homes
+    # What still ends at the earlier run is none of its business.
+    context.before.hand_back(upstream_view.Load(1, 100, 200))
+    context.before.health.failed()
+    assert view.load() == upstream_view.Load()
+    assert not context.upstreams.my_loads()
+
+
+@then('what it was before is over')
+def is_over(context):
+    assert context.ended == [context.before]
+    assert not context.before.is_there
+
+
+@when('the run that was born at {born:d} says later that it leaves')
+def says_later(context, born):
+    assert not context.upstreams.merge(record(born, 30, upstreams_.LEAVING))
+
+
+@then('"a" may get new work and was born at {born:d}')
+def may_get_work(context, born):
+    (view,) = context.upstreams.live(doubt_steps.SERVICE)
+    assert view.born == born, view.born
+
+
+@when('another router tells of its work at the run that was born at {born:d}')
+def tells_of_work(context, born):
+    tell_load(context, born)
+
+
+@then('"a" has no work')
+def no_work(context):
+    assert not context.upstreams.get('a').load().running
+
+
+@then('"a" has that work')
+def has_that_work(context):
+    assert context.upstreams.get('a').load().running == 3
+
+
+@given('a peer that has taken that over')
+def peer_taken(context):
+    context.known = [view.record for view in context.upstreams.all()]
+
+
+@when('the peer tells what it knows')
+def peer_tells(context):
+    context.upstreams.merge_all(context.known)
+
+
+@given('an engine that answers its report as one born at {born:d}')
+def reporting_engine(context, born):
+    app = web.WebApp('engine', 1 << 16)
+    body = {names.BORN: born, names.LEAVES_MS: 700}
+    app.route('GET', names.REPORT_PATH, lambda req: web.json_response(body))
+    context.server = server_.HttpServer('127.0.0.1:0', app)
+    context.server.start()
+    context.closing.append(context.server.stop)
+
+
+def leaves_ms(context, born):
+    control = engine_control.EngineControl(1000)
+    return control.leaves_ms(context.server.address, born)
+
+
+@then('asked as the one born at {born:d} it does not tell when that leaves')
+def does_not_tell(context, born):
+    assert isinstance(leaves_ms(context, born), failures.Failure)
+
+
+@then('asked as the one born at {born:d} it does')
+def does_tell(context, born):
+    assert leaves_ms(context, born) == 700
+
+
+@when(
+    'a caller streams {tokens:d} tokens from "{path}" and its upstream starts'
+    ' again'
+)
+def stream_again(context, tokens, path):
+    stream_steps.stream_and(context, tokens, path, context.fleet.begin_again)
+
+
+def only_entry(context, guest):
+    """Enter the next run; connections to the one before stay open."""
+    guest.record.upstream.born += 1
+    context.fleet._write_entry(guest)
+
+
+@when(
+    'a caller streams {tokens:d} tokens from "{path}" and its upstream starts'
+    ' again behind a silent connection'
+)
+def silent_again(context, tokens, path):
+    def act(guest):
+        guest.upstream.mute()
+        only_entry(context, guest)
+
+    stream_steps.stream_and(context, tokens, path, act)
+
+
+@when(
+    'a caller asks "{path}" and its upstream starts again behind a silent'
+    ' connection'
+)
+def once_again(context, path):
+    task = green.spawn(
+        helpers.ask, fleet_steps.front(context), path, request_id='seat-1'
+    )
+
+    def running():
+        return [
+            guest
+            for guest in helpers.guests(context, shape_.SERVICE)
+            if guest.upstream.app.in_work
+        ]
+
+    helpers.wait_until(running, 'the request runs')
+    only_entry(context, running()[0])
+    context.last = task.wait()
+
+
+@then('its answer promises nothing and it was run once')
+def promises_nothing(context):
+    # At its deadline it would be 504.
+    assert context.last.status == 502, context.last
+    runs = [
+        guest.upstream.app.runs['seat-1']
+        for guest in helpers.guests(context, shape_.SERVICE)
+    ]
+    assert sum(runs) == 1, runs
+
+
+@when('every upstream of "{service}" starts again')
+def all_again(context, service):
+    context.later = [
+        context.fleet.begin_again(guest)
+        for guest in helpers.guests(context, service)
+    ]
+    table = context.fleet.routers[0].table
+    helpers.wait_until(
+        lambda: all(
+            table.get(guest.name).born == guest.record.upstream.born
+            for guest in context.later
+        ),
+        'the later runs are known',
+    )
+
+
+@then('{count:d} requests to "{path}" are answered by the later runs')
+def answered_by_later(context, count, path):
+    for _ in range(count):
+        answer = helpers.ask(fleet_steps.front(context), path)
+        assert answer.status == 200, answer
+    runs = sum(
+        sum(guest.upstream.app.runs.values()) for guest in context.later
+    )
+    assert runs == count, runs
--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -272,6 +272,7 @@
             pb.UpstreamRecord(
                 upstream=pb.Upstream(
                     name=f'engine-{number}',
+                    address=f'10.0.{number // 250}.{number % 250}:80',
                     failure_domain=f'fd-{number}',
                     service='pool',
                     slots=64,
--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -350,7 +350,9 @@
 
 def hear_ahead(context):
     for peering in context.peerings:
-        member = pb.Member(name='peer', incarnation=1, peer_address='a:1')
+        member = pb.Member(
+            name='peer', incarnation=1, peer_address='10.0.0.1:1'
+        )
         beacon = pb.Beacon(member=member, config_version=4, news_only=True)
         peering.take(beacon)
 
--- /dev/null
+++ b/src/peridotmast/coordination/beacon_check.py
@@ -0,0 +1,57 @@
+"""What a peer's beacon must say, so that it can be taken in."""
+
+from __future__ import annotations
+
+import itertools
+import typing as ty
+
+from peridotmast import addresses
+from peridotmast import findings as findings_
+from peridotmast.schema import peridotmast_pb2 as pb
+
+_ADDRESSES = ('address', 'peer_address', 'beacon_address')
+
+_LONGEST_NAME = 200
+"""Characters of a router's name; it stands in logs and answers."""
+
+
+def check(beacon: pb.Beacon) -> findings_.Findings:
+    """Return what is wrong with a beacon.
+
+    One in which anything is wrong is of nobody's whose other words could be
+    believed, so it is not taken in at all.
+    """
+    found = findings_.Findings()
+    _check_member(found, 'member', beacon.member)
+    if beacon.HasField('other'):
+        _check_member(found, 'other', beacon.other)
+    if any(number < 0 for number in _counts(beacon)):
+        found.add('counts', 'must not be negative')
+    return found
+
+
+def _check_member(
+    found: findings_.Findings, place: str, member: pb.Member
+) -> None:
+    if not 0 < len(member.name) <= _LONGEST_NAME:
+        found.add(f'{place} name', 'is missing or too long')
+    for name in _ADDRESSES:
+        text = getattr(member, name)
+        if text and not addresses.is_usable(text):
+            found.add(f'{place} {name}', 'must be IP:port')
+
+
+def _counts(beacon: pb.Beacon) -> ty.Iterator[int]:
+    """Yield the numbers that count something."""
+    # What a team has spent falls where a request did not run.
+    return itertools.chain(
+        (beacon.config_version, beacon.document_version),
+        (beacon.upstreams_revision, beacon.wall_ms),
+        (load.running for load in beacon.loads),
+        (load.unread for load in beacon.loads),
+        (load.memory for load in beacon.loads),
+        (demand.tokens for demand in beacon.demand),
+        itertools.chain.from_iterable(
+            usage.requests.values() for usage in beacon.usage
+        ),
+    )
--- a/src/peridotmast/coordination/beacons.py
+++ b/src/peridotmast/coordination/beacons.py
@@ -11,6 +11,7 @@
 
 from google.protobuf import message
 
+from peridotmast.coordination import beacon_check
 from peridotmast.coordination import members as members_
 from peridotmast import green
 from peridotmast import logs
@@ -19,6 +20,9 @@
 AT_ONCE = 16
 """Peers that one round goes to; in larger fleets the rounds take turns."""
 
+_SHOWN = 200
+"""Characters of a wrong beacon that are logged."""
+
 _DATAGRAM_BYTES = 65_000
 _TAG_BYTES = 16
 
@@ -158,10 +162,21 @@
             return None
         try:
             packed = zlib.decompressobj()
-            return pb.Beacon.FromString(packed.decompress(body, _BEACON_BYTES))
+            beacon = pb.Beacon.FromString(
+                packed.decompress(body, _BEACON_BYTES)
+            )
         except (zlib.error, message.DecodeError) as exc:
             self._log.warning('beacon_garbled', error=str(exc))
             return None
+        found = beacon_check.check(beacon)
+        if found:
+            self._log.warning(
+                'beacon_malformed',
+                peer=beacon.member.name[:_SHOWN],
+                error=str(found)[:_SHOWN],
+            )
+            return None
+        return beacon
 
     def _tag(self, body: bytes) -> bytes:
         if not self._secret:
--- a/src/peridotmast/coordination/config_feed.py
+++ b/src/peridotmast/coordination/config_feed.py
@@ -18,6 +18,8 @@
 NAME = 'current'
 
 _HISTORY_LENGTH = 100
+_SHOWN = 500
+"""Characters of the findings on a document that are logged."""
 _TRIES = 4
 """Reads after a commit whose reply was lost."""
 
@@ -36,6 +38,22 @@
     """What it says."""
 
 
+class Reader(ty.Protocol):
+    """Reads the configuration that the platform has."""
+
+    def read_version(self, spec: ty.Any) -> int:
+        """Return the version of a document; 0 where it tells none."""
+
+    def read_config(self, spec: ty.Any) -> pb.Config:
+        """Return what a document says.
+
+        Raises
+        ------
+        ValueError
+            If it is malformed, with all that is wrong with it.
+        """
+
+
 class ConfigFeed:
     """Joins the operators' routes and the product's own document.
 
@@ -50,9 +68,8 @@
         The platform's store, which the own document is committed to.
     name : str
         Name of the platform's object.
-    read : callable
-        Returns the configuration in the platform's object; raises where it
-        is malformed.
+    reader : Reader
+        Reads the platform's object.
     checks : invariants.Invariants
         Where a reversal would be reported.
     """
@@ -61,12 +78,12 @@
         self,
         store: objects.Objects,
         name: str,
-        read: ty.Callable[[objects.Json], pb.Config],
+        reader: Reader,
         checks: invariants_.Invariants,
     ) -> None:
         self._store = store
         self._name = name
-        self._read = read
+        self._reader = reader
         self._checks = checks
         self._listeners: list[Listener] = []
         self._log = logs.get('config')
@@ -94,14 +111,17 @@
 
         A stale read or a peer that is behind offers an older one.
         """
-        version = int(document.get('version') or 0)
+        version = self._reader.read_version(document)
         if version <= self.routes.version:
             return False
         try:
-            config = self._read(document)
-        except (KeyError, TypeError, ValueError) as exc:
+            config = self._reader.read_config(document)
+        except ValueError as exc:
             self._log.error(
-                'config_malformed', version=version, error=repr(exc)
+                'config_malformed',
+                version=version,
+                source=source,
+                error=str(exc)[:_SHOWN],
             )
             return False
         self.routes = self._grown(self.routes, version, document, config)
@@ -114,10 +134,13 @@
         """Put the product's own document into force where it is newer."""
         if version <= self.own.version:
             return False
-        config, found = _read_own(document.get('document') or '')
+        config, found = _read_stored(document)
         if found:
             self._log.error(
-                'document_malformed', version=version, error=str(found)[:200]
+                'document_malformed',
+                version=version,
+                source=source,
+                error=str(found)[:_SHOWN],
             )
             return False
         self.own = self._grown(self.own, version, document, config)
@@ -234,6 +257,22 @@
 """What ``[policy] scaling`` may name."""
 
 
+def _read_stored(
+    document: ty.Any,
+) -> tuple[pb.Config, findings_.Findings]:
+    """Read the own document as it is stored, with its history."""
+    found = findings_.Findings()
+    if not isinstance(document, dict):
+        found.add('document', 'must be an object')
+        return pb.Config(), found
+    text, history = document.get('document', ''), document.get('history', [])
+    if not isinstance(text, str):
+        found.add('document', 'must be a text')
+    if not isinstance(history, list):
+        found.add('history', 'must be a list')
+    return (pb.Config(), found) if found else _read_own(text)
+
+
 def _read_own(document: str) -> tuple[pb.Config, findings_.Findings]:
     return ini.load_text(document, pb.Config)
 
--- a/src/peridotmast/coordination/kind_watch.py
+++ b/src/peridotmast/coordination/kind_watch.py
@@ -134,18 +134,20 @@
         listing = self._store.list(self._kind)
         if isinstance(listing, failures.Failure):
             return listing
+        self._follower.on_listing(listing, self._is_outage_felt())
+        # Not before: what was not taken in is asked for again.
         self._revision = listing.revision
         self._listed = True
-        self._follower.on_listing(listing, self._is_outage_felt())
         return None
 
     def _watch(self) -> ty.Optional[failures.Failure]:
         changes = self._wait_for_changes()
         if changes is None or isinstance(changes, failures.Failure):
             return changes
-        self._revision = max(self._revision, changes.revision)
         if changes.objects:
             self._follower.on_changes(changes, self._is_outage_felt())
+        self._revision = max(self._revision, changes.revision)
+        if changes.objects:
             self._tell()
             green.sleep_ms(_GATHER_MS)
         return None
--- a/src/peridotmast/coordination/upstream_feed.py
+++ b/src/peridotmast/coordination/upstream_feed.py
@@ -12,14 +12,17 @@
 _MASS = 3
 """Removals at one go from which on they may be a mass."""
 
+_SHOWN = 500
+"""Characters of the findings on an entry that are logged."""
+
 
 class EntryReader(ty.Protocol):
     """Reads an upstream's entry."""
 
     def __call__(
-        self, name: str, revision: int, spec: objects.Json
+        self, name: str, revision: int, spec: ty.Any
     ) -> pb.UpstreamRecord:
-        """Return what it says; raises where it is malformed."""
+        """Return what it says; raises ValueError where it is malformed."""
 
 
 class UpstreamFeed:
@@ -82,19 +85,21 @@
     def _take(self, stored: objects.Stored, after_outage: bool) -> None:
         if stored.spec is not None:
             self._merge_entry(stored)
-        else:
-            self._merge(removed(stored.name, stored.revision, after_outage))
+            return
+        state = upstreams_.LAPSED if after_outage else upstreams_.GONE
+        self._merge(_of(stored, state))
 
     def _merge_entry(self, stored: objects.Stored) -> None:
         try:
-            record = self._read(
-                stored.name, stored.revision, stored.spec or {}
-            )
-        except (KeyError, TypeError, ValueError) as exc:
+            record = self._read(stored.name, stored.revision, stored.spec)
+        except ValueError as exc:
             self._log.error(
-                'entry_malformed', upstream=stored.name, error=repr(exc)
+                'entry_malformed',
+                upstream=stored.name,
+                revision=stored.revision,
+                error=str(exc)[:_SHOWN],
             )
-            return
+            record = _of(stored, upstreams_.UNREADABLE)
         self._merge(record)
 
     def _merge(self, record: pb.UpstreamRecord) -> None:
@@ -114,12 +119,10 @@
         )
 
 
-def removed(
-    name: str, revision: int, after_outage: bool = False
-) -> pb.UpstreamRecord:
-    """Return the statement that the entry of upstream `name` is missing."""
+def _of(stored: objects.Stored, state: pb.UpstreamState) -> pb.UpstreamRecord:
+    """Return the statement that an entry says nothing but its state."""
     return pb.UpstreamRecord(
-        upstream=pb.Upstream(name=name),
-        state=upstreams_.LAPSED if after_outage else upstreams_.GONE,
-        revision=revision,
+        upstream=pb.Upstream(name=stored.name),
+        state=state,
+        revision=stored.revision,
     )
--- a/src/peridotmast/embedded/fleet.py
+++ b/src/peridotmast/embedded/fleet.py
@@ -221,6 +221,14 @@
         if not keep_entry:
             self.drop_entry(guest)
 
+    def begin_again(self, guest: guest_.Guest) -> guest_.Guest:
+        """Let an upstream die and begin again under its id and address."""
+        self.lose(guest, keep_entry=True)
+        record = pb.UpstreamRecord()
+        record.CopyFrom(guest.record)
+        record.upstream.born = max(record.upstream.born + 1, self.clock.wall())
+        return self._admit(record, guest.upstream.again())
+
     def reclaim(self, domain: str, notice_ms: int) -> list[guest_.Guest]:
         """Take the reclaimable engines of a failure domain on notice."""
         taken = [
@@ -328,10 +336,16 @@
                 failure_domain=domain,
                 service=service,
                 slots=slots,
+                born=self.clock.wall(),
             ),
             state=pb.UPSTREAM_STATE_LIVE,
             reclaimable=reclaimable,
         )
+        return self._admit(record, upstream)
+
+    def _admit(
+        self, record: pb.UpstreamRecord, upstream: ty.Any
+    ) -> guest_.Guest:
         guest = guest_.Guest(record, upstream)
         guest.began_ms = self.clock.now()
         self.guests.append(guest)
--- a/src/peridotmast/embedded/guest.py
+++ b/src/peridotmast/embedded/guest.py
@@ -21,5 +21,5 @@
 
     @property
     def name(self) -> str:
-        """Id of this run."""
+        """Its id, which its next run may have too."""
         return self.record.upstream.name
--- a/src/peridotmast/ini.py
+++ b/src/peridotmast/ini.py
@@ -4,13 +4,13 @@
 
 import configparser
 import difflib
-import ipaddress
 import re
 import typing as ty
 
 from google.protobuf import descriptor
 from google.protobuf import message
 
+from peridotmast import addresses
 from peridotmast import findings as findings_
 from peridotmast.schema import peridotmast_pb2 as pb
 
@@ -210,7 +210,7 @@
     if field.type == _FIELD.TYPE_DOUBLE:
         return _in_range(rule, _number(float, text, 'a number', rule))
     if rule.address:
-        check_address(text)
+        addresses.check(text)
     return text
 
 
@@ -249,23 +249,6 @@
     return value
 
 
-def check_address(text: str) -> None:
-    """Check that `text` is ``IP:port``.
-
-    Raises
-    ------
-    ValueError
-        If it is not, with what would be right.
-    """
-    host, colon, port = text.rpartition(':')
-    if not colon or not port.isdigit() or int(port) > 65535:
-        raise ValueError('must be IP:port, such as 127.0.0.1:8700')
-    try:
-        ipaddress.ip_address(host.strip('[]'))
-    except ValueError:
-        raise ValueError('must be IP:port with a numeric address') from None
-
-
 def _assign(
     target: message.Message,
     field: _Field,
--- a/src/peridotmast/load/faults.py
+++ b/src/peridotmast/load/faults.py
@@ -14,6 +14,8 @@
 from peridotmast import failures
 from peridotmast import green
 from peridotmast.load import oracle as oracle_
+from peridotmast.platform import names
+from peridotmast.platform import upstream_codec
 from peridotmast import rpc
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.schema import peridotmast_pb2_grpc as pb_grpc
@@ -25,6 +27,8 @@
     RECLAIM_DOMAIN = 'reclaim_domain'
     RECLAIM_VM = 'reclaim_vm'
     KILL_VM = 'kill_vm'
+    RESTART_VM = 'restart_vm'
+    FOREIGN_ENTRY = 'foreign_entry'
     KILL_ROUTER = 'kill_router'
     DRAIN_ROUTER = 'drain_router'
     MUTE_CONNECTIONS = 'mute_connections'
@@ -172,6 +176,20 @@
             self._replace([guest])
             self._fleet.drop_entry(guest)
 
+    def _restart_vm(self, fault: pb.Fault) -> None:
+        guest = self._pick_engine(fault.target)
+        if guest is not None:
+            self._fleet.begin_again(guest)
+
+    def _foreign_entry(self, fault: pb.Fault) -> None:
+        """Somebody else writes where the upstreams do."""
+        draws = random.Random(fault.target)
+        name = f'foreign-{fault.name}'
+        spec = draws.choice(upstream_codec.foreign_entries(shape_.ENGINES))
+        self._fleet.store.put(names.UPSTREAM_KIND, name, spec)
+        green.sleep_ms(fault.for_ms)
+        self._fleet.store.drop(names.UPSTREAM_KIND, name)
+
     def _mute_connections(self, fault: pb.Fault) -> None:
         guest = self._pick_engine(fault.target)
         if guest is not None:
--- a/src/peridotmast/platform/config_codec.py
+++ b/src/peridotmast/platform/config_codec.py
@@ -4,6 +4,7 @@
 
 import typing as ty
 
+from peridotmast.platform import fields as fields_
 from peridotmast.platform import names
 from peridotmast.schema import peridotmast_pb2 as pb
 
@@ -11,11 +12,20 @@
 
 _ROUTE_PRIORITY = -1
 """Priority of a team that leaves it to the route."""
+_MOST_RANKS = 1000
+"""Ranks of requests that are told apart."""
 _BY_TOKENS = 'token_stream'
 _KIND_NAMES = {kind: name for name, kind in names.REQUEST_KINDS.items()}
 
 
-def read_config(spec: Json) -> pb.Config:
+def read_version(spec: ty.Any) -> int:
+    """Return the version of a document; 0 where it tells none."""
+    fields = fields_.Fields(spec, 'config')
+    version = fields.whole('version', 0)
+    return 0 if fields.found else version
+
+
+def read_config(spec: ty.Any) -> pb.Config:
     """Return the product's configuration for the platform's document.
 
     Fields that are not known are left out: the platform adds some from
@@ -23,15 +33,19 @@
 
     Raises
     ------
-    KeyError, TypeError, ValueError
-        If the document is not as the platform's pages say.
+    fields.Malformed
+        If the document is not as the platform's pages say, with all that
+        is wrong with it.
     """
-    return pb.Config(
-        routes=[_route(item) for item in spec.get('routes') or ()],
-        services=[_service(item) for item in spec.get('services') or ()],
-        teams=[_team(item) for item in spec.get('tenants') or ()],
-        limits=_limits(spec.get('limits') or {}),
+    fields = fields_.Fields(spec, 'config')
+    config = pb.Config(
+        routes=[_route(item) for item in fields.parts('routes')],
+        services=[_service(item) for item in fields.parts('services')],
+        teams=[_team(item) for item in fields.parts('tenants')],
+        limits=_limits(fields.part('limits') or _nothing(fields)),
     )
+    fields.close()
+    return config
 
 
 def write_config(config: pb.Config, version: int) -> Json:
@@ -50,24 +64,38 @@
     }
 
 
-def _route(item: Json) -> pb.Route:
-    split = item.get('traffic-split') or [
-        {'service': item['service'], 'weight': 1}
-    ]
+def _nothing(fields: fields_.Fields) -> fields_.Fields:
+    """Return an object that has no fields."""
+    return fields_.Fields({}, 'nothing', fields.found)
+
+
+def _route(item: fields_.Fields) -> pb.Route:
+    services, weights = _split(item)
     return pb.Route(
-        name=item['name'],
-        host=item['host'],
-        prefix=item['prefix'],
-        kind=names.REQUEST_KINDS[item['kind']],
-        timeout_ms=int(item['timeout-ms']),
-        target_ms=int(item.get('target-latency-ms') or 1000),
-        priority=int(item.get('priority') or 0),
-        attempts=int(item.get('attempts') or 1),
-        public=bool(item.get('public')),
-        resumable=bool(item.get('resumable')),
-        target_gap_ms=int(item.get('target-gap-ms') or 1000),
-        services=[part['service'] for part in split],
-        weights=[int(part['weight']) for part in split],
+        name=item.text('name'),
+        host=item.text('host'),
+        prefix=item.text('prefix'),
+        kind=item.one_of('kind', names.REQUEST_KINDS),
+        timeout_ms=item.whole('timeout-ms', least=1),
+        target_ms=item.whole('target-latency-ms', 1000) or 1000,
+        priority=item.whole('priority', 0, most=_MOST_RANKS),
+        attempts=item.whole('attempts', 1) or 1,
+        public=item.flag('public'),
+        resumable=item.flag('resumable'),
+        target_gap_ms=item.whole('target-gap-ms', 1000) or 1000,
+        services=services,
+        weights=weights,
+    )
+
+
+def _split(item: fields_.Fields) -> tuple[list[str], list[int]]:
+    """Return the services of a route, and the share of each."""
+    parts = item.parts('traffic-split')
+    if not parts:
+        return [item.text('service')], [1]
+    return (
+        [part.text('service') for part in parts],
+        [part.whole('weight') for part in parts],
     )
 
 
@@ -92,36 +120,36 @@
     }
 
 
-def _service(item: Json) -> pb.Service:
+def _service(item: fields_.Fields) -> pb.Service:
     service = pb.Service(
-        name=item['name'],
-        max_connections=int(item.get('max-conns') or 256),
-        slots=int(item.get('capacity-slots') or 1),
+        name=item.text('name'),
+        max_connections=item.whole('max-conns', 256) or 256,
+        slots=item.whole('capacity-slots', 1) or 1,
     )
-    engine = item.get('engine')
-    if engine:
+    engine = item.part('engine')
+    if engine is not None:
         service.engine = True
-        service.slots = int(engine['capacity-slots'])
-        service.memory_tokens = int(engine['kv-tokens'])
-        service.token_bytes = float(engine.get('kv-bytes') or 0)
-        service.moves = bool(engine.get('moves'))
-        service.handle_ms = int(1000 * (engine.get('handle-s') or 0))
-        service.event_tokens = int(engine.get('stride') or 1)
-    scale = item.get('scale')
-    if scale:
+        service.slots = engine.whole('capacity-slots', least=1)
+        service.memory_tokens = engine.whole('kv-tokens', least=1)
+        service.token_bytes = engine.number('kv-bytes', 0)
+        service.moves = engine.flag('moves')
+        service.handle_ms = int(1000 * engine.number('handle-s', 0))
+        service.event_tokens = engine.whole('stride', 1) or 1
+    scale = item.part('scale')
+    if scale is not None:
         _read_scale(service, scale)
     return service
 
 
-def _read_scale(service: pb.Service, scale: Json) -> None:
-    prices = scale.get('zone-prices') or {}
+def _read_scale(service: pb.Service, scale: fields_.Fields) -> None:
+    prices = scale.prices('zone-prices')
     service.scaled = True
-    service.scale_min = int(scale.get('min') or 0)
-    service.scale_max = int(scale['max'])
-    service.boot_ms = int(1000 * scale['boot-s'])
-    service.reclaimable_price = float(scale.get('spot-price') or 1)
+    service.scale_min = scale.whole('min', 0)
+    service.scale_max = scale.whole('max')
+    service.boot_ms = int(1000 * scale.number('boot-s'))
+    service.reclaimable_price = scale.number('spot-price', 1) or 1
     service.domains.extend(prices)
-    service.prices.extend(float(price) for price in prices.values())
+    service.prices.extend(prices.values())
 
 
 def _service_json(service: pb.Service) -> Json:
@@ -150,17 +178,15 @@
     return item
 
 
-def _team(item: Json) -> pb.Team:
-    priority = item.get('priority')
-    by_tokens = item.get('unit') == _BY_TOKENS
+def _team(item: fields_.Fields) -> pb.Team:
     return pb.Team(
-        name=item['name'],
-        keys=item.get('api-keys') or (),
-        priority=_ROUTE_PRIORITY if priority is None else int(priority),
-        rate=float(item.get('rate-per-s') or 0),
-        burst=float(item.get('burst') or 0),
-        by_tokens=by_tokens,
-        default_tokens=int(item.get('uncached-tokens') or 1),
+        name=item.text('name'),
+        keys=item.texts('api-keys'),
+        priority=item.whole('priority', _ROUTE_PRIORITY, most=_MOST_RANKS),
+        rate=item.number('rate-per-s', 0),
+        burst=item.number('burst', 0),
+        by_tokens=item.has('unit') and item.text('unit') == _BY_TOKENS,
+        default_tokens=item.whole('uncached-tokens', 1) or 1,
         weight=1,
     )
 
@@ -180,10 +206,10 @@
     return item
 
 
-def _limits(item: Json) -> pb.CallerLimits:
+def _limits(item: fields_.Fields) -> pb.CallerLimits:
     return pb.CallerLimits(
-        max_header_bytes=int(item.get('max-header-bytes') or 16384),
-        max_body_bytes=int(item.get('max-body-bytes') or 1 << 22),
-        header_timeout_ms=int(item.get('header-timeout-ms') or 3000),
-        idle_timeout_ms=int(item.get('idle-timeout-ms') or 15000),
+        max_header_bytes=item.whole('max-header-bytes', 16384) or 16384,
+        max_body_bytes=item.whole('max-body-bytes', 1 << 22) or 1 << 22,
+        header_timeout_ms=item.whole('header-timeout-ms', 3000) or 3000,
+        idle_timeout_ms=item.whole('idle-timeout-ms', 15000) or 15000,
     )
--- a/src/peridotmast/platform/engine_control.py
+++ b/src/peridotmast/platform/engine_control.py
@@ -5,6 +5,7 @@
 import typing as ty
 
 from peridotmast import failures
+from peridotmast.platform import fields as fields_
 from peridotmast.platform import names
 from peridotmast.serving import mover
 from peridotmast.wire import calls
@@ -26,17 +27,31 @@
     def __init__(self, timeout_ms: int) -> None:
         self._http = calls.HttpCalls(timeout_ms)
 
-    def leaves_ms(self, address: str) -> ty.Union[int, failures.Failure]:
-        """Return how long an engine will be there; 0 where it can't say."""
+    def leaves_ms(
+        self, address: str, born: int
+    ) -> ty.Union[int, failures.Failure]:
+        """Return how long an engine will be there; 0 where it can't say.
+
+        Parameters
+        ----------
+        born : int
+            When the run that is meant began; 0 where that is not known.
+        """
         reply = self._http.call('GET', address, names.REPORT_PATH)
         if isinstance(reply, failures.Failure):
             return reply
         if reply.status != 200:
             return failures.unavailable('no_report', str(reply.status))
         try:
-            return int(reply.json().get(names.LEAVES_MS) or 0)
-        except (ValueError, TypeError, AttributeError) as exc:
-            return failures.unavailable('report_garbled', repr(exc)[:200])
+            fields = fields_.Fields(reply.json(), 'report')
+            left = fields.number(names.LEAVES_MS, 0)
+            since = fields.whole(names.BORN, 0) or born
+            fields.close()
+        except ValueError as exc:
+            return failures.unavailable('report_garbled', str(exc)[:200])
+        if born and since != born:
+            return failures.missing('another_run', str(since))
+        return int(left)
 
     def move(
         self, address: str, request_id: str, target: str
@@ -60,9 +75,9 @@
         if reply.status not in (200, _REFUSED):
             return failures.unknown('move_failed', str(reply.status))
         try:
-            handle = reply.json().get(names.HANDLE)
-        except (ValueError, AttributeError) as exc:
-            return failures.unknown('move_garbled', repr(exc)[:200])
-        if not handle:
-            return failures.unknown('no_handle', str(reply.status))
+            fields = fields_.Fields(reply.json(), 'move')
+            handle = fields.label(names.HANDLE)
+            fields.close()
+        except ValueError as exc:
+            return failures.unknown('move_garbled', str(exc)[:200])
         return mover.Copy(f'{address}/{handle}', reply.status == 200)
--- a/src/peridotmast/platform/names.py
+++ b/src/peridotmast/platform/names.py
@@ -49,6 +49,9 @@
 MOVE_PATH = '/kv-move'
 COPY_PATH = '/kv-handle'
 LEAVES_MS = 'leaves_ms'
+BORN = 'born'
+"""When a run of an upstream began, ms since 1970, in all that it says of
+itself."""
 TARGET = 'target'
 LAST = 'last'
 HANDLE = 'handle'
--- a/src/peridotmast/platform/store.py
+++ b/src/peridotmast/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import typing as ty
 import urllib.parse
 
@@ -9,6 +10,9 @@
 from peridotmast.coordination import objects
 from peridotmast.coordination import outage as outage_
 from peridotmast import failures
+from peridotmast import logs
+from peridotmast.platform import documents
+from peridotmast.platform import fields as fields_
 from peridotmast.platform import names
 from peridotmast.wire import calls
 
@@ -49,6 +53,7 @@
         self._timeout_ms = timeout_ms
         self._outage = outage
         self._clock = clock_.SystemClock()
+        self._log = logs.get('store')
         self.calls = 0
         """Calls made so far, a waiting watch counted as one."""
 
@@ -72,15 +77,19 @@
             reply = self._call('GET', path)
             if isinstance(reply, failures.Failure):
                 return reply
-            page = _json(reply)
+            page = _page(reply, names.ITEMS)
             if isinstance(page, failures.Failure):
                 return page
             # A change between two pages is seen again by who watches from
             # the first one's revision, and missed from the last one's.
-            revision = revision or int(page[names.AT])
-            found += [_stored(item) for item in page[names.ITEMS]]
-            if not page.get(names.MORE):
+            revision = revision or page.revision
+            found += self._readable(
+                kind, (documents.stored(item) for item in page.parts)
+            )
+            if not page.more:
                 return objects.Listing(found, revision)
+            if not found:
+                return failures.unavailable('store_garbled', kind)
             path = f'{_path(kind)}?after={_quoted(found[-1].name)}'
         return failures.unavailable('too_many_pages', kind)
 
@@ -97,14 +106,11 @@
             return reply
         if reply.status == _HISTORY_GONE:
             return failures.missing(objects.GONE, str(since))
-        body = _json(reply)
-        if isinstance(body, failures.Failure):
-            return body
-        changed = [
-            _stored(event[names.OBJECT], bool(event.get(names.DELETED)))
-            for event in body[names.EVENTS]
-        ]
-        return objects.Changes(changed, int(body[names.AT]))
+        page = _page(reply, names.EVENTS)
+        if isinstance(page, failures.Failure):
+            return page
+        changed = self._readable(kind, map(_changed, page.parts))
+        return objects.Changes([*changed], page.revision)
 
     def write(
         self, kind: str, name: str, spec: objects.Json, revision: int
@@ -132,6 +138,18 @@
         """Close the kept connections."""
         self._http.close()
 
+    def _readable(
+        self,
+        kind: str,
+        found: ty.Iterable[ty.Optional[objects.Stored]],
+    ) -> ty.Iterator[objects.Stored]:
+        """Yield the objects that can be told apart; note the others."""
+        for stored in found:
+            if stored is None:
+                self._log.error('object_unreadable', kind=kind)
+            else:
+                yield stored
+
     def _call(
         self,
         method: str,
@@ -182,28 +200,42 @@
 def _stored_reply(
     reply: calls.Reply,
 ) -> ty.Union[objects.Stored, failures.Failure]:
-    body = _json(reply)
-    return body if isinstance(body, failures.Failure) else _stored(body)
+    if reply.status not in (200, 201):
+        return failures.unavailable('store_refused', str(reply.status))
+    try:
+        stored = documents.stored(reply.json())
+    except ValueError as exc:
+        return failures.unavailable('store_garbled', str(exc)[:200])
+    return stored or failures.unavailable('store_garbled', 'no object')
 
 
-def _json(
-    reply: calls.Reply,
-) -> ty.Union[objects.Json, failures.Failure]:
+@dataclasses.dataclass(frozen=True)
+class _Page:
+    """An answer with objects or events in it."""
+
+    parts: list[ty.Any]
+    revision: int
+    more: bool
+
+
+def _page(reply: calls.Reply, key: str) -> ty.Union[_Page, failures.Failure]:
     if reply.status not in (200, 201):
         return failures.unavailable('store_refused', str(reply.status))
     try:
-        return reply.json()
+        body = documents.read(reply.body, key)
+        fields = fields_.Fields(body, 'answer')
+        revision = fields.whole(names.AT)
+        fields.close()
     except ValueError as exc:
         return failures.unavailable('store_garbled', str(exc)[:200])
+    return _Page(body[key], revision, bool(body.get(names.MORE)))
 
 
-def _stored(item: objects.Json, removed: bool = False) -> objects.Stored:
-    meta = item[names.META]
-    return objects.Stored(
-        meta['name'],
-        int(meta[names.REVISION]),
-        None if removed else item.get(names.SPEC),
-    )
+def _changed(event: ty.Any) -> ty.Optional[objects.Stored]:
+    if not isinstance(event, dict):
+        return None
+    deleted = bool(event.get(names.DELETED))
+    return documents.stored(event.get(names.OBJECT), deleted)
 
 
 def _path(kind: str, name: str = '') -> str:
--- a/src/peridotmast/platform/upstream_codec.py
+++ b/src/peridotmast/platform/upstream_codec.py
@@ -4,6 +4,7 @@
 
 import typing as ty
 
+from peridotmast.platform import fields as fields_
 from peridotmast.platform import names
 from peridotmast.schema import peridotmast_pb2 as pb
 
@@ -12,29 +13,38 @@
 _STATE_NAMES = {state: name for name, state in names.UPSTREAM_STATES.items()}
 
 
-def read_upstream(name: str, revision: int, spec: Json) -> pb.UpstreamRecord:
+def read_upstream(name: str, revision: int, spec: ty.Any) -> pb.UpstreamRecord:
     """Return what the platform says of the upstream `name`.
 
+    Not only the upstreams write there. An entry in which a field of theirs
+    is missing, or of another type, is of somebody else's making, and what
+    it says of the others may be as wrong.
+
     Raises
     ------
-    KeyError, TypeError, ValueError
-        If the entry is not as the platform's pages say.
+    fields.Malformed
+        If the entry is not as the platform's pages say, with all that is
+        wrong with it.
     """
-    return pb.UpstreamRecord(
+    fields = fields_.Fields(spec, f'upstream {name}')
+    record = pb.UpstreamRecord(
         upstream=pb.Upstream(
             name=name,
-            address=spec['addr'],
-            failure_domain=spec.get('zone') or '',
-            service=spec['service'],
-            slots=int(spec.get('capacity-slots') or 1),
-        ),
-        # A state that is not known is none in which new work is wanted.
-        state=names.UPSTREAM_STATES.get(
-            spec.get('state', ''), pb.UPSTREAM_STATE_LEAVING
+            address=fields.address('addr'),
+            failure_domain=fields.text('zone'),
+            service=fields.text('service'),
+            slots=fields.whole('capacity-slots', least=1),
+            born=fields.whole(names.BORN, 0),
         ),
+        state=fields.one_of('state', names.UPSTREAM_STATES),
         revision=revision,
-        reclaimable=bool(spec.get('spot')),
+        reclaimable=fields.flag(names.RECLAIMABLE),
     )
+    fields.text('version')
+    fields.number('cold-left-ms')
+    fields.whole('seq')
+    fields.close()
+    return record
 
 
 def write_upstream(record: pb.UpstreamRecord) -> Json:
@@ -51,5 +61,18 @@
         'seq': 1,
     }
     if record.reclaimable:
-        entry['spot'] = True
+        entry[names.RECLAIMABLE] = True
+    if upstream.born:
+        entry[names.BORN] = upstream.born
     return entry
+
+
+def foreign_entries(service: str) -> list[ty.Any]:
+    """Return entries of another writer, none of which names an upstream."""
+    return [
+        {},
+        'nothing',
+        [1, 2],
+        {'service': service, 'addr': 'nowhere', 'capacity-slots': -5},
+        {'service': service, 'addr': None, 'capacity-slots': 1e300},
+    ]
--- a/src/peridotmast/router/peering.py
+++ b/src/peridotmast/router/peering.py
@@ -165,12 +165,17 @@
             return False
         source = f'peer {address}'
         news = False
-        if reply.config:
-            news = self._config.offer_routes(json.loads(reply.config), source)
-        if reply.document:
-            news |= self._config.offer_own(
-                reply.document_version, json.loads(reply.document), source
-            )
+        try:
+            if reply.config:
+                routes = json.loads(reply.config)
+                news = self._config.offer_routes(routes, source)
+            if reply.document:
+                own = json.loads(reply.document)
+                news |= self._config.offer_own(
+                    reply.document_version, own, source
+                )
+        except (ValueError, RecursionError) as exc:
+            self._log.error('peer_garbled', peer=address, error=str(exc)[:200])
         return news
 
     def ask_upstreams(self, address: str) -> bool:
--- a/src/peridotmast/serving/candidates.py
+++ b/src/peridotmast/serving/candidates.py
@@ -32,7 +32,7 @@
     """The live upstreams of one service, in the order one router asks them.
 
     Prompts that begin alike have one home each, the same at every router
-    without asking: upstreams lie on a circle by the hash of their name, and
+    without asking: upstreams lie on a circle by the hash of their run, and
     a prompt's home is the one that follows most closely on one of its points.
     When an upstream comes or goes, only the prompts at home there move.
 
@@ -53,9 +53,9 @@
         """Those that the router spreads its requests over."""
         if len(views) > NEAR:
             self.near = heapq.nsmallest(
-                NEAR, views, key=lambda view: _rank(f'{router}|{view.name}')
+                NEAR, views, key=lambda view: _rank(f'{router}|{view.run}')
             )
-        circle = sorted((_rank(v.name), v.name, v) for v in views)
+        circle = sorted((_rank(v.run), v.name, v) for v in views)
         self._points = [point for point, _, _ in circle]
         self._circle = [view for _, _, view in circle]
 
--- a/src/peridotmast/serving/desk.py
+++ b/src/peridotmast/serving/desk.py
@@ -282,6 +282,7 @@
             'attempt',
             route=work.exchange.route.name,
             upstream=place.view.name,
+            born=place.view.born,
             number=len(work.tried),
             revision=place.view.record.revision,
             among=place.grounds.among,
--- a/src/peridotmast/serving/mover.py
+++ b/src/peridotmast/serving/mover.py
@@ -41,8 +41,16 @@
 class EngineControl(ty.Protocol):
     """What engines do for routers beside running requests."""
 
-    def leaves_ms(self, address: str) -> ty.Union[int, failures.Failure]:
-        """Return how long an engine will be there; 0 where it can't say."""
+    def leaves_ms(
+        self, address: str, born: int
+    ) -> ty.Union[int, failures.Failure]:
+        """Return how long an engine will be there; 0 where it can't say.
+
+        Parameters
+        ----------
+        born : int
+            When the run that is meant began; 0 where that is not known.
+        """
 
     def move(
         self, address: str, request_id: str, target: str
@@ -97,16 +105,16 @@
     def on_change(self, view: upstream_view.UpstreamView) -> None:
         """Take note of an upstream whose state has changed."""
         leaves = view.record.state in (upstreams_.LEAVING, upstreams_.GONE)
-        if not leaves or view.name in self._leaving:
+        if not leaves or view.run in self._leaving:
             return
-        if any(s.service.moves for s in self._relay.streams_at(view.name)):
-            self._leaving.add(view.name)
+        if any(s.service.moves for s in self._relay.streams_at(view)):
+            self._leaving.add(view.run)
             self._spawn('move_off', self._move_off, view)
 
     def _move_off(self, view: upstream_view.UpstreamView) -> None:
         began = self._clock.now()
         green.sleep_ms(_REPORT_LAG_MS)
-        left = self._control.leaves_ms(view.address)
+        left = self._control.leaves_ms(view.address, view.born)
         told = not isinstance(left, failures.Failure) and left > 0
         ends = began + self._drain_ms
         if not isinstance(left, failures.Failure) and left:
@@ -116,10 +124,10 @@
             upstream=view.name,
             left_ms=ends - self._clock.now(),
             told=told,
-            streams=len(self._relay.streams_at(view.name)),
+            streams=len(self._relay.streams_at(view)),
         )
         green.sleep_ms(max(0, ends - _LAST_MS - self._clock.now()))
-        for stream in self._relay.streams_at(view.name):
+        for stream in self._relay.streams_at(view):
             if self._ends_in_time(stream, ends):
                 self._note(stream, 'left_alone', view)
             else:
--- a/src/peridotmast/serving/sender.py
+++ b/src/peridotmast/serving/sender.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import typing as ty
+import weakref
 
 from peridotmast import clock as clock_
 from peridotmast import failures
@@ -11,6 +12,7 @@
 from peridotmast.serving import dialect as dialect_
 from peridotmast.serving import exchange as exchange_
 from peridotmast.serving import placement
+from peridotmast.serving import upstream_view
 from peridotmast.wire import connection as connection_
 from peridotmast.wire import pool as pool_
 
@@ -61,6 +63,9 @@
         self._pool = pool
         self._dialect = dialect
         self._decisions = decisions
+        self._in_use: weakref.WeakKeyDictionary[
+            upstream_view.UpstreamView, weakref.WeakSet[connection_.Connection]
+        ] = weakref.WeakKeyDictionary()
 
     def send(
         self,
@@ -86,6 +91,7 @@
         if isinstance(conn, failures.Failure):
             view.health.failed()
             return conn
+        self._in_use.setdefault(view, weakref.WeakSet()).add(conn)
         sent: ty.Union[Sent, failures.Failure, None] = None
         try:
             sent = self._exchange(exchange, place, conn, silence_ms, resume)
@@ -98,8 +104,21 @@
 
     def finish(self, sent: Sent) -> None:
         """Take the connection of an answer that has ended back."""
+        in_use = self._in_use.get(sent.place.view)
+        if in_use is not None:
+            in_use.discard(sent.conn)
         self._pool.give_back(sent.place.view.address, sent.conn)
 
+    def run_ended(self, view: upstream_view.UpstreamView) -> None:
+        """Break off what an upstream's run has left unanswered.
+
+        Another run has begun at its address: what was sent to the one
+        before is lost, also where its connections have not noticed.
+        """
+        self._pool.forget(view.address)
+        for conn in list(self._in_use.pop(view, ())):
+            conn.cancel('upstream_restarted')
+
     def _exchange(
         self,
         exchange: exchange_.Exchange,
--- a/src/peridotmast/serving/stream_relay.py
+++ b/src/peridotmast/serving/stream_relay.py
@@ -17,6 +17,7 @@
 from peridotmast.serving import reply as reply_
 from peridotmast.serving import retry_budget
 from peridotmast.serving import sender as sender_
+from peridotmast.serving import upstream_view
 from peridotmast.wire import event_reader
 
 _MOVE_MS = 1500
@@ -63,9 +64,9 @@
         self._decisions = decisions
         self._open: list[Stream] = []
 
-    def streams_at(self, upstream: str) -> list[Stream]:
-        """Return the streams that come from an upstream now."""
-        return [s for s in self._open if s.sent.place.view.name == upstream]
+    def streams_at(self, view: upstream_view.UpstreamView) -> list[Stream]:
+        """Return the streams that come from a run of an upstream now."""
+        return [s for s in self._open if s.sent.place.view is view]
 
     def begin(
         self,
--- a/src/peridotmast/serving/upstream_view.py
+++ b/src/peridotmast/serving/upstream_view.py
@@ -13,6 +13,7 @@
 LEAVING = pb.UPSTREAM_STATE_LEAVING
 GONE = pb.UPSTREAM_STATE_GONE
 LAPSED = pb.UPSTREAM_STATE_LAPSED
+UNREADABLE = pb.UPSTREAM_STATE_UNREADABLE
 
 
 @dataclasses.dataclass(slots=True)
@@ -34,7 +35,10 @@
 
 
 class UpstreamView:
-    """One upstream as this router sees it.
+    """One run of an upstream as this router sees it.
+
+    A later run under the same name is another view: what this one held, ran
+    or promised is nothing to that one.
 
     Parameters
     ----------
@@ -52,6 +56,8 @@
         clock: clock_.Clock,
         busy: set[UpstreamView],
     ) -> None:
+        self.born = 0
+        """When this run began, ms since 1970; 0 where that is not told."""
         self.mine = Load()
         """This router's own work there."""
         self.health = health_.Health(clock)
@@ -73,7 +79,8 @@
         """The newest statement on it."""
         # Read for each of many upstreams when a request is placed.
         self.name = ids.UpstreamName(upstream.name)
-        """Id of this run of it."""
+        """Its id, which a later run may have again."""
+        self.born = upstream.born or self.born
         self.address = upstream.address
         """Its address, which others may get after it."""
         self.service = upstream.service
@@ -83,6 +90,11 @@
         self.slots = upstream.slots or 1
         """Requests that it works on at once."""
 
+    @property
+    def run(self) -> str:
+        """Name of this run, which no other one has."""
+        return f'{self.name}|{self.born}'
+
     @property
     def is_there(self) -> bool:
         """Whether nobody said that it leaves."""
--- a/src/peridotmast/serving/upstreams.py
+++ b/src/peridotmast/serving/upstreams.py
@@ -4,6 +4,7 @@
 
 import typing as ty
 
+from peridotmast import addresses
 from peridotmast import clock as clock_
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import upstream_view
@@ -12,6 +13,7 @@
 LEAVING = upstream_view.LEAVING
 GONE = upstream_view.GONE
 LAPSED = upstream_view.LAPSED
+UNREADABLE = upstream_view.UNREADABLE
 
 _FORGET_MS = 60_000
 """How long a gone upstream is remembered, so that a peer that is behind does
@@ -34,6 +36,10 @@
 class UpstreamTable:
     """Upstreams by name; of two statements the one with more revision holds.
 
+    A statement on a later run under the same name begins a view of its own,
+    and one on an earlier run changes nothing any more, whatever revision it
+    has: a write of a run that has ended may still come to the store.
+
     An upstream whose entry is missing since an outage may only have been
     unable to renew it. It gets new work for a part of the time in which a
     leaving one may, and counts as gone when it is not back in the time that
@@ -68,6 +74,7 @@
         ] = None
         self._sure_until = 0
         self._listeners: list[Listener] = []
+        self._end_listeners: list[Listener] = []
         self.revision = 0
         """The newest revision among the statements taken in."""
 
@@ -75,25 +82,29 @@
         """Call `listener` with each upstream whose state changed."""
         self._listeners.append(listener)
 
+    def listen_ends(self, listener: Listener) -> None:
+        """Call `listener` with each view whose run has ended.
+
+        Another run has begun under its name: the work that was sent to it
+        is lost.
+        """
+        self._end_listeners.append(listener)
+
     def merge(self, record: pb.UpstreamRecord) -> bool:
         """Take a statement in; say whether it was news."""
         self.revision = max(self.revision, record.revision)
-        name = record.upstream.name
-        view = self._views.get(name)
+        record = _checked(record)
+        view = self._views.get(record.upstream.name)
         if view is None:
-            if not record.upstream.address and record.state != LIVE:
-                return False
-            if record.state == GONE:
-                return False
-            view = self._views[name] = upstream_view.UpstreamView(
-                record, self._clock, self._busy
-            )
-        elif record.revision <= view.record.revision:
+            return self._begin(record)
+        born = record.upstream.born
+        if born and view.born and born != view.born:
+            return born > view.born and self._begin_anew(view, record)
+        if record.revision <= view.record.revision:
             return False
-        elif record.state in (GONE, LAPSED):
-            # A removal says nothing but the name.
+        if record.state in _NAME_ONLY:
             state = record.state
-            if view.record.state in (LEAVING, GONE):
+            if state != UNREADABLE and view.record.state in (LEAVING, GONE):
                 state = GONE
             record = _changed(view.record, state, record.revision)
         self._put(view, record)
@@ -145,8 +156,10 @@
                 running=view.mine.running,
                 unread=view.mine.unread,
                 memory=view.mine.memory,
+                born=view.born,
             )
             for view in self._busy
+            if self._views.get(view.name) is view
         ]
 
     def take_loads(
@@ -156,7 +169,9 @@
 
         Costs what that router has work at, however many upstreams there are.
         """
-        theirs = {load.upstream: load for load in loads}
+        theirs = {
+            load.upstream: load for load in loads if self._is_of_this_run(load)
+        }
         for name in self._told.pop(router, set()) - theirs.keys():
             if name in self._views:
                 self._views[name].set_other(router, upstream_view.Load())
@@ -169,6 +184,12 @@
         if theirs:
             self._told[router] = set(theirs)
 
+    def _is_of_this_run(self, load: pb.UpstreamLoad) -> bool:
+        view = self._views.get(load.upstream)
+        if view is None:
+            return False
+        return not (load.born and view.born) or load.born == view.born
+
     def forget_loads(self, routers: ty.Collection[str]) -> None:
         """Drop the work of all routers but these: they are silent."""
         for router in [r for r in self._told if r not in routers]:
@@ -180,12 +201,34 @@
         old = [
             name
             for name, view in self._off.items()
-            if view.record.state == GONE and view.left_at < limit
+            if view.record.state in (GONE, UNREADABLE) and view.left_at < limit
         ]
         for name in old:
             del self._views[name]
             del self._off[name]
 
+    def _begin(self, record: pb.UpstreamRecord) -> bool:
+        """Take in the first statement on an upstream."""
+        if record.state in (GONE, UNREADABLE) or not _is_usable(record):
+            return False
+        view = upstream_view.UpstreamView(record, self._clock, self._busy)
+        self._views[view.name] = view
+        self._put(view, record)
+        return True
+
+    def _begin_anew(
+        self, ended: upstream_view.UpstreamView, record: pb.UpstreamRecord
+    ) -> bool:
+        """Take in the first statement on a later run of an upstream."""
+        self._off.pop(ended.name, None)
+        ended.change(_changed(ended.record, GONE, ended.record.revision))
+        for routers in self._told.values():
+            routers.discard(ended.name)
+        begun = self._begin(record)
+        for listener in self._end_listeners:
+            listener(ended)
+        return begun
+
     def _put(
         self, view: upstream_view.UpstreamView, record: pb.UpstreamRecord
     ) -> None:
@@ -217,6 +260,23 @@
         return {**unsure, **sure}
 
 
+_NAME_ONLY = frozenset((GONE, LAPSED, UNREADABLE))
+"""States of which a statement says nothing but the name."""
+
+
+def _checked(record: pb.UpstreamRecord) -> pb.UpstreamRecord:
+    """Return the statement, as unreadable where it names nothing usable."""
+    if record.state in _NAME_ONLY or _is_usable(record):
+        return record
+    return _changed(record, UNREADABLE, record.revision)
+
+
+def _is_usable(record: pb.UpstreamRecord) -> bool:
+    upstream = record.upstream
+    there = upstream.service and upstream.slots > 0
+    return bool(there) and addresses.is_usable(upstream.address)
+
+
 def _changed(
     record: pb.UpstreamRecord, state: pb.UpstreamState, revision: int
 ) -> pb.UpstreamRecord:
--- a/src/peridotmast/standin/engine.py
+++ b/src/peridotmast/standin/engine.py
@@ -90,6 +90,7 @@
     ) -> None:
         self.name = name
         self.times = times or EngineTimes()
+        self._seed = seed
         self.app = _EngineApp(self, seed)
         """Its interface, whose faults may be set."""
         self.server = server_.HttpServer(address, self.app)
@@ -111,6 +112,10 @@
         self.app.loop.kill()
         self.server.stop()
 
+    def again(self) -> Engine:
+        """Return the next run under its id and address, once it is dead."""
+        return Engine(self.name, self.address, self.times, self._seed)
+
     def mute(self) -> None:
         """Let the open streams go silent while new ones work."""
         self.app.mute_before = next(self.app.numbers)
--- a/src/peridotmast/standin/plain_service.py
+++ b/src/peridotmast/standin/plain_service.py
@@ -32,6 +32,7 @@
         seed: int = 0,
     ) -> None:
         self.name = name
+        self._given = work_ms, slots, seed
         self.app = _PlainApp(name, slots, work_ms, seed)
         """Its interface, whose faults may be set."""
         self.server = server_.HttpServer(address, self.app)
@@ -47,6 +48,10 @@
         """Die at once."""
         self.server.stop()
 
+    def again(self) -> PlainService:
+        """Return the next run under its id and address, once it is dead."""
+        return PlainService(self.name, self.address, *self._given)
+
 
 class _PlainApp(upstream_app.UpstreamApp):
     def __init__(
--- a/src/peridotmast/wire/calls.py
+++ b/src/peridotmast/wire/calls.py
@@ -25,7 +25,10 @@
 
     def json(self) -> ty.Any:
         """Return the body read as JSON; raises ValueError if it is none."""
-        return json.loads(self.body or b'{}')
+        try:
+            return json.loads(self.body or b'{}')
+        except RecursionError as exc:
+            raise ValueError('nested too deeply') from exc
 
 
 class HttpCalls:
--- a/src/peridotmast/wire/connection.py
+++ b/src/peridotmast/wire/connection.py
@@ -15,6 +15,8 @@
 Headers = list[tuple[str, str]]
 """Header lines in their order, names as they were written."""
 
+T = ty.TypeVar('T')
+
 _READ_BYTES = 65536
 _SEND_BYTES = 16384
 _USER_TIMEOUT_MS = 1500
@@ -61,6 +63,7 @@
         self._side: ty.Any = None
         self._resp: ty.Any = None
         self._body_sent = True
+        self._cancelled = ''
         self.idle_since = 0
         """Moment on the clock of its last answer's end, in ms."""
         self.keep_ms = 0
@@ -106,6 +109,21 @@
             return False
         return False
 
+    def cancel(self, reason: str) -> None:
+        """Break its answer off, for whoever waits for it.
+
+        What has come of it is not complete then, also where its end can't be
+        told from a closed connection.
+        """
+        if self._sock is None:
+            return
+        self._cancelled = reason
+        try:
+            self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The other side has closed it already.
+            return
+
     def close(self) -> None:
         """Close it; doing so twice is the same as once."""
         if self._sock is not None:
@@ -158,13 +176,14 @@
         """Return status and headers of the next answer."""
         self._reader.deadline = deadline
         try:
-            return self._read_head(method)
+            head = self._read_head(method)
         except TimeoutError as exc:
             self.close()
             return failures.unknown('silent', str(exc))
         except _WIRE_ERRORS as exc:
             self.close()
             return failures.unknown('broke_off', repr(exc)[:200])
+        return self._unless_cancelled(head)
 
     def read_some(self, deadline: int) -> ty.Union[bytes, failures.Failure]:
         """Return the next bytes of the answer's body; empty at its end."""
@@ -181,7 +200,7 @@
         if not data and resp.length:
             self.close()
             return failures.unknown('cut_short', f'{resp.length} bytes')
-        return data
+        return self._unless_cancelled(data)
 
     def read_all(
         self, deadline: int, limit: int
@@ -209,11 +228,19 @@
         return (
             self._sock is not None
             and self._body_sent
+            and not self._cancelled
             and self._resp is not None
             and not self._resp.will_close
             and self.is_clean()
         )
 
+    def _unless_cancelled(self, found: T) -> ty.Union[T, failures.Failure]:
+        """Return what was read, or why it is broken off."""
+        if not self._cancelled:
+            return found
+        self.close()
+        return failures.unknown(self._cancelled)
+
     def _read_head(self, method: str) -> ResponseHead:
         while True:
             resp = http.client.HTTPResponse(self._side, method=method)
