Reclaimable upstreams are held for a demand that is seldom reached

Change: a reserve for which only reclaimable ones are held, by the marginal rule: one more pays where it is needed for more of the time than its price is of what a shortage costs (policy.shortage_price). What is lost is not counted as still to come; nothing reclaimable is given back while none is to be had.

--- a/features/planner.feature
+++ b/features/planner.feature
@@ -93,3 +93,34 @@
     Then the need is still 5 after 4000 ms and 4 after 6000 ms
     When the demand rises to 6 upstreams'
     Then the need is 6 at once
+
+  Scenario: Reclaimable ones are held for a demand that is seldom reached
+    Given a scaler with 6 upstreams
+    When the demand is 3 upstreams' and seldom 6
+    Then 3 are needed and 6 are held where reclaimable ones can be had
+
+  Scenario: How seldom follows from the price
+    Given a minute of demand that was 1000 for 56 s and 5000 for 4 s
+    Then it was not over 1000 for 9 tenths of the time, and once over that for 97 hundredths
+
+  Scenario: Until the demand is known, reclaimable ones are held for what there is
+    Given a scaler with 9 upstreams at the start of its fleet
+    Then 9 are held where reclaimable ones can be had
+
+  Scenario: A loss while others are on their way is made good at once
+    Given an order book
+    When 2 upstreams are ordered beside 3, and the 3 are lost
+    Then 2 are expected, not 5
+    When one has come
+    Then 2 are expected, not 5
+
+  Scenario: An order asks for no more than the limit leaves room for
+    Given a fleet's start with 9 firm upstreams in 4 failure domains
+    And at most 3 in each failure domain
+    When the scaler acts once for a demand of 9 upstreams
+    Then no failure domain is asked for more than 3 in all
+
+  Scenario: What could not be had again is not given back
+    Given prices of 1.0, 0.8, 1.25 and 0.9 and reclaimable ones at 0.22 of them
+    And 2 are needed, 3 reclaimable ones are in each failure domain, and no more are to be had
+    Then no reclaimable one is given back
--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -209,9 +209,10 @@
         context.plans,
         service,
         context.there,
-        5,
-        1,
-        0,
+        needed=5,
+        reserve=5,
+        fencing=1,
+        demand=0,
     )
     round_.order_reclaimable()
     round_.order_firm()
@@ -283,13 +284,13 @@
 def the_pauses(context, a, b, c):
     assert context.pauses == [a, b, c], context.pauses
     assert context.book.is_closed(KEY)
-    context.book.given(KEY, 1, 0)
+    context.book.given(KEY, 0, 1, 0)
     assert not context.book.is_closed(KEY)
 
 
 @when('{count:d} upstreams are ordered that boot in {ms:d} ms')
 def are_ordered(context, count, ms):
-    context.book.given(KEY, count, ms)
+    context.book.given(KEY, 0, count, ms)
 
 
 @then('{count:d} are expected at once, and 0 after {ms:d} ms')
@@ -417,9 +418,14 @@
         self.value = 0.0
         self.known = True
 
+        self.peak = 0.0
+
     def rate(self, service):
         return self.value
 
+    def quantile(self, service, part):
+        return max(self.value, self.peak)
+
     def is_known(self, service):
         return self.known
 
@@ -428,7 +434,8 @@
 def a_scaler(context, count):
     context.clock = clock_.ManualClock()
     context.demand = _Demand()
-    config = pb.Config(policy=pb.Policy(tokens_per_second=1000))
+    policy = pb.Policy(tokens_per_second=1000, shortage_price=7)
+    config = pb.Config(policy=policy)
     context.scaler_config = config
     context.upstreams = upstreams_.UpstreamTable(context.clock)
     context.scaler = scaler_.Scaler(
@@ -449,7 +456,7 @@
     context.clock.advance(ms)
     per_engine = context.scaler_config.policy.tokens_per_second
     return context.scaler.needs.of(
-        context.service.name, context.live, 0, per_engine
+        context.service.name, context.live, 0, per_engine, 0.0
     ).count
 
 
@@ -504,7 +511,11 @@
     context.upstreams.merge(
         pb.UpstreamRecord(
             upstream=pb.Upstream(
-                name=name, address='a:1', service='pool', failure_domain=domain
+                name=name,
+                address='10.0.0.1:1',
+                service='pool',
+                slots=4,
+                failure_domain=domain,
             ),
             state=state,
             revision=context.revision,
@@ -602,3 +613,108 @@
 @then('the need is {high:d} at once')
 def need_at_once(context, high):
     assert need(context) == high
+
+
+# -------------------------------------------------------------------- reserve
+
+
+def whole_need(context):
+    return context.scaler.needs.of('pool', context.live, 0, 1000.0, 0.03)
+
+
+@when("the demand is {usual:d} upstreams' and seldom {seldom:d}")
+def usual_and_seldom(context, usual, seldom):
+    context.demand.value = usual * 1000.0
+    context.demand.peak = seldom * 1000.0
+
+
+@then(
+    '{needed:d} are needed and {held:d} are held where reclaimable ones can be'
+    ' had'
+)
+def needed_and_held(context, needed, held):
+    found = whole_need(context)
+    assert (found.count, found.reserve) == (needed, held), found
+
+
+@then('{held:d} are held where reclaimable ones can be had')
+def are_held(context, held):
+    assert whole_need(context).reserve == held
+
+
+@given(
+    'a minute of demand that was {low:d} for {long:d} s and {high:d} for'
+    ' {short:d} s'
+)
+def minute_of_demand(context, low, long, high, short):
+    clock = clock_.ManualClock()
+    context.demand = demand_.Demand(clock)
+    for rate, seconds in ((low, long), (high, short)):
+        for _ in range(4 * seconds):
+            clock.advance(250)
+            context.demand.offered('pool', rate // 4)
+            context.demand.tick()
+
+
+@then(
+    'it was not over {rate:d} for 9 tenths of the time, and once over that for'
+    ' 97 hundredths'
+)
+def how_seldom(context, rate):
+    assert context.demand.quantile('pool', 0.9) <= rate * 1.2
+    assert context.demand.quantile('pool', 0.97) > rate * 2
+
+
+@when(
+    '{count:d} upstreams are ordered beside {live:d}, and the {lost:d} are lost'
+)
+def ordered_beside(context, count, live, lost):
+    context.book.given(KEY, live, count, 4000)
+    assert context.book.expected(KEY, live) == live + count
+    context.there = live - lost
+
+
+@then('{count:d} are expected, not {other:d}')
+def expected_not(context, count, other):
+    found = context.book.expected(KEY, context.there)
+    assert found == count, found
+
+
+@when('one has come')
+def one_has_come(context):
+    context.there += 1
+
+
+@given('at most {count:d} in each failure domain')
+def at_most(context, count):
+    context.scaler_config.services[0].scale_max = count
+
+
+@when('the scaler acts once for a demand of {count:d} upstreams')
+def acts_once(context, count):
+    context.demand.value = count * 1000.0
+    context.scaler.act(1)
+
+
+@then('no failure domain is asked for more than {count:d} in all')
+def within_limit(context, count):
+    left = firm_left(context.orders.taken)
+    for domain, wanted, reclaimable in context.orders.taken:
+        there = left[domain] if reclaimable else 0
+        assert wanted + there <= count, context.orders.taken
+
+
+@given(
+    '{needed:d} are needed, {count:d} reclaimable ones are in each failure'
+    ' domain, and no more are to be had'
+)
+def more_than_needed(context, needed, count):
+    needed_and_there(context, needed, 0)
+    context.there.reclaimable.update(dict.fromkeys(DOMAINS, count))
+    context.book.refused(('pool', 'a', True))
+
+
+@then('no reclaimable one is given back')
+def no_reclaimable_back(context):
+    look(context)
+    assert not context.orders.taken, context.orders.taken
--- a/src/peridotmast/duties/demand.py
+++ b/src/peridotmast/duties/demand.py
@@ -17,6 +17,13 @@
 """Shortest time that a rate is taken over: after a start, a clump of arrivals
 in a moment would count for many times the demand."""
 
+_SAMPLE_MS = 1000
+"""Time between two samples of the rate."""
+
+_SAMPLES = 60
+"""Samples that are kept: a minute shows the usual swings, and what was asked
+for earlier says less of the next one."""
+
 
 class Demand:
     """Tokens offered to each service, by this router and by the others.
@@ -36,6 +43,8 @@
         self._marks: collections.deque[tuple[int, dict[str, int]]] = (
             collections.deque()
         )
+        self._samples: dict[str, collections.deque[float]] = {}
+        self._sampled_at = 0
 
     def offered(self, service: str, tokens: int) -> None:
         """Count a request of so many tokens."""
@@ -73,6 +82,9 @@
         self._marks.append((now, dict(self._total)))
         while self._marks and self._marks[0][0] < now - _WINDOW_MS:
             self._marks.popleft()
+        if now - self._sampled_at >= _SAMPLE_MS:
+            self._sampled_at = now
+            self._sample(now)
 
     def is_known(self, service: str) -> bool:
         """Return whether `service` has been asked for over a whole window."""
@@ -87,6 +99,28 @@
         seconds = max(_SHORTEST_S, (self._clock.now() - at) / 1000)
         return (self._total[service] - totals.get(service, 0)) / seconds
 
+    def quantile(self, service: str, part: float) -> float:
+        """Return the rate that was not exceeded for `part` of the time.
+
+        Of rates over 2 s in the last minute, in tokens a second.
+        """
+        samples = sorted(self._samples.get(service, ()))
+        if not samples:
+            return 0.0
+        return samples[min(len(samples) - 1, int(part * len(samples)))]
+
+    def _sample(self, now: int) -> None:
+        """Note the rates over the last seconds, once there are any."""
+        since = now - int(_SHORTEST_S * 1000)
+        at, totals = next(m for m in self._marks if m[0] >= since)
+        seconds = max(_SHORTEST_S, (now - at) / 1000)
+        for service, total in self._total.items():
+            rate = (total - totals.get(service, 0)) / seconds
+            kept = self._samples.setdefault(
+                service, collections.deque(maxlen=_SAMPLES)
+            )
+            kept.append(rate)
+
     def _add(self, service: str, tokens: int) -> None:
         if tokens:
             self._first_at.setdefault(service, self._clock.now())
--- a/src/peridotmast/duties/need.py
+++ b/src/peridotmast/duties/need.py
@@ -34,6 +34,9 @@
     """Since when fewer would do, in ms."""
     known: bool
     """Whether it follows from the demand."""
+    reserve: int = 0
+    """How many are to be had where reclaimable ones can be: at least
+    `count`."""
 
 
 class Needs:
@@ -90,7 +93,12 @@
         self.settled = now - self._new_at >= _SETTLED_MS
 
     def of(
-        self, service: str, live: int, planned: int, per_engine: float
+        self,
+        service: str,
+        live: int,
+        planned: int,
+        per_engine: float,
+        exceeded: float,
     ) -> Need:
         """Return how many upstreams carry the demand of `service`.
 
@@ -102,7 +110,21 @@
             Upstreams that live events ask for now.
         per_engine : float
             Tokens a second that one carries.
+        exceeded : float
+            Part of the time in which the demand may exceed the reserve:
+            one more upstream pays where it is needed for more of the time
+            than its price is of what a shortage costs.
         """
+        need = self._count(service, live, planned, per_engine)
+        peak = self._demand.quantile(service, 1 - exceeded)
+        need.reserve = max(need.count, math.ceil(peak / per_engine))
+        if not need.known:
+            need.reserve = max(need.reserve, live)
+        return need
+
+    def _count(
+        self, service: str, live: int, planned: int, per_engine: float
+    ) -> Need:
         now = self._clock.now()
         rate = self._demand.rate(service)
         wanted = max(_LEAST_NEEDED, planned, math.ceil(rate / per_engine))
--- a/src/peridotmast/duties/order_book.py
+++ b/src/peridotmast/duties/order_book.py
@@ -25,7 +25,10 @@
 
 @dataclasses.dataclass
 class _Pending:
-    count: int
+    live: int
+    """Those that were there at the last look."""
+    coming: int
+    """Those that were ordered and have not come."""
     until: int
 
 
@@ -59,10 +62,14 @@
         pending = self._pending.get(key)
         if pending is None:
             return live
-        if live >= pending.count or self._clock.now() >= pending.until:
+        # Each that has come is awaited no more; one that is lost meanwhile
+        # is not made good by those that were ordered before.
+        pending.coming -= max(0, live - pending.live)
+        pending.live = live
+        if pending.coming <= 0 or self._clock.now() >= pending.until:
             del self._pending[key]
             return live
-        return pending.count
+        return live + pending.coming
 
     def is_closed(self, key: Key) -> bool:
         """Return whether an order there was refused and none went since."""
@@ -73,11 +80,11 @@
         closed = self._closed.get(key)
         return closed is None or self._clock.now() >= closed.until
 
-    def given(self, key: Key, count: int, boot_ms: int) -> None:
-        """Note an order that was taken."""
+    def given(self, key: Key, live: int, coming: int, boot_ms: int) -> None:
+        """Note an order that was taken, for so many beside those there."""
         self._closed.pop(key, None)
         until = self._clock.now() + boot_ms + _BOOT_SLACK_MS
-        self._pending[key] = _Pending(count, until)
+        self._pending[key] = _Pending(live, coming, until)
 
     def refused(self, key: Key) -> None:
         """Note an order that could not be met, and wait longer each time."""
--- a/src/peridotmast/duties/scale_round.py
+++ b/src/peridotmast/duties/scale_round.py
@@ -43,6 +43,9 @@
         What there is.
     needed : int
         Upstreams that are to be left at any loss.
+    reserve : int
+        Upstreams that are to be left as long as reclaimable ones are to be
+        had.
     fencing : int
         Number of the holder that orders.
     demand : int
@@ -59,6 +62,7 @@
         service: pb.Service,
         live: capacity_plan.Mix,
         needed: int,
+        reserve: int,
         fencing: int,
         demand: int,
         may_be_reclaimed: bool = True,
@@ -70,6 +74,7 @@
         self._domains = list(service.domains)
         self._live = live
         self._needed = needed
+        self._reserve = max(needed, reserve)
         self._fencing = fencing
         self._demand = demand
         self._may_be_reclaimed = may_be_reclaimed
@@ -85,9 +90,9 @@
         for _ in self._domains:
             market = self._market(optimistic=True)
             grown = self._plans.cheapest(
-                market, self._needed, self._expected()
+                market, self._reserve, self._expected()
             )
-            ideal = self._plans.cheapest(market, self._needed)
+            ideal = self._plans.cheapest(market, self._reserve)
             wanted = grown
             if market.price(ideal) < market.price(grown):
                 wanted = ideal
@@ -183,10 +188,15 @@
 
     def _give_one_back(self) -> bool:
         market = self._market(optimistic=False)
-        wanted = self._plans.cheapest(market, self._needed)
-        found = capacity_plan.spare(
-            market, self._live, self._needed, wanted.reclaimable
-        )
+        wanted = self._plans.cheapest(market, self._reserve)
+        keep = wanted.reclaimable
+        if any(
+            self._book.is_closed(self._key(domain, True))
+            for domain in self._domains
+        ):
+            # What is given back now is not to be had again.
+            keep = self._live.reclaimable
+        found = capacity_plan.spare(market, self._live, self._needed, keep)
         if found is None or self._expected().total < self._live.total:
             return False
         domain, reclaimable = found
@@ -200,6 +210,10 @@
         """Order up to `count`; false where it was refused."""
         key = self._key(domain, reclaimable)
         counts = self._live.reclaimable if reclaimable else self._live.firm
+        if reclaimable:
+            # Those that are still there in its place take its room.
+            room = self._service.scale_max - self._live.firm[domain]
+            count = min(count, room)
         if count <= self._book.expected(key, counts[domain]):
             return True
         if not self._book.may_order(key):
@@ -220,6 +234,7 @@
             live=self._live.total,
             left=self._live.left,
             needed=self._needed,
+            reserve=self._reserve,
             demand=self._demand,
             fencing=self._fencing,
             outcome='given' if failure is None else failure.reason,
@@ -240,7 +255,9 @@
         others = [self._key(other, reclaimable) for other in self._domains]
         if failure is None:
             was_closed = book.is_closed(key)
-            book.given(key, count, self._service.boot_ms)
+            counts = self._live.reclaimable if reclaimable else self._live.firm
+            coming = max(0, count - counts[domain])
+            book.given(key, counts[domain], coming, self._service.boot_ms)
             if was_closed:
                 book.open_others(others)
         elif failure.kind is failures.FailureKind.CONFLICT:
--- a/src/peridotmast/duties/scaler.py
+++ b/src/peridotmast/duties/scaler.py
@@ -93,7 +93,11 @@
     ) -> None:
         live = self._count_live(service)
         need = self.needs.of(
-            service.name, live.total, planned, policy.tokens_per_second
+            service.name,
+            live.total,
+            planned,
+            policy.tokens_per_second,
+            service.reclaimable_price / policy.shortage_price,
         )
         look = scale_round.ScaleRound(
             self._orders,
@@ -102,6 +106,7 @@
             service,
             live,
             need.count,
+            need.reserve,
             fencing,
             int(self._demand.rate(service.name)),
             may_be_reclaimed=policy.scaling != REACTIVE,
