--- /dev/null
+++ b/features/groups.feature
@@ -0,0 +1,68 @@
+Feature: In a large fleet heads tell sums, and members tell their head
+
+  Scenario: Everybody hears of everybody, by few messages
+    Given 40 routers that know each other's names
+    When 5000 ms pass in the groups
+    Then each hears all the others
+    And a router that is no head sends at most 4 beacons a second
+
+  Scenario: The messages of a member do not grow with the fleet
+    Then at 20, 80 and 330 routers a member sends and gets as many beacons a second
+
+  Scenario: What one counts reaches every other, once
+    Given 40 routers that know each other's names
+    When 5000 ms pass in the groups
+    And each of them lets 100 tokens pass, takes a request and has work at "u-1"
+    And 3000 ms pass in the groups
+    Then at each of them 4000 tokens are off the team's limit
+    And each of them would report 40 requests
+    And each of them knows the work of all 40 at "u-1"
+    And each of them has measured what all were asked for
+
+  Scenario: A head that is killed leaves a gap and nothing is counted twice
+    Given 40 routers that know each other's names
+    When 5000 ms pass in the groups
+    And each of them lets 100 tokens pass, takes a request and has work at "u-1"
+    And 3000 ms pass in the groups
+    And a head is killed
+    And 4000 ms pass in the groups
+    Then each hears all the others
+    And at each of them 4000 tokens are off the team's limit
+    And no one would report more than 40 requests, nor fewer than 36
+    When each of them lets 100 tokens pass, takes a request and has work at "u-1"
+    And 3000 ms pass in the groups
+    Then at each of them 7900 tokens are off the team's limit
+
+  Scenario: A router that ends is not named to callers for long
+    Given 40 routers that know each other's names
+    When 5000 ms pass in the groups
+    And one that is no head is killed
+    And 2750 ms pass in the groups
+    Then nobody names it to callers
+
+  Scenario: One that leaves says so to everybody at once
+    Given 40 routers that know each other's names
+    When 5000 ms pass in the groups
+    And one that is no head says that it leaves
+    Then nobody names it to callers
+
+  Scenario: A fleet that grows over the size for groups counts on
+    Given 16 routers that know each other's names
+    When 3000 ms pass in the groups
+    And each of them lets 100 tokens pass, takes a request and has work at "u-1"
+    And 2000 ms pass in the groups
+    And 8 more routers come
+    And 6000 ms pass in the groups
+    Then each hears all the others
+    And no one would report more than 16 requests, nor fewer than 16
+    And each of them knows the work of all 16 at "u-1"
+
+  Scenario: All limits hold under random losses, kills and starts
+    Then in 20 random histories of 24 routers a team gets no more than its limit and a few rounds' worth
+
+  Scenario: A clock that jumps moves nobody's time
+    Given 40 routers that know each other's names
+    When 5000 ms pass in the groups
+    And the time of day of one that is no head jumps by 5000 ms
+    And 2000 ms pass in the groups
+    Then all of them agree on the time
--- a/features/planner.feature
+++ b/features/planner.feature
@@ -104,7 +104,8 @@
     Then it was not over 1000 for 9 tenths of the time, and once over that for 97 hundredths
 
   Scenario: Until the demand is known, reclaimable ones are held for what there is
-    Given a scaler with 9 upstreams at the start of its fleet
+    Given a scaler with 1 upstreams at the start of its fleet
+    When 9 upstreams are there and no more have come for 1500 ms
     Then 9 are held where reclaimable ones can be had
 
   Scenario: A loss while others are on their way is made good at once
@@ -124,3 +125,22 @@
     Given prices of 1.0, 0.8, 1.25 and 0.9 and reclaimable ones at 0.22 of them
     And 2 are needed, 3 reclaimable ones are in each failure domain, and no more are to be had
     Then no reclaimable one is given back
+
+  Scenario: A large fleet needs less room for each upstream than a small one
+    Given a scaler with 6 upstreams
+    Then ten times the demand needs less than ten times the upstreams
+
+  Scenario: Engines that are seen to read faster carry more
+    Given a scaler with 6 upstreams
+    When its engines are seen to read 2 times as fast as is said
+    Then fewer than 5 upstreams are needed for the demand of 6
+
+  Scenario: What is seen is bounded by what is said
+    Given a scaler with 6 upstreams
+    When its engines are seen to read 50 times as fast as is said
+    Then as many are needed as if it were 3 times
+
+  Scenario: A speed is told by what nothing has disturbed
+    Given engines that read 40 tokens a ms, and some that are slow
+    Then 40 is what is gone by, within a tenth
+    And of fewer than 12 samples nothing is said
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -349,13 +349,8 @@
     peer_address=TEXTS,
     beacon_address=TEXTS,
 )
-BEACONS = strategies.builds(
-    pb.Beacon,
-    member=MEMBERS,
-    other=MEMBERS,
-    config_version=NUMBERS,
-    upstreams_revision=NUMBERS,
-    wall_ms=NUMBERS,
+TOTALS = strategies.builds(
+    pb.Totals,
     loads=strategies.lists(
         strategies.builds(
             pb.UpstreamLoad, upstream=TEXTS, running=NUMBERS, unread=NUMBERS
@@ -375,6 +370,19 @@
         max_size=2,
     ),
 )
+BEACONS = strategies.builds(
+    pb.Beacon,
+    member=MEMBERS,
+    other=MEMBERS,
+    config_version=NUMBERS,
+    upstreams_revision=NUMBERS,
+    wall_ms=NUMBERS,
+    own=TOTALS,
+    group=TOTALS,
+    others=TOTALS,
+    alive=strategies.lists(TEXTS, max_size=2),
+    changed=strategies.lists(MEMBERS, max_size=2),
+)
 
 
 @then(
--- /dev/null
+++ b/features/steps/group_steps.py
@@ -0,0 +1,347 @@
+"""Steps of large fleets: heads, members, and what they count together."""
+
+from __future__ import annotations
+
+import collections
+import random
+import types
+
+from behave import given
+from behave import then
+from behave import when
+
+from peridotmast import clock as clock_
+from peridotmast.coordination import fleet_clock
+from peridotmast.coordination import groups
+from peridotmast.coordination import members as members_
+from peridotmast.router import peering as peering_
+from peridotmast.router import sharing as sharing_
+from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import demand as demand_
+from peridotmast.serving import quota as quota_
+from peridotmast.serving import retry_budget
+from peridotmast.serving import upstream_view
+from peridotmast.serving import upstreams as upstreams_
+from peridotmast.serving import usage as usage_
+
+ROUND_MS = 250
+BURST = 1_000_000
+WINDOW_MS = 600_000
+
+
+class Skewed:
+    """A clock whose time of day may be off."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.off = 0
+
+    def now(self):
+        return self._clock.now()
+
+    def boot(self):
+        return self._clock.boot()
+
+    def wall(self):
+        return self._clock.wall() + self.off
+
+
+class Node:
+    """One router, as far as it counts with others; without a network."""
+
+    def __init__(self, number, clock):
+        self.name = f'router-{number:03}'
+        self.clock = Skewed(clock)
+        me = pb.Member(
+            name=self.name,
+            incarnation=clock.wall() + number,
+            beacon_address=f'10.0.{number // 250}.{1 + number % 250}:7',
+            state=members_.ALIVE,
+            ready=True,
+        )
+        members = members_.Members(me, self.clock, 1250, groups.WHOLE)
+        self.members = members
+        self.time = fleet_clock.FleetClock(self.clock)
+        self.table = upstreams_.UpstreamTable(self.clock)
+        self.table.merge(
+            pb.UpstreamRecord(
+                upstream=pb.Upstream(
+                    name='u-1', address='10.9.0.1:80', service='pool', slots=8
+                ),
+                state=upstreams_.LIVE,
+                revision=1,
+            )
+        )
+        self.serving = types.SimpleNamespace(
+            quota=quota_.Quota(self.clock),
+            demand=demand_.Demand(self.clock),
+            usage=usage_.Usage(self.time.now, WINDOW_MS),
+            budget=retry_budget.RetryBudget(self.clock, 0.2, 10_000, 50),
+        )
+        self.limit(rate=0, burst=BURST)
+        self.window = self.serving.usage.window_now()
+        self.peering = peering_.Peering(
+            self.clock,
+            self._knowledge(),
+            self.serving,
+            sharing_.Sharing(self.serving, self.table),
+            types.SimpleNamespace(
+                hint=lambda: None,
+                hear=lambda hint: None,
+                known_holder=lambda: None,
+            ),
+            None,
+            lambda *args: None,
+        )
+
+    def limit(self, rate, burst):
+        team = pb.Team(name='noor', rate=rate or 1e-9, burst=burst)
+        self.serving.quota.configure([team])
+
+    def _knowledge(self):
+        version = types.SimpleNamespace(version=1)
+        return types.SimpleNamespace(
+            members=self.members,
+            config=types.SimpleNamespace(routes=version, own=version),
+            table=self.table,
+            fleet_clock=self.time,
+            outage=types.SimpleNamespace(is_felt=lambda: False),
+            is_watching=lambda what: True,
+            overtaken=lambda: None,
+        )
+
+    def spent(self):
+        bucket = self.serving.quota._buckets['noor']
+        return BURST - bucket.level
+
+    def look(self):
+        return self.peering._groups.look()
+
+
+class Fleet:
+    """Routers whose beacons are handed over without a network."""
+
+    def __init__(self, count, lost=0.0, seed=0):
+        self.clock = clock_.ManualClock()
+        self.clock.advance(1_000_000)
+        self.nodes = {}
+        self.draws = random.Random(seed)
+        self.lost = lost
+        self.sent = collections.Counter()
+        self.got = collections.Counter()
+        self.numbers = iter(range(1000))
+        self.add(count)
+
+    def add(self, count):
+        fresh = [Node(next(self.numbers), self.clock) for _ in range(count)]
+        self.nodes.update({node.name: node for node in fresh})
+        for node in self.nodes.values():
+            for other in self.nodes.values():
+                node.members.learn(copy_of(other.members.me))
+
+    def run(self, ms):
+        for _ in range(ms // ROUND_MS):
+            for node in list(self.nodes.values()):
+                node.peering.tick()
+                node.serving.demand.tick()
+                for beacon, peers in list(node.peering.due()):
+                    self.hand_over(node, beacon, peers)
+            self.clock.advance(ROUND_MS)
+
+    def hand_over(self, node, beacon, peers):
+        data = beacon.SerializeToString()
+        for peer in peers:
+            self.sent[node.name] += 1
+            there = self.nodes.get(peer.member.name)
+            if there is None or self.draws.random() < self.lost:
+                continue
+            self.got[there.name] += 1
+            there.peering.take(pb.Beacon.FromString(data))
+
+    def heads(self):
+        return [node for node in self.nodes.values() if node.look().leads]
+
+    def member(self):
+        return next(n for n in self.nodes.values() if not n.look().leads)
+
+
+def copy_of(member):
+    copied = pb.Member()
+    copied.CopyFrom(member)
+    return copied
+
+
+@given("{count:d} routers that know each other's names")
+def fleet_of(context, count):
+    context.groups = Fleet(count)
+
+
+@when('{ms:d} ms pass in the groups')
+def groups_pass(context, ms):
+    context.groups.run(ms)
+
+
+@then('each hears all the others')
+def each_hears(context):
+    nodes = context.groups.nodes
+    for node in nodes.values():
+        heard = {peer.member.name for peer in node.members.heard()}
+        assert heard == nodes.keys() - {node.name}, nodes.keys() - heard
+
+
+@then('a router that is no head sends at most {most:d} beacons a second')
+def at_most_sent(context, most):
+    fleet = context.groups
+    fleet.sent.clear()
+    fleet.run(5000)
+    heads = {node.name for node in fleet.heads()}
+    assert 0 < len(heads) < 16, heads
+    for name in fleet.nodes.keys() - heads:
+        assert fleet.sent[name] <= 5 * most, fleet.sent[name]
+
+
+@then(
+    'at {a:d}, {b:d} and {c:d} routers a member sends and gets as many beacons'
+    ' a second'
+)
+def no_slope(context, a, b, c):
+    found = set()
+    for count in (a, b, c):
+        fleet = Fleet(count)
+        fleet.run(4000)
+        fleet.sent.clear()
+        fleet.got.clear()
+        fleet.run(4000)
+        heads = {node.name for node in fleet.heads()}
+        members = fleet.nodes.keys() - heads
+        usual = collections.Counter(
+            (fleet.sent[name], fleet.got[name]) for name in members
+        )
+        found.add(usual.most_common(1)[0][0])
+    assert len(found) == 1, found
+
+
+@when(
+    'each of them lets {tokens:d} tokens pass, takes a request and has work'
+    ' at "u-1"'
+)
+def each_works(context, tokens):
+    for node in context.groups.nodes.values():
+        assert not node.serving.quota.take('noor', tokens)
+        node.serving.usage.began('noor')
+        node.serving.demand.offered('pool', 3000)
+        if not node.table.my_loads():
+            view = node.table.get('u-1')
+            view.take_on(upstream_view.Load(1, 10, 100))
+
+
+@then("at each of them {tokens:d} tokens are off the team's limit")
+def tokens_off(context, tokens):
+    for node in context.groups.nodes.values():
+        assert abs(node.spent() - tokens) < 1, (node.name, node.spent())
+
+
+@then('each of them would report {count:d} requests')
+def would_report(context, count):
+    for node in context.groups.nodes.values():
+        total = node.serving.usage.total(node.window)
+        assert total == {'noor': count}, (node.name, total)
+
+
+@then(
+    'no one would report more than {most:d} requests, nor fewer than {least:d}'
+)
+def reports_between(context, most, least):
+    for node in context.groups.nodes.values():
+        total = node.serving.usage.total(node.window).get('noor', 0)
+        assert least <= total <= most, (node.name, total)
+
+
+@then('each of them knows the work of all {count:d} at "u-1"')
+def knows_work(context, count):
+    for node in context.groups.nodes.values():
+        load = node.table.get('u-1').load()
+        assert load == upstream_view.Load(count, 10 * count, 100 * count), (
+            node.name,
+            load,
+        )
+
+
+@then('each of them has measured what all were asked for')
+def has_measured(context):
+    for node in context.groups.nodes.values():
+        total = node.serving.demand._total['pool']
+        assert total == 3000 * len(context.groups.nodes), (node.name, total)
+
+
+@when('a head is killed')
+def head_killed(context):
+    fleet = context.groups
+    del fleet.nodes[fleet.heads()[0].name]
+
+
+@when('one that is no head is killed')
+def member_killed(context):
+    context.ended = context.groups.member().name
+    del context.groups.nodes[context.ended]
+
+
+@when('one that is no head says that it leaves')
+def member_leaves(context):
+    node = context.groups.member()
+    context.ended = node.name
+    node.members.change_me(state=members_.LEAVING, ready=False)
+    context.groups.hand_over(
+        node, node.peering.fill_news(), node.members.peers()
+    )
+
+
+@then('nobody names it to callers')
+def not_named(context):
+    for node in context.groups.nodes.values():
+        names = [member.name for member in node.members.serving()]
+        assert context.ended not in names, node.name
+
+
+@when('{count:d} more routers come')
+def more_come(context, count):
+    context.groups.add(count)
+
+
+@then(
+    'in {count:d} random histories of {size:d} routers a team gets no more'
+    " than its limit and a few rounds' worth"
+)
+def random_histories(context, count, size):
+    rate, burst, seconds = 2000, 4000, 12
+    for seed in range(count):
+        fleet = Fleet(size, lost=0.05, seed=seed)
+        fleet.run(4000)
+        for node in fleet.nodes.values():
+            node.limit(rate, burst)
+        passed = 0
+        for _ in range(seconds * 4):
+            fleet.run(ROUND_MS)
+            for node in list(fleet.nodes.values()):
+                while not node.serving.quota.take('noor', 100):
+                    passed += 100
+            if fleet.draws.random() < 0.06:
+                victim = fleet.draws.choice(sorted(fleet.nodes))
+                del fleet.nodes[victim]
+                fleet.add(1)
+                newest = list(fleet.nodes.values())[-1]
+                newest.limit(rate, burst)
+        # A fresh router's bucket is full; all spend at once at first.
+        allowed = rate * seconds + burst * (2 * size)
+        assert passed <= allowed, (seed, passed, allowed)
+
+
+@when('the time of day of one that is no head jumps by {ms:d} ms')
+def time_jumps(context, ms):
+    context.groups.member().clock.off = ms
+
+
+@then('all of them agree on the time')
+def agree_on_time(context):
+    times = {node.time.now() for node in context.groups.nodes.values()}
+    assert max(times) - min(times) <= 10, times
--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -11,6 +11,7 @@
 import helpers
 
 from peridotmast import clock as clock_
+from peridotmast.coordination import tally
 from peridotmast import green
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import candidates
@@ -47,10 +48,21 @@
 
 def exchange(context):
     """Let each router hear the others, but over a cut."""
-    for number, quota in enumerate(context.quotas):
+    for number in range(len(context.quotas)):
         for other, sender in enumerate(context.quotas):
             if number != other and context.cut not in (number, other):
-                quota.hear(f'r{other}', 1, sender.spends())
+                heard(context, number, f'r{other}', 1, sender)
+
+
+def heard(context, number, router, run, sender):
+    """Let one router hear what another has let pass."""
+    quota = context.quotas[number]
+    if 'tallies' not in context:
+        context.tallies = {}
+    known = context.tallies.setdefault(
+        id(quota), tally.Tally(quota.spent, quota.spent_elsewhere)
+    )
+    known.hear(router, run, sender.spent(), True)
 
 
 @given('router 1 is cut off from the others')
@@ -121,16 +133,16 @@
 
 @when('router 1 spends {tokens:d} and is started again')
 def spends_and_starts(context, tokens):
-    first, second = context.quotas
+    first, _ = context.quotas
     assert not first.take('noor', tokens)
     for _ in range(3):
-        second.hear('r0', 1, first.spends())
+        heard(context, 1, 'r0', 1, first)
     again = quota_.Quota(context.clock)
     for _ in range(3):
-        second.hear('r0', 2, again.spends())
+        heard(context, 1, 'r0', 2, again)
     # A beacon of the run before that comes late.
-    second.hear('r0', 1, first.spends())
-    second.hear('r0', 2, again.spends())
+    heard(context, 1, 'r0', 1, first)
+    heard(context, 1, 'r0', 2, again)
 
 
 @then('router 2 has taken {tokens:d} off, once')
--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 import itertools
+import math
+import random
 
 from behave import given
 from behave import then
@@ -12,13 +14,16 @@
 from hypothesis import strategies
 
 from peridotmast import clock as clock_
+from peridotmast.coordination import tally
 from peridotmast.duties import capacity_plan
-from peridotmast.duties import demand as demand_
 from peridotmast.duties import event_plan
+from peridotmast.duties import need as need_
 from peridotmast.duties import order_book
 from peridotmast.duties import scale_round
 from peridotmast.duties import scaler as scaler_
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import demand as demand_
+from peridotmast.serving import reading
 from peridotmast.serving import upstreams as upstreams_
 
 DOMAINS = ('a', 'b', 'c', 'd')
@@ -374,18 +379,23 @@
 def two_asked(context, a, b, s):
     clock = clock_.ManualClock()
     context.demands = [demand_.Demand(clock) for _ in range(2)]
-    exchange(context.demands)
+    tallies = [
+        tally.Tally(demand.counts, demand.offered_elsewhere)
+        for demand in context.demands
+    ]
+    exchange(context.demands, tallies)
     for _ in range(s * 4):
         for demand, tokens in zip(context.demands, (a, b)):
             demand.tick()
             demand.offered('pool', tokens // (s * 4))
-        exchange(context.demands)
+        exchange(context.demands, tallies)
         clock.advance(250)
 
 
-def exchange(demands):
-    for number, demand in enumerate(demands):
-        demand.hear(f'r{1 - number}', 1, demands[1 - number].counts())
+def exchange(demands, tallies):
+    for number, known in enumerate(tallies):
+        other = 1 - number
+        known.hear(f'r{other}', 1, demands[other].counts(), True)
 
 
 @then('both measure {rate:d} tokens a second')
@@ -413,12 +423,24 @@
     assert context.demand.rate('pool') == rate
 
 
+PER_ENGINE = 1000.0
+"""Tokens a second that an upstream is said to carry."""
+
+
+def rate_of(count):
+    """Return a rate that `count` upstreams carry and one less does not."""
+    root = (math.sqrt(need_._SCATTER**2 + 4 * count) - need_._SCATTER) / 2
+    speed = PER_ENGINE * need_._PRIOR_SPEED
+    return 0.999 * root**2 * speed / need_._READ_SHARE
+
+
 class _Demand:
     def __init__(self):
         self.value = 0.0
         self.known = True
 
         self.peak = 0.0
+        self.speed = None
 
     def rate(self, service):
         return self.value
@@ -429,12 +451,15 @@
     def is_known(self, service):
         return self.known
 
+    def reading(self, service):
+        return self.speed
+
 
 @given('a scaler with {count:d} upstreams')
 def a_scaler(context, count):
     context.clock = clock_.ManualClock()
     context.demand = _Demand()
-    policy = pb.Policy(tokens_per_second=1000, shortage_price=7)
+    policy = pb.Policy(tokens_per_second=PER_ENGINE, shortage_price=7)
     config = pb.Config(policy=policy)
     context.scaler_config = config
     context.upstreams = upstreams_.UpstreamTable(context.clock)
@@ -502,7 +527,7 @@
 
 @when("the demand comes to be known as {count:d} upstreams'")
 def comes_to_be_known(context, count):
-    context.demand.value = count * 1000.0
+    context.demand.value = rate_of(count)
     context.demand.known = True
 
 
@@ -592,9 +617,9 @@
 
 @when("the demand falls from {high:d} upstreams' to {low:d}'s")
 def demand_falls(context, high, low):
-    context.demand.value = high * 1000.0
+    context.demand.value = rate_of(high)
     assert need(context) == high
-    context.demand.value = low * 1000.0
+    context.demand.value = rate_of(low)
 
 
 @then(
@@ -607,7 +632,7 @@
 
 @when("the demand rises to {high:d} upstreams'")
 def demand_rises(context, high):
-    context.demand.value = high * 1000.0
+    context.demand.value = rate_of(high)
 
 
 @then('the need is {high:d} at once')
@@ -619,13 +644,13 @@
 
 
 def whole_need(context):
-    return context.scaler.needs.of('pool', context.live, 0, 1000.0, 0.03)
+    return context.scaler.needs.of('pool', context.live, 0, PER_ENGINE, 0.03)
 
 
 @when("the demand is {usual:d} upstreams' and seldom {seldom:d}")
 def usual_and_seldom(context, usual, seldom):
-    context.demand.value = usual * 1000.0
-    context.demand.peak = seldom * 1000.0
+    context.demand.value = rate_of(usual)
+    context.demand.peak = rate_of(seldom)
 
 
 @then(
@@ -666,7 +691,8 @@
 
 
 @when(
-    '{count:d} upstreams are ordered beside {live:d}, and the {lost:d} are lost'
+    '{count:d} upstreams are ordered beside {live:d}, and the {lost:d} are'
+    ' lost'
 )
 def ordered_beside(context, count, live, lost):
     context.book.given(KEY, live, count, 4000)
@@ -692,7 +718,7 @@
 
 @when('the scaler acts once for a demand of {count:d} upstreams')
 def acts_once(context, count):
-    context.demand.value = count * 1000.0
+    context.demand.value = rate_of(count)
     context.scaler.act(1)
 
 
@@ -718,3 +744,58 @@
 def no_reclaimable_back(context):
     look(context)
     assert not context.orders.taken, context.orders.taken
+
+
+# -------------------------------------------------------------------- reading
+
+
+@then('ten times the demand needs less than ten times the upstreams')
+def scatters_less(context):
+    context.demand.value = rate_of(5)
+    few = need(context)
+    context.demand.value *= 10
+    assert few == 5 and 20 < need(context) < 50, need(context)
+
+
+@when('its engines are seen to read {times:g} times as fast as is said')
+def seen_to_read(context, times):
+    speed = PER_ENGINE * need_._PRIOR_SPEED / 1000
+    context.demand.speed = speed * times
+
+
+@then('fewer than {count:d} upstreams are needed for the demand of {same:d}')
+def fewer_needed(context, count, same):
+    context.demand.value = rate_of(same)
+    assert need(context) < count, need(context)
+
+
+@then('as many are needed as if it were {times:g} times')
+def as_if(context, times):
+    found = need(context)
+    seen_to_read(context, times)
+    assert found == need(context)
+
+
+@given('engines that read {speed:g} tokens a ms, and some that are slow')
+def some_slow(context, speed):
+    context.reading = reading.Reading()
+    draws = random.Random(5)
+    for number in range(60):
+        tokens = draws.randint(1000, 9000)
+        slow = 1 if draws.random() < 0.6 else draws.uniform(1, 8)
+        context.reading.note('pool', tokens, 20 + tokens / speed * slow)
+        context.reading.note('pool', 100, 22)
+
+
+@then('{speed:g} is what is gone by, within a tenth')
+def gone_by(context, speed):
+    found = context.reading.speed('pool')
+    assert abs(found - speed) < 0.1 * speed, found
+
+
+@then('of fewer than 12 samples nothing is said')
+def nothing_said(context):
+    fresh = reading.Reading()
+    for _ in range(11):
+        fresh.note('pool', 5000, 100)
+    assert fresh.speed('pool') is None
--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -334,6 +334,7 @@
         None,
         None,
         None,
+        None,
         lambda name, *rest: asked.append(name),
     )
 
--- a/src/peridotmast/coordination/beacon_check.py
+++ b/src/peridotmast/coordination/beacon_check.py
@@ -25,6 +25,8 @@
     _check_member(found, 'member', beacon.member)
     if beacon.HasField('other'):
         _check_member(found, 'other', beacon.other)
+    for member in beacon.changed:
+        _check_member(found, 'changed', member)
     if any(number < 0 for number in _counts(beacon)):
         found.add('counts', 'must not be negative')
     return found
@@ -43,15 +45,20 @@
 
 def _counts(beacon: pb.Beacon) -> ty.Iterator[int]:
     """Yield the numbers that count something."""
+    yield from (beacon.config_version, beacon.document_version)
+    yield from (beacon.upstreams_revision, beacon.wall_ms)
+    for totals in (beacon.own, beacon.group, beacon.others):
+        yield from _totals(totals)
+
+
+def _totals(totals: pb.Totals) -> ty.Iterator[int]:
     # What a team has spent falls where a request did not run.
     return itertools.chain(
-        (beacon.config_version, beacon.document_version),
-        (beacon.upstreams_revision, beacon.wall_ms),
-        (load.running for load in beacon.loads),
-        (load.unread for load in beacon.loads),
-        (load.memory for load in beacon.loads),
-        (demand.tokens for demand in beacon.demand),
         itertools.chain.from_iterable(
-            usage.requests.values() for usage in beacon.usage
+            (load.running, load.unread, load.memory) for load in totals.loads
+        ),
+        (demand.tokens for demand in totals.demand),
+        itertools.chain.from_iterable(
+            usage.requests.values() for usage in totals.usage
         ),
     )
--- a/src/peridotmast/coordination/beacons.py
+++ b/src/peridotmast/coordination/beacons.py
@@ -4,7 +4,6 @@
 
 import hashlib
 import hmac
-import itertools
 import socket
 import typing as ty
 import zlib
@@ -17,9 +16,6 @@
 from peridotmast import logs
 from peridotmast.schema import peridotmast_pb2 as pb
 
-AT_ONCE = 16
-"""Peers that one round goes to; in larger fleets the rounds take turns."""
-
 _SHOWN = 200
 """Characters of a wrong beacon that are logged."""
 
@@ -35,6 +31,10 @@
 """Most that a datagram may unpack to: ten times the state of 330 routers."""
 
 
+Round = ty.Iterable[tuple[pb.Beacon, ty.Sequence[members_.Peer]]]
+"""Beacons and the peers that each goes to."""
+
+
 class Beacons:
     """Sends this router's beacon to its peers and takes theirs in.
 
@@ -49,8 +49,8 @@
         ``IP:port`` that beacons come to; port 0 takes a free one.
     members : members.Members
         Whom to send to.
-    fill : callable
-        Returns the beacon that is due.
+    due : callable
+        Returns the beacons of a round, each with the peers that it goes to.
     fill_news : callable
         Returns the short one that says only how new one's knowledge is.
     take : callable
@@ -63,13 +63,13 @@
         self,
         address: str,
         members: members_.Members,
-        fill: ty.Callable[[], pb.Beacon],
+        due: ty.Callable[[], Round],
         fill_news: ty.Callable[[], pb.Beacon],
         take: ty.Callable[[pb.Beacon], None],
         secret: bytes = b'',
     ) -> None:
         self._members = members
-        self._fill = fill
+        self._due = due
         self._fill_news = fill_news
         self._take = take
         self._secret = secret
@@ -81,7 +81,6 @@
         self._sock.bind((host.strip('[]'), int(port)))
         self.address = f'{host}:{self._sock.getsockname()[1]}'
         """Address that beacons come to, with the real port."""
-        self._turns = itertools.count()
         self.sent = 0
         """Beacons sent so far."""
         self.sent_bytes = 0
@@ -98,22 +97,19 @@
             self._sock.close()
 
     def send_round(self) -> None:
-        """Send the beacon that is due to the peers whose turn it is."""
-        peers = self._members.peers()
-        if not peers or self._sock.fileno() < 0:
+        """Send the beacons that are due."""
+        if self._sock.fileno() < 0:
             return
-        data = self._pack(self._fill())
-        if len(peers) > AT_ONCE:
-            start = next(self._turns) * AT_ONCE % len(peers)
-            peers = (peers + peers)[start : start + AT_ONCE]
-        for peer in peers:
-            self._send(data, peer.member.beacon_address)
+        for beacon, peers in self._due():
+            data = self._pack(beacon)
+            for peer in peers:
+                self._send(data, peer.member.beacon_address)
 
     def send_news(self) -> None:
-        """Tell all peers at once that there is news to be fetched.
+        """Tell all peers at once what is new of this router.
 
-        In turns, rounds reach 330 peers in five seconds; these 100 bytes
-        each bring news to everybody at once, and it comes a few hundred
+        By heads, news takes a second or two in a large fleet; these 100
+        bytes each bring it to everybody at once, and it comes a few hundred
         times an hour.
         """
         peers = self._members.peers()
--- a/src/peridotmast/coordination/fleet_clock.py
+++ b/src/peridotmast/coordination/fleet_clock.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import statistics
+import typing as ty
 
 from peridotmast import clock as clock_
 
@@ -30,6 +31,7 @@
     def __init__(self, clock: clock_.Clock) -> None:
         self._clock = clock
         self._offsets: dict[str, tuple[int, int]] = {}
+        self._followed: ty.Optional[tuple[int, int]] = None
         self._median = 0
         self._reckon_at = 0
 
@@ -38,6 +40,16 @@
         boot = self._clock.boot()
         self._offsets[peer] = (wall_ms - boot, boot)
 
+    def follow(self, now_ms: int) -> None:
+        """Take the fleet's time over from a router that hears more clocks."""
+        boot = self._clock.boot()
+        self._followed = (now_ms - boot, boot)
+        self._reckon_at = 0
+
+    def lead(self) -> None:
+        """Go by the clocks that are heard here."""
+        self._followed = None
+
     def now(self) -> int:
         """Return ms since 1970, by the median of all clocks."""
         boot = self._clock.boot()
@@ -51,7 +63,10 @@
             for peer, (offset, at) in self._offsets.items()
             if boot - at < _KEEP_MS
         }
+        self._reckon_at = boot + _RECKON_MS
+        if self._followed and boot - self._followed[1] < _KEEP_MS:
+            self._median = self._followed[0]
+            return
         mine = self._clock.wall() - boot
         offsets = [mine, *(offset for offset, _ in self._offsets.values())]
         self._median = int(statistics.median(offsets))
-        self._reckon_at = boot + _RECKON_MS
--- /dev/null
+++ b/src/peridotmast/coordination/groups.py
@@ -0,0 +1,156 @@
+"""Groups of routers, each with a head that speaks for it."""
+
+from __future__ import annotations
+
+import functools
+import hashlib
+import math
+import typing as ty
+
+from peridotmast import clock as clock_
+from peridotmast.coordination import members as members_
+
+WHOLE = 17
+"""Fleet size up to which every router tells every other: it reaches 16 peers
+with one round of beacons."""
+
+_NEW_MS = 5000
+"""How long a router that was never heard counts as one that may be there."""
+
+_RANKS_KEPT = 4096
+"""Hashes that are kept: two for each of 330 routers, and runs before."""
+
+
+class Groups:
+    """Sorts the routers of a large fleet into groups by their names.
+
+    Nobody need agree: each router reckons from whom it has heard, and what
+    is sent to one that is no head any more is lost for one round. About as
+    many groups as members in one, so that neither a head's peers nor its
+    members are many.
+
+    Parameters
+    ----------
+    members : members.Members
+        This router and its peers.
+    clock : clock.Clock
+        Times how long a router is new.
+    """
+
+    def __init__(self, members: members_.Members, clock: clock_.Clock) -> None:
+        self._members = members
+        self._clock = clock
+        self._me = members.me.name
+
+    def is_split(self) -> bool:
+        """Return whether the fleet is so large that it has groups."""
+        return len(self._members.peers()) + 1 > WHOLE
+
+    def look(self) -> Look:
+        """Return the groups as this router sees them now."""
+        limit = self._clock.now() - _NEW_MS
+        heard = {peer.member.name for peer in self._members.heard()}
+        known = [
+            peer
+            for peer in self._members.peers()
+            if peer.member.name in heard
+            or (not peer.heard_at and peer.known_at > limit)
+        ]
+        return Look(self._me, known, heard)
+
+
+class Look:
+    """The groups at one moment.
+
+    Parameters
+    ----------
+    me : str
+        Name of this router.
+    known : sequence of members.Peer
+        The peers that may be there.
+    heard : collection of str
+        Names of those that are.
+    """
+
+    def __init__(
+        self,
+        me: str,
+        known: ty.Sequence[members_.Peer],
+        heard: ty.Collection[str],
+    ) -> None:
+        self._me = me
+        self.count = _groups_of(len(known) + 1)
+        """Groups that there are."""
+        self._heard = heard
+        self._groups: dict[int, list[members_.Peer]] = {}
+        for peer in known:
+            group = self.group_of(peer.member.name)
+            self._groups.setdefault(group, []).append(peer)
+        for peers in self._groups.values():
+            peers.sort(key=lambda peer: _rank('head', peer.member.name))
+        self.mine = self.group_of(me)
+        """Number of this router's group."""
+
+    @property
+    def leads(self) -> bool:
+        """Whether this router is the head of its group."""
+        mine = _rank('head', self._me)
+        return not any(
+            _rank('head', name) < mine for name in self._heard_in(self.mine)
+        )
+
+    def members(self) -> list[members_.Peer]:
+        """Return the other members of this router's group."""
+        return self._groups.get(self.mine, [])
+
+    def heads(self) -> list[members_.Peer]:
+        """Return who is told for this router's group: head and next one.
+
+        The next one takes the head's place as soon as that falls silent, and
+        knows by then what the members count.
+        """
+        return self._first(self.mine, 2)
+
+    def other_heads(self) -> list[members_.Peer]:
+        """Return the heads of the other groups."""
+        return [
+            peer
+            for group in self._groups
+            if group != self.mine
+            for peer in self._first(group, 1)
+        ]
+
+    def group_of(self, name: str) -> int:
+        """Return the number of a router's group."""
+        return _rank('group', name) % self.count
+
+    def names_in(self, group: int) -> list[str]:
+        """Return the names of the peers in a group."""
+        return [peer.member.name for peer in self._groups.get(group, [])]
+
+    def is_member(self, name: str) -> bool:
+        """Return whether a router is of this router's group."""
+        return self.group_of(name) == self.mine
+
+    def _first(self, group: int, count: int) -> list[members_.Peer]:
+        peers = self._groups.get(group, [])
+        there = [p for p in peers if p.member.name in self._heard]
+        return (there or peers)[:count]
+
+    def _heard_in(self, group: int) -> list[str]:
+        return [n for n in self.names_in(group) if n in self._heard]
+
+
+def _groups_of(routers: int) -> int:
+    """Return the number of groups: a power of two near the root.
+
+    Powers of two, so that a router that comes or goes seldom sorts all the
+    others anew.
+    """
+    return 1 << round(math.log2(routers) / 2)
+
+
+@functools.lru_cache(maxsize=_RANKS_KEPT)
+def _rank(what: str, name: str) -> int:
+    digest = hashlib.blake2b(f'{what}|{name}'.encode(), digest_size=8)
+    return int.from_bytes(digest.digest(), 'big')
--- a/src/peridotmast/coordination/members.py
+++ b/src/peridotmast/coordination/members.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import math
 import typing as ty
 
 from peridotmast import clock as clock_
@@ -13,9 +12,13 @@
 ALIVE = pb.MEMBER_STATE_ALIVE
 LEAVING = pb.MEMBER_STATE_LEAVING
 
-_TURN_SHARE = 0.5
-"""Part of the usual silence that is allowed for each turn of rounds: two and
-a half beacons may be lost, where five may if every round reaches all."""
+_GROUP_SHARE = 1.2
+"""In a fleet with groups, silence that is allowed as a multiple of the usual
+one: beacons go half as often there, and two of three may be lost."""
+
+_TOLD_SHARE = 2.2
+"""The same for members of whom only their head tells: when that is lost, the
+next one takes its place within the first time, and tells again within this."""
 
 _FORGET_MS = 60_000
 """How long a silent member is kept: longer than any cut that heals, since
@@ -30,6 +33,13 @@
     """The newest that it said of itself."""
     heard_at: int = 0
     """Moment of its last beacon, in ms; 0 where there was none yet."""
+    told_at: int = 0
+    """Moment at which a head last said that it is there, in ms; 0 where none
+    does."""
+    changed_at: int = 0
+    """Moment at which its entry last changed, in ms."""
+    was_there: bool = False
+    """Whether it was ever heard, or heard of from a head."""
     known_at: int = 0
     """Moment at which it was first heard of, in ms."""
 
@@ -45,9 +55,8 @@
         Times silence.
     silent_ms : int
         Silence after which callers are not sent to a peer any more.
-    at_once : int
-        Members that a router reaches with one round of beacons; where there
-        are more, a peer is heard more seldom.
+    whole : int
+        Fleet size up to which every router tells every other.
     """
 
     def __init__(
@@ -55,13 +64,13 @@
         me: pb.Member,
         clock: clock_.Clock,
         silent_ms: int,
-        at_once: int = 1 << 30,
+        whole: int = 1 << 30,
     ) -> None:
         self.me = me
         """This router's own entry."""
         self._clock = clock
         self._silent_ms = silent_ms
-        self._at_once = at_once
+        self._whole = whole
         self._peers: dict[str, Peer] = {}
         self._was_heard: set[str] = set()
         self._log = logs.get('members', router=me.name)
@@ -78,9 +87,13 @@
             return
         known = self._peers.get(member.name)
         if known is None:
-            self._peers[member.name] = Peer(member, known_at=self._clock.now())
+            now = self._clock.now()
+            self._peers[member.name] = Peer(
+                member, known_at=now, changed_at=now
+            )
         elif _rank(member) > _rank(known.member):
             known.member = member
+            known.changed_at = self._clock.now()
 
     def hear(self, member: pb.Member) -> bool:
         """Take in a member's own beacon; say whether it is its newest run."""
@@ -92,11 +105,30 @@
             return False
         peer.member = member
         peer.heard_at = self._clock.now()
-        if member.name not in self._was_heard:
-            self._was_heard.add(member.name)
-            self._log.info('peer_heard', peer=member.name)
+        self._note_there(peer)
         return True
 
+    def hear_some(self, names: ty.Iterable[str], of: ty.Iterable[str]) -> None:
+        """Take in from a head who is there, of those that it tells of."""
+        now, there = self._clock.now(), set(names)
+        for name in of:
+            if name not in there and name in self._peers:
+                self._peers[name].told_at = 0
+        for peer in (self._peers[n] for n in there & self._peers.keys()):
+            peer.told_at = now
+            self._note_there(peer)
+
+    def hear_all(self, names: ty.Iterable[str]) -> None:
+        """Take in from the own head who is there: nobody else is."""
+        self.hear_some(names, list(self._peers))
+
+    def changed(self, within_ms: int, most: int) -> list[pb.Member]:
+        """Return the entries that have changed of late, the newest first."""
+        limit = self._clock.now() - within_ms
+        late = [p for p in self._peers.values() if p.changed_at >= limit]
+        late.sort(key=lambda peer: -peer.changed_at)
+        return [peer.member for peer in late[:most]]
+
     def peers(self) -> list[Peer]:
         """Return all other members that may still be there."""
         return list(self._peers.values())
@@ -107,13 +139,15 @@
 
     def heard(self) -> list[Peer]:
         """Return the peers that were heard lately."""
-        turns = math.ceil(len(self._peers) / self._at_once)
-        silent_ms = self._silent_ms * max(1.0, turns * _TURN_SHARE)
-        limit = self._clock.now() - silent_ms
+        split = len(self._peers) + 1 > self._whole
+        now = self._clock.now()
+        limit = now - self._silent_ms * (_GROUP_SHARE if split else 1)
+        told = now - self._silent_ms * _TOLD_SHARE
         return [
             peer
             for peer in self._peers.values()
-            if peer.heard_at and peer.heard_at >= limit
+            if (peer.heard_at and peer.heard_at >= limit)
+            or (split and peer.told_at and peer.told_at >= told)
         ]
 
     def serving(self) -> list[pb.Member]:
@@ -128,7 +162,7 @@
         that is only silent may be serving callers beyond a cut.
         """
         return 1 + sum(
-            peer.member.state == ALIVE and bool(peer.heard_at)
+            peer.member.state == ALIVE and peer.was_there
             for peer in self._peers.values()
         )
 
@@ -142,11 +176,18 @@
         old = [
             name
             for name, peer in self._peers.items()
-            if max(peer.heard_at, peer.known_at) < limit
+            if max(peer.heard_at, peer.told_at, peer.known_at) < limit
         ]
         for name in old:
             del self._peers[name]
 
+    def _note_there(self, peer: Peer) -> None:
+        name = peer.member.name
+        peer.was_there = True
+        if name not in self._was_heard:
+            self._was_heard.add(name)
+            self._log.info('peer_heard', peer=name)
+
 
 def _rank(member: pb.Member) -> tuple[int, int]:
     return member.incarnation, member.revision
--- a/src/peridotmast/duties/need.py
+++ b/src/peridotmast/duties/need.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import math
 
 from peridotmast import clock as clock_
-from peridotmast.duties import demand as demand_
+from peridotmast.serving import demand as demand_
 from peridotmast.serving import upstreams as upstreams_
 
 _LEAST_NEEDED = 2
@@ -20,6 +21,21 @@
 """Part of what a fleet starts with that counts as needed until its demand is
 known: it is started for its usual peak, on dearer upstreams."""
 
+_READ_SHARE = 0.75
+"""Part of the tokens of prompts that engines read; the rest they hold."""
+
+_PRIOR_SPEED = 1.2
+"""What an engine reads at most, as a multiple of what it is said to read
+while first tokens still come in time."""
+
+_SPEED_BOUND = 3.0
+"""How far off what it is said to read an engine may be found to read: samples
+that are all of a kind that nobody thought of must not empty a fleet."""
+
+_SCATTER = 1.2
+"""Upstreams beside the load, for each root of it. Prompts of 200 to 40,000
+tokens scatter more than arrivals that are all alike, for which 1 is usual."""
+
 _SETTLED_MS = 1500
 """Time for which no upstream may have come before any is given back: they
 enter the store one by one while the fleet starts."""
@@ -65,7 +81,7 @@
         self._demand = demand
         self._clock = clock
         self._needs: dict[str, Need] = {}
-        self._seen: set[str] = set()
+        self._seen: dict[str, set[str]] = collections.defaultdict(set)
         self._new_at = 0
         self.settled = False
         """Whether what the fleet starts with has come."""
@@ -81,15 +97,14 @@
         """
         if self.settled:
             return
-        names = {
-            view.name
-            for view in self._table.all()
-            if view.is_there and not view.record.reclaimable
-        }
         now = self._clock.now()
-        if names - self._seen:
-            self._new_at = now
-        self._seen |= names
+        for view in self._table.all():
+            seen = self._seen[view.service]
+            if view.record.reclaimable or not view.is_there:
+                continue
+            if view.name not in seen:
+                self._new_at = now
+                seen.add(view.name)
         self.settled = now - self._new_at >= _SETTLED_MS
 
     def of(
@@ -117,17 +132,35 @@
         """
         need = self._count(service, live, planned, per_engine)
         peak = self._demand.quantile(service, 1 - exceeded)
-        need.reserve = max(need.count, math.ceil(peak / per_engine))
+        need.reserve = max(need.count, self._staff(service, peak, per_engine))
         if not need.known:
-            need.reserve = max(need.reserve, live)
+            need.reserve = max(need.reserve, len(self._seen[service]))
         return need
 
+    def _staff(self, service: str, rate: float, per_engine: float) -> int:
+        """Return how many upstreams carry a rate of tokens.
+
+        So many that they would be busy all the time, and beside them as
+        many as arrivals scatter: that grows with the root of the load, so
+        few of them need more room for each than many (square-root staffing,
+        Halfin and Whitt, 1981).
+        """
+        speed = per_engine * _PRIOR_SPEED
+        seen = self._demand.reading(service)
+        if seen is not None:
+            low, high = speed / _SPEED_BOUND, speed * _SPEED_BOUND
+            speed = min(high, max(low, seen * 1000))
+        load = rate * _READ_SHARE / speed
+        return math.ceil(load + _SCATTER * math.sqrt(load))
+
     def _count(
         self, service: str, live: int, planned: int, per_engine: float
     ) -> Need:
         now = self._clock.now()
         rate = self._demand.rate(service)
-        wanted = max(_LEAST_NEEDED, planned, math.ceil(rate / per_engine))
+        wanted = max(
+            _LEAST_NEEDED, planned, self._staff(service, rate, per_engine)
+        )
         known = self._demand.is_known(service)
         if not self.settled:
             return Need(wanted, now, known)
--- a/src/peridotmast/duties/scale_round.py
+++ b/src/peridotmast/duties/scale_round.py
@@ -50,6 +50,9 @@
         Number of the holder that orders.
     demand : int
         Tokens a second that `needed` was worked out from, for the log.
+    reading : float
+        Tokens a ms that an engine was seen to read, for the log; 0 where
+        that is not known.
     may_be_reclaimed : bool
         Whether reclaimable upstreams may be ordered.
     """
@@ -65,6 +68,7 @@
         reserve: int,
         fencing: int,
         demand: int,
+        reading: float = 0,
         may_be_reclaimed: bool = True,
     ) -> None:
         self._orders = orders
@@ -77,6 +81,7 @@
         self._reserve = max(needed, reserve)
         self._fencing = fencing
         self._demand = demand
+        self._reading = reading
         self._may_be_reclaimed = may_be_reclaimed
         self._log = logs.get('scaler')
 
@@ -89,10 +94,8 @@
             return
         for _ in self._domains:
             market = self._market(optimistic=True)
-            grown = self._plans.cheapest(
-                market, self._reserve, self._expected()
-            )
-            ideal = self._plans.cheapest(market, self._reserve)
+            grown = self._held(market, self._expected())
+            ideal = self._held(market)
             wanted = grown
             if market.price(ideal) < market.price(grown):
                 wanted = ideal
@@ -132,6 +135,23 @@
 
     # --------------------------------------------------------------- what is
 
+    def _held(
+        self,
+        market: capacity_plan.Market,
+        floor: ty.Optional[capacity_plan.Mix] = None,
+    ) -> capacity_plan.Mix:
+        """Return the mix that outlasts a loss and holds the reserve.
+
+        A demand that is seldom reached and a loss seldom come together, so
+        the reserve is in all, not what is left.
+        """
+        mix = self._plans.cheapest(market, self._needed, floor)
+        for needed in range(self._needed + 1, self._reserve + 1):
+            if mix.total >= self._reserve:
+                break
+            mix = self._plans.cheapest(market, needed, floor)
+        return mix
+
     def _expected(self) -> capacity_plan.Mix:
         """Return what there is, and what was ordered and will come."""
         reclaimable, firm = (
@@ -188,7 +208,7 @@
 
     def _give_one_back(self) -> bool:
         market = self._market(optimistic=False)
-        wanted = self._plans.cheapest(market, self._reserve)
+        wanted = self._held(market)
         keep = wanted.reclaimable
         if any(
             self._book.is_closed(self._key(domain, True))
@@ -236,6 +256,7 @@
             needed=self._needed,
             reserve=self._reserve,
             demand=self._demand,
+            reading=round(self._reading, 1),
             fencing=self._fencing,
             outcome='given' if failure is None else failure.reason,
             detail='' if failure is None else failure.detail,
--- a/src/peridotmast/duties/scaler.py
+++ b/src/peridotmast/duties/scaler.py
@@ -6,12 +6,12 @@
 
 from peridotmast import clock as clock_
 from peridotmast.duties import capacity_plan
-from peridotmast.duties import demand as demand_
 from peridotmast.duties import event_plan
 from peridotmast.duties import need as need_
 from peridotmast.duties import order_book
 from peridotmast.duties import scale_round
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import demand as demand_
 from peridotmast.serving import upstreams as upstreams_
 
 _GIVE_BACK_MS = 1000
@@ -109,6 +109,7 @@
             need.reserve,
             fencing,
             int(self._demand.rate(service.name)),
+            reading=self._demand.reading(service.name) or 0,
             may_be_reclaimed=policy.scaling != REACTIVE,
         )
         look.order_reclaimable()
--- a/src/peridotmast/load/slopes.py
+++ b/src/peridotmast/load/slopes.py
@@ -357,15 +357,21 @@
             config_version=1000,
             upstreams_revision=100_000,
             wall_ms=1_796_000_000_000,
-            spends=[
-                pb.TeamSpend(team=f'team-{n}', tokens=10**9) for n in range(5)
-            ],
-            loads=[
-                pb.UpstreamLoad(
-                    upstream=f'i-{n:010x}', running=3, unread=900, memory=9000
-                )
-                for n in range(count)
-            ],
+            own=pb.Totals(
+                spends=[
+                    pb.TeamSpend(team=f'team-{n}', tokens=10**9)
+                    for n in range(5)
+                ],
+                loads=[
+                    pb.UpstreamLoad(
+                        upstream=f'i-{n:010x}',
+                        running=3,
+                        unread=900,
+                        memory=9000,
+                    )
+                    for n in range(count)
+                ],
+            ),
         )
         data = beacon.SerializeToString()
         rows.append(
--- a/src/peridotmast/router/knowledge.py
+++ b/src/peridotmast/router/knowledge.py
@@ -6,9 +6,9 @@
 import typing as ty
 
 from peridotmast import clock as clock_
-from peridotmast.coordination import beacons as beacons_
 from peridotmast.coordination import config_feed
 from peridotmast.coordination import fleet_clock
+from peridotmast.coordination import groups as groups_
 from peridotmast.coordination import kind_watch
 from peridotmast.coordination import members as members_
 from peridotmast.coordination import outage as outage_
@@ -73,7 +73,7 @@
             state=members_.ALIVE,
         )
         self.members = members_.Members(
-            me, clock, _SILENT_BEACONS * cfg.beacon_ms, beacons_.AT_ONCE
+            me, clock, _SILENT_BEACONS * cfg.beacon_ms, groups_.WHOLE
         )
         """The routers, this one too."""
         self.table = upstreams_.UpstreamTable(clock, bounds.drain_ms, lapse_ms)
--- a/src/peridotmast/router/peering.py
+++ b/src/peridotmast/router/peering.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import random
 import typing as ty
 
 from peridotmast import clock as clock_
+from peridotmast.coordination import beacons as beacons_
+from peridotmast.coordination import groups as groups_
 from peridotmast.coordination import lease as lease_
 from peridotmast import failures
 from peridotmast import logs
 from peridotmast.router import knowledge as knowledge_
 from peridotmast.router import serving as serving_
+from peridotmast.router import sharing as sharing_
 from peridotmast import rpc
 from peridotmast.schema import peridotmast_pb2 as pb
 
@@ -22,10 +26,37 @@
 _FELT_MS = 1000
 """How long a peer's word of a store that fails it holds: a few beacons."""
 
+_GROUP_ROUNDS = 2
+"""Rounds of which a large fleet uses one: each thing is told on three times
+there, so that totals are as late as a second and a half; at every round they
+would be half as late and cost twice as many bytes."""
+
+_GROUP_SILENT_MS = 2000
+"""Silence after which a group's work counts no more, and another head may be
+followed: four of its beacons."""
+
+_LOOK_MS = 250
+"""Time for which the groups are not sorted anew: it takes 0.2 ms."""
+
+_CHANGED_MS = 3000
+_CHANGED_MOST = 64
+"""How long changed entries are told of, and how many at most: as often as
+a beacon may be lost on its way over two heads."""
+
 _CALL_MS = 800
 """Bound on one call of a peer."""
 
 
+class _Role(ty.NamedTuple):
+    """By which way a router hears of the others' counts."""
+
+    split: bool
+    """Whether there are groups."""
+    leads: bool
+    """Whether it is the head of its own."""
+    groups: int
+
+
 class Peering:
     """Joins the state that routers share to the parts that keep it.
 
@@ -37,6 +68,8 @@
         What is known from the store, and of the members.
     serving : serving.Serving
         What is counted on the way of requests.
+    sharing : sharing.Sharing
+        What routers count together.
     lease : lease.Lease
         The lease on the duties.
     peers : rpc.RpcClient
@@ -50,6 +83,7 @@
         clock: clock_.Clock,
         knowledge: knowledge_.Knowledge,
         serving: serving_.Serving,
+        sharing: sharing_.Sharing,
         lease: lease_.Lease,
         peers: rpc.RpcClient,
         spawn: ty.Callable[..., None],
@@ -65,28 +99,39 @@
         self._spawn = spawn
         self._choice = random.Random(members.me.name)
         self._behind: dict[str, tuple[ty.Any, int]] = {}
-        self._outage_at = -_FELT_MS
+        self._outage_at = self._member_outage_at = -_FELT_MS
+        self._sharing = sharing
+        self._groups = groups_.Groups(members, clock)
+        self._rounds = itertools.count()
+        self._role = _Role(False, False, 1)
+        self._group_heard: dict[int, int] = {}
+        self._followed = '', -_GROUP_SILENT_MS
+        self._looked: tuple[ty.Optional[groups_.Look], int] = None, 0
         self._asking: set[str] = set()
         self._log = logs.get('peering', router=members.me.name)
 
     # --------------------------------------------------------------- beacons
 
-    def fill(self) -> pb.Beacon:
-        """Return this router's beacon."""
-        return pb.Beacon(
-            member=self._members.me,
-            config_version=self._config.routes.version,
-            document_version=self._config.own.version,
-            upstreams_revision=self._table.revision,
-            wall_ms=self._clock.wall(),
-            spends=self._serving.quota.spends(),
-            loads=self._table.my_loads(),
-            usage=self._serving.usage.counts(),
-            demand=self._serving.demand.counts(),
-            lease=self._lease.hint(),
-            other=self._some_peer(),
-            outage_felt=self._knowledge.outage.is_felt(),
-        )
+    def due(self) -> beacons_.Round:
+        """Return the beacons of a round, and the peers that each goes to.
+
+        In a small fleet all tell all. In a large one members tell their head
+        and the one after it, heads tell each other of their groups, and each
+        of their members of all others: the messages of a router stay the
+        same in number and size, however large the fleet is.
+        """
+        if not self._groups.is_split():
+            beacon = self._fill()
+            beacon.own.CopyFrom(self._sharing.own())
+            return [(beacon, self._members.peers())]
+        if next(self._rounds) % _GROUP_ROUNDS:
+            return []
+        look = self._look()
+        if look.leads:
+            return self._head_round(look)
+        beacon = self._fill()
+        beacon.own.CopyFrom(self._sharing.own())
+        return [(beacon, look.heads())]
 
     def fill_news(self) -> pb.Beacon:
         """Return a beacon that says how new this router's knowledge is."""
@@ -103,19 +148,16 @@
         member = beacon.member
         if not self._members.hear(member):
             return
-        name = member.name
         if beacon.news_only:
             self._compare(beacon)
             return
         if beacon.HasField('other'):
             self._members.learn(beacon.other)
-        self._knowledge.fleet_clock.hear(name, beacon.wall_ms)
-        self._table.take_loads(name, beacon.loads)
-        self._serving.quota.hear(name, member.incarnation, beacon.spends)
-        self._serving.usage.hear(name, member.incarnation, beacon.usage)
-        self._serving.demand.hear(name, member.incarnation, beacon.demand)
+        for changed in beacon.changed:
+            self._members.learn(changed)
+        self._take_totals(beacon)
         if beacon.outage_felt:
-            self._outage_at = self._clock.now()
+            self._hear_outage(beacon.HasField('own'))
         if beacon.lease.holder:
             self._lease.hear(beacon.lease)
         self._compare(beacon)
@@ -126,15 +168,25 @@
         heard = self._members.heard()
         self._serving.quota.share = (1 + len(heard)) / self._members.counted()
         self._serving.budget.routers = self._members.counted()
-        names = {peer.member.name for peer in heard}
-        self._table.forget_loads(names)
-        self._serving.quota.forget(
-            {p.member.name for p in self._members.peers()}
+        limit = self._clock.now() - _GROUP_SILENT_MS
+        self._group_heard = {
+            group: at for group, at in self._group_heard.items() if at >= limit
+        }
+        look, split = self._look(), self._groups.is_split()
+        self._sharing.forget(
+            {p.member.name for p in self._members.peers()},
+            {
+                peer.member.name
+                for peer in heard
+                if not split or look.is_member(peer.member.name)
+            },
+            self._group_heard,
+            split and not look.leads,
         )
 
     def is_outage_felt(self) -> bool:
         """Return whether what is missing may be missing due to an outage."""
-        heard = self._clock.now() - self._outage_at < _FELT_MS
+        heard = self._is_recent(self._outage_at)
         return heard or self._knowledge.outage.is_felt()
 
     # ------------------------------------------------------------ asking peers
@@ -196,6 +248,126 @@
             )
         return bool(news)
 
+    # ---------------------------------------------------------------- totals
+
+    def _fill(self) -> pb.Beacon:
+        """Return what every beacon says."""
+        return pb.Beacon(
+            member=self._members.me,
+            config_version=self._config.routes.version,
+            document_version=self._config.own.version,
+            upstreams_revision=self._table.revision,
+            wall_ms=self._clock.wall(),
+            lease=self._lease.hint(),
+            other=self._some_peer(),
+            outage_felt=self._knowledge.outage.is_felt(),
+        )
+
+    def _head_round(self, look: groups_.Look) -> beacons_.Round:
+        """Yield what a head tells other heads, and each of its members."""
+        heard = {peer.member.name for peer in self._members.heard()}
+        members = [peer.member.name for peer in look.members()]
+        base = self._fill()
+        base.wall_ms = self._knowledge.fleet_clock.now()
+        base.changed.extend(self._members.changed(_CHANGED_MS, _CHANGED_MOST))
+        lease = self._lease.known_holder()
+        if lease is not None:
+            base.lease.CopyFrom(lease)
+        beacon = pb.Beacon()
+        beacon.CopyFrom(base)
+        beacon.group.CopyFrom(self._sharing.group())
+        beacon.alive.extend(name for name in members if name in heard)
+        beacon.outage_felt |= self._is_recent(self._member_outage_at)
+        yield beacon, look.other_heads()
+        base.alive.extend(heard)
+        base.outage_felt = self.is_outage_felt()
+        for peer in look.members():
+            beacon = pb.Beacon()
+            beacon.CopyFrom(base)
+            beacon.others.CopyFrom(self._sharing.others(peer.member.name))
+            yield beacon, [peer]
+
+    def _take_totals(self, beacon: pb.Beacon) -> None:
+        """Take in what a peer counts, as far as it is the one to tell it."""
+        name, run = beacon.member.name, beacon.member.incarnation
+        clock = self._knowledge.fleet_clock
+        split = self._groups.is_split()
+        look = self._look()
+        if beacon.HasField('own'):
+            clock.hear(name, beacon.wall_ms)
+            counted = not split or (look.leads and look.is_member(name))
+            self._sharing.hear(name, run, beacon.own, counted)
+        if beacon.HasField('group'):
+            clock.hear(name, beacon.wall_ms)
+            group = look.group_of(name)
+            self._group_heard[group] = self._clock.now()
+            self._members.hear_some(beacon.alive, look.names_in(group))
+            self._sharing.hear_group(
+                name, run, group, beacon.group, split and look.leads
+            )
+        if beacon.HasField('others') and self._follows(name):
+            self._members.hear_all(beacon.alive)
+            counted = split and not look.leads
+            if counted:
+                clock.follow(beacon.wall_ms)
+            self._sharing.follow(name, run, beacon.others, counted)
+
+    def _follows(self, head: str) -> bool:
+        """Return whether `head` is the one whose totals are gone by.
+
+        For a moment two may think that they are; what both tell counts
+        once.
+        """
+        now = self._clock.now()
+        followed, at = self._followed
+        if head != followed and now - at < _GROUP_SILENT_MS:
+            return False
+        self._followed = head, now
+        return True
+
+    def _look(self) -> groups_.Look:
+        """Return the groups, as they were a moment ago at most."""
+        now = self._clock.now()
+        look, at = self._looked
+        if look is None or now - at >= _LOOK_MS:
+            look = self._groups.look()
+            self._looked = look, now
+            self._take_role(look)
+        return look
+
+    def _take_role(self, look: groups_.Look) -> None:
+        """Take note of whether this router leads, and of how many groups.
+
+        Each change of the way by which it hears of the others' counts could
+        count some of them twice.
+        """
+        split = self._groups.is_split()
+        role = _Role(split, split and look.leads, look.count if split else 1)
+        known, self._role = self._role, role
+        if role.leads or not split:
+            self._knowledge.fleet_clock.lead()
+        if role.groups != known.groups:
+            everybody = not split
+            self._sharing.regroup(
+                lambda name: everybody or look.is_member(name)
+            )
+        if role != known:
+            self._sharing.switch()
+            self._log.info(
+                'role',
+                groups=role.groups,
+                group=look.mine if split else 0,
+                leads=role.leads,
+            )
+
+    def _hear_outage(self, from_member: bool) -> None:
+        self._outage_at = self._clock.now()
+        if from_member:
+            self._member_outage_at = self._outage_at
+
+    def _is_recent(self, moment: int) -> bool:
+        return self._clock.now() - moment < _FELT_MS
+
     # ---------------------------------------------------------------- private
 
     def _compare(self, beacon: pb.Beacon) -> None:
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -25,6 +25,7 @@
 from peridotmast.router import peer_service
 from peridotmast.router import peering as peering_
 from peridotmast.router import serving as serving_
+from peridotmast.router import sharing as sharing_
 from peridotmast import rpc
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.schema import peridotmast_pb2_grpc as pb_grpc
@@ -125,6 +126,7 @@
             self._clock,
             self.knowledge,
             self.serving,
+            sharing_.Sharing(self.serving, self.table),
             self.lease,
             self._peers,
             self._tasks.spawn,
@@ -134,7 +136,7 @@
         self.beacons = beacons_.Beacons(
             f'{host}:{port}',
             self.members,
-            self._peering.fill,
+            self._peering.due,
             self._peering.fill_news,
             self._peering.take,
             _secret(tls),
@@ -220,7 +222,7 @@
         drain_.Drain(
             self._clock,
             self.members,
-            self.beacons.send_round,
+            self._announce,
             self._faces.close_idle,
             self.serving.gateway,
             self._holder.release,
@@ -284,6 +286,11 @@
         every('lease', _LEASE_TICK_MS, self._holder.keep_lease)
         every('duties', _DUTY_TICK_MS, self._holder.act)
 
+    def _announce(self) -> None:
+        """Tell the peers at once what has changed of this router."""
+        self.beacons.send_round()
+        self.beacons.send_news()
+
     def _tell_news(self) -> None:
         """Tell those who don't watch that there is news."""
         if not self.knowledge.watchers.all_watch():
@@ -307,7 +314,7 @@
         knows = self.knowledge.is_enough
         if knows and not me.ready and me.state == members_.ALIVE:
             self.members.change_me(ready=True)
-            self.beacons.send_round()
+            self._announce()
             self._log.info('ready', config=self.config.routes.version)
 
     def _on_error(self, name: str, exc: BaseException) -> None:
--- a/src/peridotmast/router/serving.py
+++ b/src/peridotmast/router/serving.py
@@ -7,13 +7,13 @@
 import prometheus_client
 
 from peridotmast import clock as clock_
-from peridotmast.duties import demand as demand_
 from peridotmast import invariants as invariants_
 from peridotmast.platform import dialect
 from peridotmast.platform import engine_control
 from peridotmast.router import knowledge as knowledge_
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import decisions as decisions_
+from peridotmast.serving import demand as demand_
 from peridotmast.serving import desk as desk_
 from peridotmast.serving import gateway as gateway_
 from peridotmast.serving import metrics as metrics_
@@ -147,6 +147,7 @@
             self._relay,
             self.budget,
             self.usage,
+            self.demand,
             self._metrics,
             self.decisions,
             self._tracer,
--- a/src/peridotmast/duties/demand.py
+++ b/src/peridotmast/serving/demand.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import collections
+import statistics
 import typing as ty
 
 from peridotmast import clock as clock_
-from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import reading as reading_
 
 _WINDOW_MS = 6000
 """Time over which a rate is taken: arrivals come in clumps, and orders take
@@ -37,7 +38,8 @@
     def __init__(self, clock: clock_.Clock) -> None:
         self._clock = clock
         self._mine: collections.Counter[str] = collections.Counter()
-        self._others: dict[str, tuple[int, dict[str, int]]] = {}
+        self._reading = reading_.Reading()
+        self._speeds: dict[str, dict[str, float]] = {}
         self._total: collections.Counter[str] = collections.Counter()
         self._first_at: dict[str, int] = {}
         self._marks: collections.deque[tuple[int, dict[str, int]]] = (
@@ -46,35 +48,43 @@
         self._samples: dict[str, collections.deque[float]] = {}
         self._sampled_at = 0
 
+    def read(self, service: str, tokens: int, ms: int) -> None:
+        """Take in how long an idle engine took to read so many tokens."""
+        self._reading.note(service, tokens, ms)
+
+    def reading(self, service: str) -> ty.Optional[float]:
+        """Return the tokens a ms that engines of `service` read.
+
+        The middle one of what the routers have seen; None where none has
+        seen enough.
+        """
+        mine = self._reading.speed(service)
+        seen = [speeds.get(service, 0) for speeds in self._speeds.values()]
+        seen = [speed for speed in [*seen, mine or 0] if speed > 0]
+        return statistics.median(seen) if seen else None
+
     def offered(self, service: str, tokens: int) -> None:
         """Count a request of so many tokens."""
         self._mine[service] += tokens
         self._add(service, tokens)
 
-    def counts(self) -> list[pb.ServiceDemand]:
+    def counts(self) -> dict[str, int]:
         """Return what this router was asked for in all its run."""
-        return [
-            pb.ServiceDemand(service=service, tokens=tokens)
-            for service, tokens in self._mine.items()
-        ]
-
-    def hear(
-        self,
-        router: str,
-        incarnation: int,
-        counts: ty.Iterable[pb.ServiceDemand],
-    ) -> None:
-        """Take in what another router was asked for in all its run."""
-        now = {count.service: count.tokens for count in counts}
-        known = self._others.get(router)
-        if known is not None and known[0] > incarnation:
-            return
-        self._others[router] = incarnation, now
-        if known is None:
-            return
-        before = known[1] if known[0] == incarnation else {}
-        for service, tokens in now.items():
-            self._add(service, tokens - before.get(service, 0))
+        return dict(self._mine)
+
+    def offered_elsewhere(self, counts: dict[str, int]) -> None:
+        """Count what other routers were asked for."""
+        for service, tokens in counts.items():
+            self._add(service, tokens)
+
+    def own_readings(self) -> dict[str, float]:
+        """Return the tokens a ms that engines read, by service."""
+        speeds = {s: self._reading.speed(s) for s in self._mine}
+        return {s: speed for s, speed in speeds.items() if speed}
+
+    def hear_readings(self, router: str, speeds: dict[str, float]) -> None:
+        """Take in how fast engines read, as another router sees it."""
+        self._speeds[router] = speeds
 
     def tick(self) -> None:
         """Mark the totals, so that rates can be taken from here on."""
--- a/src/peridotmast/serving/desk.py
+++ b/src/peridotmast/serving/desk.py
@@ -9,6 +9,7 @@
 from peridotmast import invariants as invariants_
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import decisions as decisions_
+from peridotmast.serving import demand as demand_
 from peridotmast.serving import dialect as dialect_
 from peridotmast.serving import exchange as exchange_
 from peridotmast.serving import metrics as metrics_
@@ -59,6 +60,8 @@
         Bounds repeats.
     usage : usage.Usage
         Counts what upstreams began.
+    demand : demand.Demand
+        Told how fast engines read.
     metrics : metrics.ServingMetrics
         Counts attempts.
     decisions : decisions.Decisions
@@ -77,6 +80,7 @@
         relay: stream_relay.StreamRelay,
         budget: retry_budget.RetryBudget,
         usage: usage_.Usage,
+        demand: demand_.Demand,
         metrics: metrics_.ServingMetrics,
         decisions: decisions_.Decisions,
         tracer: tracing.Tracing,
@@ -88,6 +92,7 @@
         self._relay = relay
         self._budget = budget
         self._usage = usage
+        self._demand = demand
         self._metrics = metrics
         self._decisions = decisions
         self._tracer = tracer
@@ -201,6 +206,7 @@
         if isinstance(stream, failures.Failure):
             sent.conn.close()
             return stream
+        self._note_reading(work, sent)
         # An engine begins a request with its first token.
         self._usage.began(work.exchange.team)
         stream.tried |= work.ran_at
@@ -211,6 +217,17 @@
             lambda: self._relay.close(stream),
         )
 
+    def _note_reading(self, work: _Work, sent: sender_.Sent) -> None:
+        """Note how long an engine took that had nothing else to read."""
+        place, prompt = sent.place, work.exchange.prompt
+        if place.grounds.unread:
+            return
+        tokens = prompt.tokens_in
+        if place.grounds.is_home:
+            tokens -= sum(part.tokens for part in prompt.shared)
+        took = self._clock.now() - sent.at
+        self._demand.read(work.service.name, tokens, took)
+
     def _whole(
         self, work: _Work, sent: sender_.Sent
     ) -> ty.Union[reply_.Reply, failures.Failure]:
@@ -287,6 +304,8 @@
             revision=place.view.record.revision,
             among=place.grounds.among,
             home=place.grounds.is_home,
+            tokens=work.exchange.prompt.tokens_in,
+            shared=sum(p.tokens for p in work.exchange.prompt.shared),
             running=place.grounds.running,
             unread=place.grounds.unread,
             outcome=outcome,
--- a/src/peridotmast/serving/gateway.py
+++ b/src/peridotmast/serving/gateway.py
@@ -6,10 +6,10 @@
 import typing as ty
 
 from peridotmast import clock as clock_
-from peridotmast.duties import demand as demand_
 from peridotmast import failures
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import decisions as decisions_
+from peridotmast.serving import demand as demand_
 from peridotmast.serving import desk as desk_
 from peridotmast.serving import exchange as exchange_
 from peridotmast.serving import metrics as metrics_
--- a/src/peridotmast/serving/quota.py
+++ b/src/peridotmast/serving/quota.py
@@ -45,7 +45,7 @@
     """A bucket a team, from which every router's requests are taken.
 
     Each router keeps the whole team's bucket: it takes its own requests out
-    at once and those of the others as their beacons tell. What was let pass
+    at once and those of the others as it hears of them. What was let pass
     meanwhile is made good by a level below zero, so the sum over time is
     exact and only its edge is late by a beacon. A router that hears only
     some of the others fills its buckets by their share: what it does not
@@ -61,7 +61,6 @@
         self._clock = clock
         self._buckets: dict[str, _Bucket] = {}
         self._spent: dict[str, int] = {}
-        self._heard: dict[str, tuple[int, dict[str, int]]] = {}
         self.share = 1.0
         """Part of the fleet that this router hears, itself among it."""
 
@@ -114,39 +113,18 @@
         if bucket is not None:
             bucket.level = min(bucket.burst, bucket.level + tokens)
 
-    def spends(self) -> list[pb.TeamSpend]:
-        """Return what this router has let pass so far."""
-        return [
-            pb.TeamSpend(team=team, tokens=tokens)
-            for team, tokens in self._spent.items()
-        ]
-
-    def hear(
-        self, router: str, incarnation: int, spends: ty.Iterable[pb.TeamSpend]
-    ) -> None:
-        """Take in what another router has let pass so far."""
-        now_spent = {spend.team: spend.tokens for spend in spends}
-        known = self._heard.get(router)
-        self._heard[router] = incarnation, now_spent
-        if known is None:
-            # What it spent before it was heard of is past the window.
-            return
-        before = known[1] if known[0] == incarnation else {}
-        if known[0] > incarnation:
-            self._heard[router] = known
-            return
-        for team, tokens in now_spent.items():
-            self._take_from(team, tokens - before.get(team, 0))
-
-    def forget(self, routers: ty.Collection[str]) -> None:
-        """Drop what is known of all routers but these."""
-        self._heard = {r: v for r, v in self._heard.items() if r in routers}
-
-    def _take_from(self, team: str, tokens: int) -> None:
-        bucket = self._buckets.get(team)
-        if bucket is not None and tokens:
-            bucket.fill(self._clock.now(), self.share)
-            bucket.level = min(bucket.burst, bucket.level - tokens)
+    def spent(self) -> dict[str, int]:
+        """Return what this router has let pass so far, by team."""
+        return dict(self._spent)
+
+    def spent_elsewhere(self, spends: dict[str, int]) -> None:
+        """Take what other routers have let pass out of the buckets."""
+        now = self._clock.now()
+        for team, tokens in spends.items():
+            bucket = self._buckets.get(team)
+            if bucket is not None:
+                bucket.fill(now, self.share)
+                bucket.level = min(bucket.burst, bucket.level - tokens)
 
     def _wait_ms(self, bucket: _Bucket, needed: float) -> int:
         rate = bucket.rate * self.share
--- a/src/peridotmast/serving/usage.py
+++ b/src/peridotmast/serving/usage.py
@@ -11,6 +11,9 @@
 """Windows that are kept: reports are due two windows later, and the next
 holder of the duty may be late by a lease."""
 
+_TOLD_WINDOWS = 4
+"""Windows that a head tells of: those that are open or due."""
+
 Counts = dict[str, int]
 
 
@@ -35,6 +38,8 @@
         self._window_ms = window_ms
         self._mine: dict[int, collections.Counter[str]] = {}
         self._others: dict[tuple[str, int], dict[int, Counts]] = {}
+        self._groups: dict[int, dict[int, Counts]] = {}
+        self._fleet: dict[int, Counts] = {}
 
     def window_at(self, ms: int) -> int:
         """Return the number of the window at `ms` since 1970."""
@@ -54,7 +59,7 @@
         self._drop_old(self._mine, window)
 
     def counts(self) -> list[pb.UsageCount]:
-        """Return this router's counts, for its beacon."""
+        """Return this router's own counts, by window."""
         self._forget_ended()
         return [
             pb.UsageCount(window=window, requests=dict(counter))
@@ -73,13 +78,74 @@
             known[count.window] = dict(count.requests)
         self._drop_old(known, self.window_now())
 
+    def hear_group(
+        self, group: int, counts: ty.Iterable[pb.UsageCount]
+    ) -> None:
+        """Take in another group's counts, from whoever is its head."""
+        _raise_to(self._groups.setdefault(group, {}), counts)
+        self._drop_old(self._groups[group], self.window_now())
+
+    def regroup(self, is_member: ty.Callable[[str], bool]) -> None:
+        """Drop what other groups' heads tell under their new numbers."""
+        self._groups = {}
+        self._others = {
+            key: windows
+            for key, windows in self._others.items()
+            if is_member(key[0])
+        }
+
+    def follow(self, counts: ty.Iterable[pb.UsageCount]) -> None:
+        """Take in from the own head what all others count."""
+        _raise_to(self._fleet, counts)
+        self._drop_old(self._fleet, self.window_now())
+
     def total(self, window: int) -> Counts:
-        """Return the requests of each team in `window`, at all routers."""
+        """Return the requests of each team in `window`, at all routers.
+
+        What the head has told, or what this router has heard itself, where
+        that is more: of either, some may be missing, and nothing is counted
+        twice.
+        """
+        told = collections.Counter(self._mine.get(window, {}))
+        told.update(self._fleet.get(window, {}))
+        return dict(told | collections.Counter(self._heard(window)))
+
+    def group(self) -> list[pb.UsageCount]:
+        """Return what this router and its members count, by window."""
+        return [
+            pb.UsageCount(window=window, requests=self._members(window))
+            for window in self._windows()
+        ]
+
+    def others(self, member: str) -> list[pb.UsageCount]:
+        """Return what all but one member count, by window."""
+        found = []
+        for window in self._windows():
+            counts = collections.Counter(self._heard(window))
+            for (router, _), windows in self._others.items():
+                if router == member:
+                    counts.subtract(windows.get(window, {}))
+            found.append(pb.UsageCount(window=window, requests=counts))
+        return found
+
+    def _heard(self, window: int) -> Counts:
+        """Return what this router knows of itself, members and groups."""
+        total = collections.Counter(self._members(window))
+        for windows in self._groups.values():
+            total.update(windows.get(window, {}))
+        return dict(total)
+
+    def _members(self, window: int) -> Counts:
         total = collections.Counter(self._mine.get(window, {}))
         for counts in self._others.values():
             total.update(counts.get(window, {}))
         return dict(total)
 
+    def _windows(self) -> list[int]:
+        """Return the windows that may still be reported."""
+        newest = self.window_now()
+        return list(range(newest - _TOLD_WINDOWS + 1, newest + 1))
+
     def _forget_ended(self) -> None:
         """Drop the runs of routers of which no window is kept any more."""
         newest = self.window_now()
@@ -91,3 +157,14 @@
     def _drop_old(self, windows: dict[int, ty.Any], newest: int) -> None:
         for window in [w for w in windows if w <= newest - _KEPT_WINDOWS]:
             del windows[window]
+
+
+def _raise_to(
+    known: dict[int, Counts], counts: ty.Iterable[pb.UsageCount]
+) -> None:
+    """Take counts in where they are more: none ever falls."""
+    for count in counts:
+        before = collections.Counter(known.get(count.window, {}))
+        known[count.window] = dict(
+            before | collections.Counter(dict(count.requests))
+        )
