Layers are checked; catching up with peers is a module of its own

Change: demand is counted in serving, the chat client stands in client; tools/layers.py holds the order in make check; router.catch_up asks peers. Measured: 0 imports against the layers; features groups, fleet, entries and planner pass.

--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,4 @@
 	PATH="$(CURDIR)/$(BIN):$$PATH" tools/check_generated.sh
 	$(BIN)/python tools/pages.py --check
 	$(BIN)/python tools/wire_names.py
+	$(BIN)/python tools/layers.py
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -413,14 +413,14 @@
 def garbling_peer(context):
     fleet = helpers.start_fleet(context, routers=1)
     context.router = fleet.routers[0]
-    context.router._peering._peers = _Garbling()
+    context.router._catch_up._peers = _Garbling()
     context.lines = []
 
     class Log:
         def error(self, event, **values):
             context.lines.append((event, values))
 
-    context.router._peering._log = Log()
+    context.router._catch_up._log = Log()
 
 
 class _Garbling:
@@ -436,7 +436,7 @@
 @when('it asks the peer')
 def asks_peer(context):
     context.version = context.router.config.routes.version
-    context.news = context.router._peering.ask_config('127.0.0.1:9')
+    context.news = context.router._catch_up.ask_config('127.0.0.1:9')
 
 
 @then('nothing has changed and the peer is named in the log')
--- a/features/steps/group_steps.py
+++ b/features/steps/group_steps.py
@@ -14,6 +14,7 @@
 from peridotmast.coordination import fleet_clock
 from peridotmast.coordination import groups
 from peridotmast.coordination import members as members_
+from peridotmast.router import catch_up as catch_up_
 from peridotmast.router import peering as peering_
 from peridotmast.router import sharing as sharing_
 from peridotmast.schema import peridotmast_pb2 as pb
@@ -80,9 +81,10 @@
         )
         self.limit(rate=0, burst=BURST)
         self.window = self.serving.usage.window_now()
+        knowledge = self._knowledge()
         self.peering = peering_.Peering(
             self.clock,
-            self._knowledge(),
+            knowledge,
             self.serving,
             sharing_.Sharing(self.serving, self.table),
             types.SimpleNamespace(
@@ -90,8 +92,7 @@
                 hear=lambda hint: None,
                 known_holder=lambda: None,
             ),
-            None,
-            lambda *args: None,
+            catch_up_.CatchUp(self.clock, knowledge, None, lambda *args: None),
         )
 
     def limit(self, rate, burst):
--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -20,6 +20,7 @@
 from peridotmast import green
 from peridotmast import ini
 from peridotmast.platform import names
+from peridotmast.router import catch_up as catch_up_
 from peridotmast.router import peering as peering_
 from peridotmast.router import settings_watch
 from peridotmast import rpc
@@ -328,15 +329,10 @@
         table=upstreams_.UpstreamTable(clock),
         is_watching=lambda what: watches,
     )
-    return peering_.Peering(
-        clock,
-        knowledge,
-        None,
-        None,
-        None,
-        None,
-        lambda name, *rest: asked.append(name),
+    catch_up = catch_up_.CatchUp(
+        clock, knowledge, None, lambda name, *rest: asked.append(name)
     )
+    return peering_.Peering(clock, knowledge, None, None, None, catch_up)
 
 
 @given('a router that does not watch and one that does')
--- a/src/peridotmast/cli/main.py
+++ b/src/peridotmast/cli/main.py
@@ -10,11 +10,11 @@
 import click
 
 from peridotmast.cli import quickstart as quickstart_
+from peridotmast.client import caller as caller_
 from peridotmast.coordination import config_feed
 from peridotmast import failures
 from peridotmast import green
 from peridotmast import ini
-from peridotmast.load import caller as caller_
 from peridotmast import logs
 from peridotmast import rpc
 from peridotmast.schema import peridotmast_pb2 as pb
--- a/src/peridotmast/cli/quickstart.py
+++ b/src/peridotmast/cli/quickstart.py
@@ -8,10 +8,10 @@
 import click
 
 from peridotmast.cli import _program
+from peridotmast.client import caller as caller_
 from peridotmast.embedded import fleet as fleet_
 from peridotmast.embedded import shape as shape_
 from peridotmast import green
-from peridotmast.load import caller as caller_
 from peridotmast.load import oracle
 from peridotmast import logs
 from peridotmast.schema import peridotmast_pb2 as pb
--- /dev/null
+++ b/src/peridotmast/client/__init__.py
@@ -0,0 +1,1 @@
+"""What callers of the chat API run."""
--- a/src/peridotmast/embedded/fleet.py
+++ b/src/peridotmast/embedded/fleet.py
@@ -5,13 +5,13 @@
 import itertools
 import typing as ty
 
+from peridotmast.client import caller as caller_
 from peridotmast import clock as clock_
 from peridotmast.coordination import config_feed
 from peridotmast.embedded import guest as guest_
 from peridotmast.embedded import shape as shape_
 from peridotmast import green
 from peridotmast import ini
-from peridotmast.load import caller as caller_
 from peridotmast.platform import config_codec
 from peridotmast.platform import names
 from peridotmast.platform import upstream_codec
--- a/src/peridotmast/load/driver.py
+++ b/src/peridotmast/load/driver.py
@@ -5,10 +5,10 @@
 import itertools
 import typing as ty
 
+from peridotmast.client import caller as caller_
 from peridotmast.embedded import fleet as fleet_
 from peridotmast import green
 from peridotmast.load import arrivals as arrivals_
-from peridotmast.load import caller as caller_
 from peridotmast.load import oracle as oracle_
 
 Progress = ty.Callable[[str], None]
--- a/src/peridotmast/load/oracle.py
+++ b/src/peridotmast/load/oracle.py
@@ -7,10 +7,10 @@
 import json
 import typing as ty
 
+from peridotmast.client import caller as caller_
 from peridotmast.embedded import fleet as fleet_
 from peridotmast import failures
 from peridotmast.load import arrivals as arrivals_
-from peridotmast.load import caller as caller_
 from peridotmast.standin import answers
 
 MODEL = 'draft-7b'
--- /dev/null
+++ b/src/peridotmast/router/catch_up.py
@@ -0,0 +1,167 @@
+"""Taking over from peers what this router does not know yet."""
+
+from __future__ import annotations
+
+import json
+import typing as ty
+
+from peridotmast import clock as clock_
+from peridotmast import failures
+from peridotmast import logs
+from peridotmast.router import knowledge as knowledge_
+from peridotmast import rpc
+from peridotmast.schema import peridotmast_pb2 as pb
+
+_PATIENCE_MS = 300
+"""How long a peer may be ahead before it is asked: the own watch usually
+brings the same news in this time, without another call."""
+
+_CALL_MS = 800
+"""Bound on one call of a peer."""
+
+
+class CatchUp:
+    """Asks peers that are ahead, and those that a starting router knows.
+
+    Parameters
+    ----------
+    clock : clock.Clock
+        Times how long a peer has been ahead.
+    knowledge : knowledge.Knowledge
+        What is known from the store, and of the members.
+    peers : rpc.RpcClient
+        Calls of peers.
+    spawn : callable
+        Runs a call in a task of its own.
+    """
+
+    def __init__(
+        self,
+        clock: clock_.Clock,
+        knowledge: knowledge_.Knowledge,
+        peers: rpc.RpcClient,
+        spawn: ty.Callable[..., None],
+    ) -> None:
+        self._clock = clock
+        self._knowledge = knowledge
+        self._members = knowledge.members
+        self._config = knowledge.config
+        self._table = knowledge.table
+        self._peers = peers
+        self._spawn = spawn
+        self._behind: dict[str, tuple[ty.Any, int]] = {}
+        self._asking: set[str] = set()
+        self._log = logs.get('catch_up', router=knowledge.members.me.name)
+
+    def compare(self, beacon: pb.Beacon) -> None:
+        """Ask a peer that is ahead of this router, by its beacon."""
+        address = beacon.member.peer_address
+        own = self._config.routes.version, self._config.own.version
+        self._note(
+            'config',
+            own,
+            beacon.config_version > own[0] or beacon.document_version > own[1],
+            self.ask_config,
+            address,
+        )
+        self._note(
+            'upstreams',
+            self._table.revision,
+            beacon.upstreams_revision > self._table.revision,
+            self.ask_upstreams,
+            address,
+        )
+
+    def join(self, seeds: ty.Iterable[str]) -> None:
+        """Learn of the others from those whose addresses are known.
+
+        Used beside the store, which may be out while this router starts.
+        """
+        for address in seeds:
+            if address == self._members.me.peer_address:
+                continue
+            request = pb.JoinRequest(member=self._members.me)
+            reply = self._peers.call(address, 'Join', request, _CALL_MS)
+            if isinstance(reply, failures.Failure):
+                continue
+            for member in reply.members:
+                self._members.learn(member)
+            self.ask_config(address)
+            self.ask_upstreams(address)
+
+    def ask_config(self, address: str) -> bool:
+        """Take a peer's configuration, if it is newer; say whether it was."""
+        reply = self._peers.call(
+            address, 'FetchConfig', pb.ConfigRequest(), _CALL_MS
+        )
+        if isinstance(reply, failures.Failure):
+            return False
+        source = f'peer {address}'
+        news = False
+        try:
+            if reply.config:
+                routes = json.loads(reply.config)
+                news = self._config.offer_routes(routes, source)
+            if reply.document:
+                own = json.loads(reply.document)
+                news |= self._config.offer_own(
+                    reply.document_version, own, source
+                )
+        except (ValueError, RecursionError) as exc:
+            self._log.error('peer_garbled', peer=address, error=str(exc)[:200])
+        return news
+
+    def ask_upstreams(self, address: str) -> bool:
+        """Take in what a peer knows of upstreams; say whether it was news."""
+        request = pb.UpstreamsRequest(since=self._table.revision)
+        reply = self._peers.call(address, 'FetchUpstreams', request, _CALL_MS)
+        if isinstance(reply, failures.Failure):
+            return False
+        news = [r for r in reply.upstreams if self._table.merge(r)]
+        self._table.revision = max(self._table.revision, reply.revision)
+        for record in news:
+            self._log.info(
+                'upstream_from_peer',
+                peer=address,
+                upstream=record.upstream.name,
+                state=pb.UpstreamState.Name(record.state),
+                revision=record.revision,
+            )
+        return bool(news)
+
+    def _note(
+        self,
+        what: str,
+        own: ty.Any,
+        ahead: bool,
+        ask: ty.Callable[[str], bool],
+        address: str,
+    ) -> None:
+        """Ask a peer that is ahead, once the own watch had its time.
+
+        Parameters
+        ----------
+        own : int or tuple
+            What this router has got: while it stays so, time counts.
+        """
+        if not ahead:
+            return
+        now = self._clock.now()
+        known, since = self._behind.get(what, (None, now))
+        if known != own:
+            since = now
+        self._behind[what] = own, since
+        patience = _PATIENCE_MS if self._knowledge.is_watching(what) else 0
+        if now - since < patience or what in self._asking:
+            return
+        self._asking.add(what)
+        self._spawn(f'ask_{what}', self._ask, what, ask, address)
+
+    def _ask(
+        self, what: str, ask: ty.Callable[[str], bool], address: str
+    ) -> None:
+        try:
+            if ask(address):
+                self._knowledge.overtaken()
+        finally:
+            self._asking.discard(what)
--- a/src/peridotmast/router/peering.py
+++ b/src/peridotmast/router/peering.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import itertools
-import json
 import random
 import typing as ty
 
@@ -11,18 +10,13 @@
 from peridotmast.coordination import beacons as beacons_
 from peridotmast.coordination import groups as groups_
 from peridotmast.coordination import lease as lease_
-from peridotmast import failures
 from peridotmast import logs
+from peridotmast.router import catch_up as catch_up_
 from peridotmast.router import knowledge as knowledge_
 from peridotmast.router import serving as serving_
 from peridotmast.router import sharing as sharing_
-from peridotmast import rpc
 from peridotmast.schema import peridotmast_pb2 as pb
 
-_PATIENCE_MS = 300
-"""How long a peer may be ahead before it is asked: the own watch usually
-brings the same news in this time, without another call."""
-
 _FELT_MS = 1000
 """How long a peer's word of a store that fails it holds: a few beacons."""
 
@@ -43,9 +37,6 @@
 """How long changed entries are told of, and how many at most: as often as
 a beacon may be lost on its way over two heads."""
 
-_CALL_MS = 800
-"""Bound on one call of a peer."""
-
 
 class _Role(ty.NamedTuple):
     """By which way a router hears of the others' counts."""
@@ -63,7 +54,7 @@
     Parameters
     ----------
     clock : clock.Clock
-        Times how long a peer has been ahead.
+        Times silences and words of outages.
     knowledge : knowledge.Knowledge
         What is known from the store, and of the members.
     serving : serving.Serving
@@ -72,10 +63,8 @@
         What routers count together.
     lease : lease.Lease
         The lease on the duties.
-    peers : rpc.RpcClient
-        Calls of peers.
-    spawn : callable
-        Runs a call in a task of its own.
+    catch_up : catch_up.CatchUp
+        Asks peers that are ahead.
     """
 
     def __init__(
@@ -85,8 +74,7 @@
         serving: serving_.Serving,
         sharing: sharing_.Sharing,
         lease: lease_.Lease,
-        peers: rpc.RpcClient,
-        spawn: ty.Callable[..., None],
+        catch_up: catch_up_.CatchUp,
     ) -> None:
         self._clock = clock
         self._knowledge = knowledge
@@ -95,10 +83,8 @@
         self._table = knowledge.table
         self._serving = serving
         self._lease = lease
-        self._peers = peers
-        self._spawn = spawn
+        self._catch_up = catch_up
         self._choice = random.Random(members.me.name)
-        self._behind: dict[str, tuple[ty.Any, int]] = {}
         self._outage_at = self._member_outage_at = -_FELT_MS
         self._sharing = sharing
         self._groups = groups_.Groups(members, clock)
@@ -107,7 +93,6 @@
         self._group_heard: dict[int, int] = {}
         self._followed = '', -_GROUP_SILENT_MS
         self._looked: tuple[ty.Optional[groups_.Look], int] = None, 0
-        self._asking: set[str] = set()
         self._log = logs.get('peering', router=members.me.name)
 
     # --------------------------------------------------------------- beacons
@@ -149,7 +134,7 @@
         if not self._members.hear(member):
             return
         if beacon.news_only:
-            self._compare(beacon)
+            self._catch_up.compare(beacon)
             return
         if beacon.HasField('other'):
             self._members.learn(beacon.other)
@@ -160,7 +145,7 @@
             self._hear_outage(beacon.HasField('own'))
         if beacon.lease.holder:
             self._lease.hear(beacon.lease)
-        self._compare(beacon)
+        self._catch_up.compare(beacon)
 
     def tick(self) -> None:
         """Take note of who has fallen silent."""
@@ -189,65 +174,6 @@
         heard = self._is_recent(self._outage_at)
         return heard or self._knowledge.outage.is_felt()
 
-    # ------------------------------------------------------------ asking peers
-
-    def join(self, seeds: ty.Iterable[str]) -> None:
-        """Learn of the others from those whose addresses are known.
-
-        Used beside the store, which may be out while this router starts.
-        """
-        for address in seeds:
-            if address == self._members.me.peer_address:
-                continue
-            request = pb.JoinRequest(member=self._members.me)
-            reply = self._peers.call(address, 'Join', request, _CALL_MS)
-            if isinstance(reply, failures.Failure):
-                continue
-            for member in reply.members:
-                self._members.learn(member)
-            self.ask_config(address)
-            self.ask_upstreams(address)
-
-    def ask_config(self, address: str) -> bool:
-        """Take a peer's configuration, if it is newer; say whether it was."""
-        reply = self._peers.call(
-            address, 'FetchConfig', pb.ConfigRequest(), _CALL_MS
-        )
-        if isinstance(reply, failures.Failure):
-            return False
-        source = f'peer {address}'
-        news = False
-        try:
-            if reply.config:
-                routes = json.loads(reply.config)
-                news = self._config.offer_routes(routes, source)
-            if reply.document:
-                own = json.loads(reply.document)
-                news |= self._config.offer_own(
-                    reply.document_version, own, source
-                )
-        except (ValueError, RecursionError) as exc:
-            self._log.error('peer_garbled', peer=address, error=str(exc)[:200])
-        return news
-
-    def ask_upstreams(self, address: str) -> bool:
-        """Take in what a peer knows of upstreams; say whether it was news."""
-        request = pb.UpstreamsRequest(since=self._table.revision)
-        reply = self._peers.call(address, 'FetchUpstreams', request, _CALL_MS)
-        if isinstance(reply, failures.Failure):
-            return False
-        news = [r for r in reply.upstreams if self._table.merge(r)]
-        self._table.revision = max(self._table.revision, reply.revision)
-        for record in news:
-            self._log.info(
-                'upstream_from_peer',
-                peer=address,
-                upstream=record.upstream.name,
-                state=pb.UpstreamState.Name(record.state),
-                revision=record.revision,
-            )
-        return bool(news)
-
     # ---------------------------------------------------------------- totals
 
     def _fill(self) -> pb.Beacon:
@@ -370,61 +296,6 @@
 
     # ---------------------------------------------------------------- private
 
-    def _compare(self, beacon: pb.Beacon) -> None:
-        address = beacon.member.peer_address
-        own = self._config.routes.version, self._config.own.version
-        self._note(
-            'config',
-            own,
-            beacon.config_version > own[0] or beacon.document_version > own[1],
-            self.ask_config,
-            address,
-        )
-        self._note(
-            'upstreams',
-            self._table.revision,
-            beacon.upstreams_revision > self._table.revision,
-            self.ask_upstreams,
-            address,
-        )
-
-    def _note(
-        self,
-        what: str,
-        own: ty.Any,
-        ahead: bool,
-        ask: ty.Callable[[str], bool],
-        address: str,
-    ) -> None:
-        """Ask a peer that is ahead, once the own watch had its time.
-
-        Parameters
-        ----------
-        own : int or tuple
-            What this router has got: while it stays so, time counts.
-        """
-        if not ahead:
-            return
-        now = self._clock.now()
-        known, since = self._behind.get(what, (None, now))
-        if known != own:
-            since = now
-        self._behind[what] = own, since
-        patience = _PATIENCE_MS if self._knowledge.is_watching(what) else 0
-        if now - since < patience or what in self._asking:
-            return
-        self._asking.add(what)
-        self._spawn(f'ask_{what}', self._ask, what, ask, address)
-
-    def _ask(
-        self, what: str, ask: ty.Callable[[str], bool], address: str
-    ) -> None:
-        try:
-            if ask(address):
-                self._knowledge.overtaken()
-        finally:
-            self._asking.discard(what)
-
     def _some_peer(self) -> ty.Optional[pb.Member]:
         heard = self._members.heard()
         return self._choice.choice(heard).member if heard else None
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -18,6 +18,7 @@
 from peridotmast import invariants as invariants_
 from peridotmast import logs
 from peridotmast.platform import cloud_api
+from peridotmast.router import catch_up as catch_up_
 from peridotmast.router import drain as drain_
 from peridotmast.router import faces as faces_
 from peridotmast.router import knowledge as knowledge_
@@ -122,14 +123,16 @@
             self._clock,
         )
         """The lease on all duties."""
+        self._catch_up = catch_up_.CatchUp(
+            self._clock, self.knowledge, self._peers, self._tasks.spawn
+        )
         self._peering = peering_.Peering(
             self._clock,
             self.knowledge,
             self.serving,
             sharing_.Sharing(self.serving, self.table),
             self.lease,
-            self._peers,
-            self._tasks.spawn,
+            self._catch_up,
         )
         host = cfg.peer_listen.rpartition(':')[0]
         port = cfg.ports[0] if cfg.ports else 0
@@ -280,7 +283,7 @@
         self.knowledge.begin(
             self._tasks, self._peering.is_outage_felt, self._tell_news
         )
-        self._tasks.spawn('join', self._peering.join, self.cfg.seeds)
+        self._tasks.spawn('join', self._catch_up.join, self.cfg.seeds)
         every('beacons', self.cfg.beacon_ms, self.beacons.send_round)
         every('keep_house', _HOUSEKEEPING_MS, self._keep_house)
         every('lease', _LEASE_TICK_MS, self._holder.keep_lease)
--- a/tools/pages.py
+++ b/tools/pages.py
@@ -52,7 +52,7 @@
     'coordination/upstream_feed',
     'coordination/watchers',
     'duties/capacity_plan',
-    'duties/demand',
+    'serving/demand',
     'duties/event_plan',
     'duties/holder',
     'duties/need',
