Routers' logs explain why requests were late or lost

Cause: where worth is lost had to be read out of logs by hand. Change: peridotmast-load explain gives losses by cause and moment, with a plot; attempts log tokens, shared ones and places, answers their target.

--- a/src/peridotmast/cli/load.py
+++ b/src/peridotmast/cli/load.py
@@ -14,6 +14,7 @@
 from peridotmast.load import diff
 from peridotmast.load import event as event_
 from peridotmast.load import experiment
+from peridotmast.load import explain
 from peridotmast.load import lease_trials
 from peridotmast.load import overhead as overhead_
 from peridotmast.load import overload as overload_
@@ -134,6 +135,18 @@
         _end(experiment.run(loaded, seed, out, _progress), out)
 
 
+@main.command('explain')
+@click.argument('logs', nargs=-1, required=True)
+@click.option('--out', default='explained', show_default=True)
+def explain_logs(logs: tuple[str, ...], out: str) -> None:
+    """Tell from routers' LOGS why requests were late or lost."""
+    try:
+        click.echo('\n'.join(explain.run(logs, out)))
+    except OSError as exc:
+        click.echo(str(exc), err=True)
+        sys.exit(_program.BAD_SETTINGS)
+
+
 @main.command('diff')
 @click.argument('first')
 @click.argument('second')
--- a/src/peridotmast/duties/need.py
+++ b/src/peridotmast/duties/need.py
@@ -32,7 +32,7 @@
 """How far off what it is said to read an engine may be found to read: samples
 that are all of a kind that nobody thought of must not empty a fleet."""
 
-_SCATTER = 1.2
+_SCATTER = 0.9
 """Upstreams beside the load, for each root of it. Prompts of 200 to 40,000
 tokens scatter more than arrivals that are all alike, for which 1 is usual."""
 
--- a/src/peridotmast/duties/scale_round.py
+++ b/src/peridotmast/duties/scale_round.py
@@ -109,8 +109,11 @@
 
     def order_firm(self) -> None:
         """Order firm upstreams in place of what is not to be had."""
+        expected = self._expected()
         grown = self._plans.cheapest(
-            self._market(optimistic=False), self._needed, self._expected()
+            self._market(optimistic=False),
+            self._firm_needed(expected),
+            expected,
         )
         for domain in self._domains:
             self._raise_to(domain, False, grown.firm[domain])
@@ -135,6 +138,17 @@
 
     # --------------------------------------------------------------- what is
 
+    def _firm_needed(self, mix: capacity_plan.Mix) -> int:
+        """Return how many must be left at a loss, where firm ones stand in.
+
+        A reclaim is announced about as long before as a new one boots, so
+        the gap is a few seconds; firm ones against it are paid for as long
+        as nothing reclaimable is to be had. So they outlast the loss of one
+        upstream, not of all in a failure domain.
+        """
+        height = max(mix.reclaimable.values(), default=0)
+        return max(1, self._needed - max(0, height - 1))
+
     def _held(
         self,
         market: capacity_plan.Market,
@@ -216,7 +230,9 @@
         ):
             # What is given back now is not to be had again.
             keep = self._live.reclaimable
-        found = capacity_plan.spare(market, self._live, self._needed, keep)
+        found = capacity_plan.spare(
+            market, self._live, self._firm_needed(self._live), keep
+        )
         if found is None or self._expected().total < self._live.total:
             return False
         domain, reclaimable = found
--- a/src/peridotmast/serving/desk.py
+++ b/src/peridotmast/serving/desk.py
@@ -308,6 +308,7 @@
             shared=sum(p.tokens for p in work.exchange.prompt.shared),
             running=place.grounds.running,
             unread=place.grounds.unread,
+            slots=place.view.slots,
             outcome=outcome,
             detail=result.detail if failed else '',
         )
--- a/src/peridotmast/serving/gateway.py
+++ b/src/peridotmast/serving/gateway.py
@@ -194,6 +194,7 @@
                 upstream=reply.upstream,
                 status=outcome,
                 first_ms=waited,
+                target_ms=exchange.route.target_ms,
                 ms=took,
             )
 
