Long prompts are told at once; urgency by slack; firm ones against one loss

Change: a prompt of 1,000 tokens and more is told to the other routers as it is sent and as it is read, in small fleets; requests are urgent by rank and by the slack that their own reading leaves; firm ones outlast the loss of one upstream, not of a failure domain. A test that asked for more is replaced: one firm one may go as soon as no single loss misses it.

--- a/features/groups.feature
+++ b/features/groups.feature
@@ -66,3 +66,9 @@
     And the time of day of one that is no head jumps by 5000 ms
     And 2000 ms pass in the groups
     Then all of them agree on the time
+
+  Scenario: What two heads tell by turns counts once
+    Given a member that hears of 100 and then 200 from one head
+    When it hears of 1000 and then 1100 from another one
+    And it hears of 1200 and then 1250 from the first one
+    Then 250 have been counted
--- a/features/limits.feature
+++ b/features/limits.feature
@@ -98,3 +98,26 @@
     Given 5 idle engines as seen by 3 routers
     When the home of a beginning has 40000 unread tokens
     Then requests with that beginning go elsewhere
+
+  Scenario Outline: How urgent a request is, by rank and by its slack
+    Then a prompt of <tokens> tokens with a target of <target> ms and rank <rank> is at level <level>
+
+    Examples:
+      | tokens | target | rank | level |
+      | 500    | 400    | 2    | 2     |
+      | 3600   | 800    | 1    | 2     |
+      | 17000  | 800    | 1    | 3     |
+      | 39000  | 800    | 1    | 5     |
+      | 500    | 600    | 0    | 0     |
+      | 39000  | 800    | 4    | 9     |
+
+  Scenario: Engines that read faster leave more slack
+    Then a prompt of 17000 tokens is more urgent where 100 tokens a ms are read than where 20 are
+
+  Scenario: A long prompt is told to the others as it is sent and as it is read
+    Given a fleet of 3 routers whose beacons come every 10000 ms
+    When one router sends a prompt of 5000 tokens to an engine
+    Then the others know of 5000 unread tokens there
+    When its prompt is read
+    Then the others know of 0 unread tokens there
+
--- a/features/planner.feature
+++ b/features/planner.feature
@@ -40,9 +40,9 @@
     Given prices of 1.0, 0.8, 1.25 and 0.9 and reclaimable ones at 0.22 of them
     And 5 are needed and one each is there, and 2 firm ones
     When second ones are ordered in "a", "b" and "d" and that in "b" comes first
-    Then none is given back
+    Then one firm one is given back, which no single loss would miss
     When those in "a" and "d" have come too
-    Then the firm ones are given back and no reclaimable one
+    Then the last firm one is given back and no reclaimable one
 
   Scenario: An order that was refused is tried less and less often
     Given an order book
--- a/features/steps/group_steps.py
+++ b/features/steps/group_steps.py
@@ -14,6 +14,7 @@
 from peridotmast.coordination import fleet_clock
 from peridotmast.coordination import groups
 from peridotmast.coordination import members as members_
+from peridotmast.coordination import tally
 from peridotmast.router import catch_up as catch_up_
 from peridotmast.router import peering as peering_
 from peridotmast.router import sharing as sharing_
@@ -346,3 +347,30 @@
 def agree_on_time(context):
     times = {node.time.now() for node in context.groups.nodes.values()}
     assert max(times) - min(times) <= 10, times
+
+
+@given('a member that hears of {a:d} and then {b:d} from one head')
+def hears_from_one(context, a, b):
+    context.counted = collections.Counter()
+    context.tally = tally.Tally(dict, context.counted.update)
+    hears_from(context, 'first', a, b)
+
+
+def hears_from(context, head, *counts):
+    for count in counts:
+        context.tally.follow(head, 1, {'noor': count}, True)
+
+
+@when('it hears of {a:d} and then {b:d} from another one')
+def hears_from_another(context, a, b):
+    hears_from(context, 'second', a, b)
+
+
+@when('it hears of {a:d} and then {b:d} from the first one')
+def hears_from_first(context, a, b):
+    hears_from(context, 'first', a, b)
+
+
+@then('{count:d} have been counted')
+def have_been_counted(context, count):
+    assert context.counted['noor'] == count, context.counted
--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -12,6 +12,7 @@
 
 from peridotmast import clock as clock_
 from peridotmast.coordination import tally
+from peridotmast.embedded import shape as shape_
 from peridotmast import green
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import candidates
@@ -22,6 +23,7 @@
 from peridotmast.serving import retry_budget
 from peridotmast.serving import upstream_view
 from peridotmast.serving import upstreams as upstreams_
+from peridotmast.serving import urgency
 
 STEP_MS = 50
 BEACON_MS = 250
@@ -314,6 +316,7 @@
         route=pb.Route(name='r', kind=pb.STREAMING),
         team='t',
         priority=1,
+        urgency=4,
         entered=0,
         ends_at=0,
         caller=None,
@@ -517,3 +520,61 @@
 @then('green time passes')
 def green_time(context):
     green.sleep_ms(1)
+
+
+# -------------------------------------------------------------------- urgency
+
+
+@then(
+    'a prompt of {tokens:d} tokens with a target of {target:d} ms and rank'
+    ' {rank:d} is at level {level:d}'
+)
+def at_level(context, tokens, target, rank, level):
+    found = urgency.level(rank, tokens, target, None)
+    assert found == level, found
+
+
+@then(
+    'a prompt of {tokens:d} tokens is more urgent where {fast:d} tokens a ms'
+    ' are read than where {slow:d} are'
+)
+def more_urgent(context, tokens, fast, slow):
+    levels = [urgency.level(1, tokens, 800, speed) for speed in (fast, slow)]
+    assert levels[0] < levels[1], levels
+
+
+# ------------------------------------------------------------------ load news
+
+
+@given('a fleet of {count:d} routers whose beacons come every {ms:d} ms')
+def seldom_beacons(context, count, ms):
+    helpers.start_fleet(context, routers=count)
+    for router in context.fleet.routers:
+        # The tasks that send them have been started; they find nothing due.
+        router.beacons._due = lambda: []
+
+
+@when('one router sends a prompt of {tokens:d} tokens to an engine')
+def sends_prompt(context, tokens):
+    service = pb.Service(name=shape_.ENGINES, slots=64)
+    exchange = exchange_with('a')
+    exchange.prompt = exchange_.Prompt(tokens_in=tokens, tokens_out=10)
+    places = context.fleet.routers[0].serving.places
+    context.place = places.choose(exchange, service)
+
+
+@when('its prompt is read')
+def prompt_read(context):
+    context.place.was_read()
+
+
+@then('the others know of {tokens:d} unread tokens there')
+def others_know(context, tokens):
+    name = context.place.view.name
+    helpers.wait_until(
+        lambda: all(
+            router.table.get(name).load().unread == tokens
+            for router in context.fleet.routers[1:]
+        ),
+        'the others know',
+    )
--- a/src/peridotmast/coordination/beacon_check.py
+++ b/src/peridotmast/coordination/beacon_check.py
@@ -22,6 +22,11 @@
     believed, so it is not taken in at all.
     """
     found = findings_.Findings()
+    if beacon.HasField('load_news'):
+        load = beacon.load_news.load
+        if min(load.running, load.unread, load.memory) < 0:
+            found.add('load_news', 'must not be negative')
+        return found
     _check_member(found, 'member', beacon.member)
     if beacon.HasField('other'):
         _check_member(found, 'other', beacon.other)
--- a/src/peridotmast/coordination/beacons.py
+++ b/src/peridotmast/coordination/beacons.py
@@ -98,12 +98,18 @@
 
     def send_round(self) -> None:
         """Send the beacons that are due."""
+        for beacon, peers in self._due():
+            self.send(beacon, peers)
+
+    def send(
+        self, beacon: pb.Beacon, peers: ty.Iterable[members_.Peer]
+    ) -> None:
+        """Send one beacon to some peers."""
         if self._sock.fileno() < 0:
             return
-        for beacon, peers in self._due():
-            data = self._pack(beacon)
-            for peer in peers:
-                self._send(data, peer.member.beacon_address)
+        data = self._pack(beacon)
+        for peer in peers:
+            self._send(data, peer.member.beacon_address)
 
     def send_news(self) -> None:
         """Tell all peers at once what is new of this router.
@@ -112,12 +118,7 @@
         bytes each bring it to everybody at once, and it comes a few hundred
         times an hour.
         """
-        peers = self._members.peers()
-        if not peers or self._sock.fileno() < 0:
-            return
-        data = self._pack(self._fill_news())
-        for peer in peers:
-            self._send(data, peer.member.beacon_address)
+        self.send(self._fill_news(), self._members.peers())
 
     def _send(self, data: bytes, address: str) -> None:
         host, _, port = address.rpartition(':')
--- a/src/peridotmast/coordination/groups.py
+++ b/src/peridotmast/coordination/groups.py
@@ -56,7 +56,10 @@
             if peer.member.name in heard
             or (not peer.heard_at and peer.known_at > limit)
         ]
-        return Look(self._me, known, heard)
+        # Also those that are silent now: else a gap in what is heard would
+        # sort all routers anew.
+        count = _groups_of(len(self._members.peers()) + 1)
+        return Look(self._me, known, heard, count)
 
 
 class Look:
@@ -70,6 +73,8 @@
         The peers that may be there.
     heard : collection of str
         Names of those that are.
+    count : int
+        Groups that there are.
     """
 
     def __init__(
@@ -77,9 +82,10 @@
         me: str,
         known: ty.Sequence[members_.Peer],
         heard: ty.Collection[str],
+        count: int,
     ) -> None:
         self._me = me
-        self.count = _groups_of(len(known) + 1)
+        self.count = count
         """Groups that there are."""
         self._heard = heard
         self._groups: dict[int, list[members_.Peer]] = {}
--- a/src/peridotmast/duties/scale_round.py
+++ b/src/peridotmast/duties/scale_round.py
@@ -94,8 +94,10 @@
             return
         for _ in self._domains:
             market = self._market(optimistic=True)
-            grown = self._held(market, self._expected())
-            ideal = self._held(market)
+            grown = self._plans.cheapest(
+                market, self._reserve, self._expected()
+            )
+            ideal = self._plans.cheapest(market, self._reserve)
             wanted = grown
             if market.price(ideal) < market.price(grown):
                 wanted = ideal
@@ -149,23 +151,6 @@
         height = max(mix.reclaimable.values(), default=0)
         return max(1, self._needed - max(0, height - 1))
 
-    def _held(
-        self,
-        market: capacity_plan.Market,
-        floor: ty.Optional[capacity_plan.Mix] = None,
-    ) -> capacity_plan.Mix:
-        """Return the mix that outlasts a loss and holds the reserve.
-
-        A demand that is seldom reached and a loss seldom come together, so
-        the reserve is in all, not what is left.
-        """
-        mix = self._plans.cheapest(market, self._needed, floor)
-        for needed in range(self._needed + 1, self._reserve + 1):
-            if mix.total >= self._reserve:
-                break
-            mix = self._plans.cheapest(market, needed, floor)
-        return mix
-
     def _expected(self) -> capacity_plan.Mix:
         """Return what there is, and what was ordered and will come."""
         reclaimable, firm = (
@@ -222,7 +207,7 @@
 
     def _give_one_back(self) -> bool:
         market = self._market(optimistic=False)
-        wanted = self._held(market)
+        wanted = self._plans.cheapest(market, self._reserve)
         keep = wanted.reclaimable
         if any(
             self._book.is_closed(self._key(domain, True))
--- a/src/peridotmast/load/slopes.py
+++ b/src/peridotmast/load/slopes.py
@@ -299,6 +299,7 @@
         route=pb.Route(name='chat', kind=pb.STREAMING),
         team='kalnins',
         priority=0,
+        urgency=4,
         entered=0,
         ends_at=0,
         caller=ty.cast(ty.Any, None),
--- a/src/peridotmast/platform/dialect.py
+++ b/src/peridotmast/platform/dialect.py
@@ -10,10 +10,6 @@
 from peridotmast.serving import upstream_view
 from peridotmast.wire import connection
 
-_MOST_URGENT, _LEAST_URGENT = 0, 9
-_PRIORITY_STEP = 2
-"""How far two ranks of ours lie apart on the engines' scale of ten."""
-
 _ELSEWHERE = 421
 _SUCCESS = range(200, 300)
 _FAILURE = range(500, 600)
@@ -51,7 +47,7 @@
         if exchange.team:
             headers.append((names.TEAM, exchange.team))
         if exchange.is_stream:
-            headers.append((names.PRIORITY, str(urgency(exchange.priority))))
+            headers.append((names.PRIORITY, str(exchange.urgency)))
         if resume is not None:
             headers = [
                 (name, value)
@@ -93,8 +89,3 @@
         (names.TOKENS, counts if prompt.tokens_in else ''),
         (names.PROMPT_PARTS, parts),
     ]
-
-
-def urgency(priority: int) -> int:
-    """Return the engines' number for a rank of ours."""
-    return max(_MOST_URGENT, min(_LEAST_URGENT, _PRIORITY_STEP * priority))
--- a/src/peridotmast/router/peering.py
+++ b/src/peridotmast/router/peering.py
@@ -16,6 +16,7 @@
 from peridotmast.router import serving as serving_
 from peridotmast.router import sharing as sharing_
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import upstream_view
 
 _FELT_MS = 1000
 """How long a peer's word of a store that fails it holds: a few beacons."""
@@ -128,8 +129,26 @@
             news_only=True,
         )
 
+    def load_round(self, view: upstream_view.UpstreamView) -> beacons_.Round:
+        """Return news of this router's work at an upstream, and for whom.
+
+        In a large fleet there are too many to tell each other.
+        """
+        if self._groups.is_split():
+            return []
+        me = self._members.me
+        news = pb.LoadNews(
+            router=me.name,
+            incarnation=me.incarnation,
+            load=self._table.load_of(view),
+        )
+        return [(pb.Beacon(load_news=news), self._members.heard())]
+
     def take(self, beacon: pb.Beacon) -> None:
         """Take in a peer's beacon."""
+        if beacon.HasField('load_news'):
+            self._take_load(beacon.load_news)
+            return
         member = beacon.member
         if not self._members.hear(member):
             return
@@ -213,6 +232,13 @@
             beacon.others.CopyFrom(self._sharing.others(peer.member.name))
             yield beacon, [peer]
 
+    def _take_load(self, news: pb.LoadNews) -> None:
+        peer = self._members.get(news.router)
+        if peer is None or not peer.heard_at:
+            return
+        if news.incarnation == peer.member.incarnation:
+            self._table.take_load(news.router, news.load)
+
     def _take_totals(self, beacon: pb.Beacon) -> None:
         """Take in what a peer counts, as far as it is the one to tell it."""
         name, run = beacon.member.name, beacon.member.incarnation
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -30,6 +30,7 @@
 from peridotmast import rpc
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.schema import peridotmast_pb2_grpc as pb_grpc
+from peridotmast.serving import upstream_view
 from peridotmast import tracing
 
 LEASE = 'duties'
@@ -145,6 +146,7 @@
             _secret(tls),
         )
         """What the routers tell each other."""
+        self.serving.places.tell = self._tell_load
 
     def _make_duties(self) -> None:
         platform, bounds = self._file.platform, self._file.bounds
@@ -294,6 +296,10 @@
         self.beacons.send_round()
         self.beacons.send_news()
 
+    def _tell_load(self, view: upstream_view.UpstreamView) -> None:
+        for beacon, peers in self._peering.load_round(view):
+            self.beacons.send(beacon, peers)
+
     def _tell_news(self) -> None:
         """Tell those who don't watch that there is news."""
         if not self.knowledge.watchers.all_watch():
--- a/src/peridotmast/router/serving.py
+++ b/src/peridotmast/router/serving.py
@@ -89,15 +89,16 @@
         self._sender = sender_.Sender(
             clock, self.pool, dialect.PlatformDialect(), self.decisions
         )
-        self._places = placement.Placement(
+        self.places = placement.Placement(
             knowledge.table,
             placement.POLICIES[cfg.policy](cfg.failure_domain),
             cfg.name,
         )
+        """Which upstream each request goes to."""
         self._relay = stream_relay.StreamRelay(
             clock,
             self._sender,
-            self._places,
+            self.places,
             self.budget,
             self._metrics,
             self.decisions,
@@ -105,7 +106,7 @@
         mover = mover_.Mover(
             clock,
             self._relay,
-            self._places,
+            self.places,
             engine_control.EngineControl(_MOVE_MS),
             self.decisions,
             spawn,
@@ -143,7 +144,7 @@
         return desk_.Desk(
             self._clock,
             self._sender,
-            self._places,
+            self.places,
             self._relay,
             self.budget,
             self.usage,
--- a/src/peridotmast/serving/exchange.py
+++ b/src/peridotmast/serving/exchange.py
@@ -64,6 +64,8 @@
     """Team whose key it carried; empty on public routes without one."""
     priority: int
     """Rank among all requests, 0 first."""
+    urgency: int
+    """Level among those that wait at an engine, 0 first."""
     entered: int
     """Moment of arrival, in ms on the router's clock."""
     ends_at: int
--- a/src/peridotmast/serving/gateway.py
+++ b/src/peridotmast/serving/gateway.py
@@ -16,6 +16,7 @@
 from peridotmast.serving import quota as quota_
 from peridotmast.serving import reply as reply_
 from peridotmast.serving import route_table
+from peridotmast.serving import urgency
 from peridotmast import tracing
 from peridotmast.wire import connection
 
@@ -221,6 +222,7 @@
         ends_at = asked.entered + route.timeout_ms
         if asked.patience_ms:
             ends_at = min(ends_at, asked.entered + asked.patience_ms)
+        priority = _priority(asked, route, team)
         exchange = exchange_.Exchange(
             id=asked.id,
             method=asked.method,
@@ -229,7 +231,13 @@
             body=asked.body,
             route=route,
             team=team.name if team else '',
-            priority=_priority(asked, route, team),
+            priority=priority,
+            urgency=urgency.level(
+                priority,
+                asked.prompt.tokens_in,
+                route.target_ms,
+                self._demand.reading(service.name),
+            ),
             entered=asked.entered,
             ends_at=ends_at,
             caller=asked.caller,
--- a/src/peridotmast/serving/placement.py
+++ b/src/peridotmast/serving/placement.py
@@ -40,6 +40,14 @@
 the way takes a few milliseconds there and back."""
 
 
+_TOLD_TOKENS = 1000
+"""Prompt whose coming and going is told to the others at once: of the first
+tokens that were late, three in five had waited behind prompts of other
+routers that no beacon had told of yet, and most of those were this long."""
+
+Tell = ty.Callable[[upstream_view.UpstreamView], None]
+
+
 class Policy(ty.Protocol):
     """Orders upstreams for a request."""
 
@@ -176,13 +184,21 @@
 
 
 class Place:
-    """A request's work at one upstream; `release` it when done."""
+    """A request's work at one upstream; `release` it when done.
+
+    Parameters
+    ----------
+    tell : callable
+        Told of the upstream where so much was added or taken away there that
+        other routers would choose otherwise.
+    """
 
     def __init__(
         self,
         view: upstream_view.UpstreamView,
         exchange: exchange_.Exchange,
         grounds: Grounds = Grounds(),
+        tell: Tell = lambda view: None,
     ) -> None:
         self.view = view
         """The upstream."""
@@ -193,16 +209,27 @@
             1, prompt.tokens_in, prompt.tokens_in + prompt.tokens_out
         )
         view.take_on(self._load)
+        self._tell = tell
+        self._is_telling = prompt.tokens_in >= _TOLD_TOKENS
+        if self._is_telling:
+            tell(view)
 
     def was_read(self) -> None:
         """Note that the first event has come: its prompt is read."""
         self.view.hand_back(upstream_view.Load(unread=self._load.unread))
         self._load.unread = 0
+        self._tell_end()
 
     def release(self) -> None:
         """Take the work away; doing so twice is the same as once."""
         self.view.hand_back(self._load)
         self._load = upstream_view.Load()
+        self._tell_end()
+
+    def _tell_end(self) -> None:
+        if self._is_telling:
+            self._is_telling = False
+            self._tell(self.view)
 
 
 class Placement:
@@ -228,6 +255,8 @@
         self._policy = policy
         self._router = router
         self._candidates: dict[str, candidates_.Candidates] = {}
+        self.tell: Tell = lambda view: None
+        """Told of upstreams at which this router's work has changed much."""
 
     def choose(
         self,
@@ -257,7 +286,7 @@
             return None
         best, load = ordered[0], ordered[0].load()
         grounds = Grounds(len(views), best is home, load.running, load.unread)
-        return Place(best, exchange, grounds)
+        return Place(best, exchange, grounds, self.tell)
 
     def _among(self, service: str) -> candidates_.Candidates:
         live = self._table.live(service)
--- a/src/peridotmast/serving/upstreams.py
+++ b/src/peridotmast/serving/upstreams.py
@@ -151,17 +151,31 @@
     def my_loads(self) -> list[pb.UpstreamLoad]:
         """Return this router's work at each upstream that has some."""
         return [
-            pb.UpstreamLoad(
-                upstream=view.name,
-                running=view.mine.running,
-                unread=view.mine.unread,
-                memory=view.mine.memory,
-                born=view.born,
-            )
+            self.load_of(view)
             for view in self._busy
             if self._views.get(view.name) is view
         ]
 
+    def load_of(self, view: upstream_view.UpstreamView) -> pb.UpstreamLoad:
+        """Return this router's work at one upstream."""
+        return pb.UpstreamLoad(
+            upstream=view.name,
+            running=view.mine.running,
+            unread=view.mine.unread,
+            memory=view.mine.memory,
+            born=view.born,
+        )
+
+    def take_load(self, router: str, load: pb.UpstreamLoad) -> None:
+        """Take in another router's work at one upstream."""
+        if not self._is_of_this_run(load):
+            return
+        self._views[load.upstream].set_other(
+            router,
+            upstream_view.Load(load.running, load.unread, load.memory),
+        )
+        self._told.setdefault(router, set()).add(load.upstream)
+
     def take_loads(
         self, router: str, loads: ty.Iterable[pb.UpstreamLoad]
     ) -> None:
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -429,6 +429,53 @@
         'return max(live, pending.live) + pending.coming',
         'planner',
     ),
+    Mutation(
+        'count by two ways what one has counted',
+        COORDINATION + 'tally.py',
+        """        if counted:
+            self._apply(grown)
+
+    def hear_group(""",
+        """        self._apply(grown)
+
+    def hear_group(""",
+        'groups',
+    ),
+    Mutation(
+        'go on from what another head has told',
+        COORDINATION + 'tally.py',
+        'if self._heads.get(_OWN) != head:',
+        'if False:',
+        'groups',
+    ),
+    Mutation(
+        'keep naming what its head does not name',
+        COORDINATION + 'members.py',
+        'self._peers[name].told_at = 0',
+        'pass',
+        'groups',
+    ),
+    Mutation(
+        'believe a late word of the run of a router before',
+        'peridotmast/router/peering.py',
+        'if news.incarnation == peer.member.incarnation:',
+        'if False:',
+        'limits',
+    ),
+    Mutation(
+        'serve long prompts as soon as short ones',
+        SERVING + 'urgency.py',
+        '_RANK_STEP * rank + step',
+        '_RANK_STEP * rank',
+        'limits',
+    ),
+    Mutation(
+        'outlast no loss with firm ones',
+        DUTIES + 'scale_round.py',
+        'return max(1, self._needed - max(0, height - 1))',
+        'return 1',
+        'planner',
+    ),
 )
 
 
