--- a/src/peridotmast/duties/scale_round.py
+++ b/src/peridotmast/duties/scale_round.py
@@ -94,8 +94,10 @@
             return
         for _ in self._domains:
             market = self._market(optimistic=True)
-            grown = self._held(market, self._expected())
-            ideal = self._held(market)
+            grown = self._plans.cheapest(
+                market, self._reserve, self._expected()
+            )
+            ideal = self._plans.cheapest(market, self._reserve)
             wanted = grown
             if market.price(ideal) < market.price(grown):
                 wanted = ideal
@@ -109,8 +111,11 @@
 
     def order_firm(self) -> None:
         """Order firm upstreams in place of what is not to be had."""
+        expected = self._expected()
         grown = self._plans.cheapest(
-            self._market(optimistic=False), self._needed, self._expected()
+            self._market(optimistic=False),
+            self._firm_needed(expected),
+            expected,
         )
         for domain in self._domains:
             self._raise_to(domain, False, grown.firm[domain])
@@ -135,22 +140,16 @@
 
     # --------------------------------------------------------------- what is
 
-    def _held(
-        self,
-        market: capacity_plan.Market,
-        floor: ty.Optional[capacity_plan.Mix] = None,
-    ) -> capacity_plan.Mix:
-        """Return the mix that outlasts a loss and holds the reserve.
+    def _firm_needed(self, mix: capacity_plan.Mix) -> int:
+        """Return how many must be left at a loss, where firm ones stand in.
 
-        A demand that is seldom reached and a loss seldom come together, so
-        the reserve is in all, not what is left.
+        A reclaim is announced about as long before as a new one boots, so
+        the gap is a few seconds; firm ones against it are paid for as long
+        as nothing reclaimable is to be had. So they outlast the loss of one
+        upstream, not of all in a failure domain.
         """
-        mix = self._plans.cheapest(market, self._needed, floor)
-        for needed in range(self._needed + 1, self._reserve + 1):
-            if mix.total >= self._reserve:
-                break
-            mix = self._plans.cheapest(market, needed, floor)
-        return mix
+        height = max(mix.reclaimable.values(), default=0)
+        return max(1, self._needed - max(0, height - 1))
 
     def _expected(self) -> capacity_plan.Mix:
         """Return what there is, and what was ordered and will come."""
@@ -208,7 +207,7 @@
 
     def _give_one_back(self) -> bool:
         market = self._market(optimistic=False)
-        wanted = self._held(market)
+        wanted = self._plans.cheapest(market, self._reserve)
         keep = wanted.reclaimable
         if any(
             self._book.is_closed(self._key(domain, True))
@@ -216,7 +215,9 @@
         ):
             # What is given back now is not to be had again.
             keep = self._live.reclaimable
-        found = capacity_plan.spare(market, self._live, self._needed, keep)
+        found = capacity_plan.spare(
+            market, self._live, self._firm_needed(self._live), keep
+        )
         if found is None or self._expected().total < self._live.total:
             return False
         domain, reclaimable = found
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -18,6 +18,7 @@
 from peridotmast import invariants as invariants_
 from peridotmast import logs
 from peridotmast.platform import cloud_api
+from peridotmast.router import catch_up as catch_up_
 from peridotmast.router import drain as drain_
 from peridotmast.router import faces as faces_
 from peridotmast.router import knowledge as knowledge_
@@ -29,6 +30,7 @@
 from peridotmast import rpc
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.schema import peridotmast_pb2_grpc as pb_grpc
+from peridotmast.serving import upstream_view
 from peridotmast import tracing
 
 LEASE = 'duties'
@@ -122,14 +124,16 @@
             self._clock,
         )
         """The lease on all duties."""
+        self._catch_up = catch_up_.CatchUp(
+            self._clock, self.knowledge, self._peers, self._tasks.spawn
+        )
         self._peering = peering_.Peering(
             self._clock,
             self.knowledge,
             self.serving,
             sharing_.Sharing(self.serving, self.table),
             self.lease,
-            self._peers,
-            self._tasks.spawn,
+            self._catch_up,
         )
         host = cfg.peer_listen.rpartition(':')[0]
         port = cfg.ports[0] if cfg.ports else 0
@@ -142,6 +146,7 @@
             _secret(tls),
         )
         """What the routers tell each other."""
+        self.serving.places.tell = self._tell_load
 
     def _make_duties(self) -> None:
         platform, bounds = self._file.platform, self._file.bounds
@@ -280,7 +285,7 @@
         self.knowledge.begin(
             self._tasks, self._peering.is_outage_felt, self._tell_news
         )
-        self._tasks.spawn('join', self._peering.join, self.cfg.seeds)
+        self._tasks.spawn('join', self._catch_up.join, self.cfg.seeds)
         every('beacons', self.cfg.beacon_ms, self.beacons.send_round)
         every('keep_house', _HOUSEKEEPING_MS, self._keep_house)
         every('lease', _LEASE_TICK_MS, self._holder.keep_lease)
@@ -291,6 +296,10 @@
         self.beacons.send_round()
         self.beacons.send_news()
 
+    def _tell_load(self, view: upstream_view.UpstreamView) -> None:
+        for beacon, peers in self._peering.load_round(view):
+            self.beacons.send(beacon, peers)
+
     def _tell_news(self) -> None:
         """Tell those who don't watch that there is news."""
         if not self.knowledge.watchers.all_watch():
