A router's certificate is told by a name that only routers share

Cause: any certificate of the authorities could call Join, enter itself as a router and by that name do everything. Change: [tls] router_name; who shows it not may not call the peer service, and rights of routers follow from it, not from names that are told.

--- a/src/peridotmast/duties/need.py
+++ b/src/peridotmast/duties/need.py
@@ -34,8 +34,8 @@
 
 _SLOWER_BOUND = 1.25
 """The same for slower. In a large fleet a router knows too late of what waits
-at an engine, so that busy ones look slow: 11.6 tokens a ms were seen of engines
-that read 38.1."""
+at an engine, so that busy ones look slow: 11.6 tokens a ms were seen where
+38.1 are read."""
 
 _SCATTER = 0.9
 """Upstreams beside the load, for each root of it. Prompts of 200 to 40,000
--- a/src/peridotmast/router/operator_service.py
+++ b/src/peridotmast/router/operator_service.py
@@ -30,8 +30,6 @@
     are no names, and every caller may do everything.
     """
 
-    wants_peer = True
-
     def __init__(
         self,
         clock: clock_.Clock,
@@ -43,7 +41,7 @@
         peers: rpc.RpcClient,
         operators: rpc.RpcClient,
         begin_drain: ty.Callable[[], None],
-        secured: bool,
+        tls: pb.TlsSettings,
     ) -> None:
         self._clock = clock
         self._feed = feed
@@ -54,16 +52,16 @@
         self._peers = peers
         self._operators = operators
         self._begin_drain = begin_drain
-        self._secured = secured
+        self._tls = tls
         self._log = logs.get('operators', router=members.me.name)
 
     # -------------------------------------------------------- configuration
 
     def ConfigApply(  # noqa: N802
-        self, req: pb.ConfigApplyRequest, peer: str
+        self, req: pb.ConfigApplyRequest, caller: rpc.Caller
     ) -> pb.ConfigApplyReply:
         """Check a document and commit it where its base still stands."""
-        self._allow(peer, READ if req.check_only else CONFIG)
+        self._allow(caller, READ if req.check_only else CONFIG)
         found = config_feed_.check(req.document)
         if found or req.check_only:
             texts = [pb.FindingText(place=f.place, text=f.text) for f in found]
@@ -71,20 +69,20 @@
         result = self._feed.commit(
             req.document,
             req.base_version,
-            peer or 'operator',
+            caller.name or 'operator',
             req.comment,
             self._clock.wall(),
         )
         if isinstance(result, failures.Failure):
             return self._not_committed(result)
-        self._log.info('document_committed', version=result, by=peer)
+        self._log.info('document_committed', version=result, by=caller.name)
         return pb.ConfigApplyReply(version=result)
 
     def ConfigStatus(  # noqa: N802
-        self, req: pb.ConfigStatusRequest, peer: str
+        self, req: pb.ConfigStatusRequest, caller: rpc.Caller
     ) -> pb.ConfigStatusReply:
         """Tell which versions are in force where, and the own document."""
-        self._allow(peer, READ)
+        self._allow(caller, READ)
         members = [self._members.me]
         members += [peer.member for peer in self._members.peers()]
         return pb.ConfigStatusReply(
@@ -94,10 +92,10 @@
         )
 
     def ConfigHistory(  # noqa: N802
-        self, req: pb.ConfigHistoryRequest, peer: str
+        self, req: pb.ConfigHistoryRequest, caller: rpc.Caller
     ) -> pb.ConfigHistoryReply:
         """Tell who changed the own document, and when."""
-        self._allow(peer, READ)
+        self._allow(caller, READ)
         history = self._feed.own.document.get('history') or ()
         return pb.ConfigHistoryReply(
             changes=[
@@ -114,10 +112,10 @@
     # ------------------------------------------------------------- the fleet
 
     def NodeList(  # noqa: N802
-        self, req: pb.NodeListRequest, peer: str
+        self, req: pb.NodeListRequest, caller: rpc.Caller
     ) -> pb.NodeListReply:
         """Tell which routers there are and who has the duties."""
-        self._allow(peer, READ)
+        self._allow(caller, READ)
         now = self._clock.now()
         reply = pb.NodeListReply()
         reply.nodes.add(member=self._members.me, silent_ms=-1)
@@ -130,10 +128,10 @@
         return reply
 
     def NodeDrain(  # noqa: N802
-        self, req: pb.NodeDrainRequest, peer: str
+        self, req: pb.NodeDrainRequest, caller: rpc.Caller
     ) -> pb.NodeDrainReply:
         """Begin a planned stop of this router or of another."""
-        self._allow(peer, DRAIN)
+        self._allow(caller, DRAIN)
         if req.name == self._members.me.name:
             self._begin_drain()
             return pb.NodeDrainReply(begun=True)
@@ -148,10 +146,10 @@
         return reply
 
     def UpstreamList(  # noqa: N802
-        self, req: pb.UpstreamListRequest, peer: str
+        self, req: pb.UpstreamListRequest, caller: rpc.Caller
     ) -> pb.UpstreamListReply:
         """Tell which upstreams there are and what they do."""
-        self._allow(peer, READ)
+        self._allow(caller, READ)
         reply = pb.UpstreamListReply()
         for view in sorted(self._table.all(), key=lambda view: view.name):
             load = view.load()
@@ -168,10 +166,10 @@
         return reply
 
     def RequestShow(  # noqa: N802
-        self, req: pb.RequestShowRequest, peer: str
+        self, req: pb.RequestShowRequest, caller: rpc.Caller
     ) -> pb.RequestShowReply:
         """Tell what all routers decided on a request."""
-        self._allow(peer, READ)
+        self._allow(caller, READ)
         reply = self.own_steps(req)
         for other in self._members.heard():
             theirs = self._peers.call(
@@ -183,10 +181,10 @@
         return pb.RequestShowReply(steps=ordered)
 
     def EventPlan(  # noqa: N802
-        self, req: pb.PlanRequest, peer: str
+        self, req: pb.PlanRequest, caller: rpc.Caller
     ) -> pb.PlanReply:
         """Explain what will be ordered for the events, when and why."""
-        self._allow(peer, READ)
+        self._allow(caller, READ)
         plan = event_plan.plan(self._feed.config, self._clock.wall())
         return pb.PlanReply(lines=event_plan.explain(plan))
 
@@ -199,23 +197,17 @@
 
     # --------------------------------------------------------------- private
 
-    def _allow(self, peer: str, role: str) -> None:
-        """Raise `rpc.Denied` where `peer` has not the role."""
-        if not self._secured:
-            return
-        routers = [
-            self._members.me,
-            *(p.member for p in self._members.peers()),
-        ]
-        if any(peer == member.name for member in routers):
+    def _allow(self, caller: rpc.Caller, role: str) -> None:
+        """Raise `rpc.Denied` where the caller has not the role."""
+        if not self._tls.cert_file or self._tls.router_name in caller.others:
             return
         operators = self._feed.config.operators
         if not operators and not self._feed.own.version:
             # Before the first document there is nobody to ask.
             return
-        if any(peer == o.name and role in o.may for o in operators):
+        if any(caller.name == o.name and role in o.may for o in operators):
             return
-        raise rpc.Denied(f'{peer or "nobody"} may not {role}')
+        raise rpc.Denied(f'{caller.name or "nobody"} may not {role}')
 
     def _node_status(self, member: pb.Member) -> pb.ConfigStatusReply.Node:
         node = pb.ConfigStatusReply.Node(name=member.name)
--- a/src/peridotmast/router/peer_service.py
+++ b/src/peridotmast/router/peer_service.py
@@ -7,12 +7,18 @@
 
 from peridotmast.coordination import config_feed as config_feed_
 from peridotmast.coordination import members as members_
+from peridotmast import rpc
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import upstreams as upstreams_
 
 
 class PeerService:
-    """Handlers of the Peer service."""
+    """Handlers of the Peer service.
+
+    Only routers may call it, which their certificates tell by a name that
+    they share: whoever else has one from the same authorities could enter
+    itself as a router. Without TLS there are no names.
+    """
 
     def __init__(
         self,
@@ -20,22 +26,28 @@
         config: config_feed_.ConfigFeed,
         table: upstreams_.UpstreamTable,
         own_steps: ty.Callable[[pb.RequestShowRequest], pb.RequestShowReply],
+        tls: pb.TlsSettings,
     ) -> None:
         self._members = members
         self._config = config
         self._table = table
         self._own_steps = own_steps
+        self._tls = tls
 
-    def Join(self, req: pb.JoinRequest) -> pb.JoinReply:  # noqa: N802
+    def Join(  # noqa: N802
+        self, req: pb.JoinRequest, caller: rpc.Caller
+    ) -> pb.JoinReply:
         """Learn of a starting router; tell it of the others."""
+        self._check(caller)
         self._members.learn(req.member)
         peers = [peer.member for peer in self._members.peers()]
         return pb.JoinReply(members=[self._members.me, *peers])
 
     def FetchConfig(  # noqa: N802
-        self, req: pb.ConfigRequest
+        self, req: pb.ConfigRequest, caller: rpc.Caller
     ) -> pb.ConfigReply:
         """Give both parts of the configuration in force."""
+        self._check(caller)
         routes, own = self._config.routes, self._config.own
         return pb.ConfigReply(
             config_version=routes.version,
@@ -45,9 +57,10 @@
         )
 
     def FetchUpstreams(  # noqa: N802
-        self, req: pb.UpstreamsRequest
+        self, req: pb.UpstreamsRequest, caller: rpc.Caller
     ) -> pb.UpstreamsReply:
         """Give the upstreams that have changed since a revision."""
+        self._check(caller)
         return pb.UpstreamsReply(
             upstreams=[
                 view.record
@@ -58,11 +71,18 @@
         )
 
     def FetchRequest(  # noqa: N802
-        self, req: pb.RequestShowRequest
+        self, req: pb.RequestShowRequest, caller: rpc.Caller
     ) -> pb.RequestShowReply:
         """Give what this router decided on a request."""
+        self._check(caller)
         return self._own_steps(req)
 
+    def _check(self, caller: rpc.Caller) -> None:
+        """Raise `rpc.Denied` where the caller is no router."""
+        known = self._tls.router_name in caller.others
+        if self._tls.cert_file and not known:
+            raise rpc.Denied(f'{caller.name or "nobody"} is no router')
+
 
 def _json(document: dict[str, ty.Any]) -> bytes:
     if not document:
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -270,10 +270,14 @@
             self._peers,
             self._operators,
             lambda: self._tasks.spawn('drain', self.drain),
-            bool(self._file.tls.cert_file),
+            self._file.tls,
         )
         peers = peer_service.PeerService(
-            self.members, self.config, self.table, operators.own_steps
+            self.members,
+            self.config,
+            self.table,
+            operators.own_steps,
+            self._file.tls,
         )
         self._rpc.start(
             (pb_grpc.add_PeerServicer_to_server, peers),
--- a/src/peridotmast/rpc.py
+++ b/src/peridotmast/rpc.py
@@ -147,6 +147,15 @@
         return grpc.aio.secure_channel(address, creds, options=_OPTIONS)
 
 
+class Caller(ty.NamedTuple):
+    """Whom the other side's certificate names."""
+
+    name: str = ''
+    """Its common name; empty where it showed no certificate."""
+    others: frozenset[str] = frozenset()
+    """The other names in it, by which its role is told."""
+
+
 class Denied(Exception):
     """Raised by a handler for a caller that may not do this."""
 
@@ -161,11 +170,11 @@
     def __getattr__(self, name: str) -> ty.Any:
         async def handle(request: ty.Any, context: ty.Any) -> ty.Any:
             method = getattr(self._service, name)
-            peer = _peer_name(context)
-            thread = green.spawn(self._guard, method, request, peer)
+            caller = _caller(context)
+            thread = green.spawn(self._guard, method, request, caller)
             result = await thread
             if isinstance(result, Denied):
-                self._log.warning('call_denied', method=name, peer=peer)
+                self._log.warning('call_denied', method=name, peer=caller.name)
                 await context.abort(
                     grpc.StatusCode.PERMISSION_DENIED, str(result)
                 )
@@ -176,19 +185,24 @@
 
         return handle
 
-    def _guard(self, method: ty.Any, request: ty.Any, peer: str) -> ty.Any:
+    def _guard(
+        self, method: ty.Any, request: ty.Any, caller: Caller
+    ) -> ty.Any:
         try:
-            if getattr(self._service, 'wants_peer', False):
-                return method(request, peer)
-            return method(request)
+            return method(request, caller)
         except (Exception, green.Timeout) as exc:
             return exc
 
 
-def _peer_name(context: ty.Any) -> str:
-    """Return the name in the other side's certificate, if it showed one."""
-    names = context.auth_context().get('x509_common_name', ())
-    return names[0].decode() if names else ''
+def _caller(context: ty.Any) -> Caller:
+    """Return whom the other side's certificate names, if it showed one."""
+    shown = context.auth_context()
+    names = shown.get('x509_common_name', ())
+    others = shown.get('x509_subject_alternative_name', ())
+    return Caller(
+        names[0].decode() if names else '',
+        frozenset(name.decode() for name in others),
+    )
 
 
 def server_credentials(tls: pb.TlsSettings) -> ty.Any:
