--- /dev/null
+++ b/src/peridotmast/load/costs.py
@@ -0,0 +1,24 @@
+"""What one call costs, and what is held of its result."""
+
+from __future__ import annotations
+
+import time
+import tracemalloc
+import typing as ty
+
+
+def timed(func: ty.Callable[[], ty.Any], times: int = 1) -> float:
+    """Return the processor time of one call, in us."""
+    began = time.process_time()
+    for _ in range(times):
+        func()
+    return (time.process_time() - began) / times * 1e6
+
+
+def held(make: ty.Callable[[], ty.Any]) -> tuple[float, ty.Any]:
+    """Return the bytes that what `make` returns holds, and that."""
+    tracemalloc.start()
+    made = make()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return float(size), made
--- a/src/peridotmast/load/slopes.py
+++ b/src/peridotmast/load/slopes.py
@@ -7,45 +7,35 @@
 import os
 import resource
 import time
-import tracemalloc
 import typing as ty
 
 import prometheus_client
 
-from peridotmast import clock as clock_
-from peridotmast.coordination import members as members_
 from peridotmast.duties import capacity_plan
 from peridotmast.embedded import fleet as fleet_
 from peridotmast.embedded import shape as shape_
 from peridotmast import failures
 from peridotmast import green
+from peridotmast.load import costs
 from peridotmast.load import driver as driver_
 from peridotmast.load import overhead
 from peridotmast.load import platform_calls
 from peridotmast.load import plots
 from peridotmast.load import report as report_
+from peridotmast.load import state_slopes
 from peridotmast.platform import config_codec
 from peridotmast.schema import peridotmast_pb2 as pb
-from peridotmast.serving import exchange as exchange_
-from peridotmast.serving import placement
 from peridotmast.serving import route_table
-from peridotmast.serving import upstreams as upstreams_
 from peridotmast.standin import engine
 from peridotmast.wire import calls
 
 Rows = list[dict[str, float]]
 
 _NODES = (4, 8, 16, 24)
-_RECORDS = (1000, 2000, 4000, 5700)
-_MEMBERS = (80, 160, 330)
 _ROUTES = (16, 128, 512)
-_ENGINES = (8, 32, 128)
 _STREAMS = (25, 50, 100)
 _WATCH_S = 5.0
 _PROCESS_S = 15.0
-_BEACONS = 200
-_PLACEMENTS = 30
-_WORKED_AT = 20
 
 
 def run(
@@ -123,23 +113,6 @@
     }
 
 
-def _timed(func: ty.Callable[[], ty.Any], times: int = 1) -> float:
-    """Return the processor time of one call, in us."""
-    began = time.process_time()
-    for _ in range(times):
-        func()
-    return (time.process_time() - began) / times * 1e6
-
-
-def _held(make: ty.Callable[[], ty.Any]) -> tuple[float, ty.Any]:
-    """Return the bytes that what `make` returns holds, and that."""
-    tracemalloc.start()
-    made = make()
-    size = tracemalloc.get_traced_memory()[0]
-    tracemalloc.stop()
-    return float(size), made
-
-
 # ------------------------------------------------------------------- routers
 
 
@@ -213,181 +186,6 @@
     return rows
 
 
-# ----------------------------------------------------------- what routers hold
-
-
-def record_of(number: int) -> pb.UpstreamRecord:
-    """Return an upstream's record as large as a real one."""
-    return pb.UpstreamRecord(
-        upstream=pb.Upstream(
-            name=f'i-{number:010x}',
-            address=f'10.{number // 60000}.{number // 250}.{number % 250}:80',
-            failure_domain=f'region-1-fd-{number % 5}',
-            service='draft-pool',
-            slots=32,
-        ),
-        state=pb.UPSTREAM_STATE_LIVE,
-        revision=number + 1,
-        reclaimable=True,
-    )
-
-
-def _upstream_records(seed: int) -> Rows:
-    service = pb.Service(
-        name='draft-pool', engine=True, slots=32, memory_tokens=600_000
-    )
-    rows = []
-    for count in _RECORDS:
-        records = [record_of(number) for number in range(count)]
-        held, table = _held(lambda: _table_of(records))
-        news = record_of(0)
-        news.revision = count + 1
-        news.state = pb.UPSTREAM_STATE_LEAVING
-        places = placement.Placement(
-            table, placement.ScoredPolicy('region-1-fd-1'), 'edge-1'
-        )
-        _place(places, service)
-        steady_us = _timed(lambda: _place(places, service), _PLACEMENTS)
-        merge_us = _timed(lambda: table.merge(news))
-        rows.append(
-            {
-                'upstreams': float(count),
-                'merge_us': merge_us,
-                'first_after_change_us': _timed(
-                    lambda: _place(places, service)
-                ),
-                'placement_us': steady_us,
-                'beacon_us': _timed(lambda: _take_loads(table), 50),
-                'held_bytes': held,
-                'reply_bytes': float(
-                    pb.UpstreamsReply(upstreams=records).ByteSize()
-                ),
-            }
-        )
-    return rows
-
-
-def _take_loads(table: upstreams_.UpstreamTable) -> None:
-    """Take in what a peer with work at some upstreams tells."""
-    loads = [
-        pb.UpstreamLoad(upstream=f'i-{number:010x}', running=3)
-        for number in range(_WORKED_AT)
-    ]
-    table.take_loads('edge-2', loads)
-
-
-def _table_of(
-    records: ty.Sequence[pb.UpstreamRecord],
-) -> upstreams_.UpstreamTable:
-    table = upstreams_.UpstreamTable(clock_.SystemClock())
-    table.merge_all(records)
-    return table
-
-
-def _place(places: placement.Placement, service: pb.Service) -> None:
-    parts = (
-        exchange_.PromptPart('a1', 500),
-        exchange_.PromptPart('b2', 4000),
-        exchange_.PromptPart('c3', 6000),
-    )
-    exchange = exchange_.Exchange(
-        id='1',
-        method='POST',
-        target='/x',
-        headers=[],
-        body=b'',
-        route=pb.Route(name='chat', kind=pb.STREAMING),
-        team='kalnins',
-        priority=0,
-        urgency=4,
-        entered=0,
-        ends_at=0,
-        caller=ty.cast(ty.Any, None),
-        prompt=exchange_.Prompt('m', 10_500, 300, parts),
-    )
-    place = places.choose(exchange, service)
-    if place is not None:
-        place.release()
-
-
-def _member(number: int) -> pb.Member:
-    host = f'10.0.{number // 250}.{number % 250}'
-    return pb.Member(
-        name=f'edge-region-1-{number}',
-        incarnation=1_796_000_000_000,
-        revision=3,
-        address=f'{host}:8700',
-        peer_address=f'{host}:8701',
-        beacon_address=f'{host}:7600',
-        failure_domain=f'region-1-fd-{number % 5}',
-        region='region-1',
-        state=pb.MEMBER_STATE_ALIVE,
-        ready=True,
-    )
-
-
-def _members_of(count: int) -> members_.Members:
-    members = members_.Members(_member(0), clock_.SystemClock(), 1250)
-    for number in range(1, count):
-        members.hear(_member(number))
-    return members
-
-
-def _memberships(seed: int) -> Rows:
-    rows = []
-    for count in _MEMBERS:
-        held, members = _held(lambda: _members_of(count))
-        rows.append(
-            {
-                'members': float(count),
-                'hear_us': _timed(lambda: members.hear(_member(1)), 50),
-                'tick_us': _timed(members.tick, 20),
-                'resolve_us': _timed(members.serving, 50),
-                'held_bytes': held,
-            }
-        )
-    return rows
-
-
-def _beacons(seed: int) -> Rows:
-    """One beacon by the upstreams that its router has work at."""
-    rows = []
-    for count in _ENGINES:
-        beacon = pb.Beacon(
-            member=_member(1),
-            config_version=1000,
-            upstreams_revision=100_000,
-            wall_ms=1_796_000_000_000,
-            own=pb.Totals(
-                spends=[
-                    pb.TeamSpend(team=f'team-{n}', tokens=10**9)
-                    for n in range(5)
-                ],
-                loads=[
-                    pb.UpstreamLoad(
-                        upstream=f'i-{n:010x}',
-                        running=3,
-                        unread=900,
-                        memory=9000,
-                    )
-                    for n in range(count)
-                ],
-            ),
-        )
-        data = beacon.SerializeToString()
-        rows.append(
-            {
-                'upstreams': float(count),
-                'bytes': float(len(data)),
-                'pack_us': _timed(beacon.SerializeToString, _BEACONS),
-                'unpack_us': _timed(
-                    lambda: pb.Beacon.FromString(data), _BEACONS
-                ),
-            }
-        )
-    return rows
-
-
 # -------------------------------------------------------------- configuration
 
 
@@ -416,11 +214,13 @@
             {
                 'routes': float(count),
                 'document_bytes': float(len(json.dumps(document))),
-                'read_us': _timed(
+                'read_us': costs.timed(
                     lambda: config_codec.read_config(document), 3
                 ),
-                'table_us': _timed(lambda: route_table.RouteTable(config), 3),
-                'route_us': _timed(
+                'table_us': costs.timed(
+                    lambda: route_table.RouteTable(config), 3
+                ),
+                'route_us': costs.timed(
                     lambda: table.route('peridot.example', '/route7/a/b'), 100
                 ),
             }
@@ -437,7 +237,7 @@
         rows.append(
             {
                 'engines': float(count),
-                'plan_us': _timed(
+                'plan_us': costs.timed(
                     lambda: capacity_plan.cheapest_mix(market, count)
                 ),
             }
@@ -458,7 +258,7 @@
         rows.append(
             {
                 'series': float(count),
-                'scrape_us': _timed(
+                'scrape_us': costs.timed(
                     lambda: prometheus_client.generate_latest(registry), 5
                 ),
             }
@@ -469,9 +269,9 @@
 _Measure = tuple[str, ty.Callable[[int], Rows], str]
 
 _MEASURES: tuple[_Measure, ...] = (
-    ('upstream_records', _upstream_records, 'upstreams'),
-    ('memberships', _memberships, 'members'),
-    ('beacons', _beacons, 'upstreams'),
+    ('upstream_records', state_slopes.upstream_records, 'upstreams'),
+    ('memberships', state_slopes.memberships, 'members'),
+    ('beacons', state_slopes.beacons, 'upstreams'),
     ('configurations', _configurations, 'routes'),
     ('plans', _plans, 'engines'),
     ('metrics', _metrics, 'series'),
--- /dev/null
+++ b/src/peridotmast/load/state_slopes.py
@@ -0,0 +1,194 @@
+"""Slopes of what one router holds: upstreams, members, beacons."""
+
+from __future__ import annotations
+
+import typing as ty
+
+from peridotmast import clock as clock_
+from peridotmast.coordination import members as members_
+from peridotmast.load import costs
+from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import exchange as exchange_
+from peridotmast.serving import placement
+from peridotmast.serving import upstreams as upstreams_
+
+Rows = list[dict[str, float]]
+
+_RECORDS = (1000, 2000, 4000, 5700)
+_MEMBERS = (80, 160, 330)
+_ENGINES = (8, 32, 128)
+_BEACONS = 200
+_PLACEMENTS = 30
+_WORKED_AT = 20
+
+
+def record_of(number: int) -> pb.UpstreamRecord:
+    """Return an upstream's record as large as a real one."""
+    return pb.UpstreamRecord(
+        upstream=pb.Upstream(
+            name=f'i-{number:010x}',
+            address=f'10.{number // 60000}.{number // 250}.{number % 250}:80',
+            failure_domain=f'region-1-fd-{number % 5}',
+            service='draft-pool',
+            slots=32,
+        ),
+        state=pb.UPSTREAM_STATE_LIVE,
+        revision=number + 1,
+        reclaimable=True,
+    )
+
+
+def upstream_records(seed: int) -> Rows:
+    service = pb.Service(
+        name='draft-pool', engine=True, slots=32, memory_tokens=600_000
+    )
+    rows = []
+    for count in _RECORDS:
+        records = [record_of(number) for number in range(count)]
+        held, table = costs.held(lambda: _table_of(records))
+        news = record_of(0)
+        news.revision = count + 1
+        news.state = pb.UPSTREAM_STATE_LEAVING
+        places = placement.Placement(
+            table, placement.ScoredPolicy('region-1-fd-1'), 'edge-1'
+        )
+        _place(places, service)
+        steady_us = costs.timed(lambda: _place(places, service), _PLACEMENTS)
+        merge_us = costs.timed(lambda: table.merge(news))
+        rows.append(
+            {
+                'upstreams': float(count),
+                'merge_us': merge_us,
+                'first_after_change_us': costs.timed(
+                    lambda: _place(places, service)
+                ),
+                'placement_us': steady_us,
+                'beacon_us': costs.timed(lambda: _take_loads(table), 50),
+                'held_bytes': held,
+                'reply_bytes': float(
+                    pb.UpstreamsReply(upstreams=records).ByteSize()
+                ),
+            }
+        )
+    return rows
+
+
+def _take_loads(table: upstreams_.UpstreamTable) -> None:
+    """Take in what a peer with work at some upstreams tells."""
+    loads = [
+        pb.UpstreamLoad(upstream=f'i-{number:010x}', running=3)
+        for number in range(_WORKED_AT)
+    ]
+    table.take_loads('edge-2', loads)
+
+
+def _table_of(
+    records: ty.Sequence[pb.UpstreamRecord],
+) -> upstreams_.UpstreamTable:
+    table = upstreams_.UpstreamTable(clock_.SystemClock())
+    table.merge_all(records)
+    return table
+
+
+def _place(places: placement.Placement, service: pb.Service) -> None:
+    parts = (
+        exchange_.PromptPart('a1', 500),
+        exchange_.PromptPart('b2', 4000),
+        exchange_.PromptPart('c3', 6000),
+    )
+    exchange = exchange_.Exchange(
+        id='1',
+        method='POST',
+        target='/x',
+        headers=[],
+        body=b'',
+        route=pb.Route(name='chat', kind=pb.STREAMING),
+        team='kalnins',
+        priority=0,
+        urgency=4,
+        entered=0,
+        ends_at=0,
+        caller=ty.cast(ty.Any, None),
+        prompt=exchange_.Prompt('m', 10_500, 300, parts),
+    )
+    place = places.choose(exchange, service)
+    if place is not None:
+        place.release()
+
+
+def _member(number: int) -> pb.Member:
+    host = f'10.0.{number // 250}.{number % 250}'
+    return pb.Member(
+        name=f'edge-region-1-{number}',
+        incarnation=1_796_000_000_000,
+        revision=3,
+        address=f'{host}:8700',
+        peer_address=f'{host}:8701',
+        beacon_address=f'{host}:7600',
+        failure_domain=f'region-1-fd-{number % 5}',
+        region='region-1',
+        state=pb.MEMBER_STATE_ALIVE,
+        ready=True,
+    )
+
+
+def _members_of(count: int) -> members_.Members:
+    members = members_.Members(_member(0), clock_.SystemClock(), 1250)
+    for number in range(1, count):
+        members.hear(_member(number))
+    return members
+
+
+def memberships(seed: int) -> Rows:
+    rows = []
+    for count in _MEMBERS:
+        held, members = costs.held(lambda: _members_of(count))
+        rows.append(
+            {
+                'members': float(count),
+                'hear_us': costs.timed(lambda: members.hear(_member(1)), 50),
+                'tick_us': costs.timed(members.tick, 20),
+                'resolve_us': costs.timed(members.serving, 50),
+                'held_bytes': held,
+            }
+        )
+    return rows
+
+
+def beacons(seed: int) -> Rows:
+    """One beacon by the upstreams that its router has work at."""
+    rows = []
+    for count in _ENGINES:
+        beacon = pb.Beacon(
+            member=_member(1),
+            config_version=1000,
+            upstreams_revision=100_000,
+            wall_ms=1_796_000_000_000,
+            own=pb.Totals(
+                spends=[
+                    pb.TeamSpend(team=f'team-{n}', tokens=10**9)
+                    for n in range(5)
+                ],
+                loads=[
+                    pb.UpstreamLoad(
+                        upstream=f'i-{n:010x}',
+                        running=3,
+                        unread=900,
+                        memory=9000,
+                    )
+                    for n in range(count)
+                ],
+            ),
+        )
+        data = beacon.SerializeToString()
+        rows.append(
+            {
+                'upstreams': float(count),
+                'bytes': float(len(data)),
+                'pack_us': costs.timed(beacon.SerializeToString, _BEACONS),
+                'unpack_us': costs.timed(
+                    lambda: pb.Beacon.FromString(data), _BEACONS
+                ),
+            }
+        )
+    return rows
--- a/src/peridotmast/platform/engine_control.py
+++ b/src/peridotmast/platform/engine_control.py
@@ -30,13 +30,7 @@
     def leaves_ms(
         self, address: str, born: int
     ) -> ty.Union[int, failures.Failure]:
-        """Return how long an engine will be there; 0 where it can't say.
-
-        Parameters
-        ----------
-        born : int
-            When the run that is meant began; 0 where that is not known.
-        """
+        """Return how long an engine will be there; 0 where it can't say."""
         reply = self._http.call('GET', address, names.REPORT_PATH)
         if isinstance(reply, failures.Failure):
             return reply
