--- a/features/planner.feature
+++ b/features/planner.feature
@@ -132,7 +132,7 @@
 
   Scenario: Engines that are seen to read faster carry more
     Given a scaler with 6 upstreams
-    When its engines are seen to read 2 times as fast as is said
+    When its engines are seen to read 3 times as fast as is said
     Then fewer than 5 upstreams are needed for the demand of 6
 
   Scenario: What is seen is bounded by what is said
--- a/src/peridotmast/coordination/groups.py
+++ b/src/peridotmast/coordination/groups.py
@@ -21,6 +21,10 @@
 """Hashes that are kept: two for each of 330 routers, and runs before."""
 
 
+_Sorted = dict[int, list[members_.Peer]]
+"""Peers by the number of their group."""
+
+
 class Groups:
     """Sorts the routers of a large fleet into groups by their names.
 
@@ -41,6 +45,8 @@
         self._members = members
         self._clock = clock
         self._me = members.me.name
+        self._sorted: _Sorted = {}
+        self._sorted_at = -1, 0
 
     def is_split(self) -> bool:
         """Return whether the fleet is so large that it has groups."""
@@ -48,19 +54,36 @@
 
     def look(self) -> Look:
         """Return the groups as this router sees them now."""
-        limit = self._clock.now() - _NEW_MS
-        heard = {peer.member.name for peer in self._members.heard()}
-        known = [
-            peer
-            for peer in self._members.peers()
-            if peer.member.name in heard
-            or (not peer.heard_at and peer.known_at > limit)
-        ]
         # Also those that are silent now: else a gap in what is heard would
         # sort all routers anew.
         count = _groups_of(len(self._members.peers()) + 1)
+        at = self._members.version, count
+        if self._sorted_at != at:
+            self._sorted = self._sort(count)
+            self._sorted_at = at
+        limit = self._clock.now() - _NEW_MS
+        heard = {peer.member.name for peer in self._members.heard()}
+        known = {
+            group: [
+                peer
+                for peer in peers
+                if peer.member.name in heard
+                or (not peer.heard_at and peer.known_at > limit)
+            ]
+            for group, peers in self._sorted.items()
+        }
         return Look(self._me, known, heard, count)
 
+    def _sort(self, count: int) -> _Sorted:
+        """Return all peers by group, who is head before others first."""
+        found: _Sorted = {}
+        for peer in self._members.peers():
+            group = _rank('group', peer.member.name) % count
+            found.setdefault(group, []).append(peer)
+        for peers in found.values():
+            peers.sort(key=lambda peer: _rank('head', peer.member.name))
+        return found
+
 
 class Look:
     """The groups at one moment.
@@ -69,8 +92,9 @@
     ----------
     me : str
         Name of this router.
-    known : sequence of members.Peer
-        The peers that may be there.
+    groups : dict
+        The peers that may be there by the number of their group, who is head
+        before others first.
     heard : collection of str
         Names of those that are.
     count : int
@@ -80,7 +104,7 @@
     def __init__(
         self,
         me: str,
-        known: ty.Sequence[members_.Peer],
+        groups: _Sorted,
         heard: ty.Collection[str],
         count: int,
     ) -> None:
@@ -88,12 +112,7 @@
         self.count = count
         """Groups that there are."""
         self._heard = heard
-        self._groups: dict[int, list[members_.Peer]] = {}
-        for peer in known:
-            group = self.group_of(peer.member.name)
-            self._groups.setdefault(group, []).append(peer)
-        for peers in self._groups.values():
-            peers.sort(key=lambda peer: _rank('head', peer.member.name))
+        self._groups = groups
         self.mine = self.group_of(me)
         """Number of this router's group."""
 
@@ -109,6 +128,10 @@
         """Return the other members of this router's group."""
         return self._groups.get(self.mine, [])
 
+    def members_heard(self) -> set[str]:
+        """Return the names of the other members that are heard."""
+        return set(self._heard_in(self.mine))
+
     def heads(self) -> list[members_.Peer]:
         """Return who is told for this router's group: head and next one.
 
--- a/src/peridotmast/coordination/members.py
+++ b/src/peridotmast/coordination/members.py
@@ -73,6 +73,8 @@
         self._whole = whole
         self._peers: dict[str, Peer] = {}
         self._was_heard: set[str] = set()
+        self.version = 0
+        """Grows with each peer that is new or forgotten."""
         self._log = logs.get('members', router=me.name)
 
     def change_me(self, **values: ty.Any) -> None:
@@ -91,6 +93,7 @@
             self._peers[member.name] = Peer(
                 member, known_at=now, changed_at=now
             )
+            self.version += 1
         elif _rank(member) > _rank(known.member):
             known.member = member
             known.changed_at = self._clock.now()
@@ -180,6 +183,7 @@
         ]
         for name in old:
             del self._peers[name]
+            self.version += 1
 
     def _note_there(self, peer: Peer) -> None:
         name = peer.member.name
--- a/src/peridotmast/duties/need.py
+++ b/src/peridotmast/duties/need.py
@@ -154,7 +154,9 @@
         seen = self._demand.reading(service)
         if seen is not None:
             low, high = speed / _SLOWER_BOUND, speed * _FASTER_BOUND
-            speed = min(high, max(low, seen * 1000))
+            # Between the two: an engine at work reads slower than the idle
+            # one that was seen, by the steps of the requests that it runs.
+            speed = math.sqrt(speed * min(high, max(low, seen * 1000)))
         load = rate * _READ_SHARE / speed
         return math.ceil(load + _SCATTER * math.sqrt(load))
 
--- a/src/peridotmast/router/peering.py
+++ b/src/peridotmast/router/peering.py
@@ -30,8 +30,8 @@
 """Silence after which a group's work counts no more, and another head may be
 followed: four of its beacons."""
 
-_LOOK_MS = 250
-"""Time for which the groups are not sorted anew: it takes 0.2 ms."""
+_LOOK_MS = 500
+"""Time for which the groups are not looked at anew: a round."""
 
 _CHANGED_MS = 3000
 _CHANGED_MOST = 64
@@ -179,11 +179,9 @@
         look, split = self._look(), self._groups.is_split()
         self._sharing.forget(
             {p.member.name for p in self._members.peers()},
-            {
-                peer.member.name
-                for peer in heard
-                if not split or look.is_member(peer.member.name)
-            },
+            look.members_heard()
+            if split
+            else {peer.member.name for peer in heard},
             self._group_heard,
             split and not look.leads,
         )
