--- a/features/entries.feature
+++ b/features/entries.feature
@@ -63,3 +63,18 @@
     Given a router whose peer answers with bytes that are no configuration
     When it asks the peer
     Then nothing has changed and the peer is named in the log
+
+  Scenario: A peer's word of an address that is none takes the upstream out
+    Given upstreams "a", "b" and "c" by their entries
+    When a peer tells of "a" with the address "nonsense"
+    Then "b, c" may get new work
+
+  Scenario Outline: A beacon with a number that can't be is not taken in
+    Then a beacon with <count> for <what> is <taken>
+
+    Examples:
+      | count | what    | taken        |
+      | 5     | running | taken in     |
+      | -5    | running | not taken in |
+      | -1    | unread  | not taken in |
+      | -9    | memory  | not taken in |
--- a/features/incarnation.feature
+++ b/features/incarnation.feature
@@ -49,3 +49,8 @@
     Given a fleet of 1 routers
     When every upstream of "booking" starts again
     Then 5 requests to "/holds/seat" are answered by the later runs
+
+  Scenario: An answer without a length that is broken off is not complete
+    Given a connection to an upstream that has sent half of an answer without a length
+    When it is broken off since the upstream has started again
+    Then what comes of the answer is a failure, not its end
--- a/features/planner.feature
+++ b/features/planner.feature
@@ -144,3 +144,7 @@
     Given engines that read 40 tokens a ms, and some that are slow
     Then 40 is what is gone by, within a tenth
     And of fewer than 12 samples nothing is said
+
+  Scenario: The reserve is ordered as reclaimable ones only
+    Given prices of 1.0, 0.8, 1.25 and 0.9 and reclaimable ones at 0.22 of them
+    Then for a need of 2 and a reserve of 6, 8 reclaimable and no firm ones are ordered
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -444,3 +444,20 @@
     assert not context.news
     assert context.router.config.routes.version == context.version
     assert context.lines[0][1]['peer'] == '127.0.0.1:9', context.lines
+
+
+@when('a peer tells of "{name}" with the address "{address}"')
+def peer_tells(context, name, address):
+    record = pb.UpstreamRecord()
+    record.CopyFrom(context.upstreams.get(name).record)
+    record.upstream.address = address
+    record.revision = 90
+    context.upstreams.merge_all([record])
+
+
+@then('a beacon with {count:d} for {what} is {taken}')
+def beacon_with(context, count, what, taken):
+    beacon = pb.Beacon(member=pb.Member(name='r'))
+    beacon.own.loads.add(upstream='u', **{what: count})
+    found = beacon_check.check(beacon)
+    assert bool(found) == (taken == 'not taken in'), found
--- a/features/steps/incarnation_steps.py
+++ b/features/steps/incarnation_steps.py
@@ -8,6 +8,7 @@
 import doubt_steps
 import fleet_steps
 import helpers
+import raw_upstream
 import stream_steps
 
 from peridotmast import clock as clock_
@@ -21,6 +22,7 @@
 from peridotmast.serving import upstream_view
 from peridotmast.serving import upstreams as upstreams_
 from peridotmast import web
+from peridotmast.wire import connection as connection_
 from peridotmast.wire import server as server_
 
 
@@ -248,3 +250,39 @@
         sum(guest.upstream.app.runs.values()) for guest in context.later
     )
     assert runs == count, runs
+
+
+@given(
+    'a connection to an upstream that has sent half of an answer without a'
+    ' length'
+)
+def half_sent(context):
+    def script(sock, request_id, number):
+        head = f'HTTP/1.1 200 OK\r\n{names.REQUEST_ID}: {request_id}\r\n'
+        sock.sendall(f'{head}\r\nhalf'.encode())
+        green.sleep_ms(20_000)
+
+    upstream = raw_upstream.RawUpstream(script)
+    context.closing.append(upstream.stop)
+    clock = clock_.SystemClock()
+    conn = connection_.Connection(upstream.address, clock)
+    context.closing.append(conn.close)
+    context.deadline = clock.now() + 8000
+    assert conn.connect(1000) is None
+    lines = [('Host', 'a'), (names.REQUEST_ID, 'half')]
+    assert conn.send('GET', '/x', lines, b'', context.deadline) is None
+    assert conn.read_head('GET', context.deadline).status == 200
+    assert conn.read_some(context.deadline) == b'half'
+    context.conn = conn
+
+
+@when('it is broken off since the upstream has started again')
+def broken_off(context):
+    green.spawn_after_ms(50, context.conn.cancel, 'upstream_restarted')
+
+
+@then('what comes of the answer is a failure, not its end')
+def is_failure(context):
+    rest = context.conn.read_some(context.deadline)
+    assert isinstance(rest, failures.Failure), rest
+    assert rest.reason == 'upstream_restarted', rest
--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -204,7 +204,7 @@
     )
 
 
-def look(context):
+def look(context, needed=5, reserve=5):
     """Look at the service once, as the scaler does."""
     service = scaled_service(DOMAINS)
     context.orders.taken.clear()
@@ -214,8 +214,8 @@
         context.plans,
         service,
         context.there,
-        needed=5,
-        reserve=5,
+        needed=needed,
+        reserve=reserve,
         fencing=1,
         demand=0,
     )
@@ -800,3 +800,18 @@
     for _ in range(11):
         fresh.note('pool', 5000, 100)
     assert fresh.speed('pool') is None
+
+
+@then(
+    'for a need of {needed:d} and a reserve of {reserve:d}, {count:d}'
+    ' reclaimable and no firm ones are ordered'
+)
+def reserve_ordered(context, needed, reserve, count):
+    needed_and_there(context, needed, 0)
+    context.there = capacity_plan.Mix(
+        dict.fromkeys(DOMAINS, 0), dict.fromkeys(DOMAINS, 0)
+    )
+    look(context, needed, reserve)
+    ordered = {(d, n) for d, n, kind in context.orders.taken if kind}
+    assert sum(n for _, n in ordered) == count, context.orders.taken
+    assert all(kind for _, _, kind in context.orders.taken)
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -425,8 +425,8 @@
     Mutation(
         'count what was lost as still to come',
         DUTIES + 'order_book.py',
-        'return live + pending.coming',
-        'return max(live, pending.live) + pending.coming',
+        'pending.coming -= max(0, live - pending.live)',
+        'pending.coming -= live - pending.live',
         'planner',
     ),
     Mutation(
