What routers have seen of engines is forgotten with them

Cause: the speeds that a router told stayed in the median after it was gone, and grew with every name. Change: they go with the other counts of routers that are not known any more.

--- a/features/planner.feature
+++ b/features/planner.feature
@@ -135,6 +135,12 @@
     When its engines are seen to read 3 times as fast as is said
     Then fewer than 5 upstreams are needed for the demand of 6
 
+  Scenario: What routers have seen is forgotten with them
+    Given a demand of which two routers have seen 20 and 60 tokens a ms
+    Then 40 tokens a ms are read
+    When the one that saw 20 is forgotten
+    Then 60 tokens a ms are read
+
   Scenario: What is seen is bounded by what is said
     Given a scaler with 6 upstreams
     When its engines are seen to read 50 times as fast as is said
--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -815,3 +815,20 @@
     ordered = {(d, n) for d, n, kind in context.orders.taken if kind}
     assert sum(n for _, n in ordered) == count, context.orders.taken
     assert all(kind for _, _, kind in context.orders.taken)
+
+
+@given('a demand of which two routers have seen {a:d} and {b:d} tokens a ms')
+def two_have_seen(context, a, b):
+    context.demand = demand_.Demand(clock_.ManualClock())
+    for name, speed in (('r-a', a), ('r-b', b)):
+        context.demand.hear_readings(name, {'pool': float(speed)})
+
+
+@when('the one that saw {speed:d} is forgotten')
+def one_forgotten(context, speed):
+    context.demand.forget({'r-b'})
+
+
+@then('{speed:d} tokens a ms are read')
+def are_read(context, speed):
+    assert context.demand.reading('pool') == speed
--- a/src/peridotmast/router/sharing.py
+++ b/src/peridotmast/router/sharing.py
@@ -157,6 +157,7 @@
         """
         self._spends.forget(known)
         self._asked.forget(known)
+        self._demand.forget(known)
         self._loads = {r: v for r, v in self._loads.items() if r in heard}
         self._group_loads = {
             g: v for g, v in self._group_loads.items() if g in groups
--- a/src/peridotmast/serving/demand.py
+++ b/src/peridotmast/serving/demand.py
@@ -86,6 +86,10 @@
         """Take in how fast engines read, as another router sees it."""
         self._speeds[router] = speeds
 
+    def forget(self, routers: ty.Collection[str]) -> None:
+        """Drop what routers have seen that are not among these."""
+        self._speeds = {r: v for r, v in self._speeds.items() if r in routers}
+
     def tick(self) -> None:
         """Mark the totals, so that rates can be taken from here on."""
         now = self._clock.now()
