--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -187,7 +187,7 @@
     Mutation(
         'move nothing off a leaving upstream',
         SERVING + 'mover.py',
-        'if not leaves or view.name in self._leaving:',
+        'if not leaves or view.run in self._leaving:',
         'if True:',
         'reclaim',
     ),
@@ -201,8 +201,8 @@
     Mutation(
         'believe that what ran out in an outage is gone',
         COORDINATION + 'upstream_feed.py',
-        'state=upstreams_.LAPSED if after_outage else upstreams_.GONE,',
-        'state=upstreams_.GONE,',
+        'state = upstreams_.LAPSED if after_outage else upstreams_.GONE',
+        'state = upstreams_.GONE',
         'upstreams',
     ),
     Mutation(
@@ -229,8 +229,8 @@
     Mutation(
         'take an older statement on an upstream',
         SERVING + 'upstreams.py',
-        'elif record.revision <= view.record.revision:',
-        'elif False:',
+        'if record.revision <= view.record.revision:',
+        'if False:',
         'upstreams',
     ),
     Mutation(
@@ -313,8 +313,8 @@
     Mutation(
         "take nothing off for others' spending",
         SERVING + 'quota.py',
-        '            self._take_from(team, tokens - before.get(team, 0))\n',
-        '            pass\n',
+        'bucket.level = min(bucket.burst, bucket.level - tokens)',
+        'pass',
         'limits',
     ),
     Mutation(
