Calls of peers tell how long they took, what they brought and why they failed

Cause: a peer that was asked for the configuration and did not give it in time left no line, so the logs could not tell a slow way between routers from slow reading. Change: peer_asked with method, outcome, bytes and ms; config_given with bytes.

--- a/src/peridotmast/router/catch_up.py
+++ b/src/peridotmast/router/catch_up.py
@@ -91,9 +91,7 @@
 
     def ask_config(self, address: str) -> bool:
         """Take a peer's configuration, if it is newer; say whether it was."""
-        reply = self._peers.call(
-            address, 'FetchConfig', pb.ConfigRequest(), _CALL_MS
-        )
+        reply = self._call(address, 'FetchConfig', pb.ConfigRequest())
         if isinstance(reply, failures.Failure):
             return False
         source = f'peer {address}'
@@ -114,7 +112,7 @@
     def ask_upstreams(self, address: str) -> bool:
         """Take in what a peer knows of upstreams; say whether it was news."""
         request = pb.UpstreamsRequest(since=self._table.revision)
-        reply = self._peers.call(address, 'FetchUpstreams', request, _CALL_MS)
+        reply = self._call(address, 'FetchUpstreams', request)
         if isinstance(reply, failures.Failure):
             return False
         news = [r for r in reply.upstreams if self._table.merge(r)]
@@ -129,6 +127,21 @@
             )
         return bool(news)
 
+    def _call(self, address: str, method: str, request: ty.Any) -> ty.Any:
+        """Call a peer; note how long it took and what it brought."""
+        began = self._clock.now()
+        reply = self._peers.call(address, method, request, _CALL_MS)
+        failed = isinstance(reply, failures.Failure)
+        self._log.info(
+            'peer_asked',
+            peer=address,
+            method=method,
+            outcome=reply.reason if failed else 'answered',
+            bytes=0 if failed else reply.ByteSize(),
+            ms=self._clock.now() - began,
+        )
+        return reply
+
     def _note(
         self,
         what: str,
--- a/src/peridotmast/router/peer_service.py
+++ b/src/peridotmast/router/peer_service.py
@@ -7,6 +7,7 @@
 
 from peridotmast.coordination import config_feed as config_feed_
 from peridotmast.coordination import members as members_
+from peridotmast import logs
 from peridotmast import rpc
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import upstreams as upstreams_
@@ -33,6 +34,7 @@
         self._table = table
         self._own_steps = own_steps
         self._tls = tls
+        self._log = logs.get('peer_service', router=members.me.name)
 
     def Join(  # noqa: N802
         self, req: pb.JoinRequest, caller: rpc.Caller
@@ -49,12 +51,16 @@
         """Give both parts of the configuration in force."""
         self._check(caller)
         routes, own = self._config.routes, self._config.own
-        return pb.ConfigReply(
+        reply = pb.ConfigReply(
             config_version=routes.version,
             config=_json(routes.document),
             document_version=own.version,
             document=_json(own.document),
         )
+        self._log.info(
+            'config_given', version=routes.version, bytes=reply.ByteSize()
+        )
+        return reply
 
     def FetchUpstreams(  # noqa: N802
         self, req: pb.UpstreamsRequest, caller: rpc.Caller
