--- a/features/environment.py
+++ b/features/environment.py
@@ -3,19 +3,39 @@
 from __future__ import annotations
 
 import os
+import pathlib
 import shutil
 import tempfile
 
 from peridotmast import green
 from peridotmast import logs
 
+KNOWN_RED = pathlib.Path(__file__).parent.parent / 'KNOWN-RED.txt'
+"""Scenarios that fail for a fault that is not mended yet, one a line:
+``file: scenario | cause | issue | command, seed and what was seen``."""
+MOST_RED = 3
+
 
 def before_all(context):
     green.setup()
     logs.setup(os.environ.get('PERIDOTMAST_TEST_LOG', 'critical'))
+    lines = KNOWN_RED.read_text().splitlines() if KNOWN_RED.exists() else []
+    assert len(lines) <= MOST_RED, f'{KNOWN_RED.name}: too many lines'
+    context.red = {line.partition('|')[0].strip(): line for line in lines}
+    context.runs_red = context.config.userdata.getbool('red')
+
+
+def after_feature(context, feature):
+    named = {n for n in context.red if n.startswith(f'{feature.filename}: ')}
+    known = {f'{feature.filename}: {s.name}' for s in feature.scenarios}
+    assert named <= known, f'{KNOWN_RED.name} names {named - known}'
 
 
 def before_scenario(context, scenario):
+    line = context.red.get(f'{scenario.filename}: {scenario.name}')
+    if line and not context.runs_red:
+        print(f'known red, passed over: {line}')
+        scenario.skip('known red')
     context.folder = tempfile.mkdtemp()
     context.fleet = None
     context.closing = []
