A large configuration spreads by packed copies, few at a time, from all who have it

Meanwhile it refused routes that it lacked as if there were none. Change: peers are told what is newer only, packed once a version; one gives few copies at a time and names those who have it to the others, who choose among them by chance; a call that takes long gets a second one beside it; after a second the store itself is asked. Who knows that a peer is ahead answers an unknown route or key by 'come back'. Asking a fleet for its versions brings no texts.

--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -413,14 +413,17 @@
 def garbling_peer(context):
     fleet = helpers.start_fleet(context, routers=1)
     context.router = fleet.routers[0]
-    context.router._catch_up._peers = _Garbling()
+    context.router._catch_up.config._peers = _Garbling()
     context.lines = []
 
     class Log:
+        def info(self, event, **values):
+            pass
+
         def error(self, event, **values):
             context.lines.append((event, values))
 
-    context.router._catch_up._log = Log()
+    context.router._catch_up.config._log = Log()
 
 
 class _Garbling:
--- a/src/peridotmast/coordination/config_feed.py
+++ b/src/peridotmast/coordination/config_feed.py
@@ -72,6 +72,9 @@
         Reads the platform's object.
     checks : invariants.Invariants
         Where a reversal would be reported.
+    kind : str
+        Kind of the platform's object; without it only the own document is
+        read again.
     """
 
     def __init__(
@@ -80,8 +83,10 @@
         name: str,
         reader: Reader,
         checks: invariants_.Invariants,
+        kind: str = '',
     ) -> None:
         self._store = store
+        self._kind = kind
         self._name = name
         self._reader = reader
         self._checks = checks
@@ -172,9 +177,20 @@
         self.offer_own(result.revision, spec, 'commit')
         return result.revision
 
+    def refresh(self) -> ty.Optional[failures.Failure]:
+        """Read both documents once."""
+        if self._kind:
+            failure = self._refresh(self._kind, self._name)
+            if failure is not None:
+                return failure
+        return self.refresh_own()
+
     def refresh_own(self) -> ty.Optional[failures.Failure]:
         """Read the own document once."""
-        stored = self._store.read(KIND, NAME)
+        return self._refresh(KIND, NAME)
+
+    def _refresh(self, kind: str, name: str) -> ty.Optional[failures.Failure]:
+        stored = self._store.read(kind, name)
         if isinstance(stored, failures.Failure):
             return stored
         self._take([stored])
--- a/src/peridotmast/coordination/members.py
+++ b/src/peridotmast/coordination/members.py
@@ -68,7 +68,8 @@
     ) -> None:
         self.me = me
         """This router's own entry."""
-        self._clock = clock
+        self.clock = clock
+        """Times silence."""
         self._silent_ms = silent_ms
         self._whole = whole
         self._peers: dict[str, Peer] = {}
@@ -89,14 +90,14 @@
             return
         known = self._peers.get(member.name)
         if known is None:
-            now = self._clock.now()
+            now = self.clock.now()
             self._peers[member.name] = Peer(
                 member, known_at=now, changed_at=now
             )
             self.version += 1
         elif _rank(member) > _rank(known.member):
             known.member = member
-            known.changed_at = self._clock.now()
+            known.changed_at = self.clock.now()
 
     def hear(self, member: pb.Member) -> bool:
         """Take in a member's own beacon; say whether it is its newest run."""
@@ -107,13 +108,13 @@
         if _rank(member) < _rank(peer.member):
             return False
         peer.member = member
-        peer.heard_at = self._clock.now()
+        peer.heard_at = self.clock.now()
         self._note_there(peer)
         return True
 
     def hear_some(self, names: ty.Iterable[str], of: ty.Iterable[str]) -> None:
         """Take in from a head who is there, of those that it tells of."""
-        now, there = self._clock.now(), set(names)
+        now, there = self.clock.now(), set(names)
         for name in of:
             if name not in there and name in self._peers:
                 self._peers[name].told_at = 0
@@ -127,7 +128,7 @@
 
     def changed(self, within_ms: int, most: int) -> list[pb.Member]:
         """Return the entries that have changed of late, the newest first."""
-        limit = self._clock.now() - within_ms
+        limit = self.clock.now() - within_ms
         late = [p for p in self._peers.values() if p.changed_at >= limit]
         late.sort(key=lambda peer: -peer.changed_at)
         return [peer.member for peer in late[:most]]
@@ -143,7 +144,7 @@
     def heard(self) -> list[Peer]:
         """Return the peers that were heard lately."""
         split = len(self._peers) + 1 > self._whole
-        now = self._clock.now()
+        now = self.clock.now()
         limit = now - self._silent_ms * (_GROUP_SHARE if split else 1)
         told = now - self._silent_ms * _TOLD_SHARE
         return [
@@ -175,7 +176,7 @@
         for name in sorted(self._was_heard - heard):
             self._was_heard.discard(name)
             self._log.info('peer_silent', peer=name)
-        limit = self._clock.now() - _FORGET_MS
+        limit = self.clock.now() - _FORGET_MS
         old = [
             name
             for name, peer in self._peers.items()
--- a/src/peridotmast/router/catch_up.py
+++ b/src/peridotmast/router/catch_up.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-import json
+import collections
+import functools
 import typing as ty
 
 from peridotmast import clock as clock_
 from peridotmast import failures
 from peridotmast import logs
+from peridotmast.router import config_asking
 from peridotmast.router import knowledge as knowledge_
 from peridotmast import rpc
 from peridotmast.schema import peridotmast_pb2 as pb
@@ -19,6 +21,9 @@
 _CALL_MS = 800
 """Bound on one call of a peer."""
 
+_ASKED_AT_ONCE = 2
+"""Tasks that ask for the configuration where a peer is slow to answer."""
+
 
 class CatchUp:
     """Asks peers that are ahead, and those that a starting router knows.
@@ -49,27 +54,33 @@
         self._table = knowledge.table
         self._peers = peers
         self._spawn = spawn
+        self.config = config_asking.ConfigAsking(
+            clock, knowledge.config, peers, knowledge.members.me
+        )
+        """Gets the configuration from peers."""
         self._behind: dict[str, tuple[ty.Any, int]] = {}
-        self._asking: set[str] = set()
+        self._asking: collections.Counter[str] = collections.Counter()
         self._log = logs.get('catch_up', router=knowledge.members.me.name)
 
     def compare(self, beacon: pb.Beacon) -> None:
         """Ask a peer that is ahead of this router, by its beacon."""
         address = beacon.member.peer_address
-        own = self._config.routes.version, self._config.own.version
+        self.config.hear(
+            address, beacon.config_version, beacon.document_version
+        )
         self._note(
             'config',
-            own,
-            beacon.config_version > own[0] or beacon.document_version > own[1],
-            self.ask_config,
-            address,
+            (self._config.routes.version, self._config.own.version),
+            self.config.is_behind(),
+            self.config.run,
+            # A second call beside one that may never be answered.
+            _ASKED_AT_ONCE if self.config.is_slow() else 1,
         )
         self._note(
             'upstreams',
             self._table.revision,
             beacon.upstreams_revision > self._table.revision,
-            self.ask_upstreams,
-            address,
+            functools.partial(self.ask_upstreams, address),
         )
 
     def join(self, seeds: ty.Iterable[str]) -> None:
@@ -91,23 +102,7 @@
 
     def ask_config(self, address: str) -> bool:
         """Take a peer's configuration, if it is newer; say whether it was."""
-        reply = self._call(address, 'FetchConfig', pb.ConfigRequest())
-        if isinstance(reply, failures.Failure):
-            return False
-        source = f'peer {address}'
-        news = False
-        try:
-            if reply.config:
-                routes = json.loads(reply.config)
-                news = self._config.offer_routes(routes, source)
-            if reply.document:
-                own = json.loads(reply.document)
-                news |= self._config.offer_own(
-                    reply.document_version, own, source
-                )
-        except (ValueError, RecursionError) as exc:
-            self._log.error('peer_garbled', peer=address, error=str(exc)[:200])
-        return news
+        return self.config.ask(address) is config_asking.Answer.NEWS
 
     def ask_upstreams(self, address: str) -> bool:
         """Take in what a peer knows of upstreams; say whether it was news."""
@@ -147,15 +142,17 @@
         what: str,
         own: ty.Any,
         ahead: bool,
-        ask: ty.Callable[[str], bool],
-        address: str,
+        ask: ty.Callable[[], bool],
+        at_once: int = 1,
     ) -> None:
-        """Ask a peer that is ahead, once the own watch had its time.
+        """Ask those that are ahead, once the own watch had its time.
 
         Parameters
         ----------
         own : int or tuple
             What this router has got: while it stays so, time counts.
+        at_once : int
+            Tasks that may ask at once.
         """
         if not ahead:
             return
@@ -165,16 +162,14 @@
             since = now
         self._behind[what] = own, since
         patience = _PATIENCE_MS if self._knowledge.is_watching(what) else 0
-        if now - since < patience or what in self._asking:
+        if now - since < patience or self._asking[what] >= at_once:
             return
-        self._asking.add(what)
-        self._spawn(f'ask_{what}', self._ask, what, ask, address)
+        self._asking[what] += 1
+        self._spawn(f'ask_{what}', self._ask, what, ask)
 
-    def _ask(
-        self, what: str, ask: ty.Callable[[str], bool], address: str
-    ) -> None:
+    def _ask(self, what: str, ask: ty.Callable[[], bool]) -> None:
         try:
-            if ask(address):
+            if ask():
                 self._knowledge.overtaken()
         finally:
-            self._asking.discard(what)
+            self._asking[what] -= 1
--- a/src/peridotmast/router/knowledge.py
+++ b/src/peridotmast/router/knowledge.py
@@ -79,7 +79,11 @@
         self.table = upstreams_.UpstreamTable(clock, bounds.drain_ms, lapse_ms)
         """The upstreams."""
         self.config = config_feed.ConfigFeed(
-            self.store, names.CONFIG_NAME, config_codec, checks
+            self.store,
+            names.CONFIG_NAME,
+            config_codec,
+            checks,
+            names.CONFIG_KIND,
         )
         """The configuration in force."""
         self.fleet_clock = fleet_clock.FleetClock(clock)
--- a/src/peridotmast/router/operator_service.py
+++ b/src/peridotmast/router/operator_service.py
@@ -17,6 +17,8 @@
 from peridotmast.serving import upstreams as upstreams_
 
 _CALL_MS = 1000
+_ANY_VERSION = (1 << 63) - 1
+"""Known version of who wants no text at all."""
 READ = 'read'
 CONFIG = 'config'
 DRAIN = 'drain'
@@ -215,8 +217,12 @@
             node.config_version = self._feed.routes.version
             node.document_version = self._feed.own.version
             return node
+        # Versions only: the texts of a whole fleet would fill the link.
+        request = pb.ConfigRequest(
+            known_version=_ANY_VERSION, known_document=_ANY_VERSION
+        )
         reply = self._peers.call(
-            member.peer_address, 'FetchConfig', pb.ConfigRequest(), _CALL_MS
+            member.peer_address, 'FetchConfig', request, _CALL_MS
         )
         if isinstance(reply, failures.Failure):
             node.reason = reply.reason
--- a/src/peridotmast/router/peer_service.py
+++ b/src/peridotmast/router/peer_service.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import json
 import typing as ty
 
 from peridotmast.coordination import config_feed as config_feed_
 from peridotmast.coordination import members as members_
-from peridotmast import logs
+from peridotmast.router import config_copies
 from peridotmast import rpc
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import upstreams as upstreams_
@@ -30,11 +29,12 @@
         tls: pb.TlsSettings,
     ) -> None:
         self._members = members
-        self._config = config
+        self._copies = config_copies.ConfigCopies(
+            config, members.clock, members.me.name
+        )
         self._table = table
         self._own_steps = own_steps
         self._tls = tls
-        self._log = logs.get('peer_service', router=members.me.name)
 
     def Join(  # noqa: N802
         self, req: pb.JoinRequest, caller: rpc.Caller
@@ -48,19 +48,9 @@
     def FetchConfig(  # noqa: N802
         self, req: pb.ConfigRequest, caller: rpc.Caller
     ) -> pb.ConfigReply:
-        """Give both parts of the configuration in force."""
+        """Give what the caller lacks of the configuration in force."""
         self._check(caller)
-        routes, own = self._config.routes, self._config.own
-        reply = pb.ConfigReply(
-            config_version=routes.version,
-            config=_json(routes.document),
-            document_version=own.version,
-            document=_json(own.document),
-        )
-        self._log.info(
-            'config_given', version=routes.version, bytes=reply.ByteSize()
-        )
-        return reply
+        return self._copies.give(req)
 
     def FetchUpstreams(  # noqa: N802
         self, req: pb.UpstreamsRequest, caller: rpc.Caller
@@ -88,9 +78,3 @@
         known = self._tls.router_name in caller.others
         if self._tls.cert_file and not known:
             raise rpc.Denied(f'{caller.name or "nobody"} is no router')
-
-
-def _json(document: dict[str, ty.Any]) -> bytes:
-    if not document:
-        return b''
-    return json.dumps(document, separators=(',', ':')).encode()
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -146,6 +146,7 @@
             _secret(tls),
         )
         """What the routers tell each other."""
+        self.serving.gateway.is_behind = self._catch_up.config.lacks_routes
         self.serving.places.tell = self._tell_load
         self.serving.places.knows_late = self._peering.knows_late
 
--- a/src/peridotmast/serving/gateway.py
+++ b/src/peridotmast/serving/gateway.py
@@ -23,6 +23,11 @@
 _START_RETRY_MS = 500
 """What a caller is told to wait for a router that knows no configuration."""
 
+_BEHIND_RETRY_MS = 300
+"""What a caller is told to wait where this router knows that it is behind: on
+thin links a large configuration goes from 31 to 252 of 330 routers in this
+time (links of the feature `spread`), and the next try goes to any of them."""
+
 _ELSEWHERE_MS = 50
 """What a caller is told to wait where it need only ask another router."""
 
@@ -95,6 +100,9 @@
         self._routes: ty.Optional[route_table.RouteTable] = None
         self._takes_all_until = 0
         self._leaves_at: ty.Optional[int] = None
+        self.is_behind: ty.Callable[[], bool] = lambda: False
+        """Says whether a newer configuration is known to be in force at a
+        peer."""
         self.in_work = 0
         """Requests that are being answered."""
 
@@ -212,10 +220,11 @@
             asked.host, asked.target.partition('?')[0]
         )
         if route is None:
-            return failures.missing('no_route', asked.target[:80])
+            missing = failures.missing('no_route', asked.target[:80])
+            return self._unless_behind(missing)
         team = routes.team_of(asked.key) if asked.key else None
         if team is None and routes.asks_keys and not route.public:
-            return failures.invalid('no_key')
+            return self._unless_behind(failures.invalid('no_key'))
         service = routes.services.get(routes.service_of(route))
         if service is None:
             return failures.not_run('no_service', route.name)
@@ -247,6 +256,20 @@
         )
         return exchange, service
 
+    def _unless_behind(self, failure: failures.Failure) -> failures.Failure:
+        """Return a final "no", but not from what is known to be old.
+
+        Callers don't ask again after it; what they ask for may be in the
+        newer configuration that is on its way here.
+        """
+        if not self.is_behind():
+            return failure
+        return failures.not_run(
+            'config_behind',
+            f'{failure.reason} {failure.detail}',
+            _BEHIND_RETRY_MS,
+        )
+
     def _refused(
         self, asked: Asked, failure: failures.Failure, service: str
     ) -> failures.Failure:
