Failing tests: what a router reads of the store on a thin link

Cause: none yet; two faults of the incident of the large configuration, each shown before its repair. Change: the feature `store_reads`, whose tests decide by a clock that the stand-in moves on, by order and by counts. The raw upstream takes requests without an id.

--- a/features/steps/raw_upstream.py
+++ b/features/steps/raw_upstream.py
@@ -18,8 +18,8 @@
     Parameters
     ----------
     script : callable
-        Gets the socket, the request's id and its number on the connection;
-        false ends the connection.
+        Gets the socket, the request's id (empty where it has none) and its
+        number on the connection; false ends the connection.
     """
 
     def __init__(self, script, reads_body=True):
@@ -74,7 +74,8 @@
                 )
                 number += 1
                 self.numbers.append(number)
-                if not self._script(sock, found[1].decode(), number):
+                request_id = found[1].decode() if found else ''
+                if not self._script(sock, request_id, number):
                     break
         except OSError:
             pass
--- /dev/null
+++ b/features/store_reads.feature
@@ -0,0 +1,76 @@
+Feature: Large answers of the store come through on a thin link
+
+  # Seen: a configuration of 0.46 MB, 0.74 s long on a link of 5 Mbit/s that
+  # callers' streams use too, was given up while it came in, and begun anew.
+  # Came about: whatever the store's answer had brought, the call ended 1.5 s
+  # after it was made; the value may be 1 MB, 1.7 s long on that link alone.
+  # Cause: a bound on the whole of a transfer whose length grows with its
+  # size, where what is to be found out is silence.
+  # Proof: parts that are each in time make an answer, however many they are.
+  Scenario Outline: What comes bit by bit is read to its end, and asked for once
+    Given a store whose answers come in 5 parts, 1000 ms apart
+    When it is asked for <what> with a bound of 1500 ms
+    Then the answer is whole, and was asked for once
+
+    Examples:
+      | what      |
+      | a listing |
+      | an object |
+      | changes   |
+
+  Scenario Outline: An answer that stops coming is given up
+    Given a store whose answers stop after their first part
+    When it is asked for <what> with a bound of 200 ms
+    Then the answer is given up as silent
+
+    Examples:
+      | what      |
+      | a listing |
+      | an object |
+      | changes   |
+
+  Scenario: An answer that comes for ever is given up
+    Given a store whose answers come in 500 parts, 1000 ms apart
+    When it is asked for a listing with a bound of 1500 ms
+    Then the answer is given up as silent
+    And it was after fewer than 50 parts
+
+  Scenario Outline: What has a short answer is bounded as a whole
+    Given a store whose answers come in 5 parts, 1000 ms apart
+    When it is asked for <what> with a bound of 1500 ms
+    Then the answer is given up as silent
+    And it was after fewer than 4 parts
+
+    Examples:
+      | what      |
+      | a write   |
+      | a removal |
+      | an order  |
+
+  # Seen: five of six watchers gave up the watch that brought a configuration,
+  # right after a peer had told them of an upstream.
+  # Came about: a peer's news ended every watch that had waited for 2 s, of
+  # whatever kind, and also one whose answer was coming in.
+  # Cause: silence was told by how long the watch had lasted, and by news that
+  # it was not there to bring.
+  # Proof: the watches on the configuration are not asked for again; an answer
+  # that has begun to come is read to its end from its first call.
+  Scenario: A peer's news on upstreams ends no watch on the configuration
+    Given a router that has watched the store for 3000 ms
+    When a peer has news on upstreams
+    Then it watches the upstreams anew
+    And it has watched the configuration once
+
+  Scenario: A watch whose answer is coming in is not given up for a peer's news
+    Given a watch whose answer comes in two halves
+    When the first half comes 3000 ms after it began
+    And a peer has news 500 ms later
+    Then it goes on
+    When the second half comes
+    Then it has brought the news, and was asked for once
+
+  Scenario: A watch whose answer has stopped coming is given up for a peer's news
+    Given a watch whose answer comes in two halves
+    When the first half comes 3000 ms after it began
+    And a peer has news 2000 ms later
+    Then it is asked for once more, and has brought the news
