Reading the store is bounded by silence, not by how long it takes

Cause: `list` and `read` were given up 1.5 s after they were made, `watch` 1.5 s after its wait, whatever had come: 1 MB takes 1.7 s alone on a link of 5 Mbit/s, so it was begun anew for ever, and sooner beside callers' streams. Change: the answer must begin in that time; from then on `timeout_ms` (1.5 s) without a byte ends it, or 20 s in all, `_ANSWER_MS`. Each other use keeps its bound on the whole, since its answers are short: writes and removals in the store, the lease's among them (one that is late is worth nothing); usage and orders (they may only be made while the lease is held); an engine's report and move (a move's run stands still meanwhile); the callers' library (it asks the next router); the stand-in's copies and the load's metrics. The lease's reads go with all reads: its object fits one packet, and the lease is counted from before the read. Measured: store_reads, 'What comes bit by bit is read to its end, and asked for once' (a listing, an object, changes) failed before and pass now; answers that stop, that never end, writes and orders as before. store_reads, upstreams, config, entries, lease, duties, incarnation: 102 scenarios pass; store_reads ten times in a row. Trials on a scratch copy, each caught: no bound on silence (3 fail; none did until the test waited 8 s for the call's end), no cap (1), writes bounded so too (2), every call (3). make check passes.

--- a/features/steps/store_read_steps.py
+++ b/features/steps/store_read_steps.py
@@ -154,7 +154,11 @@
     store._http = cloud._http = calls.HttpCalls(ms, slow.clock)
     context.closing.append(store.close)
     slow.body, call, context.wanted = ASKED[what]
-    context.result = call(store, cloud)
+    asking = green.spawn(call, store, cloud)
+    context.closing.append(asking.kill)
+    # Long for each bound here, and short for one that is not kept.
+    helpers.wait_until(lambda: asking.dead, 'the call is over')
+    context.result = asking.wait()
     context.sent = slow.sent
 
 
--- a/src/peridotmast/platform/store.py
+++ b/src/peridotmast/platform/store.py
@@ -20,7 +20,12 @@
 """Pages of one listing; the store gives about 500 objects a page."""
 
 _WATCH_SLACK_MS = 1500
-"""How much longer than asked a watch may take to return."""
+"""How much longer than asked a watch's answer may take to begin."""
+
+_ANSWER_MS = 20_000
+"""Longest time in which a large answer comes in, as long as bytes keep
+coming. The largest value, 1 MB, takes 1.7 s alone on the thinnest link,
+5 Mbit/s, and this long where callers' streams leave a twelfth of it."""
 
 _WAITED_MS = 1000
 """A watch that fails later than this was cut off while it waited, which says
@@ -39,7 +44,7 @@
     address : str
         ``IP:port`` of the store.
     timeout_ms : int
-        Bound on one call.
+        Bound on a write; of what is read, on silence.
     outage : outage.Outage
         Told how each call went.
     """
@@ -61,7 +66,7 @@
         self, kind: str, name: str
     ) -> ty.Union[objects.Stored, failures.Failure]:
         """Return an object; one without a value where there is none."""
-        reply = self._call('GET', _path(kind, name))
+        reply = self._read(_path(kind, name))
         if isinstance(reply, failures.Failure):
             return reply
         if reply.status == 404:
@@ -74,7 +79,7 @@
         path = _path(kind)
         revision = 0
         for _ in range(_PAGE_LIMIT):
-            reply = self._call('GET', path)
+            reply = self._read(path)
             if isinstance(reply, failures.Failure):
                 return reply
             page = _page(reply, names.ITEMS)
@@ -107,8 +112,7 @@
         on_bytes : callable, optional
             Called as bytes of the answer come.
         """
-        reply = self._call(
-            'GET',
+        reply = self._read(
             f'{_path(kind)}?{names.WATCH}={since}&{names.WAIT_MS}={wait_ms}',
             timeout_ms=wait_ms + _WATCH_SLACK_MS,
             on_bytes=on_bytes,
@@ -161,12 +165,32 @@
             else:
                 yield stored
 
+    def _read(
+        self,
+        path: str,
+        timeout_ms: int = 0,
+        on_bytes: ty.Callable[[], None] = lambda: None,
+    ) -> ty.Union[calls.Reply, failures.Failure]:
+        """Ask for what may be large: only silence ends it.
+
+        Writes are bounded as a whole: what they are about may be over by
+        then, such as the time for which a lease was held.
+        """
+        return self._call(
+            'GET',
+            path,
+            timeout_ms=timeout_ms,
+            answer_ms=_ANSWER_MS,
+            on_bytes=on_bytes,
+        )
+
     def _call(
         self,
         method: str,
         path: str,
         body: ty.Any = None,
         timeout_ms: int = 0,
+        answer_ms: int = 0,
         on_bytes: ty.Callable[[], None] = lambda: None,
     ) -> ty.Union[calls.Reply, failures.Failure]:
         self.calls += 1
@@ -177,6 +201,7 @@
             path,
             body,
             timeout_ms=timeout_ms or self._timeout_ms,
+            answer_ms=answer_ms,
             on_bytes=on_bytes,
         )
         waited = bool(timeout_ms) and self._clock.now() - began > _WAITED_MS
--- a/src/peridotmast/wire/calls.py
+++ b/src/peridotmast/wire/calls.py
@@ -37,7 +37,7 @@
     Parameters
     ----------
     timeout_ms : int
-        Bound on one call.
+        Bound on one call; of one whose answer may be large, on its silence.
     clock : clock.Clock, optional
         Times the calls; the machine's by default.
     """
@@ -59,6 +59,7 @@
         body: ty.Any = None,
         headers: ty.Optional[dict[str, str]] = None,
         timeout_ms: int = 0,
+        answer_ms: int = 0,
         on_bytes: ty.Callable[[], None] = lambda: None,
     ) -> ty.Union[Reply, failures.Failure]:
         """Make one call.
@@ -67,6 +68,13 @@
         ----------
         body : optional
             Bytes, or a value that is sent as JSON.
+        timeout_ms : int, optional
+            Bound on this call, in ms; with `answer_ms`, only until its
+            answer begins.
+        answer_ms : int, optional
+            Bound on the rest of an answer that may be large, in ms, which
+            then may not be silent for longer than any call may take. 0 where
+            the answer is short.
         on_bytes : callable, optional
             Called as bytes of the answer come.
 
@@ -84,7 +92,9 @@
                 conn, method, address, path, body, headers or {}, deadline
             )
             if reply is None:
-                reply = _receive(conn, method, deadline, on_bytes)
+                reply = self._receive(
+                    conn, method, deadline, answer_ms, on_bytes
+                )
         except BaseException:
             conn.close()
             raise
@@ -100,6 +110,29 @@
         """Close the kept connections."""
         self._pool.close()
 
+    def _receive(
+        self,
+        conn: connection_.Connection,
+        method: str,
+        deadline: int,
+        answer_ms: int,
+        on_bytes: ty.Callable[[], None],
+    ) -> ty.Union[Reply, failures.Failure]:
+        head = conn.read_head(method, deadline)
+        if isinstance(head, failures.Failure):
+            return head
+        on_bytes()
+        silence_ms = 0
+        if answer_ms:
+            # How long it takes grows with its size and with what else is on
+            # the link; given up, it would have to come again as a whole.
+            deadline = self._clock.now() + answer_ms
+            silence_ms = self._timeout_ms
+        body = conn.read_all(deadline, _ANSWER_BYTES, silence_ms, on_bytes)
+        if isinstance(body, failures.Failure):
+            return body
+        return Reply(head.status, head.headers, body)
+
 
 def _send(
     conn: connection_.Connection,
@@ -116,19 +149,3 @@
         data = json.dumps(body, separators=(',', ':')).encode()
         lines.append(('Content-Type', 'application/json'))
     return conn.send(method, path, lines, data, deadline)
-
-
-def _receive(
-    conn: connection_.Connection,
-    method: str,
-    deadline: int,
-    on_bytes: ty.Callable[[], None],
-) -> ty.Union[Reply, failures.Failure]:
-    head = conn.read_head(method, deadline)
-    if isinstance(head, failures.Failure):
-        return head
-    on_bytes()
-    answer = conn.read_all(deadline, _ANSWER_BYTES, on_bytes)
-    if isinstance(answer, failures.Failure):
-        return answer
-    return Reply(head.status, head.headers, answer)
--- a/src/peridotmast/wire/connection.py
+++ b/src/peridotmast/wire/connection.py
@@ -206,6 +206,7 @@
         self,
         deadline: int,
         limit: int,
+        silence_ms: int = 0,
         on_bytes: ty.Callable[[], None] = lambda: None,
     ) -> ty.Union[bytes, failures.Failure]:
         """Return the rest of the body, at most `limit` bytes of it.
@@ -214,13 +215,18 @@
 
         Parameters
         ----------
+        silence_ms : int, optional
+            Longest time without a byte of it; 0 bounds it by `deadline` only.
         on_bytes : callable, optional
             Called as bytes of it come.
         """
         parts: list[bytes] = []
         size = 0
         while True:
-            part = self.read_some(deadline)
+            bound = deadline
+            if silence_ms:
+                bound = min(deadline, self._clock.now() + silence_ms)
+            part = self.read_some(bound)
             if isinstance(part, failures.Failure):
                 return part
             if not part:
