One rank for watchers, groups and heads

Cause: the same rendezvous hash stood in two modules. Change: coordination.rank. Measured: the same names come first as before; groups and fleet pass.

--- a/src/peridotmast/coordination/groups.py
+++ b/src/peridotmast/coordination/groups.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import functools
-import hashlib
 import math
 import typing as ty
 
 from peridotmast import clock as clock_
 from peridotmast.coordination import members as members_
+from peridotmast.coordination import rank
 
 WHOLE = 17
 """Fleet size up to which every router tells every other: it reaches 16 peers
@@ -17,10 +16,6 @@
 _NEW_MS = 5000
 """How long a router that was never heard counts as one that may be there."""
 
-_RANKS_KEPT = 4096
-"""Hashes that are kept: two for each of 330 routers, and runs before."""
-
-
 _Sorted = dict[int, list[members_.Peer]]
 """Peers by the number of their group."""
 
@@ -78,10 +73,10 @@
         """Return all peers by group, who is head before others first."""
         found: _Sorted = {}
         for peer in self._members.peers():
-            group = _rank('group', peer.member.name) % count
+            group = rank.of('group', peer.member.name) % count
             found.setdefault(group, []).append(peer)
         for peers in found.values():
-            peers.sort(key=lambda peer: _rank('head', peer.member.name))
+            peers.sort(key=lambda peer: rank.of('head', peer.member.name))
         return found
 
 
@@ -119,9 +114,9 @@
     @property
     def leads(self) -> bool:
         """Whether this router is the head of its group."""
-        mine = _rank('head', self._me)
+        mine = rank.of('head', self._me)
         return not any(
-            _rank('head', name) < mine for name in self._heard_in(self.mine)
+            rank.of('head', name) < mine for name in self._heard_in(self.mine)
         )
 
     def members(self) -> list[members_.Peer]:
@@ -151,7 +146,7 @@
 
     def group_of(self, name: str) -> int:
         """Return the number of a router's group."""
-        return _rank('group', name) % self.count
+        return rank.of('group', name) % self.count
 
     def names_in(self, group: int) -> list[str]:
         """Return the names of the peers in a group."""
@@ -177,9 +172,3 @@
     others anew.
     """
     return 1 << round(math.log2(routers) / 2)
-
-
-@functools.lru_cache(maxsize=_RANKS_KEPT)
-def _rank(what: str, name: str) -> int:
-    digest = hashlib.blake2b(f'{what}|{name}'.encode(), digest_size=8)
-    return int.from_bytes(digest.digest(), 'big')
--- a/src/peridotmast/coordination/watchers.py
+++ b/src/peridotmast/coordination/watchers.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-import functools
-import hashlib
-
 from peridotmast.coordination import members as members_
+from peridotmast.coordination import rank
 
 _EVERYBODY = 8
 """Fleet size up to which each router watches for itself: the news of a peer
@@ -15,9 +13,6 @@
 """Routers that watch in larger fleets, so that calls do not grow with them:
 enough that some are left when a failure domain is cut off."""
 
-_RANKS_KEPT = 4096
-"""Hashes that are kept: some kinds of objects times 330 routers."""
-
 
 class Watchers:
     """Chooses watchers by rendezvous hashing over the routers heard.
@@ -42,15 +37,10 @@
         """Return whether this router is to watch `kind`."""
         if self.all_watch():
             return True
-        mine = _rank(kind, self._members.me.name)
+        what = f'watch|{kind}'
+        mine = rank.of(what, self._members.me.name)
         before = sum(
-            _rank(kind, peer.member.name) < mine
+            rank.of(what, peer.member.name) < mine
             for peer in self._members.heard()
         )
         return before < _WATCHERS
-
-
-@functools.lru_cache(maxsize=_RANKS_KEPT)
-def _rank(kind: str, name: str) -> bytes:
-    text = f'watch|{kind}|{name}'.encode()
-    return hashlib.blake2b(text, digest_size=8).digest()
