--- a/features/spread.feature
+++ b/features/spread.feature
@@ -62,3 +62,17 @@
     And a caller with an unknown key is told to come back, and that nothing ran
     When nothing more is heard of it
     Then a caller of an unknown route is told that there is none
+
+  Scenario: Nor that a model or a service is unknown
+    Given a fleet of 1 routers
+    When the router hears of a configuration that is newer than its own
+    And this is posted to "/v1/chat/completions"
+      """
+      {"model": "x", "messages": []}
+      """
+    Then the status is 503 and the reason holds "unknown_model"
+    When this is posted to "/v1/services/nowhere/x"
+      """
+      {"payload": "1"}
+      """
+    Then the status is 503 and the reason holds "no_route"
