--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -22,6 +22,7 @@
 WIRE = 'peridotmast/wire/'
 PLATFORM = 'peridotmast/platform/'
 DUTIES = 'peridotmast/duties/'
+ROUTER = 'peridotmast/router/'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -476,6 +477,83 @@
         'return 1',
         'planner',
     ),
+    Mutation(
+        'give copies to any number at once',
+        ROUTER + 'config_copies.py',
+        'return 0 if self._left > 0 else 1 + int(-self._left / _RATE)',
+        'return 0',
+        'spread',
+    ),
+    Mutation(
+        'send whole texts',
+        ROUTER + 'config_asking.py',
+        'takes_packed=True',
+        'takes_packed=False',
+        'spread',
+    ),
+    Mutation(
+        'name nobody who has a copy',
+        ROUTER + 'config_copies.py',
+        'self._holders.append(req.peer_address)',
+        'pass',
+        'spread',
+    ),
+    Mutation(
+        'wait for a peer that may be gone',
+        ROUTER + 'config_asking.py',
+        'any(at > now - _SLOW_MS for at in began)',
+        'began',
+        'spread',
+    ),
+    Mutation(
+        'believe what the store denies',
+        ROUTER + 'config_asking.py',
+        'self._deny(claimed)',
+        'pass',
+        'spread',
+    ),
+    Mutation(
+        'ask again for what can not be read',
+        ROUTER + 'config_asking.py',
+        'self._unreadable = _Ignored(found, until)',
+        'pass',
+        'spread',
+    ),
+    Mutation(
+        'pack a copy once for all versions',
+        ROUTER + 'config_copies.py',
+        'if version != part.version:',
+        'if not version:',
+        'spread',
+    ),
+    Mutation(
+        'refuse for good by what is known to be old',
+        SERVING + 'gateway.py',
+        'if not self.is_behind():',
+        'if True:',
+        'spread',
+    ),
+    Mutation(
+        'end each watch by any news',
+        ROUTER + 'knowledge.py',
+        'if watch.kind in _KINDS[what]:',
+        'if True:',
+        'store_reads',
+    ),
+    Mutation(
+        'bound large answers as a whole',
+        WIRE + 'calls.py',
+        'deadline = self._clock.now() + answer_ms',
+        'pass',
+        'store_reads',
+    ),
+    Mutation(
+        'feel an outage that nobody asks about',
+        COORDINATION + 'outage.py',
+        'self.is_out and now - self._failed_at < _SAID_MS',
+        'self.is_out',
+        'upstreams',
+    ),
 )
 
 
