A failing step prints its place, its name, its error and the ends of the logs

Cause: the formatter `progress` shows no steps, and the scenario's folder goes with the logs of its processes.

Known reds are read as before.

--- a/features/environment.py
+++ b/features/environment.py
@@ -6,6 +6,7 @@
 import pathlib
 import shutil
 import tempfile
+import traceback
 
 from peridotmast import green
 from peridotmast import logs
@@ -14,6 +15,9 @@
 """Scenarios that fail for a fault that is not mended yet, one a line:
 ``file: scenario | cause | issue | command, seed and what was seen``."""
 MOST_RED = 3
+LOG_BYTES = 3000
+"""Shown of each process's log where a step fails: about 15 of its lines, so
+that the output of a run in which much fails can still be read."""
 
 
 def before_all(context):
@@ -42,6 +46,20 @@
     context.last = None
 
 
+def after_step(context, step):
+    # The formatter of `make test` shows a letter for each scenario, no more.
+    if not step.status.has_failed():
+        return
+    print(f'\nfailed: {step.location}: {step.keyword} {step.name}')
+    exc = step.exception
+    if exc is not None:
+        lines = traceback.format_exception(exc, exc, step.exc_traceback)
+        print(''.join(lines).rstrip())
+    for path in sorted(pathlib.Path(context.folder).glob('*.log')):
+        print(f'end of {path.name}:')
+        print(path.read_bytes()[-LOG_BYTES:].decode(errors='replace'))
+
+
 def after_scenario(context, scenario):
     for close in reversed(context.closing):
         close()
