Tests of stand-ins that share addresses, and of requests that share an id

The scenario "One request, served end to end, and one router killed" was repeated three at a time beside eight busy processes. It passed, but its routers' logs told of streams that broke off when a stand-in of another repetition ended: all stand-ins that are told to take free ports listen at ports 1 to 7, side by side.

Three faults, each with a test that fails here:

- stand-ins told to take free ports share all ports but the store's;
- two routers started at one address both serve, each a part of the callers;

--- a/features/programs.feature
+++ b/features/programs.feature
@@ -17,6 +17,7 @@
     Then the command line shows where it went
     When a router gets SIGHUP with changed settings
     Then it goes on with them
+    And each request that was sent has an id of its own
     And the log is one line of key=value pairs an event
     When a router is killed while an answer streams
     Then the whole answer comes from the other router
@@ -29,3 +30,12 @@
     Then the directory names only the other within 5 s
     When the frozen router goes on
     Then both are named again
+
+  Scenario: Stand-ins that are told to take free ports share none
+    When two fleets of stand-ins are told to take free ports
+    Then no address is listened at by both
+
+  Scenario: A router at an address that is taken says so and ends
+    Given a stand-in as a process
+    When two routers are started at one address
+    Then one serves, and one ends with 1 and says that the address is taken
--- a/features/steps/program_steps.py
+++ b/features/steps/program_steps.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import ipaddress
 import json
 import os
+import random
 import re
 import signal
 import subprocess
@@ -14,6 +16,7 @@
 from behave import then
 from behave import when
 
+from peridotmast.embedded import fleet as fleet_
 from peridotmast.embedded import shape as shape_
 from peridotmast.load import oracle
 
@@ -84,12 +87,17 @@
     )
 
 
-@given('a stand-in and two routers, each a process')
-def separate_processes(context):
+@given('a stand-in as a process')
+def standin_process(context):
     context.processes = []
     standin = begin(context, 'standin', '[standin]\nlisten = 127.0.0.1:0\n')
     found = in_log(standin, r'(?s)\[platform\]\nobjects = \S+\ncloud = \S+\n')
     context.platform = found[0]
+
+
+@given('a stand-in and two routers, each a process')
+def separate_processes(context):
+    standin_process(context)
     context.routers = [
         begin(
             context,
@@ -139,6 +147,27 @@
 @when('an answer is asked for with the command line')
 def ask_by_command(context):
     context.run = command(context, *send_args(context, 12))
+    context.sent = getattr(context, 'sent', 0) + 1
+
+
+def ids_of(router, event):
+    """Return the ids of the requests that a router's log has `event` of."""
+    # With what follows it, since a line may be written in two pieces.
+    pattern = rf'event={event} .*request=(\S+) '
+    return set(re.findall(pattern, log_of(router)))
+
+
+def answered(context):
+    return set.union(*(ids_of(r, 'answered') for r in context.routers))
+
+
+@then('each request that was sent has an id of its own')
+def ids_differ(context):
+    # What a router decides is in its log a while later.
+    wait_for(
+        lambda: len(answered(context)) == context.sent,
+        f'{context.sent} ids among {answered(context)}',
+    )
 
 
 @then('the command ends with 0 and printed the answer of 12 tokens')
@@ -326,3 +355,56 @@
     for line in lines:
         assert re.match(r'timestamp=\S+ level=\w+ event=\w+ ', line), line
     json.dumps(lines)
+
+
+@when('two fleets of stand-ins are told to take free ports')
+def start_standins(context):
+    context.fleets = []
+    for _ in range(2):
+        fleet = fleet_.Fleet(
+            shape_.FleetShape(routers=0), listen='127.0.0.1:0'
+        )
+        context.closing.append(fleet.stop)
+        fleet.start()
+        context.fleets.append(fleet)
+
+
+@then('no address is listened at by both')
+def share_none(context):
+    found = [
+        [fleet.store.address, fleet.cloud.address]
+        + [guest.record.upstream.address for guest in fleet.guests]
+        for fleet in context.fleets
+    ]
+    assert all(len(addresses) > 2 for addresses in found), found
+    assert not set(found[0]) & set(found[1]), found
+
+
+@when('two routers are started at one address')
+def start_at_one_address(context):
+    # Of all that lead to this machine, so that no other run has the same.
+    own = ipaddress.IPv4Address('127.1.0.0') + random.randrange(1 << 16)
+    context.routers = [
+        begin(
+            context,
+            'router',
+            SETTINGS.format(
+                number=number + 1, platform=context.platform
+            ).replace('\nlisten = 127.0.0.1:0', f'\nlisten = {own}:8700'),
+        )
+        for number in range(2)
+    ]
+
+
+@then('one serves, and one ends with 1 and says that the address is taken')
+def one_ends(context):
+    ended = wait_for(
+        lambda: [r for r in context.routers if r.poll() is not None],
+        'a router that ends',
+    )
+    assert [router.returncode for router in ended] == [1], ended
+    text = log_of(ended[0])
+    assert re.search('event=cannot_start .*in use', text), text
+    other = next(r for r in context.routers if r not in ended)
+    in_log(other, 'event=ready ')
+    assert other.poll() is None
