Stand-ins share no ports, a taken address is refused, requests sent have own ids

Causes: - the stand-ins' ports were counted up from port 0, so that all but the store took ports 1 to 7 of every machine that lets them; - eventlet's `listen` lets sockets share an address unless told not to, so the second program at an address got a part of the connections and nothing was said. gRPC's listeners are told not to already; - the command line's caller drew its requests' ids by a fixed seed.

Change: port 0 means a free port for all stand-ins; HTTP listens without SO_REUSEPORT; a caller without a seed draws ids of its own.

--- a/src/peridotmast/client/caller.py
+++ b/src/peridotmast/client/caller.py
@@ -68,8 +68,9 @@
         Key of the team.
     failure_domain : str
         The caller's own, so that near routers come first.
-    seed : int
-        Seed of its choices.
+    seed : int, optional
+        Seed of its choices and of its requests' ids. Without one they are
+        no other caller's.
     """
 
     def __init__(
@@ -77,7 +78,7 @@
         addresses: ty.Sequence[str],
         key: str,
         failure_domain: str = '',
-        seed: int = 0,
+        seed: ty.Optional[int] = None,
     ) -> None:
         self._addresses = list(addresses)
         self._key = key
--- a/src/peridotmast/embedded/fleet.py
+++ b/src/peridotmast/embedded/fleet.py
@@ -38,8 +38,8 @@
     seed : int
         Seed of the stand-ins' faults.
     listen : str
-        Address of the stand-in store; the others take the next ports. By
-        default all take free ones.
+        Address of the stand-in store; the others take the next ports. With
+        port 0, and by default, all take free ones.
     """
 
     def __init__(
@@ -392,7 +392,7 @@
 
 
 def _next_ports(listen: str) -> ty.Iterator[str]:
-    if not listen:
-        return itertools.repeat('127.0.0.1:0')
-    host, _, port = listen.rpartition(':')
+    host, _, port = (listen or '127.0.0.1:0').rpartition(':')
+    if int(port) == 0:
+        return itertools.repeat(f'{host}:0')
     return (f'{host}:{number}' for number in itertools.count(int(port)))
--- a/src/peridotmast/wire/server.py
+++ b/src/peridotmast/wire/server.py
@@ -62,8 +62,13 @@
         """What callers may send; read anew for each request."""
         host, _, port = address.rpartition(':')
         family = socket.AF_INET6 if ':' in host else socket.AF_INET
+        # An address that is taken is refused: where two programs share one,
+        # each gets a part of the callers, and nobody is told.
         self._sock = green.listen(
-            (host.strip('[]'), int(port)), family, backlog=1024
+            (host.strip('[]'), int(port)),
+            family,
+            backlog=1024,
+            reuse_port=False,
         )
         # Accepted connections inherit it: a caller that takes nothing holds
         # this much of the kernel's memory, not megabytes.
