Test that a router that stood still does not take the others for silent

Of 31 repetitions of "One request, served end to end, and one router killed" beside eight busy processes, one failed, at "the command line lists 2 routers and 4 engines": `resolve` named the asked router alone. Neither router's log has a silent peer, so the one asked was late itself: its process had not run for the 1.25 s after which a peer counts as silent, and it answered before it read the beacons that lay in its socket. In another run a router noted its peer as silent and as heard within 4 ms, and lost its lease: it had stood still.

The scenario stops a router for 2 s while it is asked.

--- a/features/programs.feature
+++ b/features/programs.feature
@@ -31,6 +31,11 @@
     When the frozen router goes on
     Then both are named again
 
+  Scenario: A router that stood still does not take the others for silent
+    Given a stand-in and two routers, each a process
+    When a router stands still for 2 s while it is asked which there are
+    Then it names both
+
   Scenario: Stand-ins that are told to take free ports share none
     When two fleets of stand-ins are told to take free ports
     Then no address is listened at by both
--- a/features/steps/program_steps.py
+++ b/features/steps/program_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http.client
 import ipaddress
 import json
 import os
@@ -357,6 +358,28 @@
     json.dumps(lines)
 
 
+@when(
+    'a router stands still for {seconds:d} s while it is asked which there are'
+)
+def stand_still(context, seconds):
+    router, address = context.routers[0], context.addresses[0]
+    router.send_signal(signal.SIGSTOP)
+    try:
+        # The kernel takes it; it is answered before any beacon is read.
+        conn = http.client.HTTPConnection(address, timeout=20)
+        conn.request('GET', '/resolve')
+        time.sleep(seconds)
+    finally:
+        router.send_signal(signal.SIGCONT)
+    context.named = json.loads(conn.getresponse().read())['addresses']
+    conn.close()
+
+
+@then('it names both')
+def names_both(context):
+    assert set(context.named) == set(context.addresses), context.named
+
+
 @when('two fleets of stand-ins are told to take free ports')
 def start_standins(context):
     context.fleets = []
