Silence of peers is timed by a clock that leaves out the router's own stand-stills

Cause: a router whose process did not run for 1.25 s took all its peers for silent until it had read their beacons, which lay in its socket all the while. Callers who asked in that moment were all sent to the one router that had just stood still; its share of the teams' limits and its heads followed what it "heard", too.

Change: `AwakeClock` counts at most 500 ms (or two beacons) between two readings, and members, groups and the list of nodes go by it. A peer that is gone is found silent after the same 1.25 s of a router that runs. Leases go by the machine's clock, as before.

--- a/src/peridotmast/router/knowledge.py
+++ b/src/peridotmast/router/knowledge.py
@@ -34,6 +34,15 @@
 """Beacons missed after which callers are not sent to a peer any more: a few
 may be lost in a row, and a dead one costs a caller a connection."""
 
+_LATE_BEACONS = 2
+"""Beacons' time within which a router that runs reads its clock. What goes
+beyond that it stood still for; then the last beacons that it has read may be
+three old, and the ones after them come before they count as missed."""
+
+_LATE_MS = 500
+"""The same where beacons are more frequent than the 250 ms at which a router
+looks at its peers in any case: twice that."""
+
 _REGISTER_MS = 1000
 
 
@@ -73,7 +82,12 @@
             state=members_.ALIVE,
         )
         self.members = members_.Members(
-            me, clock, _SILENT_BEACONS * cfg.beacon_ms, groups_.WHOLE
+            me,
+            clock_.AwakeClock(
+                clock, max(_LATE_MS, _LATE_BEACONS * cfg.beacon_ms)
+            ),
+            _SILENT_BEACONS * cfg.beacon_ms,
+            groups_.WHOLE,
         )
         """The routers, this one too."""
         self.table = upstreams_.UpstreamTable(clock, bounds.drain_ms, lapse_ms)
--- a/src/peridotmast/router/operator_service.py
+++ b/src/peridotmast/router/operator_service.py
@@ -118,7 +118,7 @@
     ) -> pb.NodeListReply:
         """Tell which routers there are and who has the duties."""
         self._allow(caller, READ)
-        now = self._clock.now()
+        now = self._members.clock.now()
         reply = pb.NodeListReply()
         reply.nodes.add(member=self._members.me, silent_ms=-1)
         for other in self._members.peers():
--- a/src/peridotmast/router/peering.py
+++ b/src/peridotmast/router/peering.py
@@ -88,7 +88,7 @@
         self._choice = random.Random(members.me.name)
         self._outage_at = self._member_outage_at = -_FELT_MS
         self._sharing = sharing
-        self._groups = groups_.Groups(members, clock)
+        self._groups = groups_.Groups(members, members.clock)
         self._rounds = itertools.count()
         self._role = _Role(False, False, 1)
         self._group_heard: dict[int, int] = {}
