`overhead` measures whole answers only, and tells what became of the others

Cause: each reader ended by an assertion with the bare failure, and the status and the length of an answer were not looked at: refused streams went into the figures.

Change: a stream that does not come whole is told with its path, its request, how far it came, when, and the router's decisions on it; nothing is measured then.

--- a/src/peridotmast/load/overhead.py
+++ b/src/peridotmast/load/overhead.py
@@ -19,6 +19,9 @@
 
 STREAMS = 100
 _TOKENS = 240
+_CONNECT_MS = 1000
+_WHOLE_MS = 60_000
+"""Bound on a stream that takes 6 s on an idle machine."""
 _STEP_MS = 25.0
 _PAUSE_MS = 15
 _MOST_MS = 10.0
@@ -71,47 +74,116 @@
     return found
 
 
+class NotWholeError(Exception):
+    """A stream did not come whole, so that nothing can be said of it."""
+
+
 def measure(fleet: fleet_.Fleet, streams: int, routed: bool) -> Figures:
-    """Run `streams` streams side by side, begun a few ms apart."""
+    """Run `streams` streams side by side, begun a few ms apart.
+
+    Raises
+    ------
+    NotWholeError
+        With each one that did not come whole, and what the router decided
+        on it.
+    """
     first: list[float] = []
     tasks = []
     engines = fleet.running(shape_.ENGINES)
+    wanted = -(-_TOKENS // fleet.shape.times.stride)
     began = time.process_time()
     for number in range(streams):
         guest = engines[number % len(engines)]
         address = guest.record.upstream.address
         if routed:
             address = fleet.routers[0].address
-        tasks.append(green.spawn(_read, address, number, first))
+        request_id = f'overhead-{number}-{fleet.clock.now()}'
+        task = green.spawn(_read, address, request_id, wanted, first)
+        tasks.append((request_id, task))
         green.sleep_ms(_PAUSE_MS)
-    for task in tasks:
-        task.wait()
+    broken = [
+        (request_id, found)
+        for request_id, task in tasks
+        if (found := task.wait())
+    ]
     spent = time.process_time() - began
-    events = streams * _TOKENS / fleet.shape.times.stride
-    return Figures(report_.percentiles(first), round(spent / events * 1e6, 1))
+    if broken:
+        raise NotWholeError(_told(fleet, broken, routed))
+    us = spent / (streams * wanted) * 1e6
+    return Figures(report_.percentiles(first), round(us, 1))
 
 
-def _read(address: str, number: int, first: list[float]) -> None:
-    """Read a stream to its end as cheaply as can be."""
+def _told(
+    fleet: fleet_.Fleet, broken: list[tuple[str, str]], routed: bool
+) -> str:
+    path = 'through the router' if routed else 'direct'
+    lines = [f'{len(broken)} streams, {path}, were not whole']
+    for request_id, found in broken:
+        lines.append(f'{request_id}: {found}')
+        if routed:
+            decisions = fleet.routers[0].serving.decisions
+            lines += [
+                f'  {at} {text}' for at, text in decisions.of(request_id)
+            ]
+    return '\n'.join(lines)
+
+
+def _read(
+    address: str, request_id: str, wanted: int, first: list[float]
+) -> str:
+    """Read a stream of `wanted` events as cheaply as can be.
+
+    Returns
+    -------
+    str
+        Why it did not come whole; empty where it did.
+    """
     clock = clock_.SystemClock()
-    began = clock.now()
     conn = connection_.Connection(address, clock)
-    deadline = began + 60_000
-    assert conn.connect(1000) is None
+    began = clock.now()
+    count, found = _take(conn, clock, request_id, first)
+    conn.close()
+    if not found and count == wanted:
+        return ''
+    return (
+        f'{found or "it ended"} after {count} events, {clock.now() - began} ms'
+    )
+
+
+def _take(
+    conn: connection_.Connection,
+    clock: clock_.SystemClock,
+    request_id: str,
+    first: list[float],
+) -> tuple[int, str]:
+    """Return how many events came, and what went wrong, if anything did."""
+    began = clock.now()
+    deadline = began + _WHOLE_MS
     headers = [
         ('Host', shape_.HOST),
-        (names.REQUEST_ID, f'overhead-{number}-{began}'),
+        (names.REQUEST_ID, request_id),
         (names.AUTHORIZATION, f'{names.KEY_SCHEME}key-kalnins'),
         (names.TOKENS, f'24,{_TOKENS}'),
     ]
-    body = json.dumps({'letter': number}).encode()
-    assert conn.send('POST', '/chat/x', headers, body, deadline) is None
+    body = json.dumps({'letter': request_id}).encode()
+    failure = conn.connect(_CONNECT_MS) or conn.send(
+        'POST', '/chat/x', headers, body, deadline
+    )
+    if failure is not None:
+        return 0, str(failure)
     head = conn.read_head('POST', deadline)
-    assert not isinstance(head, failures.Failure), head
-    seen = False
+    if isinstance(head, failures.Failure):
+        return 0, str(head)
+    if head.status != 200:
+        return 0, f'status {head.status}'
+    count, last, seen = 0, b'', False
     while data := conn.read_some(deadline):
-        assert not isinstance(data, failures.Failure), data
+        if isinstance(data, failures.Failure):
+            return count, str(data)
         if not seen:
             seen = True
             first.append(clock.now() - began)
-    conn.close()
+        # The end of an event may come in two reads.
+        count += (last + data).count(b'\n\n')
+        last = data[-1:] if not data.endswith(b'\n\n') else b''
+    return count, ''
