--- a/features/programs.feature
+++ b/features/programs.feature
@@ -44,3 +44,14 @@
     Given a stand-in as a process
     When two routers are started at one address
     Then one serves, and one ends with 1 and says that the address is taken
+
+  # Seen: once, all routers of a soak were killed at the same time, and one of them
+  # could not start again: its address was in use. How: routers that are processes
+  # listened at 127.0.0.1, at ports that the kernel had given them. For the second
+  # that they were down, their ports were free for whatever asked for one. Cause: an
+  # address that must be come back to was one that anybody may be given. Proof: with
+  # another program at its port meanwhile, a router does not come back.
+  Scenario: A router comes back at its address, whoever was given its port meanwhile
+    Given a fleet whose router is a process
+    When it is killed, and its ports on this machine are given to another program
+    Then it comes back at its address
--- a/features/steps/program_steps.py
+++ b/features/steps/program_steps.py
@@ -10,6 +10,7 @@
 import random
 import re
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -19,6 +20,7 @@
 from behave import when
 
 from peridotmast.embedded import fleet as fleet_
+from peridotmast.embedded import process_fleet
 from peridotmast.embedded import shape as shape_
 from peridotmast.load import oracle
 
@@ -445,3 +447,36 @@
     other = next(r for r in context.routers if r not in ended)
     in_log(other, 'event=ready ')
     assert other.poll() is None
+
+
+@given('a fleet whose router is a process')
+def fleet_of_process(context):
+    shape = shape_.FleetShape(routers=1, domains=1, services=0)
+    context.processes = process_fleet.ProcessFleet(shape, 0, context.folder)
+    context.closing.append(context.processes.stop)
+    context.processes.start()
+
+
+@when(
+    'it is killed, and its ports on this machine are given to another program'
+)
+def ports_given(context):
+    [context.killed] = context.processes.routers
+    context.killed.stop()
+    addresses = (
+        context.killed.address,
+        context.killed.chat_address,
+        context.killed.peer_address,
+    )
+    for address in addresses:
+        other = socket.socket()
+        context.closing.append(other.close)
+        other.bind(('127.0.0.1', int(address.rpartition(':')[2])))
+        other.listen()
+
+
+@then('it comes back at its address')
+def comes_back(context):
+    context.processes.restart(context.killed)
+    [router] = context.processes.serving()
+    assert router.address == context.killed.address, router.address
