--- a/features/steps/program_steps.py
+++ b/features/steps/program_steps.py
@@ -443,7 +443,7 @@
     )
     assert [router.returncode for router in ended] == [1], ended
     text = log_of(ended[0])
-    assert re.search('event=cannot_start .*in use', text), text
+    assert re.search(r'event=cannot_start .*:8700\b.*in use', text), text
     other = next(r for r in context.routers if r not in ended)
     in_log(other, 'event=ready ')
     assert other.poll() is None
--- a/src/peridotmast/embedded/fleet.py
+++ b/src/peridotmast/embedded/fleet.py
@@ -268,18 +268,19 @@
     def router_file(self, name: str, **settings: ty.Any) -> pb.RouterFile:
         """Return the settings of a router."""
         number = len(self.routers)
+        free = f'{self._host_of(name)}:0'
         values = {
             'name': name,
-            'listen': '127.0.0.1:0',
-            'peer_listen': '127.0.0.1:0',
-            'ready_listen': '127.0.0.1:0',
-            'directory_listen': '127.0.0.1:0',
+            'listen': free,
+            'peer_listen': free,
+            'ready_listen': free,
+            'directory_listen': free,
             'failure_domain': self.domains[number % len(self.domains)],
             **self.shape.router,
             **settings,
         }
         if self.shape.chat:
-            values.setdefault('chat_listen', '127.0.0.1:0')
+            values.setdefault('chat_listen', free)
         seeds = values.pop('seeds', None)
         if seeds is None:
             seeds = [router.peer_address for router in self.routers]
@@ -312,6 +313,10 @@
 
     # --------------------------------------------------------------- private
 
+    def _host_of(self, name: str) -> str:
+        """Return the IP number that a router listens at."""
+        return '127.0.0.1'
+
     def _run(self, file: pb.RouterFile) -> ty.Any:
         router = router_.Router(file)
         router.start()
--- a/src/peridotmast/wire/server.py
+++ b/src/peridotmast/wire/server.py
@@ -49,6 +49,11 @@
         A WSGI application.
     limits : ServerLimits, optional
         May be changed while the server runs.
+
+    Raises
+    ------
+    OSError
+        If the address can't be listened on.
     """
 
     def __init__(
@@ -64,12 +69,15 @@
         family = socket.AF_INET6 if ':' in host else socket.AF_INET
         # An address that is taken is refused: where two programs share one,
         # each gets a part of the callers, and nobody is told.
-        self._sock = green.listen(
-            (host.strip('[]'), int(port)),
-            family,
-            backlog=1024,
-            reuse_port=False,
-        )
+        try:
+            self._sock = green.listen(
+                (host.strip('[]'), int(port)),
+                family,
+                backlog=1024,
+                reuse_port=False,
+            )
+        except OSError as exc:
+            raise OSError(f'cannot listen on {address}: {exc}') from exc
         # Accepted connections inherit it: a caller that takes nothing holds
         # this much of the kernel's memory, not megabytes.
         self._sock.setsockopt(
