A router that no more asks a store that failed asks it until it answers

Cause: a failed call counted as an outage until a call was answered, and a router that does not watch the store has none to make.

Change: once a second, where nothing has asked since, by a read that may be old.

--- a/features/steps/doubt_steps.py
+++ b/features/steps/doubt_steps.py
@@ -10,6 +10,7 @@
 from peridotmast.coordination import kind_watch
 from peridotmast.coordination import objects
 from peridotmast.coordination import outage as outage_
+from peridotmast.coordination import store_check
 from peridotmast.coordination import upstream_feed
 from peridotmast import green
 from peridotmast.platform import upstream_codec
@@ -141,6 +142,33 @@
     assert not context.outage.is_felt()
 
 
+class AskedStore:
+    """Counts the calls that it gets, and never answers."""
+
+    def __init__(self):
+        self.calls = 0
+        self.probes = 0
+
+    def probe(self):
+        self.calls += 1
+        self.probes += 1
+
+
+@when('other calls of it are made, one before each look')
+def other_calls(context):
+    context.others = 1
+
+
+@then('it is asked at {count:d} of {looks:d} looks')
+def asked_at(context, count, looks):
+    store = AskedStore()
+    check = store_check.StoreCheck(store, context.outage)
+    for _ in range(looks):
+        store.calls += getattr(context, 'others', 0)
+        check.tick()
+    assert store.probes == count, store.probes
+
+
 @when('a call of it fails')
 def call_fails(context):
     context.outage.failed('silent')
--- a/features/upstreams.feature
+++ b/features/upstreams.feature
@@ -77,6 +77,19 @@
     When 100 ms pass
     Then the outage is not felt
 
+  Scenario: A store that has failed is asked until it answers
+    Given a store that answers
+    When a call of it fails
+    Then it is asked at 3 of 3 looks
+    When a call of it is answered
+    Then it is asked at 0 of 3 looks
+
+  Scenario: A store that has failed and is asked anyway is not asked beside
+    Given a store that answers
+    When a call of it fails
+    And other calls of it are made, one before each look
+    Then it is asked at 0 of 3 looks
+
   # Seen: one failed call of a router that asked the store no more made the whole
   # fleet take entries that were removed for lapsed ones, for good. Cause: only an
   # answer ended the doubt. Proof: no answer comes here.
--- a/src/peridotmast/platform/store.py
+++ b/src/peridotmast/platform/store.py
@@ -31,6 +31,9 @@
 """A watch that fails later than this was cut off while it waited, which says
 nothing about the store."""
 
+_PROBED = 'peridotmast-probes'
+"""Kind that has no objects: an answer about it is the shortest there is."""
+
 _REFUSALS = frozenset((429, 500, 503))
 _TAKEN = 409
 _HISTORY_GONE = 410
@@ -149,6 +152,14 @@
         result = _written(self._call('DELETE', path), name)
         return result if isinstance(result, failures.Failure) else None
 
+    def probe(self) -> None:
+        """Ask whether the store answers; the outage is told.
+
+        By a read that may be old: it costs a tenth of another one and does
+        not count toward the rate at which the store refuses.
+        """
+        self._call('GET', f'{_path(_PROBED)}?{names.STALE}=1')
+
     def close(self) -> None:
         """Close the kept connections."""
         self._http.close()
--- a/src/peridotmast/router/knowledge.py
+++ b/src/peridotmast/router/knowledge.py
@@ -13,6 +13,7 @@
 from peridotmast.coordination import members as members_
 from peridotmast.coordination import outage as outage_
 from peridotmast.coordination import registry as registry_
+from peridotmast.coordination import store_check
 from peridotmast.coordination import upstream_feed
 from peridotmast.coordination import watchers as watchers_
 from peridotmast import green
@@ -45,6 +46,11 @@
 
 _REGISTER_MS = 1000
 
+_CHECK_MS = 1000
+"""Time between two questions to a store that has failed, where nothing else
+asks it: with the 2 s in which entries come back, a doubt ends in the 3 s in
+which an upstream that leaves may still get work."""
+
 
 class Knowledge:
     """The platform's store, and what is known from it.
@@ -147,6 +153,8 @@
             self._watches.append(watch)
             tasks.spawn(f'watch_{kind}', watch.run)
         tasks.spawn('register', self._register)
+        check = store_check.StoreCheck(self.store, self.outage)
+        tasks.every('check_store', _CHECK_MS, check.tick)
 
     def is_watching(self, what: str) -> bool:
         """Return whether this router hears of `what` from the store itself.
