Tests of the same cause elsewhere: repeats of routers that come, a fleet that starts as a whole

Each router that starts has a full bucket of its own for each team; so has each of a fleet that is started as a whole: 1,653,000 tokens passed where 60,000 were allowed. By the same cause it takes the whole fleet's slack of repeats for its own until it hears somebody: 480 repeats of twelve routers where 50 are the fleet's.

--- a/features/groups.feature
+++ b/features/groups.feature
@@ -83,3 +83,22 @@
     And a team uses up its burst of 40000, at 2000 a second
     And 12 more routers come, with the same limit
     Then the team gets at most 30000 more from those that came within 1000 ms
+
+  Scenario: Routers that come are told what is left of the limits
+    Given 40 routers that know each other's names
+    When 5000 ms pass in the groups
+    And the limit is put to 2000 a second, with a burst of 40000
+    And 12 more routers come, with the same limit
+    And 1000 ms pass in the groups
+    Then a request of 12000 passes at one of those that came
+
+  Scenario: A fleet that starts as a whole gives a team one burst
+    Given 40 routers that know each other's names
+    When the limit is put to 2000 a second, with a burst of 40000
+    Then the team gets at most 60000 from all of them within 1000 ms
+
+  Scenario: Routers that come do not bring repeats of their own
+    Given 40 routers that know each other's names
+    When 5000 ms pass in the groups
+    And 12 more routers come, with the same limit
+    Then those that came may send at most 12 repeats before they hear anybody
--- a/features/steps/group_steps.py
+++ b/features/steps/group_steps.py
@@ -399,6 +399,13 @@
     return passed
 
 
+@when('the limit is put to {rate:d} a second, with a burst of {burst:d}')
+def put_limit(context, rate, burst):
+    context.limit = rate, burst
+    for node in context.groups.nodes.values():
+        node.limit(rate, burst)
+
+
 @when('{count:d} more routers come, with the same limit')
 def more_with_limit(context, count):
     before = set(context.groups.nodes)
@@ -409,15 +416,65 @@
         if name not in before
     ]
     for node in context.came:
-        node.limit(*context.limit)
+        node.limit(*getattr(context, 'limit', (0, BURST)))
 
 
 @then(
     'the team gets at most {most:d} more from those that came within {ms:d} ms'
 )
 def gets_at_most(context, most, ms):
+    passed = taken_within(context.groups, context.came, ms)
+    assert passed <= most, passed
+
+
+@then('the team gets at most {most:d} from all of them within {ms:d} ms')
+def gets_from_all(context, most, ms):
+    passed = taken_within(context.groups, context.groups.nodes.values(), ms)
+    assert passed <= most, passed
+
+
+def taken_within(fleet, nodes, ms):
+    """Let pass all that the limit allows in a while; return the tokens."""
     passed = 0
     for _ in range(ms // ROUND_MS):
-        context.groups.run(ROUND_MS)
-        passed += take_all(context.came)
-    assert passed <= most, passed
+        fleet.run(ROUND_MS)
+        passed += take_all(nodes)
+    return passed
+
+
+@then('a request of {tokens:d} passes at one of those that came')
+def passes_there(context, tokens):
+    quota = context.came[0].serving.quota
+    assert not quota.take('noor', tokens), quota.state('noor')
+
+
+@given(
+    'a router that has let {tokens:d} of a burst of {burst:d} pass and that'
+    ' nobody has told'
+)
+def untold(context, tokens, burst):
+    context.quota = quota_.Quota(clock_.ManualClock())
+    context.quota.configure([pb.Team(name='noor', rate=1e-9, burst=burst)])
+    assert not context.quota.take('noor', tokens)
+
+
+@when('it is told that {tokens:d} are left')
+def is_told(context, tokens):
+    context.quota.hear_levels({'noor': tokens})
+
+
+@then('{tokens:d} are left to it')
+def are_left(context, tokens):
+    assert context.quota.levels() == {'noor': tokens}, context.quota.levels()
+
+
+@then(
+    'those that came may send at most {most:d} repeats before they hear anybody'
+)
+def repeats_before(context, most):
+    sent = 0
+    for node in context.came:
+        node.peering.tick()
+        while node.serving.budget.take('pool'):
+            sent += 1
+    assert sent <= most, sent
