A router that starts keeps to its part of a limit until its peers have told it what is left

Cause: each router that started had a full bucket of its own for each team and, until it had heard a peer, all of the fleet's slack of repeats.

Change: beacons to routers that have changed of late tell what is left of each limit; until it is told, or for 3 s, a router lets its part pass. Routers that were heard of and not heard yet count among those that share.

--- a/features/groups.feature
+++ b/features/groups.feature
@@ -92,6 +92,11 @@
     And 1000 ms pass in the groups
     Then a request of 12000 passes at one of those that came
 
+  Scenario: What is told counts what a router has let pass before it was told
+    Given a router that has let 700 of a burst of 40000 pass and that nobody has told
+    When it is told that 30000 are left
+    Then 29300 are left to it
+
   Scenario: A fleet that starts as a whole gives a team one burst
     Given 40 routers that know each other's names
     When the limit is put to 2000 a second, with a burst of 40000
--- a/features/steps/group_steps.py
+++ b/features/steps/group_steps.py
@@ -469,7 +469,8 @@
 
 
 @then(
-    'those that came may send at most {most:d} repeats before they hear anybody'
+    'those that came may send at most {most:d} repeats before they hear'
+    ' anybody'
 )
 def repeats_before(context, most):
     sent = 0
--- a/src/peridotmast/coordination/groups.py
+++ b/src/peridotmast/coordination/groups.py
@@ -5,7 +5,6 @@
 import math
 import typing as ty
 
-from peridotmast import clock as clock_
 from peridotmast.coordination import members as members_
 from peridotmast.coordination import rank
 
@@ -13,9 +12,6 @@
 """Fleet size up to which every router tells every other: it reaches 16 peers
 with one round of beacons."""
 
-_NEW_MS = 5000
-"""How long a router that was never heard counts as one that may be there."""
-
 _Sorted = dict[int, list[members_.Peer]]
 """Peers by the number of their group."""
 
@@ -32,13 +28,10 @@
     ----------
     members : members.Members
         This router and its peers.
-    clock : clock.Clock
-        Times how long a router is new.
     """
 
-    def __init__(self, members: members_.Members, clock: clock_.Clock) -> None:
+    def __init__(self, members: members_.Members) -> None:
         self._members = members
-        self._clock = clock
         self._me = members.me.name
         self._sorted: _Sorted = {}
         self._sorted_at = -1, 0
@@ -56,14 +49,12 @@
         if self._sorted_at != at:
             self._sorted = self._sort(count)
             self._sorted_at = at
-        limit = self._clock.now() - _NEW_MS
         heard = {peer.member.name for peer in self._members.heard()}
         known = {
             group: [
                 peer
                 for peer in peers
-                if peer.member.name in heard
-                or (not peer.heard_at and peer.known_at > limit)
+                if peer.member.name in heard or self._members.is_new(peer)
             ]
             for group, peers in self._sorted.items()
         }
--- a/src/peridotmast/coordination/members.py
+++ b/src/peridotmast/coordination/members.py
@@ -20,6 +20,9 @@
 """The same for members of whom only their head tells: when that is lost, the
 next one takes its place within the first time, and tells again within this."""
 
+NEW_MS = 5000
+"""How long a router that was never heard counts as one that may be there."""
+
 _FORGET_MS = 60_000
 """How long a silent member is kept: longer than any cut that heals, since
 nobody else would tell of it then."""
@@ -163,13 +166,20 @@
         """Return how many routers share what is shared, this one too.
 
         A peer counts until it is forgotten or says that it leaves: one
-        that is only silent may be serving callers beyond a cut.
+        that is only silent may be serving callers beyond a cut. For a router
+        that starts, so do those that it has only heard of yet.
         """
         return 1 + sum(
-            peer.member.state == ALIVE and peer.was_there
+            peer.member.state == ALIVE
+            and (peer.was_there or self.is_new(peer))
             for peer in self._peers.values()
         )
 
+    def is_new(self, peer: Peer) -> bool:
+        """Return whether a peer may be there that was never heard."""
+        limit = self.clock.now() - NEW_MS
+        return not peer.heard_at and peer.known_at > limit
+
     def tick(self) -> None:
         """Note who has fallen silent; forget who has been for long."""
         heard = {peer.member.name for peer in self.heard()}
--- a/src/peridotmast/router/peering.py
+++ b/src/peridotmast/router/peering.py
@@ -10,6 +10,7 @@
 from peridotmast.coordination import beacons as beacons_
 from peridotmast.coordination import groups as groups_
 from peridotmast.coordination import lease as lease_
+from peridotmast.coordination import members as members_
 from peridotmast import logs
 from peridotmast.router import catch_up as catch_up_
 from peridotmast.router import knowledge as knowledge_
@@ -36,7 +37,12 @@
 _CHANGED_MS = 3000
 _CHANGED_MOST = 64
 """How long changed entries are told of, and how many at most: as often as
-a beacon may be lost on its way over two heads."""
+a beacon may be lost on its way over two heads. For as long a router that
+starts is told what is left of the teams' limits."""
+
+
+_Sent = tuple[pb.Beacon, list[members_.Peer]]
+"""A beacon and the peers that it goes to."""
 
 
 class _Role(ty.NamedTuple):
@@ -88,7 +94,7 @@
         self._choice = random.Random(members.me.name)
         self._outage_at = self._member_outage_at = -_FELT_MS
         self._sharing = sharing
-        self._groups = groups_.Groups(members, members.clock)
+        self._groups = groups_.Groups(members)
         self._rounds = itertools.count()
         self._role = _Role(False, False, 1)
         self._group_heard: dict[int, int] = {}
@@ -107,17 +113,13 @@
         same in number and size, however large the fleet is.
         """
         if not self._groups.is_split():
-            beacon = self._fill()
-            beacon.own.CopyFrom(self._sharing.own())
-            return [(beacon, self._members.peers())]
+            return [self._own_beacon(self._members.peers())]
         if next(self._rounds) % _GROUP_ROUNDS:
             return []
         look = self._look()
         if look.leads:
             return self._head_round(look)
-        beacon = self._fill()
-        beacon.own.CopyFrom(self._sharing.own())
-        return [(beacon, look.heads())]
+        return [self._own_beacon(look.heads())]
 
     def fill_news(self) -> pb.Beacon:
         """Return a beacon that says how new this router's knowledge is."""
@@ -162,6 +164,10 @@
         self._take_totals(beacon)
         if beacon.outage_felt:
             self._hear_outage(beacon.HasField('own'))
+        if beacon.levels:
+            self._serving.quota.hear_levels(
+                {level.team: level.tokens for level in beacon.levels}
+            )
         if beacon.lease.holder:
             self._lease.hear(beacon.lease)
         self._catch_up.compare(beacon)
@@ -170,8 +176,9 @@
         """Take note of who has fallen silent."""
         self._members.tick()
         heard = self._members.heard()
-        self._serving.quota.share = (1 + len(heard)) / self._members.counted()
-        self._serving.budget.routers = self._members.counted()
+        counted = self._members.counted()
+        self._serving.quota.share = (1 + len(heard)) / counted
+        self._serving.quota.routers = self._serving.budget.routers = counted
         limit = self._clock.now() - _GROUP_SILENT_MS
         self._group_heard = {
             group: at for group, at in self._group_heard.items() if at >= limit
@@ -210,6 +217,24 @@
             outage_felt=self._knowledge.outage.is_felt(),
         )
 
+    def _own_beacon(self, peers: list[members_.Peer]) -> _Sent:
+        """Return what this router counts itself, for some peers."""
+        beacon = self._fill()
+        beacon.own.CopyFrom(self._sharing.own())
+        self._add_levels(beacon, peers)
+        return beacon, peers
+
+    def _add_levels(
+        self, beacon: pb.Beacon, peers: ty.Iterable[members_.Peer]
+    ) -> None:
+        """Tell routers that start what is left of the teams' limits."""
+        limit = self._members.clock.now() - _CHANGED_MS
+        if any(peer.changed_at >= limit for peer in peers):
+            beacon.levels.extend(
+                pb.TeamLevel(team=team, tokens=tokens)
+                for team, tokens in self._serving.quota.levels().items()
+            )
+
     def _head_round(self, look: groups_.Look) -> beacons_.Round:
         """Yield what a head tells other heads, and each of its members."""
         heard = {peer.member.name for peer in self._members.heard()}
@@ -225,6 +250,7 @@
         beacon.group.CopyFrom(self._sharing.group())
         beacon.alive.extend(name for name in members if name in heard)
         beacon.outage_felt |= self._is_recent(self._member_outage_at)
+        self._add_levels(beacon, look.other_heads())
         yield beacon, look.other_heads()
         base.alive.extend(heard)
         base.outage_felt = self.is_outage_felt()
@@ -232,6 +258,7 @@
             beacon = pb.Beacon()
             beacon.CopyFrom(base)
             beacon.others.CopyFrom(self._sharing.others(peer.member.name))
+            self._add_levels(beacon, [peer])
             yield beacon, [peer]
 
     def _take_load(self, news: pb.LoadNews) -> None:
