Copies are timed by the machine's clock; one place calls peers and tells of it

Cause: the allowance of copies was filled by the members' clock, which leaves out what the router stood still for: it gave less after one, while its link had been free. The calls of peers were timed and told in two places.

Change: the peer service is handed the machine's clock; PeerCalls. The scenario fails with the members' clock.

--- a/features/spread.feature
+++ b/features/spread.feature
@@ -49,6 +49,13 @@
     When they reach the store again
     Then all have them within 5000 ms more
 
+  Scenario: While a router stands still its link is free as well
+    Given 8 routers on links of 625 bytes a millisecond
+    When 1 of them have 16000 routes more within 10 ms
+    And one gives copies until it puts a peer off
+    And it stands still for 4000 ms
+    Then it gives the next copy at once
+
   Scenario: What the store denies is not believed
     Given 8 routers on links of 625 bytes a millisecond
     When one says again and again that it has what the store has not
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -35,6 +35,7 @@
 STORE_MS = 1500
 """Bound on a call of a store that is silent."""
 LONG_MS = 60_000
+AWAKE_MS = 500
 OLD, NEW = 4, 5
 TOKEN = '0123456789abcdefghijklmnopqrstuvwxyz'
 
@@ -177,7 +178,9 @@
             incarnation=1,
             peer_address=self.address,
         )
-        members = members_.Members(me, world.clock, 1250)
+        members = members_.Members(
+            me, clock_.AwakeClock(world.clock, AWAKE_MS), 1250
+        )
         checks = invariants.Invariants(
             prometheus_client.CollectorRegistry(), fatal=True
         )
@@ -200,7 +203,7 @@
             world.clock, knowledge, self, self._spawn
         )
         self.service = peer_service.PeerService(
-            members, self.config, table, None, pb.TlsSettings()
+            world.clock, members, self.config, table, None, pb.TlsSettings()
         )
 
     @property
@@ -445,3 +448,26 @@
 def told_none(context):
     answer = helpers.ask(context.fleet.routers[0].address, '/nowhere/x')
     assert answer.status == 404, answer
+
+
+@when('one gives copies until it puts a peer off')
+def gives_until_put_off(context):
+    [context.giver] = context.first
+    while not ask_for_copy(context).retry_after_ms:
+        pass
+
+
+def ask_for_copy(context):
+    request = pb.ConfigRequest(known_version=OLD, takes_packed=True)
+    return context.giver.service.FetchConfig(request, rpc.Caller())
+
+
+@when('it stands still for {ms:d} ms')
+def copies_stand_still(context, ms):
+    context.world.clock.advance(ms)
+
+
+@then('it gives the next copy at once')
+def gives_at_once(context):
+    reply = ask_for_copy(context)
+    assert reply.packed_config, reply.retry_after_ms
--- a/src/peridotmast/router/catch_up.py
+++ b/src/peridotmast/router/catch_up.py
@@ -10,6 +10,7 @@
 from peridotmast import logs
 from peridotmast.router import config_asking
 from peridotmast.router import knowledge as knowledge_
+from peridotmast.router import peer_calls
 from peridotmast import rpc
 from peridotmast.schema import peridotmast_pb2 as pb
 
@@ -48,10 +49,12 @@
         self._members = knowledge.members
         self._config = knowledge.config
         self._table = knowledge.table
-        self._peers = peers
+        self._calls = peer_calls.PeerCalls(
+            clock, peers, knowledge.members.me.name
+        )
         self._spawn = spawn
         self.config = config_asking.ConfigAsking(
-            clock, knowledge.config, peers, knowledge.members.me, spawn
+            clock, knowledge.config, self._calls, knowledge.members.me, spawn
         )
         """Gets the configuration from peers."""
         self._behind: dict[str, tuple[ty.Any, int]] = {}
@@ -93,7 +96,7 @@
             if address == self._members.me.peer_address:
                 continue
             request = pb.JoinRequest(member=self._members.me)
-            reply = self._peers.call(address, 'Join', request, _CALL_MS)
+            reply = self._calls.call(address, 'Join', request, _CALL_MS)
             if isinstance(reply, failures.Failure):
                 continue
             for member in reply.members:
@@ -108,7 +111,7 @@
     def ask_upstreams(self, address: str) -> bool:
         """Take in what a peer knows of upstreams; say whether it was news."""
         request = pb.UpstreamsRequest(since=self._table.revision)
-        reply = self._call(address, 'FetchUpstreams', request)
+        reply = self._calls.call(address, 'FetchUpstreams', request, _CALL_MS)
         if isinstance(reply, failures.Failure):
             return False
         news = [r for r in reply.upstreams if self._table.merge(r)]
@@ -123,21 +126,6 @@
             )
         return bool(news)
 
-    def _call(self, address: str, method: str, request: ty.Any) -> ty.Any:
-        """Call a peer; note how long it took and what it brought."""
-        began = self._clock.now()
-        reply = self._peers.call(address, method, request, _CALL_MS)
-        failed = isinstance(reply, failures.Failure)
-        self._log.info(
-            'peer_asked',
-            peer=address,
-            method=method,
-            outcome=reply.reason if failed else 'answered',
-            bytes=0 if failed else reply.ByteSize(),
-            ms=self._clock.now() - began,
-        )
-        return reply
-
     def _note(
         self,
         what: str,
--- a/src/peridotmast/router/config_asking.py
+++ b/src/peridotmast/router/config_asking.py
@@ -15,7 +15,7 @@
 from peridotmast import failures
 from peridotmast import green
 from peridotmast import logs
-from peridotmast import rpc
+from peridotmast.router import peer_calls
 from peridotmast.schema import peridotmast_pb2 as pb
 
 _CALL_MS = 1500
@@ -133,7 +133,7 @@
         Times what was heard, and the calls.
     config : config_feed.ConfigFeed
         The configuration in force here.
-    peers : rpc.RpcClient
+    peers : peer_calls.PeerCalls
         Calls of peers.
     me : pb.Member
         This router.
@@ -145,7 +145,7 @@
         self,
         clock: clock_.Clock,
         config: config_feed_.ConfigFeed,
-        peers: rpc.RpcClient,
+        peers: peer_calls.PeerCalls,
         me: pb.Member,
         spawn: ty.Callable[..., None],
     ) -> None:
@@ -260,23 +260,11 @@
             takes_packed=True,
             peer_address=self._me.peer_address,
         )
-        began = self._calls[address] = self._clock.now()
+        self._calls[address] = self._clock.now()
         try:
-            reply = self._peers.call(address, 'FetchConfig', request, _CALL_MS)
+            return self._peers.call(address, 'FetchConfig', request, _CALL_MS)
         finally:
             self._calls.pop(address, None)
-        failed = isinstance(reply, failures.Failure)
-        self._log.info(
-            'config_asked',
-            peer=address,
-            known=request.known_version,
-            outcome=reply.reason if failed else 'answered',
-            version=0 if failed else reply.config_version,
-            bytes=0 if failed else reply.ByteSize(),
-            retry_after_ms=0 if failed else reply.retry_after_ms,
-            ms=self._clock.now() - began,
-        )
-        return reply
 
     def _take(self, reply: pb.ConfigReply, address: str) -> Answer:
         """Put into force what a peer gave."""
--- a/src/peridotmast/router/peer_service.py
+++ b/src/peridotmast/router/peer_service.py
@@ -4,6 +4,7 @@
 
 import typing as ty
 
+from peridotmast import clock as clock_
 from peridotmast.coordination import config_feed as config_feed_
 from peridotmast.coordination import members as members_
 from peridotmast.router import config_copies
@@ -18,10 +19,27 @@
     Only routers may call it, which their certificates tell by a name that
     they share: whoever else has one from the same authorities could enter
     itself as a router. Without TLS there are no names.
+
+    Parameters
+    ----------
+    clock : clock.Clock
+        Times what is given; the machine's, since links are free as well
+        while this router stands still.
+    members : members.Members
+        This router and its peers.
+    config : config_feed.ConfigFeed
+        The configuration in force.
+    table : upstreams.UpstreamTable
+        The upstreams.
+    own_steps : callable
+        Returns what this router decided on a request.
+    tls : pb.TlsSettings
+        Says by which name routers are told.
     """
 
     def __init__(
         self,
+        clock: clock_.Clock,
         members: members_.Members,
         config: config_feed_.ConfigFeed,
         table: upstreams_.UpstreamTable,
@@ -30,7 +48,7 @@
     ) -> None:
         self._members = members
         self._copies = config_copies.ConfigCopies(
-            config, members.clock, members.me.name
+            config, clock, members.me.name
         )
         self._table = table
         self._own_steps = own_steps
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -276,6 +276,7 @@
             self._file.tls,
         )
         peers = peer_service.PeerService(
+            self._clock,
             self.members,
             self.config,
             self.table,
