--- a/src/peridotmast/standin/cloud.py
+++ b/src/peridotmast/standin/cloud.py
@@ -8,8 +8,8 @@
 from peridotmast import clock as clock_
 from peridotmast.platform import names
 from peridotmast.standin import faulty_app
+from peridotmast.standin import listening
 from peridotmast import web
-from peridotmast.wire import server as server_
 
 OnOrder = ty.Callable[[str, str, int, bool], bool]
 """Gets service, failure domain, count and whether they may be reclaimed;
@@ -38,7 +38,7 @@
     fencing: int
 
 
-class CloudStandin:
+class CloudStandin(listening.Listening[faulty_app.FaultyApp]):
     """Takes what comes and remembers it, as the platform does.
 
     Parameters
@@ -52,6 +52,7 @@
     def __init__(
         self, on_order: OnOrder, address: str = '127.0.0.1:0', seed: int = 0
     ) -> None:
+        super().__init__(faulty_app.FaultyApp('cloud', seed), address)
         self._on_order = on_order
         self._clock = clock_.SystemClock()
         self._highest: dict[str, int] = {}
@@ -61,22 +62,8 @@
         """Reports, in order."""
         self.out_of_turn: list[int] = []
         """Moments of calls with a lower fencing number than one before."""
-        self.app = faulty_app.FaultyApp('cloud', seed)
-        """Its interface, whose faults may be set."""
         self.app.route('POST', names.USAGE_PATH, self._usage)
         self.app.route('POST', names.SCALE_PATH, self._scale)
-        self.server = server_.HttpServer(address, self.app)
-        """The listening server."""
-        self.server.start()
-
-    @property
-    def address(self) -> str:
-        """Address that it listens on."""
-        return self.server.address
-
-    def stop(self) -> None:
-        """End at once."""
-        self.server.stop()
 
     def conflicting_reports(self) -> list[int]:
         """Return the windows of which two reports differ."""
--- a/src/peridotmast/standin/engine.py
+++ b/src/peridotmast/standin/engine.py
@@ -13,10 +13,10 @@
 from peridotmast import green
 from peridotmast.platform import names
 from peridotmast.standin import answers
+from peridotmast.standin import listening
 from peridotmast.standin import upstream_app
 from peridotmast import web
 from peridotmast.wire import calls
-from peridotmast.wire import server as server_
 from peridotmast.wire import strict_protocol
 
 _COPY_KEPT_MS = 5000
@@ -68,7 +68,7 @@
         changed.send()
 
 
-class Engine:
+class Engine(listening.Listening['_EngineApp']):
     """One run of one engine.
 
     Parameters
@@ -91,16 +91,7 @@
         self.name = name
         self.times = times or EngineTimes()
         self._seed = seed
-        self.app = _EngineApp(self, seed)
-        """Its interface, whose faults may be set."""
-        self.server = server_.HttpServer(address, self.app)
-        """The listening server."""
-        self.server.start()
-
-    @property
-    def address(self) -> str:
-        """Address that it listens on."""
-        return self.server.address
+        super().__init__(_EngineApp(self, seed), address)
 
     @property
     def totals(self) -> collections.Counter[str]:
@@ -110,7 +101,7 @@
     def stop(self) -> None:
         """Die at once, as a reclaimed VM does."""
         self.app.loop.kill()
-        self.server.stop()
+        super().stop()
 
     def again(self) -> Engine:
         """Return the next run under its id and address, once it is dead."""
--- a/src/peridotmast/standin/plain_service.py
+++ b/src/peridotmast/standin/plain_service.py
@@ -5,12 +5,12 @@
 import typing as ty
 
 from peridotmast import green
+from peridotmast.standin import listening
 from peridotmast.standin import upstream_app
-from peridotmast.wire import server as server_
 from peridotmast.wire import strict_protocol
 
 
-class PlainService:
+class PlainService(listening.Listening['_PlainApp']):
     """One run of one service's upstream.
 
     Parameters
@@ -33,20 +33,7 @@
     ) -> None:
         self.name = name
         self._given = work_ms, slots, seed
-        self.app = _PlainApp(name, slots, work_ms, seed)
-        """Its interface, whose faults may be set."""
-        self.server = server_.HttpServer(address, self.app)
-        """The listening server."""
-        self.server.start()
-
-    @property
-    def address(self) -> str:
-        """Address that it listens on."""
-        return self.server.address
-
-    def stop(self) -> None:
-        """Die at once."""
-        self.server.stop()
+        super().__init__(_PlainApp(name, slots, work_ms, seed), address)
 
     def again(self) -> PlainService:
         """Return the next run under its id and address, once it is dead."""
--- a/src/peridotmast/standin/store.py
+++ b/src/peridotmast/standin/store.py
@@ -11,8 +11,8 @@
 from peridotmast import green
 from peridotmast.platform import names
 from peridotmast.standin import faulty_app
+from peridotmast.standin import listening
 from peridotmast import web
-from peridotmast.wire import server as server_
 
 Json = dict[str, ty.Any]
 
@@ -27,7 +27,7 @@
     deleted: bool
 
 
-class StoreStandin:
+class StoreStandin(listening.Listening[faulty_app.FaultyApp]):
     """Objects by kind and name, with one revision and a history.
 
     Parameters
@@ -39,6 +39,7 @@
     """
 
     def __init__(self, address: str = '127.0.0.1:0', seed: int = 0) -> None:
+        super().__init__(faulty_app.FaultyApp('store', seed), address)
         self._clock = clock_.SystemClock()
         self._objects: dict[str, dict[str, Json]] = {}
         self._revision = 0
@@ -47,26 +48,12 @@
         self._changed = green.Event()
         self.writes: collections.Counter[str] = collections.Counter()
         """Writes that took effect, by kind."""
-        self.app = faulty_app.FaultyApp('store', seed)
-        """Its interface, whose faults may be set."""
         kind = f'{names.OBJECTS_PATH}/([^/]+)'
         self.app.route('GET', kind, self._list_or_watch)
         self.app.route('POST', kind, self._create)
         self.app.route('GET', f'{kind}/([^/]+)', self._get)
         self.app.route('PUT', f'{kind}/([^/]+)', self._replace)
         self.app.route('DELETE', f'{kind}/([^/]+)', self._delete)
-        self.server = server_.HttpServer(address, self.app)
-        """The listening server."""
-        self.server.start()
-
-    @property
-    def address(self) -> str:
-        """Address that it listens on."""
-        return self.server.address
-
-    def stop(self) -> None:
-        """End at once."""
-        self.server.stop()
 
     # --------------------------------------------------------- for the tests
 
