--- a/features/groups.feature
+++ b/features/groups.feature
@@ -92,13 +92,27 @@
     And 1000 ms pass in the groups
     Then 3 requests of 12000 pass at one of those that came
 
-  Scenario: What is told counts what a router has let pass before it was told
-    Given a router that has let 700 of a burst of 40000 pass and that nobody has told
-    When it is told that 30000 are left
-    Then 29300 are left to it
+  Scenario: What a router let pass before it was told is taken off once
+    Given 8 routers that know each other's names
+    When 5000 ms pass in the groups
+    And the limit is put to 2000 a second, with a burst of 40000
+    And 1000 ms pass in the groups
+    And one starts anew and lets 4000 pass before it is told
+    And 1000 ms pass in the groups
+    Then it believes no less than 1000 below what another one believes
+
+  Scenario: Limits that come late are told as well
+    Given 8 routers that know each other's names
+    When 5000 ms pass in the groups
+    And a team uses up its burst of 40000, at 2000 a second
+    And one starts anew, without limits yet
+    And 6000 ms pass in the groups
+    And it gets the same limit
+    And 750 ms pass in the groups
+    Then it believes no more than 1000 above what another one believes
 
   Scenario: A fleet that starts as a whole gives a team one burst
-    Given 40 routers that know each other's names
+    Given 40 routers that have just started
     When the limit is put to 2000 a second, with a burst of 40000
     Then the team gets at most 60000 from all of them within 1000 ms
 
@@ -107,3 +121,40 @@
     When 5000 ms pass in the groups
     And 12 more routers come, with the same limit
     Then those that came may send at most 12 repeats before they hear anybody
+
+  Scenario: A fleet that starts as a whole keeps to the limit from then on
+    Given 40 routers that have just started
+    When the limit is put to 2000 a second, with a burst of 4000
+    Then of 8000 a second, asked for at all of them, at most 22000 pass in 8000 ms
+
+  Scenario: A small fleet that starts as a whole gives a team one burst
+    Given 12 routers that have just started
+    When the limit is put to 2000 a second, with a burst of 40000
+    And each lets its part pass before any beacon has come
+    Then at most 66000 have passed 4000 ms later
+
+  Scenario: Routers that come keep to their part before they look at their peers
+    Given 40 routers that know each other's names
+    When 5000 ms pass in the groups
+    And the limit is put to 2000 a second, with a burst of 40000
+    And 12 more routers come, with the same limit
+    Then at once at most 40000 pass at those that came, by 100
+
+  Scenario: Routers that come keep to their part with long requests
+    Given 40 routers that know each other's names
+    When 5000 ms pass in the groups
+    And the limit is put to 2000 a second, with a burst of 40000
+    And 12 more routers come, with the same limit
+    Then at once at most 40000 pass at those that came, by 20000
+
+  # Seen: a team that asked for six times its limit at 58 routers got a fifth more
+  # than rate and burst allow in 8 s. How: all of them knew 1.5 s late what the
+  # others let pass; as soon as a little was there, each let pass what came, and the
+  # level fell by several seconds' worth at a time. Cause: the whole of what was left
+  # was everybody's. Proof: random requests of a fortieth of the burst.
+  Scenario: A team that asks for many times its limit gets what is its own
+    Given 58 routers that know each other's names
+    When 5000 ms pass in the groups
+    And the limit is put to 338000 a second, with a burst of 338000
+    Then of 2028000 a second, in requests of 9000, at most 3346200 pass in any 8 s
+    And in all no less than the limit
--- a/features/limits.feature
+++ b/features/limits.feature
@@ -50,6 +50,18 @@
     Then at most 12 repeats are allowed
     And at most 12 more in the 10 s after 50 more requests
 
+  # Seen: an upstream that had failed twice got no work from a router for good. How:
+  # the caller of the one request that was to find out whether it works again left
+  # before its end. Cause: only an outcome ended the trial. Proof: none comes here.
+  Scenario: A trial whose caller has left does not shut an upstream out
+    Given an upstream's health
+    When it fails 2 times in a row
+    Then it gets no work for 250 ms, and then one request
+    When that one ends without an outcome
+    Then it gets no work for 4000 ms, and then one request
+    When that one succeeds
+    Then it gets work again
+
   Scenario: An upstream that does not answer is passed over for a while
     Given an upstream's health
     When it fails 2 times in a row
--- a/features/steps/doubt_steps.py
+++ b/features/steps/doubt_steps.py
@@ -154,6 +154,12 @@
         self.probes += 1
 
 
+@when('a call of it was made, and failed after that')
+def made_and_failed(context):
+    context.made = 1
+    context.outage.failed('429')
+
+
 @when('other calls of it are made, one before each look')
 def other_calls(context):
     context.others = 1
@@ -162,6 +168,7 @@
 @then('it is asked at {count:d} of {looks:d} looks')
 def asked_at(context, count, looks):
     store = AskedStore()
+    store.calls = getattr(context, 'made', 0)
     check = store_check.StoreCheck(store, context.outage)
     for _ in range(looks):
         store.calls += getattr(context, 'others', 0)
--- a/features/steps/group_steps.py
+++ b/features/steps/group_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 import random
 import types
 
@@ -51,7 +52,7 @@
 class Node:
     """One router, as far as it counts with others; without a network."""
 
-    def __init__(self, number, clock):
+    def __init__(self, number, clock, limited=True):
         self.name = f'router-{number:03}'
         self.clock = Skewed(clock)
         me = pb.Member(
@@ -80,7 +81,8 @@
             usage=usage_.Usage(self.time.now, WINDOW_MS),
             budget=retry_budget.RetryBudget(self.clock, 0.2, 10_000, 50),
         )
-        self.limit(rate=0, burst=BURST)
+        if limited:
+            self.limit(rate=0, burst=BURST)
         self.window = self.serving.usage.window_now()
         knowledge = self._knowledge()
         self.peering = peering_.Peering(
@@ -123,7 +125,7 @@
 class Fleet:
     """Routers whose beacons are handed over without a network."""
 
-    def __init__(self, count, lost=0.0, seed=0):
+    def __init__(self, count, lost=0.0, seed=0, starts=False):
         self.clock = clock_.ManualClock()
         self.clock.advance(1_000_000)
         self.nodes = {}
@@ -133,6 +135,10 @@
         self.got = collections.Counter()
         self.numbers = iter(range(1000))
         self.add(count)
+        if not starts:
+            # They have run for long, and know what is left of the limit.
+            for node in self.nodes.values():
+                node.serving.quota.hear_levels({'noor': BURST})
 
     def add(self, count):
         fresh = [Node(next(self.numbers), self.clock) for _ in range(count)]
@@ -178,6 +184,11 @@
     context.groups = Fleet(count)
 
 
+@given('{count:d} routers that have just started')
+def fleet_started(context, count):
+    context.groups = Fleet(count, starts=True)
+
+
 @when('{ms:d} ms pass in the groups')
 def groups_pass(context, ms):
     context.groups.run(ms)
@@ -390,12 +401,12 @@
         take_all(fleet.nodes.values())
 
 
-def take_all(nodes):
-    """Let pass what the limit allows; return the tokens."""
+def take_all(nodes, tokens=100):
+    """Let requests of so many tokens pass; return the tokens of all."""
     passed = 0
     for node in nodes:
-        while not node.serving.quota.take('noor', 100):
-            passed += 100
+        while not node.serving.quota.take('noor', tokens):
+            passed += tokens
     return passed
 
 
@@ -449,24 +460,127 @@
         assert not quota.take('noor', tokens), quota.state('noor')
 
 
-@given(
-    'a router that has let {tokens:d} of a burst of {burst:d} pass and that'
-    ' nobody has told'
+@when('one starts anew and lets {tokens:d} pass before it is told')
+def starts_and_spends(context, tokens):
+    start_anew(context)
+    context.anew.limit(*context.limit)
+    assert not context.anew.serving.quota.take('noor', tokens)
+
+
+@when('one starts anew, without limits yet')
+def starts_without(context):
+    start_anew(context)
+
+
+def start_anew(context):
+    """Start the next run of one, under its name."""
+    fleet = context.groups
+    name = sorted(fleet.nodes)[3]
+    del fleet.nodes[name]
+    fleet.clock.advance(10)
+    node = Node(int(name[-3:]), fleet.clock, limited=False)
+    for other in fleet.nodes.values():
+        node.members.learn(copy_of(other.members.me))
+    context.anew = fleet.nodes[name] = node
+
+
+@when('it gets the same limit')
+def gets_limit(context):
+    context.anew.limit(*context.limit)
+
+
+@then('it believes no less than {less:d} below what another one believes')
+def believes_enough(context, less):
+    mine, theirs = beliefs(context)
+    assert mine >= theirs - less, (mine, theirs)
+
+
+@then('it believes no more than {more:d} above what another one believes')
+def believes_no_more(context, more):
+    mine, theirs = beliefs(context)
+    assert mine <= theirs + more, (mine, theirs)
+
+
+def beliefs(context):
+    """Return what is left, by the one that started and by another."""
+    other = next(iter(context.groups.nodes.values()))
+    return tuple(
+        node.serving.quota.levels().get('noor', math.inf)
+        for node in (context.anew, other)
+    )
+
+
+@then(
+    'of {rate:d} a second, asked for at all of them, at most {most:d} pass in'
+    ' {ms:d} ms'
+)
+def asked_evenly(context, rate, most, ms):
+    fleet = context.groups
+    each = rate * ROUND_MS // 1000 // len(fleet.nodes)
+    passed = 0
+    for _ in range(ms // ROUND_MS):
+        fleet.run(ROUND_MS)
+        for node in fleet.nodes.values():
+            passed += 0 if node.serving.quota.take('noor', each) else each
+    assert passed <= most, passed
+
+
+OVER_S = 20
+"""Time over which a team asks for more than its limit."""
+
+
+@then(
+    'of {rate:d} a second, in requests of {tokens:d}, at most {most:d} pass in'
+    ' any {seconds:d} s'
 )
-def untold(context, tokens, burst):
-    context.quota = quota_.Quota(clock_.ManualClock())
-    context.quota.configure([pb.Team(name='noor', rate=1e-9, burst=burst)])
-    assert not context.quota.take('noor', tokens)
+def passed_in_any(context, rate, tokens, most, seconds):
+    draws = random.Random(0)
+    rounds = 1000 // ROUND_MS
+    passed = [
+        asked_at_random(context.groups, draws, rate // rounds, tokens)
+        for _ in range(OVER_S * rounds)
+    ]
+    length = seconds * rounds
+    starts = range(len(passed) - length + 1)
+    worst = max(sum(passed[at : at + length]) for at in starts)
+    assert worst <= most, worst
+    context.passed = sum(passed)
 
 
-@when('it is told that {tokens:d} are left')
-def is_told(context, tokens):
-    context.quota.hear_levels({'noor': tokens})
+def asked_at_random(fleet, draws, offered, tokens):
+    """Let a round pass with requests at any routers; return what passed."""
+    fleet.run(ROUND_MS)
+    nodes = list(fleet.nodes.values())
+    passed = 0
+    for _ in range(offered // tokens):
+        size = round(tokens * draws.uniform(0.4, 1.6))
+        if not draws.choice(nodes).serving.quota.take('noor', size):
+            passed += size
+    return passed
+
+
+@then('in all no less than the limit')
+def no_less(context):
+    rate, _ = context.limit
+    assert context.passed >= rate * OVER_S, context.passed
+
 
+@when('each lets its part pass before any beacon has come')
+def parts_pass(context):
+    context.passed = take_all(context.groups.nodes.values())
 
-@then('{tokens:d} are left to it')
-def are_left(context, tokens):
-    assert context.quota.levels() == {'noor': tokens}, context.quota.levels()
+
+@then('at most {most:d} have passed {ms:d} ms later')
+def passed_later(context, most, ms):
+    fleet = context.groups
+    context.passed += taken_within(fleet, fleet.nodes.values(), ms)
+    assert context.passed <= most, context.passed
+
+
+@then('at once at most {most:d} pass at those that came, by {tokens:d}')
+def pass_at_once(context, most, tokens):
+    passed = take_all(context.came, tokens)
+    assert passed <= most, passed
 
 
 @then(
@@ -476,7 +590,6 @@
 def repeats_before(context, most):
     sent = 0
     for node in context.came:
-        node.peering.tick()
         while node.serving.budget.take('pool'):
             sent += 1
     assert sent <= most, sent
--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -259,6 +259,11 @@
     assert not health.lets_through()
 
 
+@when('that one ends without an outcome')
+def without_outcome(context):
+    """Nothing is told of it."""
+
+
 @when('that one fails too')
 def fails_too(context):
     context.health.failed()
--- a/features/upstreams.feature
+++ b/features/upstreams.feature
@@ -84,6 +84,11 @@
     When a call of it is answered
     Then it is asked at 0 of 3 looks
 
+  Scenario: A store whose call has failed just now is asked at the second look
+    Given a store that answers
+    When a call of it was made, and failed after that
+    Then it is asked at 2 of 3 looks
+
   Scenario: A store that has failed and is asked anyway is not asked beside
     Given a store that answers
     When a call of it fails
