A trial of an upstream lapses; a store that failed is asked within a second

Cause: only an outcome ended the one request that finds out whether an upstream works again, and one whose caller leaves has none: the upstream got no work from that router any more. The look at a failed store took the call that had failed for one that asks anyway, and so came 1 to 2 s after it, a second later than it said.

Change: a trial is waited for as long as the longest time of being passed over; the look comes twice a second.

--- a/src/peridotmast/router/knowledge.py
+++ b/src/peridotmast/router/knowledge.py
@@ -46,10 +46,11 @@
 
 _REGISTER_MS = 1000
 
-_CHECK_MS = 1000
-"""Time between two questions to a store that has failed, where nothing else
-asks it: with the 2 s in which entries come back, a doubt ends in the 3 s in
-which an upstream that leaves may still get work."""
+_CHECK_MS = 500
+"""Time between two looks at whether a store that has failed is to be asked,
+since nothing has asked it for as long: so it is within a second. With the 2 s
+in which entries come back, a doubt ends in the 3 s in which an upstream that
+leaves may still get work."""
 
 
 class Knowledge:
--- a/src/peridotmast/serving/health.py
+++ b/src/peridotmast/serving/health.py
@@ -14,7 +14,8 @@
 _FIRST_OPEN_MS = 250
 _LAST_OPEN_MS = 4000
 """How long it is passed over: doubled each time, up to about the time in
-which the platform takes a dead upstream off its list."""
+which the platform takes a dead upstream off its list. As long at most, the
+outcome of a trial is waited for."""
 
 _HALF_LIFE_MS = 2000
 """Age at which an outcome counts half; bad spells last a few seconds."""
@@ -50,6 +51,7 @@
         self._opened_at = 0
         self._open_ms = 0
         self._probing = False
+        self._probed_at = 0
         self._good = 0.0
         self._bad = 0.0
         self._at = clock.now()
@@ -65,12 +67,15 @@
                 return False
             self.breaker = Breaker.HALF_OPEN
             self._probing = False
-        # One request at a time finds out whether it works again.
-        return not self._probing
+        # One request at a time finds out whether it works again. One whose
+        # caller has left finds out nothing.
+        lapsed = self._clock.now() - self._probed_at >= _LAST_OPEN_MS
+        return not self._probing or lapsed
 
     def sent(self) -> None:
         """Count a request that was sent to it."""
         self._probing = self.breaker is Breaker.HALF_OPEN
+        self._probed_at = self._clock.now()
 
     def succeeded(self) -> None:
         """Count an answer: the breaker closes."""
