The run that follows the holder at its own place takes the duties over at once

Cause: a lease was held until its time was over for every later run. Where all routers were killed at once, nobody could act for 4 s, and the first attempt fell into an outage.

Change: the lease names its holder's place: the boot of the kernel, its network namespace and the address of beacons, which is bound without sharing and open as long as a run may act, paused or not. The next run of that name at that place takes over with a higher number, a guard after it has bound, and keeps who was before, so that duties don't go to and fro. A run that has heard no holder looks once whether it follows one, in order, from 600 ms on; where others remember the holder, turns go as before. Two VMs under one name, containers, other ports, restarted VMs and unknown places wait as before.

--- a/features/duties.feature
+++ b/features/duties.feature
@@ -54,6 +54,13 @@
     When all start again, the others remember the holder, and 5000 ms pass
     Then the first one has the duties with the number 2
 
+  Scenario: Who has heard a holder does not ask whom it follows
+    Given five routers that started one after the other
+    And the last of them had the duties when all were killed
+    And the store is out for all
+    When all start again, the others remember the holder, and 5000 ms pass
+    Then the last one has not asked the store
+
   Scenario: A fleet's first start costs one router's calls
     Given five routers that started one after the other
     When all start and 3000 ms pass
--- a/features/lease.feature
+++ b/features/lease.feature
@@ -212,3 +212,10 @@
 
   Scenario: Runs that are killed, frozen or doubled at random
     Then in 300 random histories of three places never two act in turn too soon
+
+  Scenario: A run that is paused keeps its place, a dead one does not
+    Given a process that has bound an address for beacons
+    When it is paused
+    Then nobody else can bind that address
+    When it is killed
+    Then another can bind that address
--- a/features/steps/duty_steps.py
+++ b/features/steps/duty_steps.py
@@ -111,17 +111,20 @@
     def __init__(self, context, name, run):
         self.store = MemoryStore()
         self.store.objects = context.objects
+        self.store.out = 'store_out' in context
         clock = context.clock
         self.lease = lease_.Lease(
             self.store, 'duties', name, f'{name}.{run}', 4000, 600, clock
         )
         self.lease.bind(f'boot:net:{name}')
-        members = members_.Members(member_of(context, name), clock, 1000)
-        for other in context.starts:
-            members.hear(member_of(context, other))
-        self.keep = holder_.DutyHolder(
-            self.lease, members, (), clock
-        ).keep_lease
+        self._members = members_.Members(member_of(context, name), clock, 1000)
+        self._peers = [member_of(context, other) for other in context.starts]
+        self._holder = holder_.DutyHolder(self.lease, self._members, (), clock)
+
+    def keep(self):
+        for peer in self._peers:
+            self._members.hear(peer)
+        self._holder.keep_lease()
 
 
 def start_all(context, run):
@@ -189,6 +192,16 @@
     assert max(calls) <= count, calls
 
 
+@given('the store is out for all')
+def out_for_all(context):
+    context.store_out = True
+
+
+@then('the last one has not asked the store')
+def last_not(context):
+    assert not context.runs[-1].store.calls
+
+
 @then('the others have not asked the store')
 def others_not(context):
     assert not any(one.store.calls for one in context.runs[1:])
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
+import errno
 import random
+import signal
+import subprocess
+import sys
+from unittest import mock
 
 from behave import given
 from behave import then
@@ -10,8 +15,18 @@
 from memory_store import MemoryStore
 
 from peridotmast import clock as clock_
+from peridotmast.coordination import beacons as beacons_
 from peridotmast.coordination import lease as lease_
 
+BINDS = """
+import sys
+from unittest import mock
+from peridotmast.coordination import beacons
+found = beacons.Beacons('127.0.0.1:0', *[mock.Mock()] * 4)
+print(found.address, flush=True)
+sys.stdin.read()
+"""
+
 
 def contender(context, name, run=1):
     return lease_.Lease(
@@ -297,3 +312,49 @@
         assert now - own[-1][0] >= 3000, (order, orders[-3:])
     orders.append(order)
     return new and orders[-2][1] == place and now < orders[-2][0] + 3000
+
+
+@given('a process that has bound an address for beacons')
+def has_bound(context):
+    context.child = subprocess.Popen(
+        [sys.executable, '-c', BINDS],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    context.add_cleanup(end, context.child)
+    context.address = context.child.stdout.readline().strip()
+
+
+def end(child):
+    child.kill()
+    child.communicate()
+
+
+@when('it is paused')
+def is_paused(context):
+    context.child.send_signal(signal.SIGSTOP)
+
+
+@when('it is killed')
+def is_killed(context):
+    end(context.child)
+
+
+@then('nobody else can bind that address')
+def cannot_bind(context):
+    try:
+        bind(context.address)
+    except OSError as exc:
+        assert exc.errno == errno.EADDRINUSE, exc
+    else:
+        raise AssertionError(context.address)
+
+
+@then('another can bind that address')
+def bind_again(context):
+    bind(context.address)
+
+
+def bind(address):
+    beacons_.Beacons(address, *[mock.Mock()] * 4).stop()
--- a/src/peridotmast/coordination/lease.py
+++ b/src/peridotmast/coordination/lease.py
@@ -35,6 +35,9 @@
     always ends before a contender's, as long as both clocks run at about
     the same rate.
 
+    The run that follows the holder at its own place knows that it is dead:
+    it waits only for the orders that the dead one may have sent last.
+
     A renewal is one call: the holder knows the revision that it replaces.
     Where its reply is lost, the next attempt reads what is there, and a
     nonce tells whose write it was.
@@ -79,12 +82,26 @@
         self._seen: ty.Optional[objects.Stored] = None
         self._seen_at = 0
         self._sure = False
+        self._place = ''
+        self._bound_at = 0
         self._hint = pb.LeaseHint()
         self._hint_ends = 0
         self._log = logs.get('lease', lease=name, router=router)
         self.fencing = 0
         """Number that goes with each order; grows with every new holder."""
 
+    def bind(self, place: str) -> None:
+        """Say where this run stands, once nobody else can.
+
+        Parameters
+        ----------
+        place : str
+            What no two runs have at one time; empty where that is not
+            known.
+        """
+        self._place = place
+        self._bound_at = self._clock.boot()
+
     @property
     def left_ms(self) -> int:
         """How long it is held yet, in ms; 0 where it is not."""
@@ -167,6 +184,14 @@
         self._take(result, spec, began)
         return Outcome.HELD
 
+    def succeed(self) -> Outcome:
+        """Take the lease over from this router's run before, if it had it."""
+        if self._read() is not None:
+            return Outcome.UNREACHED
+        if not self._is_heir((self._seen.spec if self._seen else None) or {}):
+            return Outcome.TAKEN
+        return self.attempt()
+
     def release(self) -> None:
         """Give the lease up, so that the next holder need not wait."""
         if not self.held() or self._seen is None:
@@ -196,11 +221,13 @@
             return None
         again = mine and (self.held() or not self.fencing)
         fencing = int(current.get('fencing') or 0)
-        before = current.get('before' if mine else 'router')
+        same = mine or self._follows(current)
+        before = current.get('before' if same else 'router')
         return {
             'holder': self._holder,
             'router': self._router,
             'before': before,
+            'place': self._place,
             'fencing': fencing if again and fencing else fencing + 1,
             'length-ms': self.length_ms,
             'nonce': f'{self._holder}:{next(self._numbers)}',
@@ -209,6 +236,8 @@
     def _is_over(self, current: objects.Json) -> bool:
         if not current.get('holder'):
             return True
+        if self._is_heir(current):
+            return True
         # Duties that go from one router to another and straight back look
         # like two that both hold them.
         back = self._router == current.get('before')
@@ -222,6 +251,20 @@
         known = self._seen is not None and self._seen.revision == hinted
         return bool(hinted) and known and now >= self._hint_ends
 
+    def _follows(self, current: objects.Json) -> bool:
+        """Return whether the holder was an earlier run at this place."""
+        return (
+            bool(self._place)
+            and current.get('place') == self._place
+            and current.get('router') == self._router
+            and current.get('holder') != self._holder
+        )
+
+    def _is_heir(self, current: objects.Json) -> bool:
+        """Return whether this run follows it and its orders have arrived."""
+        bound_ms = self._clock.boot() - self._bound_at
+        return bound_ms >= self._guard_ms and self._follows(current)
+
     def _take(
         self, result: objects.Stored, spec: objects.Json, began: int
     ) -> None:
--- a/src/peridotmast/duties/holder.py
+++ b/src/peridotmast/duties/holder.py
@@ -22,6 +22,14 @@
 _AGAIN_MS = 700
 """Pause after an attempt that did not succeed."""
 
+_LOOK_MS = 600
+"""Time after which a run that has heard no holder asks who it was: what a
+first contender takes and its beacon, so that a fleet that starts for the first
+time does not ask; and the guard of a lease, before which it is of no use."""
+
+_LOOK_RANK_MS = 25
+"""Time between two routers' looks: 40 reads a second of a large fleet."""
+
 
 class DutyHolder:
     """Contends when no holder is heard; does the duties while it holds.
@@ -30,6 +38,10 @@
     When they have stopped for as long as the lease was to last, the others
     contend one after the other, the one that runs longest first.
 
+    Where all were killed at once, none is there that could have heard a
+    holder. Each run then looks once whether it follows the holder, and goes
+    on in its place without waiting for its turn.
+
     Parameters
     ----------
     lease : lease_.Lease
@@ -57,6 +69,7 @@
         self._vacant_since = 0
         self._not_before = 0
         self._holding = False
+        self._may_follow = True
         self._log = logs.get('duties', router=members.me.name)
 
     def keep_lease(self) -> None:
@@ -64,10 +77,8 @@
         if self._lease.held():
             if self._lease.left_ms < _RENEW_SHARE * self._length_ms:
                 self._lease.attempt()
-        elif self._may_contend():
-            outcome = self._lease.attempt()
-            if outcome is not lease_.Outcome.HELD:
-                self._not_before = self._clock.boot() + _AGAIN_MS
+        elif self._is_vacant():
+            self._contend()
         if self._holding and not self._lease.held():
             self._holding = False
             self._log.warning('duties_lost', fencing=self._lease.fencing)
@@ -89,18 +100,39 @@
         self._holding = False
         self._lease.release()
 
+    def _contend(self) -> None:
+        if self._may_contend():
+            outcome = self._lease.attempt()
+        elif self._may_look():
+            outcome = self._lease.succeed()
+            self._may_follow = outcome is lease_.Outcome.UNREACHED
+        else:
+            return
+        if outcome is not lease_.Outcome.HELD:
+            self._not_before = self._clock.boot() + _AGAIN_MS
+
     def _may_contend(self) -> bool:
+        turn = self._vacant_since + self._rank() * _RANK_MS
+        return self._clock.boot() >= max(turn, self._not_before)
+
+    def _may_look(self) -> bool:
+        turn = self._vacant_since + _LOOK_MS + self._rank() * _LOOK_RANK_MS
         now = self._clock.boot()
+        return self._may_follow and now >= max(turn, self._not_before)
+
+    def _is_vacant(self) -> bool:
+        """Return whether nobody is heard to have the duties, and may here."""
         me = self._members.me
         if not me.ready or me.state != members_.ALIVE:
             return False
         if self._lease.is_held_elsewhere():
+            # Who runs longer has heard more of what is to be reported.
+            self._may_follow = False
             self._vacant_since = 0
             return False
         if not self._vacant_since:
-            self._vacant_since = now
-        turn = self._vacant_since + self._rank() * _RANK_MS
-        return now >= max(turn, self._not_before)
+            self._vacant_since = self._clock.boot()
+        return True
 
     def _rank(self) -> int:
         """Return this router's place among the contenders, from 0.
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -10,6 +10,7 @@
 from peridotmast.coordination import beacons as beacons_
 from peridotmast.coordination import lease as lease_
 from peridotmast.coordination import members as members_
+from peridotmast.coordination import place
 from peridotmast.duties import holder as holder_
 from peridotmast.duties import scaler as scaler_
 from peridotmast.duties import usage_reporter
@@ -214,6 +215,7 @@
             beacon_address=self.beacons.address,
         )
         self.beacons.start()
+        self.lease.bind(place.of(self.beacons.address))
         self._faces.start()
         self._start_tasks()
         self.is_running = True
