Failing test: what a dead run sent last waits in a suspended VM too

Its kernel sends nothing meanwhile, so a wait for it that counts the suspension is over when the VM goes on, and a later number could overtake an earlier one.

--- a/features/lease.feature
+++ b/features/lease.feature
@@ -147,6 +147,14 @@
     And the first contender attempts it
     Then the first holds it no more
 
+  Scenario: A VM that is suspended sends nothing, and so waits no time off
+    Given the first contender stands at "boot-1:net-1:10.1.0.4:7600"
+    When the first contender attempts it
+    And the first is killed and started again at "boot-1:net-1:10.1.0.4:7600"
+    And their VM is suspended for 10000 ms
+    And the first contender attempts it
+    Then the first holds it no more
+
   Scenario Outline: A run that may not be alone under its name waits
     Given the first contender stands at "<before>"
     When the first contender attempts it
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -241,6 +241,12 @@
     killed_and_started(context, name, '')
 
 
+@when('their VM is suspended for {ms:d} ms')
+def suspended(context, ms):
+    boot = context.clock.boot
+    context.clock.boot = lambda: boot() + ms
+
+
 @when('the {name} contender looks whether it was its own')
 def looks(context, name):
     context.leases[name].succeed()
