The wait for a dead run's orders leaves out a suspension of the VM

Cause: the wait was counted on the clock that counts a suspension, in which the VM's kernel sends nothing of what the dead run left to it.

--- a/src/peridotmast/coordination/lease.py
+++ b/src/peridotmast/coordination/lease.py
@@ -100,7 +100,7 @@
             known.
         """
         self._place = place
-        self._bound_at = self._clock.boot()
+        self._bound_at = self._clock.now()
 
     @property
     def left_ms(self) -> int:
@@ -262,7 +262,8 @@
 
     def _is_heir(self, current: objects.Json) -> bool:
         """Return whether this run follows it and its orders have arrived."""
-        bound_ms = self._clock.boot() - self._bound_at
+        # A suspended VM's kernel does not send what a dead run left to it.
+        bound_ms = self._clock.now() - self._bound_at
         return bound_ms >= self._guard_ms and self._follows(current)
 
     def _take(
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -311,6 +311,13 @@
         'bound_ms >= 0 and',
         'lease',
     ),
+    Mutation(
+        "count a suspension as a wait for a dead run's orders",
+        COORDINATION + 'lease.py',
+        'bound_ms = self._clock.now() - self._bound_at',
+        'bound_ms = self._clock.boot() - self._bound_at',
+        'lease',
+    ),
     Mutation(
         'forget at a restart who was before',
         COORDINATION + 'lease.py',
