Links of the embedded fleet can have a proxy in front that fails as networks do

Change: a TCP proxy on loopback before routers, upstreams and the store, where the fleet's shape asks for it. It notes by request id where it kept bytes back for good, and only such a request is no witness of a cut by a planned stop; every other promise is judged as before. An engine names its copies by the address it is asked at.

--- a/src/peridotmast/embedded/fleet.py
+++ b/src/peridotmast/embedded/fleet.py
@@ -9,6 +9,7 @@
 from peridotmast import clock as clock_
 from peridotmast.coordination import config_feed
 from peridotmast.embedded import guest as guest_
+from peridotmast.embedded import links as links_
 from peridotmast.embedded import shape as shape_
 from peridotmast import green
 from peridotmast import ini
@@ -57,6 +58,9 @@
         self._ports = _next_ports(listen)
         self.store = store_.StoreStandin(next(self._ports), seed)
         """Stand-in of the platform's store."""
+        self.links = links_.Links(self.shape.proxied)
+        """Proxies in front of the links."""
+        self.links.front(links_.LinkKind.STORE, self.store.address)
         self.cloud = cloud_.CloudStandin(
             self._on_order, next(self._ports), seed
         )
@@ -95,8 +99,10 @@
         """Stop everything at once."""
         for router in self.routers:
             router.stop()
+            self.links.cut(router.chat_address)
         for guest in self.running():
             self.lose(guest)
+        self.links.cut(self.store.address)
         self.store.stop()
         self.cloud.stop()
 
@@ -200,7 +206,8 @@
         # With none at the moment, the last ones come back at their addresses.
         routers = self.serving() or self.routers
         addresses = [router.chat_address for router in routers]
-        return caller_.Caller(addresses, f'key-{team}', failure_domain, seed)
+        key = f'key-{team}'
+        return self.links.caller(addresses, key, failure_domain, seed)
 
     def drop_entry(self, guest: guest_.Guest) -> None:
         """Let an upstream's entry run out."""
@@ -218,6 +225,7 @@
             return
         guest.ended_ms = self.clock.now()
         guest.upstream.stop()
+        self.links.cut(guest.upstream.address)
         if not keep_entry:
             self.drop_entry(guest)
 
@@ -251,6 +259,7 @@
         """Start a router; one of the same name stands for its next run."""
         router = self._run(self.router_file(name, **settings))
         self.routers.append(router)
+        self.links.front(links_.LinkKind.ROUTER, router.chat_address)
         if wait:
             self.wait_ready()
         return router
@@ -290,7 +299,7 @@
             router=cfg,
             platform=ini.defaults(
                 pb.PlatformSettings,
-                objects=self.store.address,
+                objects=self.links.via(self.store.address),
                 cloud=self.cloud.address,
             ),
             bounds=ini.defaults(pb.BoundsSettings, **self.shape.bounds),
@@ -354,6 +363,8 @@
         guest = guest_.Guest(record, upstream)
         guest.began_ms = self.clock.now()
         self.guests.append(guest)
+        self.links.front(links_.LinkKind.UPSTREAM, upstream.address)
+        record.upstream.address = self.links.via(upstream.address)
         self._write_entry(guest)
         return guest
 
--- a/src/peridotmast/embedded/shape.py
+++ b/src/peridotmast/embedded/shape.py
@@ -106,3 +106,5 @@
     trace_file: str = ''
     chat: bool = True
     """Whether routers listen for the chat API too."""
+    proxied: bool = False
+    """Whether links have proxies in front, for faults of the network."""
--- a/src/peridotmast/load/oracle.py
+++ b/src/peridotmast/load/oracle.py
@@ -9,6 +9,7 @@
 
 from peridotmast.client import caller as caller_
 from peridotmast.embedded import fleet as fleet_
+from peridotmast.embedded import links as links_
 from peridotmast import failures
 from peridotmast.load import arrivals as arrivals_
 from peridotmast.standin import answers
@@ -149,7 +150,8 @@
         failure = answer.failure
         if failure is not None and failure.kind is _Kinds.OUTCOME_UNKNOWN:
             verdict.outcome_unknown += 1
-            verdict.cut_by_planned_stop += _was_cut(answer, drained)
+            links = self._fleet.links
+            verdict.cut_by_planned_stop += _was_cut(answer, drained, links)
         for attempt in answer.attempts:
             self._judge_attempt(outcome, attempt, verdict)
 
@@ -180,16 +182,21 @@
         self.lost.append(f'{ids} {what} {outcome.failure}')
 
 
-def _was_cut(answer: caller_.Answer, drained: dict[str, Span]) -> bool:
+def _was_cut(
+    answer: caller_.Answer, drained: dict[str, Span], links: links_.Links
+) -> bool:
     """Return whether a planned stop broke an answer off.
 
-    A next run of a router may have the address of one that was stopped; and
-    a stopping router may truly tell that an upstream broke off.
+    A next run of a router may have the address of one that was stopped; a
+    stopping router may truly tell that an upstream broke off; and the proxy
+    before it notes each request of which it kept bytes back for good.
     """
     last = answer.attempts[-1]
-    began, ended = drained.get(last.address, _NO_SPAN)
+    began, ended = drained.get(links.target(last.address), _NO_SPAN)
     reason = answer.failure.reason if answer.failure else ''
-    silent = not last.was_told or reason == 'cut_off'
+    silent = last.request_id not in links.broken
+    if last.was_told:
+        silent = reason == 'cut_off'
     return silent and began <= last.ended <= ended + _CUT_MS
 
 
--- a/src/peridotmast/standin/engine.py
+++ b/src/peridotmast/standin/engine.py
@@ -342,9 +342,9 @@
         size = run.size + run.made
         green.sleep_ms(size / self._times.move_tokens_per_ms)
         handle = f'h{next(self.numbers)}'
-        # Two engines may give copies the same handle: the address is part
-        # of what names one.
-        name = f'{self._engine.address}/{handle}'
+        # Two engines may give copies the same handle: the address that they
+        # are asked at is part of what names one.
+        name = f'{req.header("Host")}/{handle}'
         moved = calls.HttpCalls(2000).call(
             'POST',
             body[names.TARGET],
