A router that is killed while it stops as planned is not judged by what the kill cut

What broke off then counted as cut by the planned stop.

Change: the time of the stop that is judged ends at the kill; what broke off before it counts as it did.

--- a/features/links.feature
+++ b/features/links.feature
@@ -25,3 +25,6 @@
 
   Scenario: A cut answer is excused by what the proxy noted of its request
     Then a planned stop's cut counts where no or another request is noted
+
+  Scenario: A router that is killed in its planned stop stopped as planned so far
+    Then what ended before the kill counts as cut, and what went with it not
--- a/features/steps/link_steps.py
+++ b/features/steps/link_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import types
 import uuid
 
 from behave import given
@@ -15,12 +16,15 @@
 from peridotmast.embedded import link_proxy
 from peridotmast import failures
 from peridotmast.load import arrivals
+from peridotmast.load import faults
 from peridotmast.load import oracle
 from peridotmast.load import soak
+from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.standin import plain_service
 from peridotmast.wire import connection as connection_
 
 WAIT_MS = 30_000
+ADDRESS = '127.0.0.1:1'
 CLOCK = clock_.SystemClock()
 
 
@@ -111,14 +115,40 @@
 
 @then("a planned stop's cut counts where no or another request is noted")
 def excused(context):
-    attempt = caller_.Attempt('its', '127.0.0.1:1', ended=50)
+    context.fleet = fleet_.Fleet()
+    for noted, count in (('', 1), ('another', 1), ('its', 0)):
+        context.fleet.links.broken[noted] = 'reset'
+        assert cuts(context.fleet, 50, {ADDRESS: (0, 100)}) == count
+
+
+def cuts(fleet, ended, drained):
+    """Return how many cuts by planned stops one broken answer counts as."""
+    attempt = caller_.Attempt('its', ADDRESS, ended=ended)
     answer = caller_.Answer(failure=failures.unknown('broke_off'))
     answer.attempts.append(attempt)
     arrival = arrivals.draw(soak.WORKLOADS[-1:], 9, 1)[0]
-    context.fleet = fleet_.Fleet()
-    judge = oracle.Oracle(context.fleet)
+    judge = oracle.Oracle(fleet)
     judge.add(oracle.Outcome(arrival, answer))
-    for noted, count in (('', 1), ('another', 1), ('its', 0)):
-        context.fleet.links.broken[noted] = 'reset'
-        verdict = judge.judge({}, {'127.0.0.1:1': (0, 100)}, [])
-        assert verdict.cut_by_planned_stop == count, verdict
+    return judge.judge({}, drained, []).cut_by_planned_stop
+
+
+@then('what ended before the kill counts as cut, and what went with it not')
+def killed_in_stop(context):
+    context.fleet = fleet = fleet_.Fleet()
+    driver = faults.FaultDriver(fleet, 0)
+    fleet.add_router = lambda *args, **kwargs: None
+    router = types.SimpleNamespace(
+        chat_address=ADDRESS,
+        cfg=types.SimpleNamespace(failure_domain='fd-1'),
+        stop=lambda: None,
+    )
+    fleet.serving = lambda: [router] * 3
+    fleet.restart = lambda router: None
+    router.drain = lambda: driver.bring(pb.Fault(kind='kill_all_routers'))
+    driver.bring(pb.Fault(kind='drain_router'))
+    began, ended = driver.drained[ADDRESS]
+    killed = ended + 1 + oracle.CUT_MS
+    assert began <= killed <= CLOCK.now()
+    assert cuts(fleet, killed, driver.drained) == 0
+    driver.drained[ADDRESS] = killed - 9, ended
+    assert cuts(fleet, killed - 1, driver.drained) == 1
--- a/src/peridotmast/load/faults.py
+++ b/src/peridotmast/load/faults.py
@@ -132,6 +132,7 @@
         """When upstreams got notice, in ms of the fleet's clock."""
         self.drained: dict[str, oracle_.Span] = {}
         """Stops as planned: chat address, and from when to when, in ms."""
+        self._killed: dict[str, int] = {}
         self.thawed: list[int] = []
         """When frozen routers went on, in ms of the fleet's clock."""
         self._operators = rpc.RpcClient(pb_grpc.OperatorsStub)
@@ -296,7 +297,12 @@
             self.drained[router.chat_address] = began, _NEVER
             router.drain()
             router.stop()
-            self.drained[router.chat_address] = began, self._fleet.clock.now()
+            ended: int = self._fleet.clock.now()
+            killed = self._killed.get(router.chat_address, 0)
+            if killed >= began:
+                # What went with the kill was not cut by the stop.
+                ended = killed - 1 - oracle_.CUT_MS
+            self.drained[router.chat_address] = began, ended
             self._replace_router(router.cfg.failure_domain)
 
     def _freeze_router(self, fault: pb.Fault) -> None:
@@ -310,6 +316,7 @@
     def _kill_all_routers(self, fault: pb.Fault) -> None:
         killed = self._fleet.serving()
         for router in killed:
+            self._killed[router.chat_address] = self._fleet.clock.now()
             router.stop()
         green.sleep_ms(self._replace_ms)
         for router in killed:
--- a/src/peridotmast/load/oracle.py
+++ b/src/peridotmast/load/oracle.py
@@ -28,7 +28,7 @@
 """Counts of a verdict that must be zero."""
 
 _LEAVING_BOUND_MS = 2000
-_CUT_MS = 500
+CUT_MS = 500
 """Time after a router's end in which its callers see their connections go."""
 _THAW_MS = 300
 """Time after a thaw in which a call that was on its way may still arrive."""
@@ -197,7 +197,7 @@
     silent = last.request_id not in links.broken
     if last.was_told:
         silent = reason == 'cut_off'
-    return silent and began <= last.ended <= ended + _CUT_MS
+    return silent and began <= last.ended <= ended + CUT_MS
 
 
 def expected(arrival: arrivals_.Arrival) -> str:
