--- a/src/peridotmast/load/faults.py
+++ b/src/peridotmast/load/faults.py
@@ -10,6 +10,8 @@
 
 from peridotmast.embedded import fleet as fleet_
 from peridotmast.embedded import guest as guest_
+from peridotmast.embedded import link_proxy
+from peridotmast.embedded import links as links_
 from peridotmast.embedded import shape as shape_
 from peridotmast import failures
 from peridotmast import green
@@ -42,6 +44,13 @@
     OPERATOR_RACE = 'operator_race'
     FREEZE_ROUTER = 'freeze_router'
     KILL_ALL_ROUTERS = 'kill_all_routers'
+    LINK_SLOW = 'link_slow'
+    LINK_RESET = 'link_reset'
+    LINK_ONE_WAY = 'link_one_way'
+    LINK_SILENT = 'link_silent'
+    HEALTH_SAYS_DOWN = 'health_says_down'
+    HEALTH_SAYS_UP = 'health_says_up'
+    FLAP_VM = 'flap_vm'
 
 
 IN_PROCESSES = tuple(FaultKind)
@@ -53,6 +62,11 @@
 )
 """Kinds that can be brought about where routers share one process."""
 
+LINK_MODES = {FaultKind(f'link_{m.value}'): m for m in link_proxy.Mode}
+"""Kinds that need proxies. A fault's target, modulo 3, is a `LinkKind`."""
+_FLAPS = 3
+"""Times that an upstream stops in one fault; two are an accident."""
+
 _NEVER = 1 << 62
 """Moment that does not come, in ms."""
 
@@ -118,9 +132,12 @@
         """When upstreams got notice, in ms of the fleet's clock."""
         self.drained: dict[str, oracle_.Span] = {}
         """Stops as planned: chat address, and from when to when, in ms."""
+        self._killed: dict[str, int] = {}
         self.thawed: list[int] = []
         """When frozen routers went on, in ms of the fleet's clock."""
         self._operators = rpc.RpcClient(pb_grpc.OperatorsStub)
+        self.links: collections.Counter[str] = collections.Counter()
+        """Faults of links, by kind of fault and of link."""
         self.races_lost = 0
         """Operators who were told of a conflict."""
 
@@ -141,7 +158,25 @@
         """Bring one fault about and wait until it is over."""
         kind = FaultKind(fault.kind)
         self.counts[kind.value] += 1
-        getattr(self, '_' + kind.value)(fault)
+        if kind in LINK_MODES:
+            self._trouble(fault, LINK_MODES[kind])
+        else:
+            getattr(self, '_' + kind.value)(fault)
+
+    # ----------------------------------------------------------------- links
+
+    def _trouble(self, fault: pb.Fault, mode: link_proxy.Mode) -> None:
+        kinds = list(links_.LinkKind)
+        kind = kinds[fault.target % len(kinds)]
+        self.links[f'{fault.kind} {kind.value}'] += 1
+        draws = random.Random(fault.target)
+        trouble = link_proxy.Trouble(
+            mode,
+            hits_requests=draws.random() < 0.5,
+            share=draws.choice((0.4, 1.0)),
+            hits_new=draws.random() < 0.5,
+        )
+        self._fleet.links.trouble(kind, trouble, fault.for_ms, draws)
 
     # ------------------------------------------------------------- upstreams
 
@@ -181,6 +216,18 @@
         if guest is not None:
             self._fleet.begin_again(guest)
 
+    def _flap_vm(self, fault: pb.Fault) -> None:
+        guest = self._pick_engine(fault.target)
+        pause_ms = fault.for_ms / (2 * _FLAPS)
+        for _ in range(_FLAPS):
+            if guest is None or not _is_live(guest):
+                # It was lost or got notice meanwhile, and is replaced.
+                return
+            self._fleet.lose(guest, keep_entry=True)
+            green.sleep_ms(pause_ms)
+            guest = self._fleet.begin_again(guest)
+            green.sleep_ms(pause_ms)
+
     def _foreign_entry(self, fault: pb.Fault) -> None:
         """Somebody else writes where the upstreams do."""
         draws = random.Random(fault.target)
@@ -204,6 +251,17 @@
     def _lose_answers(self, fault: pb.Fault) -> None:
         self._spoil(fault, lose=0.5)
 
+    def _health_says_up(self, fault: pb.Fault) -> None:
+        self._spoil(fault, refuse=0.7)
+
+    def _health_says_down(self, fault: pb.Fault) -> None:
+        """It says that it leaves, to whoever asks it, and goes on."""
+        guest = self._pick_engine(fault.target)
+        if guest is not None:
+            guest.upstream.app.draining = True
+            green.sleep_ms(fault.for_ms)
+            guest.upstream.app.draining = not _is_live(guest)
+
     def _spoil(self, fault: pb.Fault, **faults: float) -> None:
         guest = self._pick_engine(fault.target)
         if guest is not None:
@@ -215,7 +273,7 @@
         live = [
             guest
             for guest in self._fleet.running(shape_.ENGINES)
-            if guest.record.state == pb.UPSTREAM_STATE_LIVE
+            if _is_live(guest)
         ]
         return live[target % len(live)] if len(live) > 1 else None
 
@@ -239,7 +297,12 @@
             self.drained[router.chat_address] = began, _NEVER
             router.drain()
             router.stop()
-            self.drained[router.chat_address] = began, self._fleet.clock.now()
+            ended: int = self._fleet.clock.now()
+            killed = self._killed.get(router.chat_address, 0)
+            if killed >= began:
+                # What went with the kill was not cut by the stop.
+                ended = killed - 1 - oracle_.CUT_MS
+            self.drained[router.chat_address] = began, ended
             self._replace_router(router.cfg.failure_domain)
 
     def _freeze_router(self, fault: pb.Fault) -> None:
@@ -253,6 +316,7 @@
     def _kill_all_routers(self, fault: pb.Fault) -> None:
         killed = self._fleet.serving()
         for router in killed:
+            self._killed[router.chat_address] = self._fleet.clock.now()
             router.stop()
         green.sleep_ms(self._replace_ms)
         for router in killed:
@@ -323,3 +387,10 @@
 
     def _operate(self, address: str, method: str, request: ty.Any) -> ty.Any:
         return self._operators.call(address, method, request, _OPERATOR_MS)
+
+
+def _is_live(guest: guest_.Guest) -> bool:
+    """Return whether it runs and has no notice."""
+    return not guest.ended_ms and (
+        guest.record.state == pb.UPSTREAM_STATE_LIVE
+    )
