--- a/features/chat.feature
+++ b/features/chat.feature
@@ -40,3 +40,20 @@
   Scenario: A chat that may run only once
     When a caller chats once for 300 tokens and its engine is killed
     Then it is told that it broke and it ran once
+
+  # Seen: a caller was told that its streamed answer was complete, with no text in it.
+  # How: the engine had answered 500. Cause: an answer was told as a stream whatever
+  # its status was. Proof: both ways of asking, of engines that answer nothing else.
+  Scenario: What an engine fails is not told as a whole answer
+    When all engines fail what they are asked
+    And a caller chats for 30 tokens, streamed, and once only
+    Then it is told that the engine failed
+
+  # Seen: callers asked one router that was gone until their time was over, while two
+  # others served. How: the one that had named the routers had just started and knew
+  # of none but itself; then it ended. Cause: its answer took the place of all that
+  # the caller had known. Proof: the others are there, and asked.
+  Scenario: A caller that was named one router only goes back to those it knew
+    When a caller is named one router only, which ends then
+    Then the other router answers it
+
--- a/features/router_stop.feature
+++ b/features/router_stop.feature
@@ -24,6 +24,15 @@
     When a router is told to stop while a caller keeps an idle connection
     Then the idle connection is closed within 500 ms
 
+  # Seen: a caller's connection ended without an answer, and its request is in no log.
+  # How: it had connected just before the router began to stop, and its request was
+  # on the way. Cause: a connection without a first request counted as an idle one.
+  # Proof: the request is sent after the stop has begun, and answered.
+  Scenario: A connection whose first request is on the way is not idle
+    Given a fleet of 2 routers
+    When a router is told to stop while a caller has just connected
+    Then the caller's first request is answered, and its connection closed
+
   Scenario: The holder of the duties gives them up
     Given a fleet of 3 routers
     When the holder of the duties is told to stop
--- a/features/steps/chat_steps.py
+++ b/features/steps/chat_steps.py
@@ -140,3 +140,45 @@
 @then('the reply is JSON')
 def reply_is_json(context):
     json.loads(context.reply.body)
+
+
+@when('all engines fail what they are asked')
+def engines_fail(context):
+    for guest in context.fleet.running(shape_.ENGINES):
+        guest.upstream.app.faults = {'error': 1.0}
+
+
+@when('a caller chats for {tokens:d} tokens, streamed, and once only')
+def chats_once_only(context, tokens):
+    context.answer = context.fleet.caller('noor').chat(
+        oracle.MODEL, PROMPT, tokens, idempotent=False, deadline_ms=3000
+    )
+
+
+@then('it is told that the engine failed')
+def told_failed(context):
+    assert not context.answer.complete, context.answer
+    assert context.answer.failure.reason == 'engine_failed', context.answer
+    [attempt] = context.answer.attempts
+    assert attempt.status == 502, attempt
+
+
+@when('a caller is named one router only, which ends then')
+def named_one(context):
+    fleet = context.fleet
+    context.caller = fleet.caller('noor', 1)
+    first = fleet.routers[0]
+    for peer in list(first.members.peers()):
+        first.members._peers.pop(peer.member.name)
+    context.caller._addresses.remove(fleet.routers[1].chat_address)
+    assert context.caller.resolve() == [first.chat_address]
+    context.caller._resolved_at -= 2000
+    first.stop()
+
+
+@then('the other router answers it')
+def other_answers(context):
+    answer = context.caller.chat(oracle.MODEL, PROMPT, 4, deadline_ms=3000)
+    assert answer.complete, answer
+    other = context.fleet.routers[1].chat_address
+    assert answer.attempts[-1].address == other, answer.attempts
--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -127,6 +127,25 @@
     green.spawn(router.drain)
 
 
+@when('a router is told to stop while a caller has just connected')
+def stop_just_connected(context):
+    router = context.fleet.routers[0]
+    context.conn = connection_.Connection(router.address, clock_.SystemClock())
+    assert context.conn.connect(1000) is None
+    # The router has accepted it, and waits for what comes on it.
+    green.sleep_ms(100)
+    context.drain = green.spawn(router.drain)
+    green.sleep_ms(100)
+
+
+@then("the caller's first request is answered, and its connection closed")
+def first_answered(context):
+    answer = helpers.ask('', conn=context.conn)
+    assert answer.status == 200, answer
+    assert answer.header('Connection') == 'close', answer
+    context.drain.wait()
+
+
 @then('the idle connection is closed within {ms:d} ms')
 def idle_closed(context, ms):
     helpers.wait_until(lambda: not context.conn.is_clean(), 'the close', ms)
