--- a/features/steps/doubt_steps.py
+++ b/features/steps/doubt_steps.py
@@ -181,6 +181,11 @@
     context.outage.failed('silent')
 
 
+@when('one that was made {ms:d} ms ago fails')
+def made_before_fails(context, ms):
+    context.outage.failed('silent', ms)
+
+
 @when('a call of it is answered')
 def call_answered(context):
     context.outage.answered()
--- a/features/steps/store_read_steps.py
+++ b/features/steps/store_read_steps.py
@@ -272,6 +272,12 @@
     )
 
 
+@when('another call of it fails and the next one is answered')
+def fails_and_answered(context):
+    context.knowledge.outage.failed('silent')
+    context.knowledge.outage.answered()
+
+
 @when('a peer has news on upstreams')
 def news_on_upstreams(context):
     catch_up = catch_up_.CatchUp(
--- a/features/store_reads.feature
+++ b/features/store_reads.feature
@@ -61,6 +61,23 @@
     Then it watches the upstreams anew
     And it has watched the configuration once
 
+  # Seen: a request reached an upstream 2.3 s after the store had taken in that it
+  # leaves, where 2 s are allowed; no router knew of it. How: the store had been silent
+  # for 5 s, until 3.3 s before. What it had to say on waiting watches was lost, and
+  # they waited on: 25 s, on connections that lived. Cause: calls that fail and are
+  # answered again tell of an outage, and nobody asked anew what had waited through
+  # it. Proof: only the answer of another call comes here.
+  Scenario: A watch that has waited through an outage is asked for anew
+    Given a router that has watched the store for 3000 ms
+    When another call of it fails and the next one is answered
+    Then it watches the upstreams anew
+    And it watches the configuration anew
+
+  Scenario: A watch that was begun just now is not
+    Given a router that has watched the store for 1000 ms
+    When another call of it fails and the next one is answered
+    Then it has watched the upstreams once
+
   Scenario: A peer's news on the configuration ends the watches on both its parts
     Given a router that has watched the store for 3000 ms
     When a peer has news on the configuration
--- a/features/upstreams.feature
+++ b/features/upstreams.feature
@@ -95,6 +95,19 @@
     And other calls of it are made, one before each look
     Then it is asked at 0 of 3 looks
 
+  # Seen: routers took the store to be out for 3 s after it had come back. How: calls
+  # that were made before ran out of time after others had been answered. Cause: a
+  # call's failure was dated by its end. Proof: one that was made before the answer.
+  Scenario: A call that was made before another one's answer says nothing by failing
+    Given a store that answers
+    When a call of it is answered
+    And 1000 ms pass
+    And one that was made 1500 ms ago fails
+    Then the outage is not felt
+    When 1000 ms pass
+    And one that was made 1500 ms ago fails
+    Then the outage is felt
+
   # Seen: one failed call of a router that asked the store no more made the whole
   # fleet take entries that were removed for lapsed ones, for good. Cause: only an
   # answer ended the doubt. Proof: no answer comes here.
