--- a/features/steps/store_read_steps.py
+++ b/features/steps/store_read_steps.py
@@ -4,6 +4,7 @@
 
 import itertools
 import json
+import types
 
 from behave import given
 from behave import then
@@ -27,7 +28,10 @@
 from peridotmast.platform import store as store_
 from peridotmast.router import catch_up as catch_up_
 from peridotmast.router import knowledge as knowledge_
+from peridotmast.router import peering as peering_
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import quota as quota_
+from peridotmast.serving import retry_budget
 from peridotmast.serving import upstreams as upstreams_
 from peridotmast.standin import store as store_standin
 from peridotmast.wire import calls
@@ -278,6 +282,27 @@
     context.knowledge.outage.answered()
 
 
+@when('a peer says that the store does not answer it, again and again')
+def peer_says_out(context):
+    serving = types.SimpleNamespace(
+        quota=quota_.Quota(context.clock),
+        budget=retry_budget.RetryBudget(context.clock, 0.2, 10_000, 50),
+    )
+    knowledge = context.knowledge
+    catch_up = catch_up_.CatchUp(
+        context.clock, knowledge, Peer(), lambda name, *args: None
+    )
+    peering = peering_.Peering(
+        context.clock, knowledge, serving, None, None, catch_up
+    )
+    member = pb.Member(name='r2', incarnation=1)
+    for _ in range(20):
+        peering.take(pb.Beacon(member=member, outage_felt=True))
+        # Those of a watch that was begun anew would follow by then.
+        green.sleep_ms(2 * TURN_MS)
+        context.clock.advance(250)
+
+
 @when('a peer has news on upstreams')
 def news_on_upstreams(context):
     catch_up = catch_up_.CatchUp(
--- a/features/store_reads.feature
+++ b/features/store_reads.feature
@@ -73,6 +73,13 @@
     Then it watches the upstreams anew
     And it watches the configuration anew
 
+  # A watcher may have no other calls to make, so that none of its own ever fails.
+  Scenario: A watch is asked for anew once a peer's calls fail
+    Given a router that has watched the store for 3000 ms
+    When a peer says that the store does not answer it, again and again
+    Then it watches the upstreams anew
+    And it watches the configuration anew
+
   Scenario: A watch that was begun just now is not
     Given a router that has watched the store for 1000 ms
     When another call of it fails and the next one is answered
