Watches that have waited through an outage are asked anew

Cause: what the store had to say on waiting watches was lost while it was silent, and their connections lived on; they waited out 25 s, all routers at once. Calls made in the outage that ran out of time after others had been answered made it last longer.

--- a/features/steps/helpers.py
+++ b/features/steps/helpers.py
@@ -4,6 +4,7 @@
 
 import itertools
 import socket
+import types
 
 from eventlet.green import socket as green_socket
 
@@ -13,6 +14,8 @@
 from peridotmast import failures
 from peridotmast import green
 from peridotmast.platform import names
+from peridotmast.serving import quota as quota_
+from peridotmast.serving import retry_budget
 from peridotmast.wire import connection as connection_
 
 KEY = f'{names.KEY_SCHEME}key-noor'
@@ -141,6 +144,14 @@
     return b''.join(parts)
 
 
+def bare_limits(clock):
+    """Return what a router keeps limits by, without the rest of it."""
+    return types.SimpleNamespace(
+        quota=quota_.Quota(clock),
+        budget=retry_budget.RetryBudget(clock, 0.2, 10_000, 50),
+    )
+
+
 def routers(context):
     return {router.cfg.name: router for router in context.fleet.routers}
 
--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -26,8 +26,6 @@
 from peridotmast import rpc
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.schema import peridotmast_pb2_grpc as pb_grpc
-from peridotmast.serving import quota as quota_
-from peridotmast.serving import retry_budget
 from peridotmast.serving import upstreams as upstreams_
 from peridotmast.wire import calls
 from peridotmast.wire import connection as connection_
@@ -353,10 +351,7 @@
     catch_up = catch_up_.CatchUp(
         clock, knowledge, None, lambda name, *rest: asked.append(name)
     )
-    serving = types.SimpleNamespace(
-        quota=quota_.Quota(clock),
-        budget=retry_budget.RetryBudget(clock, 0.2, 10_000, 50),
-    )
+    serving = helpers.bare_limits(clock)
     return peering_.Peering(clock, knowledge, serving, None, None, catch_up)
 
 
--- a/features/steps/store_read_steps.py
+++ b/features/steps/store_read_steps.py
@@ -4,7 +4,6 @@
 
 import itertools
 import json
-import types
 
 from behave import given
 from behave import then
@@ -30,8 +29,6 @@
 from peridotmast.router import knowledge as knowledge_
 from peridotmast.router import peering as peering_
 from peridotmast.schema import peridotmast_pb2 as pb
-from peridotmast.serving import quota as quota_
-from peridotmast.serving import retry_budget
 from peridotmast.serving import upstreams as upstreams_
 from peridotmast.standin import store as store_standin
 from peridotmast.wire import calls
@@ -284,10 +281,7 @@
 
 @when('a peer says that the store does not answer it, again and again')
 def peer_says_out(context):
-    serving = types.SimpleNamespace(
-        quota=quota_.Quota(context.clock),
-        budget=retry_budget.RetryBudget(context.clock, 0.2, 10_000, 50),
-    )
+    serving = helpers.bare_limits(context.clock)
     knowledge = context.knowledge
     catch_up = catch_up_.CatchUp(
         context.clock, knowledge, Peer(), lambda name, *args: None
--- a/src/peridotmast/coordination/outage.py
+++ b/src/peridotmast/coordination/outage.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import typing as ty
+
 from peridotmast import clock as clock_
 from peridotmast import logs
 
@@ -30,13 +32,25 @@
         self._clock = clock
         self._lapse_ms = lapse_ms
         self._back_at = -lapse_ms
-        self._failed_at = -_SAID_MS
+        self._failed_at = self._answered_at = -_SAID_MS
         self._log = logs.get('store')
         self.is_out = False
         """Whether the last call was not answered."""
+        self.on_back: ty.Callable[[], None] = lambda: None
+        """Called once a call is answered after one that was not."""
+
+    def failed(self, reason: str, after_ms: int = 0) -> None:
+        """Note a call that was not answered, or turned away.
 
-    def failed(self, reason: str) -> None:
-        """Note a call that was not answered, or turned away."""
+        It says nothing where another one, made later, was answered.
+
+        Parameters
+        ----------
+        after_ms : int
+            How long ago it was made.
+        """
+        if self._clock.now() - after_ms < self._answered_at:
+            return
         if not self.is_out:
             self._log.warning('store_lost', reason=reason)
         self.is_out = True
@@ -44,11 +58,13 @@
 
     def answered(self) -> None:
         """Note a call that was answered."""
+        self._answered_at = self._clock.now()
         if not self.is_out:
             return
         self.is_out = False
-        self._back_at = self._clock.now()
+        self._back_at = self._answered_at
         self._log.info('store_regained')
+        self.on_back()
 
     def is_felt(self) -> bool:
         """Return whether what is missing may be missing due to it."""
--- a/src/peridotmast/platform/store.py
+++ b/src/peridotmast/platform/store.py
@@ -215,10 +215,11 @@
             answer_ms=answer_ms,
             on_bytes=on_bytes,
         )
-        waited = bool(timeout_ms) and self._clock.now() - began > _WAITED_MS
+        ms = self._clock.now() - began
         if isinstance(reply, failures.Failure):
+            waited = bool(timeout_ms) and ms > _WAITED_MS
             if not waited:
-                self._outage.failed(reply.reason)
+                self._outage.failed(reply.reason, ms)
         elif reply.status in _REFUSALS:
             self._outage.failed(str(reply.status))
         else:
--- a/src/peridotmast/router/knowledge.py
+++ b/src/peridotmast/router/knowledge.py
@@ -153,6 +153,9 @@
             )
             self._watches.append(watch)
             tasks.spawn(f'watch_{kind}', watch.run)
+        # What the store had to say meanwhile is lost on connections that may
+        # live on: a watch that waits there hears nothing for 25 s.
+        self.outage.on_back = self.watch_anew
         tasks.spawn('register', self._register)
         check = store_check.StoreCheck(self.store, self.outage)
         tasks.every('check_store', _CHECK_MS, check.tick)
@@ -181,6 +184,11 @@
             if watch.kind in _KINDS[what]:
                 watch.overtaken()
 
+    def watch_anew(self) -> None:
+        """Ask for what may have waited through an outage of the store."""
+        for watch in self._watches:
+            watch.overtaken()
+
     def tick(self) -> None:
         """Give up and forget the upstreams whose time is over."""
         self._upstreams.tick()
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -549,6 +549,27 @@
         'and peer.was_there',
         'groups',
     ),
+    Mutation(
+        'let watches wait on after an outage',
+        COORDINATION + 'outage.py',
+        'self.on_back()',
+        'pass',
+        'store_reads',
+    ),
+    Mutation(
+        'let watches wait on when a peer is not answered',
+        ROUTER + 'peering.py',
+        'self._knowledge.watch_anew()',
+        'pass',
+        'store_reads',
+    ),
+    Mutation(
+        'believe what failed after a later answer',
+        COORDINATION + 'outage.py',
+        'if self._clock.now() - after_ms < self._answered_at:',
+        'if False:',
+        'upstreams',
+    ),
     Mutation(
         'ask a store that has failed no more',
         COORDINATION + 'store_check.py',
