A doubt about an upstream is told with its age

Cause: a router that heard of a doubt from a peer gave work for as long again as the peer; with the second that news may take, that goes beyond the time in which one that leaves may get work.

Change: what a peer is told of a lapsed entry says for how long it has been so.

Result: the scenario passes; without the age it fails (mutation).

--- a/features/steps/doubt_steps.py
+++ b/features/steps/doubt_steps.py
@@ -104,6 +104,16 @@
     context.other.merge_all(view.record for view in context.upstreams.all())
 
 
+@when('another router asks for that')
+def asks_for_that(context):
+    told = context.upstreams.told_since(0)
+    context.other = upstreams_.UpstreamTable(context.clock, 2000, 2000)
+    context.other.merge_all(
+        pb.UpstreamRecord.FromString(record.SerializeToString())
+        for record in told
+    )
+
+
 @then('"{names}" may get new work')
 def may_get_work(context, names):
     assert usable(context.upstreams) == names, usable(context.upstreams)
--- a/features/upstreams.feature
+++ b/features/upstreams.feature
@@ -66,6 +66,20 @@
     Then there "b, c" may get new work
     And after 2300 ms there "a" is given up
 
+  # Seen: requests reached upstreams up to 0.14 s after the 3 s in which those that
+  # leave may get work. How: a router heard of a doubt from a peer, a second after the
+  # store had told, and gave work for as long again as the peer. Cause: what one router
+  # knows reached the others without its age. Proof: the peer's doubt is 1 s old.
+  Scenario: A doubt is told with its age
+    Given upstreams "a", "b" and "c" by their entries
+    When the entry of "a" is missing after an outage
+    And 1000 ms pass
+    And another router asks for that
+    Then there "a, b, c" may get new work
+    When 300 ms pass
+    Then there "b, c" may get new work
+    And after 1000 ms there "a" is given up
+
   Scenario: What fails says that the store is out, and for how long it is felt
     Given a store that answers
     When a call of it fails
--- a/src/peridotmast/router/peer_service.py
+++ b/src/peridotmast/router/peer_service.py
@@ -76,11 +76,7 @@
         """Give the upstreams that have changed since a revision."""
         self._check(caller)
         return pb.UpstreamsReply(
-            upstreams=[
-                view.record
-                for view in self._table.all()
-                if view.record.revision > req.since
-            ],
+            upstreams=self._table.told_since(req.since),
             revision=self._table.revision,
         )
 
--- a/src/peridotmast/serving/upstreams.py
+++ b/src/peridotmast/serving/upstreams.py
@@ -43,8 +43,9 @@
     An upstream whose entry is missing since an outage may only have been
     unable to renew it. It gets new work for a part of the time in which a
     leaving one may, and counts as gone when it is not back in the time that
-    the platform states. Each router counts that by itself, from when it
-    hears of it, so that none depends on another one's saying so.
+    the platform states. Each router counts that by itself, from when the
+    first one that tells of it heard, so that none depends on another one's
+    saying so.
 
     Parameters
     ----------
@@ -106,7 +107,9 @@
             state = record.state
             if state != UNREADABLE and view.record.state in (LEAVING, GONE):
                 state = GONE
-            record = _changed(view.record, state, record.revision)
+            record = _changed(
+                view.record, state, record.revision, record.doubted_ms
+            )
         self._put(view, record)
         return True
 
@@ -124,6 +127,19 @@
         for record in records:
             self.merge(record)
 
+    def told_since(self, revision: int) -> list[pb.UpstreamRecord]:
+        """Return what is said of upstreams after a revision, for a peer."""
+        now = self._clock.now()
+        found = []
+        for view in self._views.values():
+            if view.record.revision > revision:
+                record = pb.UpstreamRecord()
+                record.CopyFrom(view.record)
+                if record.state == LAPSED:
+                    record.doubted_ms = now - view.left_at
+                found.append(record)
+        return found
+
     def get(self, name: str) -> ty.Optional[upstream_view.UpstreamView]:
         """Return the upstream called `name`."""
         return self._views.get(name)
@@ -251,7 +267,8 @@
             view.left_at = 0
             self._off.pop(view.name, None)
         else:
-            view.left_at = view.left_at or self._clock.now()
+            heard = self._clock.now() - max(0, record.doubted_ms)
+            view.left_at = view.left_at or heard
             self._off[view.name] = view
         self._by_service = None
         for listener in self._listeners:
@@ -292,10 +309,14 @@
 
 
 def _changed(
-    record: pb.UpstreamRecord, state: pb.UpstreamState, revision: int
+    record: pb.UpstreamRecord,
+    state: pb.UpstreamState,
+    revision: int,
+    doubted_ms: int = 0,
 ) -> pb.UpstreamRecord:
     """Return `record` with another state, said at `revision`."""
     changed = pb.UpstreamRecord()
     changed.CopyFrom(record)
     changed.state, changed.revision = state, revision
+    changed.doubted_ms = doubted_ms
     return changed
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -570,6 +570,13 @@
         'if False:',
         'upstreams',
     ),
+    Mutation(
+        'tell a doubt without its age',
+        SERVING + 'upstreams.py',
+        'record.doubted_ms = now - view.left_at',
+        'pass',
+        'upstreams',
+    ),
     Mutation(
         'ask a store that has failed no more',
         COORDINATION + 'store_check.py',
