A watch begun in an outage is asked for anew after it; watchers ask the store when a peer's calls fail

Change: once the store answers again, what has been silent for half a second is asked anew; a watcher that hears that a peer gets no answer asks the store itself, so that it notices the end as well.

--- a/features/steps/group_steps.py
+++ b/features/steps/group_steps.py
@@ -112,7 +112,7 @@
             outage=types.SimpleNamespace(is_felt=lambda: False),
             is_watching=lambda what: True,
             overtaken=lambda what: None,
-            watch_anew=lambda: None,
+            doubt_store=lambda: None,
         )
 
     def spent(self):
--- a/features/steps/store_read_steps.py
+++ b/features/steps/store_read_steps.py
@@ -297,6 +297,11 @@
         context.clock.advance(250)
 
 
+@then('it has asked the store once whether it answers')
+def has_asked(context):
+    assert asked_for(context, store_.PROBED) == 1, context.standin.app.calls
+
+
 @when('a peer has news on upstreams')
 def news_on_upstreams(context):
     catch_up = catch_up_.CatchUp(
--- a/features/store_reads.feature
+++ b/features/store_reads.feature
@@ -79,9 +79,16 @@
     When a peer says that the store does not answer it, again and again
     Then it watches the upstreams anew
     And it watches the configuration anew
+    And it has asked the store once whether it answers
+
+  # Not seen, but what is asked anew while the store is silent waits as well.
+  Scenario: A watch that was begun in an outage is asked for anew after it
+    Given a router that has watched the store for 600 ms
+    When another call of it fails and the next one is answered
+    Then it watches the upstreams anew
 
   Scenario: A watch that was begun just now is not
-    Given a router that has watched the store for 1000 ms
+    Given a router that has watched the store for 400 ms
     When another call of it fails and the next one is answered
     Then it has watched the upstreams once
 
--- a/src/peridotmast/coordination/kind_watch.py
+++ b/src/peridotmast/coordination/kind_watch.py
@@ -119,15 +119,20 @@
         green.sleep_ms(self._pause_ms * self._jitter.uniform(0.7, 1.3))
         self._pause_ms = min(_LAST_PAUSE_MS, self._pause_ms * 2)
 
-    def overtaken(self) -> None:
+    def overtaken(self, silent_ms: int = _OVERTAKEN_MS) -> None:
         """Ask anew: a peer has news that the waiting watch did not bring.
 
         A connection on which the store once failed may stay silent for as
         long as the watch waits. One whose answer is coming in is not: on a
         thin link the answer may take longer than a peer's news.
+
+        Parameters
+        ----------
+        silent_ms : int
+            Silence from which on it is asked anew, in ms.
         """
         since = self._silent_since
-        if since is None or self._clock.now() - since < _OVERTAKEN_MS:
+        if since is None or self._clock.now() - since < silent_ms:
             return
         self._log.info('watch_overtaken', revision=self._revision)
         self._silent_since = None
--- a/src/peridotmast/platform/store.py
+++ b/src/peridotmast/platform/store.py
@@ -31,7 +31,7 @@
 """A watch that fails later than this was cut off while it waited, which says
 nothing about the store."""
 
-_PROBED = 'peridotmast-probes'
+PROBED = 'peridotmast-probes'
 """Kind that has no objects: an answer about it is the shortest there is."""
 
 _REFUSALS = frozenset((429, 500, 503))
@@ -158,7 +158,7 @@
         By a read that may be old: it costs a tenth of another one and does
         not count toward the rate at which the store refuses.
         """
-        self._call('GET', f'{_path(_PROBED)}?{names.STALE}=1')
+        self._call('GET', f'{_path(PROBED)}?{names.STALE}=1')
 
     def close(self) -> None:
         """Close the kept connections."""
--- a/src/peridotmast/router/knowledge.py
+++ b/src/peridotmast/router/knowledge.py
@@ -52,6 +52,11 @@
 in which entries come back, a doubt ends in the 3 s in which an upstream that
 leaves may still get work."""
 
+_DEAF_MS = 500
+"""Silence of a watch that is asked for anew after an outage: it was begun
+while the store was out, or may have been. Where calls fail and are answered by
+turns, each such turn costs three calls at most and twice a second."""
+
 
 class Knowledge:
     """The platform's store, and what is known from it.
@@ -116,6 +121,7 @@
         )
         self._registry = registry_.Registry(self.store, self.members)
         self._watches: list[kind_watch.KindWatch] = []
+        self._spawn: ty.Callable[..., None] = lambda name, func: None
 
     @property
     def is_enough(self) -> bool:
@@ -153,9 +159,10 @@
             )
             self._watches.append(watch)
             tasks.spawn(f'watch_{kind}', watch.run)
+        self._spawn = tasks.spawn
         # What the store had to say meanwhile is lost on connections that may
         # live on: a watch that waits there hears nothing for 25 s.
-        self.outage.on_back = self.watch_anew
+        self.outage.on_back = self._watch_anew
         tasks.spawn('register', self._register)
         check = store_check.StoreCheck(self.store, self.outage)
         tasks.every('check_store', _CHECK_MS, check.tick)
@@ -184,16 +191,25 @@
             if watch.kind in _KINDS[what]:
                 watch.overtaken()
 
-    def watch_anew(self) -> None:
-        """Ask for what may have waited through an outage of the store."""
-        for watch in self._watches:
-            watch.overtaken()
+    def doubt_store(self) -> None:
+        """Find out whether the store answers here: a peer gets no answer.
+
+        Nothing that waits here need ever fail, or be answered.
+        """
+        self._watch_anew()
+        if any(map(self.is_watching, _KINDS)):
+            self._spawn('probe_store', self.store.probe)
 
     def tick(self) -> None:
         """Give up and forget the upstreams whose time is over."""
         self._upstreams.tick()
         self.table.forget_gone()
 
+    def _watch_anew(self) -> None:
+        """Ask for what may have waited through an outage of the store."""
+        for watch in self._watches:
+            watch.overtaken(_DEAF_MS)
+
     def _register(self) -> None:
         while not self._registry.enter():
             green.sleep_ms(_REGISTER_MS)
--- a/src/peridotmast/router/peering.py
+++ b/src/peridotmast/router/peering.py
@@ -362,8 +362,7 @@
 
     def _hear_outage(self, from_member: bool) -> None:
         if not self._is_recent(self._outage_at):
-            # Nothing that waits here may ever fail, or be answered.
-            self._knowledge.watch_anew()
+            self._knowledge.doubt_store()
         self._outage_at = self._clock.now()
         if from_member:
             self._member_outage_at = self._outage_at
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -559,7 +559,7 @@
     Mutation(
         'let watches wait on when a peer is not answered',
         ROUTER + 'peering.py',
-        'self._knowledge.watch_anew()',
+        'self._knowledge.doubt_store()',
         'pass',
         'store_reads',
     ),
