Failing scenarios: outdated failures, a peer refused for long, owed tokens

A failure that is dated before an answer is dropped as a whole, so that watches which waited through that silence stay deaf. A peer that is refused for long hides a later outage from watchers. What a request that did not run owed is not given back, and a router alone paces its team.

--- a/features/limits.feature
+++ b/features/limits.feature
@@ -138,3 +138,15 @@
     When each of them places 3 prompts without hearing of the others
     Then no engine has more than 20 of the 120
     And where each has heard all, the engines have 6 each, one more or less
+
+  # Not run means that nothing was spent, neither of the team's limit nor of
+  # this router's part of what is left.
+  Scenario: What a request that did not run owed is given back as well
+    Given one of 58 routers, where little is left of a team's limit
+    When a small request is let pass there and does not run
+    Then the next one waits for nothing
+
+  Scenario: A router alone paces nothing that its team's limit allows
+    Given one of 1 routers, where little is left of a team's limit
+    When a small request is let pass there
+    Then the next one waits for nothing
--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -632,3 +632,34 @@
     placed = place_all(context, hears=True)
     assert len(placed) == 20
     assert all(abs(n - each) <= 1 for n in placed.values()), placed
+
+
+@given("one of {n:d} routers, where little is left of a team's limit")
+def little_left(context, n):
+    context.clock = clock_.ManualClock()
+    context.quota = quota_.Quota(context.clock)
+    context.quota.routers = lambda: n
+    team = pb.Team(name='a', rate=1000, burst=8000)
+    context.quota.configure([team])
+    context.clock.advance(5000)
+    context.quota.tick()
+    context.clock.advance(10_000)
+    context.quota.spent_elsewhere({'a': 5000})
+    assert context.quota.levels() == {'a': 3000}, context.quota.levels()
+
+
+@when('a small request is let pass there')
+def small_passes(context):
+    assert context.quota.take('a', 500) == 0
+
+
+@when('a small request is let pass there and does not run')
+def small_not_run(context):
+    small_passes(context)
+    context.quota.give_back('a', 500)
+
+
+@then('the next one waits for nothing')
+def next_waits_not(context):
+    wait_ms = context.quota.take('a', 500)
+    assert wait_ms == 0, wait_ms
--- a/features/steps/store_read_steps.py
+++ b/features/steps/store_read_steps.py
@@ -279,6 +279,53 @@
     context.knowledge.outage.answered()
 
 
+@when('a call of it is answered, and then one made before that fails')
+def answered_then_failed(context):
+    context.knowledge.outage.answered()
+    context.clock.advance(500)
+    context.knowledge.outage.failed('silent', 1500)
+    context.clock.advance(500)
+    context.knowledge.outage.answered()
+
+
+@when('another peer says so after one that is refused for long')
+def peer_after_refused(context):
+    knowledge = context.knowledge
+    catch_up = catch_up_.CatchUp(
+        context.clock, knowledge, Peer(), lambda name, *args: None
+    )
+    peering = peering_.Peering(
+        context.clock,
+        knowledge,
+        helpers.bare_limits(context.clock),
+        None,
+        None,
+        catch_up,
+    )
+
+    def say(name, rounds):
+        member = pb.Member(name=name, incarnation=1)
+        for _ in range(rounds):
+            peering.take(pb.Beacon(member=member, outage_felt=True))
+            green.sleep_ms(2 * TURN_MS)
+            context.clock.advance(250)
+
+    say('r3', 20)
+    for kind in itertools.chain(*KINDS.values()):
+        assert asked_for(context, kind) == 3, kind
+    for _ in range(4):
+        say('r3', 1)
+        say('r2', 1)
+
+
+@then('it has asked for the upstreams once more')
+def asked_once_more(context):
+    helpers.wait_until(
+        lambda: asked_for(context, names.UPSTREAM_KIND) == 4,
+        'a watch after the second outage',
+    )
+
+
 @when('a peer says that the store does not answer it, again and again')
 def peer_says_out(context):
     serving = helpers.bare_limits(context.clock)
--- a/features/store_reads.feature
+++ b/features/store_reads.feature
@@ -87,6 +87,18 @@
     When another call of it fails and the next one is answered
     Then it watches the upstreams anew
 
+  # The failed call is the only witness of the silence that the watches have
+  # waited through; another call was answered after it was made.
+  Scenario: A failure that is outdated still tells that watches may be deaf
+    Given a router that has watched the store for 3000 ms
+    When a call of it is answered, and then one made before that fails
+    Then it watches the upstreams anew
+
+  Scenario: A peer that is refused for long does not hide a later outage
+    Given a router that has watched the store for 3000 ms
+    When another peer says so after one that is refused for long
+    Then it has asked for the upstreams once more
+
   Scenario: A watch that was begun just now is not
     Given a router that has watched the store for 400 ms
     When another call of it fails and the next one is answered
