--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -11,6 +11,7 @@
 import helpers
 
 from peridotmast import clock as clock_
+from peridotmast.coordination import groups
 from peridotmast.coordination import tally
 from peridotmast.embedded import shape as shape_
 from peridotmast import green
@@ -639,6 +640,7 @@
     context.clock = clock_.ManualClock()
     context.quota = quota_.Quota(context.clock)
     context.quota.routers = lambda: n
+    context.quota.knows_late = n > groups.WHOLE
     team = pb.Team(name='a', rate=1000, burst=8000)
     context.quota.configure([team])
     context.clock.advance(5000)
--- a/features/steps/store_read_steps.py
+++ b/features/steps/store_read_steps.py
@@ -473,7 +473,7 @@
 
 
 @then('it is asked for once more, and has brought the news')
-def asked_once_more(context):
+def asked_after_second(context):
     assert context.stepping.dead, 'the watch waits on'
     context.watch.step()
     assert context.halving.watches == 2, context.halving.watches
--- a/features/upstreams.feature
+++ b/features/upstreams.feature
@@ -112,14 +112,17 @@
   # Seen: routers took the store to be out for 3 s after it had come back. How: calls
   # that were made before ran out of time after others had been answered. Cause: a
   # call's failure was dated by its end. Proof: one that was made before the answer.
-  Scenario: A call that was made before another one's answer says nothing by failing
+  Scenario: A call that was made before another one's answer dates the outage by that
     Given a store that answers
     When a call of it is answered
     And 1000 ms pass
     And one that was made 1500 ms ago fails
+    Then the outage is felt
+    When 900 ms pass
+    Then the outage is felt
+    When 100 ms pass
     Then the outage is not felt
-    When 1000 ms pass
-    And one that was made 1500 ms ago fails
+    When one that was made 1500 ms ago fails
     Then the outage is felt
 
   # Seen: one failed call of a router that asked the store no more made the whole
--- a/src/peridotmast/coordination/kind_watch.py
+++ b/src/peridotmast/coordination/kind_watch.py
@@ -29,6 +29,13 @@
 peer's news: while the store turns this router away, each new one is in vain,
 and what has come of an answer would have to come again."""
 
+_DEAF_MS = 500
+_LAST_DEAF_MS = 4000
+"""Silence from which on a watch is asked for anew after an outage: it was
+begun while the store was out, or may have been. Doubled each time until it
+hears something, so that an answer that takes long comes in although calls
+fail and are answered by turns."""
+
 _IDLE_MS = 500
 """Time between two looks at whether this router is to watch."""
 
@@ -89,6 +96,7 @@
         self._pause_ms = _FIRST_PAUSE_MS
         self._wait = green.Interrupt()
         self._silent_since: ty.Optional[int] = None
+        self._deaf_ms = _DEAF_MS
         self._log = logs.get('watch', kind=kind)
 
     def run(self) -> None:
@@ -119,24 +127,29 @@
         green.sleep_ms(self._pause_ms * self._jitter.uniform(0.7, 1.3))
         self._pause_ms = min(_LAST_PAUSE_MS, self._pause_ms * 2)
 
-    def overtaken(self, silent_ms: int = _OVERTAKEN_MS) -> None:
+    def overtaken(self) -> None:
         """Ask anew: a peer has news that the waiting watch did not bring.
 
         A connection on which the store once failed may stay silent for as
         long as the watch waits. One whose answer is coming in is not: on a
         thin link the answer may take longer than a peer's news.
-
-        Parameters
-        ----------
-        silent_ms : int
-            Silence from which on it is asked anew, in ms.
         """
+        self._ask_anew('watch_overtaken', _OVERTAKEN_MS)
+
+    def doubt(self) -> None:
+        """Ask anew: the store was out, and may have lost the watch."""
+        if self._ask_anew('watch_doubted', self._deaf_ms):
+            self._deaf_ms = min(_LAST_DEAF_MS, 2 * self._deaf_ms)
+
+    def _ask_anew(self, why: str, silent_ms: int) -> bool:
+        """End the wait of a watch that has been silent for as long."""
         since = self._silent_since
         if since is None or self._clock.now() - since < silent_ms:
-            return
-        self._log.info('watch_overtaken', revision=self._revision)
+            return False
+        self._log.info(why, revision=self._revision)
         self._silent_since = None
         self._wait.fire()
+        return True
 
     def _list(self) -> ty.Optional[failures.Failure]:
         listing = self._store.list(self.kind)
@@ -164,7 +177,7 @@
         self,
     ) -> ty.Union[objects.Changes, failures.Failure, None]:
         """Return what has changed; None where the wait was ended."""
-        self._heard()
+        self._silent_since = self._clock.now()
         try:
             with self._wait:
                 return self._store.watch(
@@ -176,3 +189,4 @@
 
     def _heard(self) -> None:
         self._silent_since = self._clock.now()
+        self._deaf_ms = _DEAF_MS
--- a/src/peridotmast/coordination/outage.py
+++ b/src/peridotmast/coordination/outage.py
@@ -37,12 +37,13 @@
         self.is_out = False
         """Whether the last call was not answered."""
         self.on_back: ty.Callable[[], None] = lambda: None
-        """Called once a call is answered after one that was not."""
+        """Called once it is known that the store was out and answers again."""
 
     def failed(self, reason: str, after_ms: int = 0) -> None:
         """Note a call that was not answered, or turned away.
 
-        It says nothing where another one, made later, was answered.
+        Where another one was answered since this one was made, the store
+        was out before that, and is not now.
 
         Parameters
         ----------
@@ -50,6 +51,8 @@
             How long ago it was made.
         """
         if self._clock.now() - after_ms < self._answered_at:
+            self._back_at = max(self._back_at, self._answered_at)
+            self.on_back()
             return
         if not self.is_out:
             self._log.warning('store_lost', reason=reason)
--- a/src/peridotmast/router/knowledge.py
+++ b/src/peridotmast/router/knowledge.py
@@ -47,15 +47,10 @@
 _REGISTER_MS = 1000
 
 _CHECK_MS = 500
-"""Time between two looks at whether a store that has failed is to be asked,
-since nothing has asked it for as long: so it is within a second. With the 2 s
-in which entries come back, a doubt ends in the 3 s in which an upstream that
-leaves may still get work."""
-
-_DEAF_MS = 500
-"""Silence of a watch that is asked for anew after an outage: it was begun
-while the store was out, or may have been. Where calls fail and are answered by
-turns, each such turn costs three calls at most and twice a second."""
+"""Time between two looks at a store that has failed: it is asked where nothing
+has asked it since the last look, so half a second to a second after the call
+that failed. With the 2 s in which entries come back, a doubt ends in the 3 s
+in which an upstream that leaves may still get work."""
 
 
 class Knowledge:
@@ -197,7 +192,7 @@
         Nothing that waits here need ever fail, or be answered.
         """
         self._watch_anew()
-        if any(map(self.is_watching, _KINDS)):
+        if any(self.watchers.is_due(watch.kind) for watch in self._watches):
             self._spawn('probe_store', self.store.probe)
 
     def tick(self) -> None:
@@ -208,7 +203,7 @@
     def _watch_anew(self) -> None:
         """Ask for what may have waited through an outage of the store."""
         for watch in self._watches:
-            watch.overtaken(_DEAF_MS)
+            watch.doubt()
 
     def _register(self) -> None:
         while not self._registry.enter():
--- a/src/peridotmast/router/peering.py
+++ b/src/peridotmast/router/peering.py
@@ -40,7 +40,7 @@
 """How long changed entries are told of, and how many at most: as often as
 a beacon may be lost on its way over two heads."""
 
-_UNTOLD_MS = 1200
+_ASKED_LEVELS_MS = 1200
 """How long a peer's word holds that it was not told yet what is left of the
 teams' limits: two rounds of a large fleet."""
 
@@ -99,6 +99,8 @@
         self._role = _Role(False, False, 1)
         self._group_heard: dict[int, int] = {}
         self._untold: dict[str, int] = {}
+        self._felt: dict[str, int] = {}
+        self._doubted_at = -_FELT_MS
         serving.quota.routers = serving.budget.routers = members.counted
         self._followed = '', -_GROUP_SILENT_MS
         self._looked: tuple[ty.Optional[groups_.Look], int] = None, 0
@@ -165,7 +167,7 @@
             self._members.learn(changed)
         self._take_totals(beacon)
         if beacon.outage_felt:
-            self._hear_outage(beacon.HasField('own'))
+            self._hear_outage(member.name, beacon.HasField('own'))
         if beacon.untold:
             self._untold[member.name] = self._clock.now()
         else:
@@ -184,8 +186,9 @@
         heard = self._members.heard()
         quota = self._serving.quota
         quota.share = (1 + len(heard)) / self._members.counted()
+        quota.knows_late = self.knows_late()
         quota.told_ms = (
-            quota_.TOLD_LATE_MS if self._groups.is_split() else quota_.TOLD_MS
+            quota_.TOLD_LATE_MS if quota.knows_late else quota_.TOLD_MS
         )
         quota.tick()
         limit = self._clock.now() - _GROUP_SILENT_MS
@@ -193,6 +196,7 @@
             group: at for group, at in self._group_heard.items() if at >= limit
         }
         self._untold = {p: at for p, at in self._untold.items() if at >= limit}
+        self._felt = {p: at for p, at in self._felt.items() if at >= limit}
         look, split = self._look(), self._groups.is_split()
         self._sharing.forget(
             {p.member.name for p in self._members.peers()},
@@ -238,7 +242,7 @@
         self, beacon: pb.Beacon, peers: list[members_.Peer]
     ) -> beacons_.Round:
         """Yield a beacon; for those not told yet, with what is left."""
-        limit = self._clock.now() - _UNTOLD_MS
+        limit = self._clock.now() - _ASKED_LEVELS_MS
         untold = [
             peer
             for peer in peers
@@ -360,12 +364,19 @@
                 leads=role.leads,
             )
 
-    def _hear_outage(self, from_member: bool) -> None:
-        if not self._is_recent(self._outage_at):
+    def _hear_outage(self, peer: str, from_member: bool) -> None:
+        """Take in that the store does not answer a peer."""
+        now = self._clock.now()
+        limit = now - _FELT_MS
+        is_first = self._felt.get(peer, limit) <= limit
+        self._felt[peer] = now
+        # Once for many that say so at the same time.
+        if is_first and self._doubted_at <= limit:
+            self._doubted_at = now
             self._knowledge.doubt_store()
-        self._outage_at = self._clock.now()
+        self._outage_at = now
         if from_member:
-            self._member_outage_at = self._outage_at
+            self._member_outage_at = now
 
     def _is_recent(self, moment: int) -> bool:
         return self._clock.now() - moment < _FELT_MS
--- a/src/peridotmast/serving/quota.py
+++ b/src/peridotmast/serving/quota.py
@@ -17,12 +17,12 @@
 _PART = 1.5
 """Below half of the burst, a request that is small against it waits until the
 one before it has come in at one and a half times this router's part of the
-rate. What the others let pass is known later than it happens: without this,
-all of a large fleet let pass what came as soon as a little was there again,
-and a team that asked for 3 and 6 times its limit got up to 1.03 and 1.23 of
-it in the worst 8 s, now 0.96 and 0.99 (58 routers, without a network, requests
-of a fortieth of the burst). Larger requests are few, and would be refused to
-teams that keep within small limits."""
+rate. In a large fleet what the others let pass is known a second and a half
+late: without this, all let pass what came as soon as a little was there again,
+and a team that asked for 6 times its limit got up to 1.23 of it in the worst
+8 s, now 1.03 (58 routers, without a network, requests of a fortieth of the
+burst). Larger requests are few, and would be refused to teams that keep
+within small limits."""
 
 TOLD_MS = 1000
 TOLD_LATE_MS = 2000
@@ -54,8 +54,8 @@
     at: int
     """Moment for which `level` holds, in ms."""
     owed: float
-    """Tokens of the last request that passed here which have not come in
-    since at this router's part of the rate."""
+    """What is left of the last small request that passed here: it is paid
+    back at the pace that is kept to where little is left of the whole."""
     is_sure: bool
     """Whether the level is what all routers together have left, as far as
     it can be: not while this router has started just now, and was not told."""
@@ -99,6 +99,9 @@
         """Returns how many routers there are, as far as this one knows."""
         self.told_ms = TOLD_MS
         """How long this router waits to be told what is left."""
+        self.knows_late = False
+        """Whether it knows of the others' spends so late that each keeps to
+        its part where little is left."""
 
     def configure(self, teams: ty.Iterable[pb.Team]) -> None:
         """Put the teams' limits into force."""
@@ -137,7 +140,8 @@
             if wait_ms:
                 return wait_ms
             bucket.level -= tokens
-            bucket.owed = tokens
+            if _is_small(bucket, tokens):
+                bucket.owed = tokens
         self._spent[team] = self._spent.get(team, 0) + tokens
         return 0
 
@@ -158,6 +162,7 @@
         bucket = self._buckets.get(team)
         if bucket is not None:
             bucket.level = min(bucket.burst, bucket.level + tokens)
+            bucket.owed = 0
 
     def spent(self) -> dict[str, int]:
         """Return what this router has let pass so far, by team."""
@@ -213,9 +218,12 @@
         return self._clock.now() - self._began < self.told_ms
 
     def _settle(self, team: str, bucket: _Bucket) -> None:
-        """Go on from the rest of the own part: nobody was there before."""
+        """Go on from what is left by the own part: nobody was there before."""
         if not bucket.is_sure:
-            left = self._part(bucket) - self._spent.get(team, 0)
+            # The others have let pass as much as this one, as far as it can
+            # tell: most of what they count is on its way.
+            part = self._part(bucket) - self._spent.get(team, 0)
+            left = max(-bucket.burst, part * self.routers())
             bucket.level = min(bucket.level, left)
             bucket.is_sure = True
 
@@ -239,7 +247,7 @@
     def _pause_ms(self, bucket: _Bucket, tokens: int) -> int:
         """Return how long to wait for the own part where little is left."""
         little = bucket.level < _LITTLE * bucket.burst
-        if not little or tokens > _SMALL * bucket.burst:
+        if not (self.knows_late and little and _is_small(bucket, tokens)):
             return 0
         part = bucket.rate * _PART / self.routers()
         wait = math.ceil(bucket.owed / part * 1000)
@@ -252,3 +260,8 @@
             return _LONGEST_WAIT_MS
         wait = math.ceil((needed - bucket.level) / rate * 1000)
         return max(1, min(_LONGEST_WAIT_MS, wait))
+
+
+def _is_small(bucket: _Bucket, tokens: int) -> bool:
+    """Return whether a request is small against its team's limit."""
+    return tokens <= _SMALL * bucket.burst
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -531,10 +531,24 @@
     Mutation(
         'keep to no part where little is left',
         SERVING + 'quota.py',
-        'if not little or tokens > _SMALL * bucket.burst:',
+        'if not (self.knows_late and little and _is_small(bucket, tokens)):',
         'if True:',
         'groups',
     ),
+    Mutation(
+        'pace by what did not run',
+        SERVING + 'quota.py',
+        'bucket.owed = 0',
+        'pass',
+        'limits',
+    ),
+    Mutation(
+        'let one peer that is refused speak for all',
+        ROUTER + 'peering.py',
+        'is_first = self._felt.get(peer, limit) <= limit',
+        'is_first = self._outage_at <= limit',
+        'store_reads',
+    ),
     Mutation(
         'wait for the outcome of a trial for good',
         SERVING + 'health.py',
@@ -564,7 +578,7 @@
         'store_reads',
     ),
     Mutation(
-        'believe what failed after a later answer',
+        'date an outage by the end of a call',
         COORDINATION + 'outage.py',
         'if self._clock.now() - after_ms < self._answered_at:',
         'if False:',
