--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -570,8 +570,8 @@
     Mutation(
         'let watches wait on after an outage',
         COORDINATION + 'outage.py',
-        'self.on_back()',
-        'pass',
+        "self._log.info('store_regained')\n        self.on_back()",
+        "self._log.info('store_regained')",
         'store_reads',
     ),
     Mutation(
