--- a/src/peridotmast/embedded/fleet.py
+++ b/src/peridotmast/embedded/fleet.py
@@ -10,6 +10,7 @@
 from peridotmast.coordination import config_feed
 from peridotmast.embedded import guest as guest_
 from peridotmast.embedded import links as links_
+from peridotmast.embedded import router_settings
 from peridotmast.embedded import shape as shape_
 from peridotmast import green
 from peridotmast import ini
@@ -277,35 +278,19 @@
     def router_file(self, name: str, **settings: ty.Any) -> pb.RouterFile:
         """Return the settings of a router."""
         number = len(self.routers)
-        free = f'{self._host_of(name)}:0'
-        values = {
-            'name': name,
-            'listen': free,
-            'peer_listen': free,
-            'ready_listen': free,
-            'directory_listen': free,
-            'failure_domain': self.domains[number % len(self.domains)],
-            **self.shape.router,
-            **settings,
-        }
-        if self.shape.chat:
-            values.setdefault('chat_listen', free)
-        seeds = values.pop('seeds', None)
-        if seeds is None:
-            seeds = [router.peer_address for router in self.routers]
-        cfg = ini.defaults(pb.RouterSettings, **values)
-        cfg.seeds.extend(seeds)
-        return pb.RouterFile(
-            router=cfg,
-            platform=ini.defaults(
-                pb.PlatformSettings,
+        return router_settings.make(
+            self.shape,
+            self._host_of(name),
+            {
+                'name': name,
+                'failure_domain': self.domains[number % len(self.domains)],
+                'seeds': [router.peer_address for router in self.routers],
+                **settings,
+            },
+            pb.PlatformSettings(
                 objects=self.links.via(self.store.address),
                 cloud=self.cloud.address,
             ),
-            bounds=ini.defaults(pb.BoundsSettings, **self.shape.bounds),
-            telemetry=ini.defaults(
-                pb.TelemetrySettings, trace_file=self.shape.trace_file
-            ),
         )
 
     def serving(self) -> list[router_.Router]:
