--- a/src/peridotmast/embedded/fleet.py
+++ b/src/peridotmast/embedded/fleet.py
@@ -278,15 +278,15 @@
     def router_file(self, name: str, **settings: ty.Any) -> pb.RouterFile:
         """Return the settings of a router."""
         number = len(self.routers)
+        usual = {
+            'name': name,
+            'failure_domain': self.domains[number % len(self.domains)],
+            'seeds': [router.peer_address for router in self.routers],
+        }
         return router_settings.make(
             self.shape,
             self._host_of(name),
-            {
-                'name': name,
-                'failure_domain': self.domains[number % len(self.domains)],
-                'seeds': [router.peer_address for router in self.routers],
-                **settings,
-            },
+            {**usual, **self.shape.router, **settings},
             pb.PlatformSettings(
                 objects=self.links.via(self.store.address),
                 cloud=self.cloud.address,
--- a/src/peridotmast/embedded/router_settings.py
+++ b/src/peridotmast/embedded/router_settings.py
@@ -20,11 +20,11 @@
     Parameters
     ----------
     shape : shape.FleetShape
-        Settings that all routers of the fleet have.
+        Bounds and faces that all routers of the fleet have.
     host : str
         IP number that it listens at.
     settings : dict
-        This router's own; they go before the fleet's.
+        Those of the router's own section.
     platform : pb.PlatformSettings
         Where the stand-ins of the platform are.
     """
@@ -34,7 +34,6 @@
         'peer_listen': free,
         'ready_listen': free,
         'directory_listen': free,
-        **shape.router,
         **settings,
     }
     if shape.chat:
