A planned stop leaves connections open on which a request has come, and reads nothing of those it shut

Change: a connection with bytes is served once more and closed after its answer; one that was shut gives nothing to read.

--- a/features/router_stop.feature
+++ b/features/router_stop.feature
@@ -43,6 +43,11 @@
     When a request comes on a kept connection in the moment of a planned stop
     Then it is answered, and its connection closed
 
+  Scenario: A request that comes once its connection was shut is not passed on
+    Given a fleet of 2 routers
+    When a request comes on a kept connection right after it was shut
+    Then nothing comes back, and no upstream got it
+
   Scenario: The holder of the duties gives them up
     Given a fleet of 3 routers
     When the holder of the duties is told to stop
--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 import types
 import zlib
 
@@ -29,6 +30,7 @@
 from peridotmast.serving import upstreams as upstreams_
 from peridotmast.wire import calls
 from peridotmast.wire import connection as connection_
+from peridotmast.wire import server as server_
 
 
 def resolve(router, domain='fd-1'):
@@ -129,21 +131,48 @@
 
 @when('a request comes on a kept connection in the moment of a planned stop')
 def comes_in_the_moment(context):
-    router = context.fleet.routers[0]
-    context.sock = helpers.raw_connect(router.address)
-    request = (
+    keep_connection(context)
+    # No other task runs between these two.
+    send_on_kept(context, 'crossing-2')
+    context.fleet.routers[0]._faces.close_idle()
+
+
+@when('a request comes on a kept connection right after it was shut')
+def comes_right_after(context):
+    keep_connection(context)
+    real = server_._shut
+    context.closing.append(lambda: setattr(server_, '_shut', real))
+    # A kernel may still take in what comes, and nothing goes out any more.
+    server_._shut = lambda sock: sock.shutdown(socket.SHUT_WR)
+    context.fleet.routers[0]._faces.close_idle()
+    send_on_kept(context, 'crossing-2')
+
+
+def keep_connection(context):
+    """Have a connection on which the router waits for a second request."""
+    context.sock = helpers.raw_connect(context.fleet.routers[0].address)
+    send_on_kept(context, 'crossing-1')
+    assert b'200 OK' in context.sock.recv(65536)
+    green.sleep_ms(100)
+
+
+def send_on_kept(context, request_id):
+    context.sock.sendall(
         f'POST /holds/seat HTTP/1.1\r\nHost: {shape_.HOST}\r\n'
-        f'{names.REQUEST_ID}: crossing-%d\r\n'
+        f'{names.REQUEST_ID}: {request_id}\r\n'
         f'{names.AUTHORIZATION}: {helpers.KEY}\r\n'
-        'Content-Length: 6\r\n\r\nseat 1'
+        'Content-Length: 6\r\n\r\nseat 1'.encode()
     )
-    context.sock.sendall((request % 1).encode())
-    assert b'200 OK' in context.sock.recv(65536)
-    # The router waits for the next request by now.
-    green.sleep_ms(100)
-    # No other task runs between these two.
-    context.sock.sendall((request % 2).encode())
-    router._faces.close_idle()
+
+
+@then('nothing comes back, and no upstream got it')
+def nothing_back(context):
+    try:
+        rest = helpers.read_rest(context.sock, 2000)
+    except ConnectionResetError:
+        rest = b''
+    assert not rest, rest
+    assert not helpers.arrivals_of(context, 'crossing-2')
 
 
 @then('it is answered, and its connection closed')
--- a/src/peridotmast/wire/server.py
+++ b/src/peridotmast/wire/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import select
 import socket
 import typing as ty
 
@@ -105,7 +106,10 @@
         """
         self.is_closing = True
         for sock in list(self.idle):
-            _shut(sock)
+            # A request that has come is served, though nobody has looked yet.
+            if not _has_come(sock):
+                self.idle.discard(sock)
+                _shut(sock)
 
     def stop(self) -> None:
         """Accept no more and cut every connection."""
@@ -135,6 +139,13 @@
             pass
 
 
+def _has_come(sock: ty.Any) -> bool:
+    """Return whether there are bytes on a connection that were not read."""
+    looking = select.poll()
+    looking.register(sock.fileno(), select.POLLIN)
+    return bool(looking.poll(0))
+
+
 def _shut(sock: ty.Any) -> None:
     try:
         sock.shutdown(socket.SHUT_RDWR)
--- a/src/peridotmast/wire/strict_protocol.py
+++ b/src/peridotmast/wire/strict_protocol.py
@@ -61,8 +61,10 @@
         except OSError:
             return b''
         finally:
+            was_shut = is_kept and sock not in self.owner.idle
             self.owner.idle.discard(sock)
-        if not first:
+        if was_shut or not first:
+            # What came after it was shut can't be answered: it is not read.
             return b''
         self._header_timer = green.Timeout(limits.header_ms / 1000)
         return self.rfile.readline(request_body.MAX_LINE_BYTES)
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -553,6 +553,20 @@
         'is_first = self._outage_at <= limit',
         'store_reads',
     ),
+    Mutation(
+        'close a connection on which a request has come',
+        WIRE + 'server.py',
+        'if not _has_come(sock):',
+        'if True:',
+        'router_stop',
+    ),
+    Mutation(
+        'serve what comes on a connection that was shut',
+        WIRE + 'strict_protocol.py',
+        'if was_shut or not first:',
+        'if not first:',
+        'router_stop',
+    ),
     Mutation(
         'wait for the outcome of a trial for good',
         SERVING + 'health.py',
