--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -147,9 +147,6 @@
     context.last.status = 200 if data.count(b' 200 OK') == 2 else 0
 
 
-# --------------------------------------------------------------------- strict
-
-
 @when('these raw bytes are sent to a router')
 def raw_bytes(context):
     text = context.text.replace('~', '\r\n')
--- a/features/steps/config_steps.py
+++ b/features/steps/config_steps.py
@@ -113,9 +113,6 @@
     assert helpers.ask(router.address).status == 200
 
 
-# --------------------------------------------------------- the own document
-
-
 @when('two operators commit from the same version')
 def two_commit(context):
     routers = context.fleet.routers
@@ -213,9 +210,6 @@
     context.found = config_feed.check(context.text)
 
 
-# ------------------------------------------------------------------ any order
-
-
 def new_feed(store=None):
     registry = prometheus_client.CollectorRegistry()
     return config_feed.ConfigFeed(
--- a/features/steps/doubt_steps.py
+++ b/features/steps/doubt_steps.py
@@ -142,9 +142,6 @@
     assert context.other.get(name).record.state == upstreams_.GONE
 
 
-# -------------------------------------------------------------------- outages
-
-
 @given('a store that answers')
 def answers(context):
     context.clock = clock_.ManualClock()
@@ -211,9 +208,6 @@
     assert not context.outage.is_felt()
 
 
-# -------------------------------------------------------------------- watches
-
-
 class SilentStore:
     """Never answers its first watch."""
 
--- a/features/steps/duty_steps.py
+++ b/features/steps/duty_steps.py
@@ -245,9 +245,6 @@
     )
 
 
-# ------------------------------------------------------- the reporter alone
-
-
 @dataclasses.dataclass
 class Reports:
     """Remembers what is reported."""
@@ -394,9 +391,6 @@
     assert abs(passed - SINCE_MS) <= 5, passed
 
 
-# ------------------------------------------------------------------- scaling
-
-
 def counts(context):
     live = [
         guest
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -83,9 +83,6 @@
     return document
 
 
-# -------------------------------------------------------------------- entries
-
-
 @when('the entry of "{name}" has {value} for "{field}"')
 def entry_has(context, name, value, field):
     spec = {**doubt_steps.entry(name), field: json.loads(value)}
@@ -148,9 +145,6 @@
     draw(count, everywhere, JSON, test=one)
 
 
-# -------------------------------------------------------------- configuration
-
-
 def a_config():
     config = pb.Config(
         routes=[
@@ -242,9 +236,6 @@
     assert context.config_feed.routes.version == 11
 
 
-# ----------------------------------------------------------------- raw answers
-
-
 class _OneAnswer:
     """Stands for the connections of a store that gives one answer."""
 
@@ -334,8 +325,6 @@
     )
 
 
-# ------------------------------------------------------------- peers' messages
-
 NUMBERS = strategies.integers(-(1 << 62), 1 << 62)
 TEXTS = strategies.one_of(
     strategies.sampled_from(['', '127.0.0.1:7', 'a', 'u-1', '127.0.0.1:0']),
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -48,9 +48,6 @@
     return version
 
 
-# ---------------------------------------------------------------------- given
-
-
 @given('a fleet of {count:d} routers')
 def a_fleet(context, count):
     helpers.start_fleet(context, routers=count)
@@ -231,9 +228,6 @@
     )
 
 
-# ----------------------------------------------------------------------- when
-
-
 def front(context, number=0):
     return context.fleet.serving()[number].address
 
@@ -290,9 +284,6 @@
     return helpers.ask(address, path, body=body, headers=headers, **options)
 
 
-# ----------------------------------------------------------------------- then
-
-
 @then('the status is {status:d}')
 def status_is(context, status):
     assert context.last.status == status, context.last
--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -189,9 +189,6 @@
     fleet_steps.status_with_time(context, status)
 
 
-# --------------------------------------------------------------------- budget
-
-
 @given(
     'a budget of {ratio:g} repeats a request and {slack:d} beside in'
     ' {seconds:d} s, for {routers:d} routers'
@@ -234,9 +231,6 @@
     assert 0 < allowed <= most, allowed
 
 
-# --------------------------------------------------------------------- health
-
-
 @given("an upstream's health")
 def upstream_health(context):
     context.clock = clock_.ManualClock()
@@ -282,9 +276,6 @@
     assert context.health.lets_through()
 
 
-# ------------------------------------------------------------------ placement
-
-
 def table_of(clock, count):
     table = upstreams_.UpstreamTable(clock)
     for number in range(count):
@@ -528,9 +519,6 @@
     green.sleep_ms(1)
 
 
-# -------------------------------------------------------------------- urgency
-
-
 @then(
     'a prompt of {tokens:d} tokens with a target of {target:d} ms and rank'
     ' {rank:d} is at level {level:d}'
@@ -549,9 +537,6 @@
     assert levels[0] < levels[1], levels
 
 
-# ------------------------------------------------------------------ load news
-
-
 @given('a fleet of {count:d} routers whose beacons come every {ms:d} ms')
 def seldom_beacons(context, count, ms):
     helpers.start_fleet(context, routers=count)
@@ -586,9 +571,6 @@
     )
 
 
-# ------------------------------------------------------------- late knowledge
-
-
 def place_all(context, hears):
     """Let routers place prompts by turns; return how many went where."""
     counts = collections.Counter()
--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -263,8 +263,6 @@
     assert context.orders.taken == [('b', 0, False)], context.orders.taken
 
 
-# ----------------------------------------------------------------- order book
-
 KEY = ('pool', 'a', True)
 
 
@@ -306,9 +304,6 @@
     assert context.book.expected(KEY, 0) == 0
 
 
-# --------------------------------------------------------------------- events
-
-
 @given('a live event of {tokens:d} tokens a second in {seconds:d} s')
 def live_event(context, tokens, seconds):
     context.now = 1_700_000_000_000
@@ -373,9 +368,6 @@
         assert part in text, text
 
 
-# --------------------------------------------------------------------- demand
-
-
 @given('two routers that were asked for {a:d} and {b:d} tokens in {s:d} s')
 def two_asked(context, a, b, s):
     clock = clock_.ManualClock()
@@ -641,9 +633,6 @@
     assert need(context) == high
 
 
-# -------------------------------------------------------------------- reserve
-
-
 def whole_need(context):
     return context.scaler.needs.of('pool', context.live, 0, PER_ENGINE, 0.03)
 
@@ -747,9 +736,6 @@
     assert not context.orders.taken, context.orders.taken
 
 
-# -------------------------------------------------------------------- reading
-
-
 @then('ten times the demand needs less than ten times the upstreams')
 def scatters_less(context):
     context.demand.value = rate_of(5)
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -394,9 +394,6 @@
     assert max(found) <= most, found
 
 
-# --------------------------------------------------------------- known behind
-
-
 @when('the router hears of a configuration that is newer than its own')
 def hears_of_newer(context):
     router = context.fleet.routers[0]
--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -47,9 +47,6 @@
     return reply.status
 
 
-# ---------------------------------------------------------------------- stops
-
-
 @when(
     'a router is told to stop while it serves {count:d} streams of'
     ' {tokens:d} tokens'
@@ -259,8 +256,6 @@
     context.fleet.add_router(killed.cfg.name, wait=False)
 
 
-# ------------------------------------------------------------------- settings
-
 SETTINGS = """[router]
 name = a
 listen = 127.0.0.1:0
@@ -314,9 +309,6 @@
     assert len(context.applied) == 1, context.applied
 
 
-# ------------------------------------------------------------------ the fleet
-
-
 @then('every directory names all {count:d}, near ones first')
 def names_all(context, count):
     def all_named():
--- a/features/steps/store_read_steps.py
+++ b/features/steps/store_read_steps.py
@@ -180,9 +180,6 @@
     assert context.sent < count, context.sent
 
 
-# -------------------------------------------------------------------- watches
-
-
 class Peer:
     """A peer that knows an upstream more."""
 
--- a/features/steps/stream_steps.py
+++ b/features/steps/stream_steps.py
@@ -145,9 +145,6 @@
         assert passed + rest == stream, (first, second, rest)
 
 
-# -------------------------------------------------------------- callers leave
-
-
 def open_raw(context, path, tokens=400):
     sock = helpers.raw_connect(fleet_steps.front(context))
     sock.sendall(
@@ -214,9 +211,6 @@
     )
 
 
-# -------------------------------------------------------------------- reclaim
-
-
 @when('the fullest failure domain is reclaimed with {ms:d} ms notice')
 def reclaim_fullest(context, ms):
     engines = [
@@ -303,9 +297,6 @@
     none_late(context, ms) if context.leaver.upstream.app.arrivals else None
 
 
-# ------------------------------------------------------------------- lapses
-
-
 @when("the store is out and an engine's entry runs out meanwhile")
 def entry_runs_out(context):
     context.leaver = helpers.guests(context, shape_.ENGINES)[0]
--- a/features/steps/upstream_steps.py
+++ b/features/steps/upstream_steps.py
@@ -257,9 +257,6 @@
     assert head.lower().count(line.lower()) == 1, head
 
 
-# ----------------------------------------------------------------------- once
-
-
 @given('of two upstreams of "{service}" one loses its answers and one refuses')
 def one_loses_one_refuses(context, service):
     first, second = helpers.guests(context, service)
--- a/src/peridotmast/cli/main.py
+++ b/src/peridotmast/cli/main.py
@@ -63,9 +63,6 @@
     ctx.obj = Operator(router, tls)
 
 
-# ------------------------------------------------------------- configuration
-
-
 @main.group()
 def config() -> None:
     """Check, commit and follow the product's own document."""
@@ -177,9 +174,6 @@
         click.echo(f'{_when(change.at_ms)} {change.by} {change.comment}')
 
 
-# -------------------------------------------------------------------- events
-
-
 @main.group()
 def event() -> None:
     """Live events; they are declared in the product's own document."""
@@ -249,9 +243,6 @@
         )
 
 
-# ----------------------------------------------------------------- the fleet
-
-
 @main.group()
 def node() -> None:
     """Routers."""
@@ -335,9 +326,6 @@
         click.echo(f'{_when(step.at_ms)} {step.router} {step.text}')
 
 
-# ------------------------------------------------------------------- callers
-
-
 @main.command('resolve')
 @click.argument('address')
 @click.option('--failure-domain', default='', help="The caller's own.")
--- a/src/peridotmast/client/caller.py
+++ b/src/peridotmast/client/caller.py
@@ -148,8 +148,6 @@
         path = f'/v1/services/{service}/{name}'
         return self._ask(path, body, idempotent, deadline_ms, None)
 
-    # --------------------------------------------------------------- private
-
     def _ask(
         self,
         path: str,
--- a/src/peridotmast/duties/scale_round.py
+++ b/src/peridotmast/duties/scale_round.py
@@ -138,8 +138,6 @@
             pass
         return gave
 
-    # --------------------------------------------------------------- what is
-
     def _firm_needed(self, mix: capacity_plan.Mix) -> int:
         """Return how many must be left at a loss, where firm ones stand in.
 
@@ -203,8 +201,6 @@
     def _key(self, domain: str, reclaimable: bool) -> order_book.Key:
         return self._service.name, domain, reclaimable
 
-    # ---------------------------------------------------------------- orders
-
     def _give_one_back(self) -> bool:
         market = self._market(optimistic=False)
         wanted = self._plans.cheapest(market, self._reserve)
--- a/src/peridotmast/embedded/fleet.py
+++ b/src/peridotmast/embedded/fleet.py
@@ -81,8 +81,6 @@
         """Failure domains that have no reclaimable engines to give."""
         self._version = 0
 
-    # ------------------------------------------------------------ life cycle
-
     def start(self) -> None:
         """Start everything and wait until it serves."""
         self.write_config(self.shape.config)
@@ -124,8 +122,6 @@
     def _is_ready(self) -> bool:
         return all(self._sees_all(router) for router in self.serving())
 
-    # --------------------------------------------------------- configuration
-
     def write_config(self, document: str) -> int:
         """Write the operators' configuration, as an INI document.
 
@@ -152,8 +148,6 @@
             config_feed.KIND, config_feed.NAME, {'document': document}
         )
 
-    # ------------------------------------------------------------- upstreams
-
     def add_engine(
         self,
         domain: str,
@@ -252,8 +246,6 @@
             green.spawn_after_ms(notice_ms, self.lose, guest)
         return taken
 
-    # --------------------------------------------------------------- routers
-
     def add_router(
         self, name: str, wait: bool = False, **settings: ty.Any
     ) -> router_.Router:
@@ -305,8 +297,6 @@
         """Return the calls of the store by all routers."""
         return sum(self.store.app.calls.values())
 
-    # --------------------------------------------------------------- private
-
     def _host_of(self, name: str) -> str:
         """Return the IP number that a router listens at."""
         return '127.0.0.1'
--- a/src/peridotmast/load/faults.py
+++ b/src/peridotmast/load/faults.py
@@ -163,8 +163,6 @@
         else:
             getattr(self, '_' + kind.value)(fault)
 
-    # ----------------------------------------------------------------- links
-
     def _trouble(self, fault: pb.Fault, mode: link_proxy.Mode) -> None:
         kinds = list(links_.LinkKind)
         kind = kinds[fault.target % len(kinds)]
@@ -178,8 +176,6 @@
         )
         self._fleet.links.trouble(kind, trouble, fault.for_ms, draws)
 
-    # ------------------------------------------------------------- upstreams
-
     def _reclaim_domain(self, fault: pb.Fault) -> None:
         domains = self._fleet.domains
         domain = domains[fault.target % len(domains)]
@@ -282,8 +278,6 @@
         for guest in guests:
             self._fleet.add_engine(guest.record.upstream.failure_domain)
 
-    # --------------------------------------------------------------- routers
-
     def _kill_router(self, fault: pb.Fault) -> None:
         router = self._pick_router(fault.target)
         if router is not None:
@@ -336,8 +330,6 @@
             f'router-{next(self._names)}', failure_domain=domain
         )
 
-    # -------------------------------------------------------------- platform
-
     def _platform_outage(self, fault: pb.Fault) -> None:
         self._platform(fault, outage=1.0)
 
--- a/src/peridotmast/load/slopes.py
+++ b/src/peridotmast/load/slopes.py
@@ -113,9 +113,6 @@
     }
 
 
-# ------------------------------------------------------------------- routers
-
-
 def _routers(seed: int) -> Rows:
     """Idle routers in one process: processor, beacons, memory."""
     return [_idle_routers(count, seed) for count in _NODES]
@@ -186,9 +183,6 @@
     return rows
 
 
-# -------------------------------------------------------------- configuration
-
-
 def _configurations(seed: int) -> Rows:
     rows = []
     for count in _ROUTES:
--- a/src/peridotmast/platform/names.py
+++ b/src/peridotmast/platform/names.py
@@ -8,7 +8,6 @@
 
 from peridotmast.schema import peridotmast_pb2 as pb
 
-# ------------------------------------------------------------------ requests
 
 REQUEST_ID = 'X-Request-Id'
 DEADLINE_MS = 'X-Deadline-Ms'
@@ -42,7 +41,6 @@
     'streaming': pb.STREAMING,
 }
 
-# ----------------------------------------------------------------- upstreams
 
 REPORT_PATH = '/report'
 HEALTH_PATH = '/health'
@@ -64,7 +62,6 @@
     'draining': pb.UPSTREAM_STATE_LEAVING,
 }
 
-# --------------------------------------------------------------------- store
 
 OBJECTS_PATH = '/objects'
 META = 'metadata'
@@ -86,7 +83,6 @@
 CONFIG_NAME = 'main'
 UPSTREAM_KIND = 'servers'
 
-# -------------------------------------------------------------------- duties
 
 HOLDER = 'X-Duty-Holder'
 FENCING = 'X-Fencing-Token'
@@ -99,7 +95,6 @@
 WANTED = 'desired'
 RECLAIMABLE = 'spot'
 
-# ----------------------------------------------------------------- directory
 
 RESOLVE_PATH = '/resolve'
 READY_PATH = '/readiness'
--- a/src/peridotmast/router/chat_api.py
+++ b/src/peridotmast/router/chat_api.py
@@ -78,8 +78,6 @@
         app.route('POST', '/v1/services/([^/]+)/([^/]+)', self._service)
         app.route('GET', '/resolve', self._resolve)
 
-    # ------------------------------------------------------------- handlers
-
     def _chat(self, req: web.Request) -> web.Response:
         asked = self._read_chat(req)
         if isinstance(asked, failures.Failure):
@@ -126,8 +124,6 @@
             }
         )
 
-    # -------------------------------------------------------------- reading
-
     def _read_chat(
         self, req: web.Request
     ) -> ty.Union[tuple[gateway_.Asked, pb.ChatRequest], failures.Failure]:
--- a/src/peridotmast/router/config_asking.py
+++ b/src/peridotmast/router/config_asking.py
@@ -163,8 +163,6 @@
         self._asks_store = False
         self._log = logs.get('config_asking', router=me.name)
 
-    # ---------------------------------------------------------------- hearing
-
     def hear(self, address: str, version: int, document: int) -> None:
         """Take in which versions a peer has."""
         now = self._clock.now()
@@ -182,8 +180,6 @@
         """Return whether something newer is believed to be in force."""
         return self._newest.is_over(self._in_force())
 
-    # ----------------------------------------------------------------- asking
-
     def run(self) -> bool:
         """Ask until nobody is ahead; return whether there was any news."""
         before = self._in_force()
@@ -215,8 +211,6 @@
             self._leave_alone(address, _AFTER_FAILURE_MS)
         return answer
 
-    # ---------------------------------------------------------------- private
-
     def _in_force(self) -> _Versions:
         return _Versions(self._config.routes.version, self._config.own.version)
 
--- a/src/peridotmast/router/operator_service.py
+++ b/src/peridotmast/router/operator_service.py
@@ -57,8 +57,6 @@
         self._tls = tls
         self._log = logs.get('operators', router=members.me.name)
 
-    # -------------------------------------------------------- configuration
-
     def ConfigApply(  # noqa: N802
         self, req: pb.ConfigApplyRequest, caller: rpc.Caller
     ) -> pb.ConfigApplyReply:
@@ -111,8 +109,6 @@
             ]
         )
 
-    # ------------------------------------------------------------- the fleet
-
     def NodeList(  # noqa: N802
         self, req: pb.NodeListRequest, caller: rpc.Caller
     ) -> pb.NodeListReply:
@@ -197,8 +193,6 @@
             reply.steps.add(router=self._members.me.name, at_ms=at, text=text)
         return reply
 
-    # --------------------------------------------------------------- private
-
     def _allow(self, caller: rpc.Caller, role: str) -> None:
         """Raise `rpc.Denied` where the caller has not the role."""
         if not self._tls.cert_file or self._tls.router_name in caller.others:
--- a/src/peridotmast/router/peering.py
+++ b/src/peridotmast/router/peering.py
@@ -106,8 +106,6 @@
         self._looked: tuple[ty.Optional[groups_.Look], int] = None, 0
         self._log = logs.get('peering', router=members.me.name)
 
-    # --------------------------------------------------------------- beacons
-
     def due(self) -> beacons_.Round:
         """Return the beacons of a round, and the peers that each goes to.
 
@@ -216,8 +214,6 @@
         heard = self._is_recent(self._outage_at)
         return heard or self._knowledge.outage.is_felt()
 
-    # ---------------------------------------------------------------- totals
-
     def _fill(self) -> pb.Beacon:
         """Return what every beacon says."""
         return pb.Beacon(
@@ -381,8 +377,6 @@
     def _is_recent(self, moment: int) -> bool:
         return self._clock.now() - moment < _FELT_MS
 
-    # ---------------------------------------------------------------- private
-
     def _some_peer(self) -> ty.Optional[pb.Member]:
         heard = self._members.heard()
         return self._choice.choice(heard).member if heard else None
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -107,8 +107,6 @@
         self.config.listen(self._configure)
         self.table.listen(lambda view: self._see_ready())
 
-    # --------------------------------------------------------- construction
-
     def _make_peering(self) -> None:
         cfg, tls = self.cfg, self._file.tls
         self._rpc = rpc.RpcServer(cfg.peer_listen, tls)
@@ -178,8 +176,6 @@
             self.lease, self.members, (reporter, scaler), self._clock
         )
 
-    # -------------------------------------------------------------- running
-
     @property
     def address(self) -> ids.Address:
         """Address of the platform's callers."""
@@ -262,8 +258,6 @@
         self.cfg = file.router
         self.serving.apply(file)
 
-    # ---------------------------------------------------------------- tasks
-
     def _start_rpc(self) -> None:
         operators = operator_service.OperatorService(
             self._clock,
--- a/src/peridotmast/router/sharing.py
+++ b/src/peridotmast/router/sharing.py
@@ -46,8 +46,6 @@
         self._loads: dict[str, list[pb.UpstreamLoad]] = {}
         self._group_loads: dict[int, list[pb.UpstreamLoad]] = {}
 
-    # --------------------------------------------------------------- telling
-
     def own(self) -> pb.Totals:
         """Return what this router itself counts and has in work."""
         return pb.Totals(
@@ -80,8 +78,6 @@
             demand=_demand(self._asked.others(member), self._readings()),
         )
 
-    # --------------------------------------------------------------- hearing
-
     def hear(
         self, router: str, run: int, totals: pb.Totals, counted: bool
     ) -> None:
@@ -168,8 +164,6 @@
         names = {_group_name(group) for group in self._group_loads}
         self._table.forget_loads({*self._loads, *names})
 
-    # ---------------------------------------------------------------- private
-
     def _members_loads(self, without: str = '') -> list[Loads]:
         others = [v for r, v in self._loads.items() if r != without]
         return [self._table.my_loads(), *others]
--- a/src/peridotmast/serving/quota.py
+++ b/src/peridotmast/serving/quota.py
@@ -177,8 +177,6 @@
                 bucket.fill(now, self.share, self.routers())
                 bucket.level = min(bucket.burst, bucket.level - tokens)
 
-    # ------------------------------------------------------- at a start
-
     def tick(self) -> None:
         """Wait no longer to be told, once the time for it is over."""
         if not self._is_new():
@@ -211,8 +209,6 @@
                 bucket.level, bucket.at = min(bucket.burst, tokens), now
                 bucket.is_sure = True
 
-    # ---------------------------------------------------------- private
-
     def _is_new(self) -> bool:
         """Return whether limits have come into force here just now."""
         return self._clock.now() - self._began < self.told_ms
--- a/src/peridotmast/serving/stream_relay.py
+++ b/src/peridotmast/serving/stream_relay.py
@@ -115,8 +115,6 @@
         else:
             stream.sent.conn.close()
 
-    # ---------------------------------------------------------------- private
-
     def _first_event(
         self, stream: Stream, silence_ms: int
     ) -> ty.Optional[failures.Failure]:
@@ -301,8 +299,6 @@
         self.sent = sent
         self.reader.restart()
 
-    # ------------------------------------------------------------------ moves
-
     def move_begins(self) -> None:
         """Note that its run is about to be stopped and moved."""
         self._move = green.Event()
--- a/src/peridotmast/standin/engine.py
+++ b/src/peridotmast/standin/engine.py
@@ -138,8 +138,6 @@
         self.route('POST', '/standin/copy', self._take_copy)
         self.loop = green.spawn(self._run_steps)
 
-    # ---------------------------------------------------------------- streams
-
     def answer(
         self,
         request_id: str,
@@ -263,8 +261,6 @@
             self._cache.popitem(last=False)
         return held
 
-    # --------------------------------------------------------------- batching
-
     def _run_steps(self) -> None:
         due = float(self._clock.now())
         while True:
@@ -301,8 +297,6 @@
             run for run in self._running if not (run.ended or run.stopped)
         ]
 
-    # ----------------------------------------------------------------- report
-
     def _report(self, req: web.Request) -> web.Response:
         report: dict[str, ty.Any] = {
             'phase': 'colocated',
@@ -320,8 +314,6 @@
             report[names.LEAVES_MS] = left
         return web.json_response(report)
 
-    # ------------------------------------------------------------------ moves
-
     def _move(self, req: web.Request) -> web.Response:
         """Copy a run to another engine; with ``last`` it stops here first."""
         body = req.json()
--- a/src/peridotmast/standin/store.py
+++ b/src/peridotmast/standin/store.py
@@ -55,8 +55,6 @@
         self.app.route('PUT', f'{kind}/([^/]+)', self._replace)
         self.app.route('DELETE', f'{kind}/([^/]+)', self._delete)
 
-    # --------------------------------------------------------- for the tests
-
     def put(self, kind: str, name: str, spec: Json) -> int:
         """Write an object whatever there is; return its revision."""
         return self._write(kind, name, spec)[names.META][names.REVISION]
@@ -81,8 +79,6 @@
         self._history.clear()
         self._history_from = self._revision
 
-    # -------------------------------------------------------------- handlers
-
     def _list_or_watch(self, req: web.Request, kind: str) -> web.Response:
         kind = urllib.parse.unquote(kind)
         if names.WATCH in req.query:
@@ -162,8 +158,6 @@
         self.drop(urllib.parse.unquote(kind), urllib.parse.unquote(name))
         return web.json_response(known)
 
-    # --------------------------------------------------------------- storage
-
     def _find(self, kind: str, name: str) -> ty.Optional[Json]:
         objects = self._objects.get(urllib.parse.unquote(kind), {})
         return objects.get(urllib.parse.unquote(name))
--- a/src/peridotmast/standin/upstream_app.py
+++ b/src/peridotmast/standin/upstream_app.py
@@ -85,8 +85,6 @@
             (names.SEAL, f'{self.name}.{next(self._serials)}'),
         ]
 
-    # --------------------------------------------------------------- private
-
     def _request(
         self, environ: dict[str, ty.Any], start: ty.Callable[..., ty.Any]
     ) -> ty.Iterable[bytes]:
--- a/src/peridotmast/wire/connection.py
+++ b/src/peridotmast/wire/connection.py
@@ -71,8 +71,6 @@
         self.requests = 0
         """Requests sent over it so far."""
 
-    # ------------------------------------------------------------ connecting
-
     def connect(self, timeout_ms: int) -> ty.Optional[failures.Failure]:
         """Open it; a failure means that nothing was sent."""
         family = socket.AF_INET6 if ':' in self._host else socket.AF_INET
@@ -131,8 +129,6 @@
             self._sock.close()
             self._sock = None
 
-    # --------------------------------------------------------------- sending
-
     def send(
         self,
         method: str,
@@ -168,8 +164,6 @@
             return failures.unknown('broke_off', repr(exc)[:200])
         return None
 
-    # --------------------------------------------------------------- reading
-
     def read_head(
         self, method: str, deadline: int
     ) -> ty.Union[ResponseHead, failures.Failure]:
