Failing tests: a holder that has waited for the store sends what another one has the duties for

Timeline (seconds): 15.4 the holder is cut from peers and store; 16.7 a window is due, its writing is silent; 18.21 that is noted, the holder reads again and waits; 19.34 the next holder reports; 19.429 the cut ends, the read is answered, and the lease is seen to be over by another task; 19.48 the old holder's report arrives. Hypotheses: (1) the lease is looked at before a duty waits, not when it sends; (2) bytes that a cut holds up arrive after it. For 1 speak the read's answer and the report in one run of the duty; 2 would bring a report that was begun before 18.2, and there was none, but acts in the same place: a call that is given up closes in order.

--- a/features/duties.feature
+++ b/features/duties.feature
@@ -13,6 +13,24 @@
     And no two reports of a window differ
     And no call to the platform came with a lower number
 
+  # Seen: a report of usage with the former holder's number came 150 ms after the
+  # next holder's. How: the holder was cut off from the store. It saw that it had the
+  # duties, waited for the store until it was back, 2.7 s, and then sent what was due.
+  # Cause: whether it had them was looked at before it waited, not when it sent.
+  # Proof: with a store that answers the holder once another one has the duties, the
+  # platform gets a lower number after a higher one.
+  Scenario: A holder that waited for the store sends nothing once its time is over
+    Given a fleet of 3 routers whose usage windows are 1 s long
+    When the store keeps the holder waiting until another one has the duties
+    Then reports go on with a higher number
+    And the former holder has been answered by the store
+    And no call to the platform came with a lower number
+
+  Scenario: What is on its way when a call is given up does not arrive later
+    Given a platform that takes in little and answers nothing
+    When a report of 300000 bytes is given up after 300 ms
+    Then the platform never gets the whole of it
+
   Scenario: The holder dies after it wrote a report down
     Given a usage reporter that wrote window 7 down and died
     When the next holder begins
--- a/features/steps/duty_steps.py
+++ b/features/steps/duty_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import socket
 
 from behave import given
 from behave import then
@@ -19,8 +20,10 @@
 from peridotmast.duties import holder as holder_
 from peridotmast.duties import usage_reporter
 from peridotmast.embedded import shape as shape_
+from peridotmast import failures
 from peridotmast import green
 from peridotmast import invariants
+from peridotmast.platform import cloud_api
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import usage as usage_
 
@@ -245,6 +248,78 @@
     )
 
 
+@when('the store keeps the holder waiting until another one has the duties')
+def kept_waiting(context):
+    fleet = context.fleet
+    helpers.wait_until(lambda: fleet.cloud.reports, 'a first report')
+    context.old = stop_steps.holder_of(context)
+    context.number = context.old.lease.fencing
+    context.answered = 0
+    context.cut = False
+    store = context.old.store
+    read, write = store.read, store.write
+
+    def cut_write(kind, *args):
+        # The cut begins with what is written of a window that is due.
+        context.cut = context.cut or kind == usage_reporter.KIND
+        return (
+            failures.unknown('silent') if context.cut else write(kind, *args)
+        )
+
+    def late_read(*args):
+        if context.cut:
+            helpers.wait_until(lambda: is_reported(context), 'another holder')
+            context.answered += 1
+        return read(*args)
+
+    store.read, store.write = late_read, cut_write
+
+
+def is_reported(context):
+    """Return whether a next holder has sent a report."""
+    reports = context.fleet.cloud.reports
+    return any(report.fencing > context.number for report in reports)
+
+
+@then('the former holder has been answered by the store')
+def former_answered(context):
+    helpers.wait_until(lambda: context.answered, 'an answer')
+    green.sleep_ms(500)
+
+
+@given('a platform that takes in little and answers nothing')
+def takes_little(context):
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    listener.bind(('127.0.0.1', 0))
+    listener.listen()
+    context.closing.append(listener.close)
+    context.listener = listener
+
+
+@when('a report of {size:d} bytes is given up after {ms:d} ms')
+def given_up(context, size, ms):
+    host, port = context.listener.getsockname()
+    cloud = cloud_api.PlatformCloud(f'{host}:{port}', ms, 'router-1')
+    context.size = size
+    failure = cloud.report_usage(7, {'n' * size: 1}, 1)
+    assert isinstance(failure, failures.Failure), failure
+
+
+@then('the platform never gets the whole of it')
+def never_whole(context):
+    conn, _ = context.listener.accept()
+    conn.settimeout(3)
+    got = 0
+    try:
+        while data := conn.recv(65536):
+            got += len(data)
+    except ConnectionResetError:
+        pass
+    conn.close()
+    assert got < context.size, got
+
+
 @dataclasses.dataclass
 class Reports:
     """Remembers what is reported."""
