An order asks the lease as it is sent; a call that is given up drops what it has left on its way

Cause: whether an order may be begun was looked at before a duty waited for the store, not when it sent. Ruled out: bytes held up by the cut (the report was begun after the read was answered), though they could do the same: a call that was given up closed its connection in order. Change: the client of the platform's API asks the lease once it has a connection, with the order's own number; a call is bounded by what is left of the lease; a connection that is closed while a call is on its way is reset.

--- a/src/peridotmast/coordination/lease.py
+++ b/src/peridotmast/coordination/lease.py
@@ -164,6 +164,16 @@
         """
         return self.left_ms > self._guard_ms
 
+    def order_ms(self, fencing: int) -> int:
+        """Return in which time an order with a number must arrive, in ms.
+
+        0 where none may be begun: this router holds the lease no more, or
+        under another number. Whoever has waited for something since it
+        asked has to ask again before it sends.
+        """
+        is_same = fencing == self.fencing
+        return self.left_ms if is_same and self.may_act() else 0
+
     def attempt(self) -> Outcome:
         """Take or renew the lease where that may be done."""
         began = self._clock.boot()
--- a/src/peridotmast/platform/cloud_api.py
+++ b/src/peridotmast/platform/cloud_api.py
@@ -11,6 +11,9 @@
 NONE_TO_HAVE = 'none_to_have'
 """Reason of a failure that says: no such upstream is to be had there now."""
 
+NOT_HELD = 'not_held'
+"""Reason of a failure that says: the duties are another router's, or soon."""
+
 _REFUSED = 409
 
 
@@ -25,13 +28,27 @@
         Bound on one call.
     router : str
         Name of this router, which goes with each call.
+    order_ms : callable, optional
+        Returns in which time a call with a fencing number must arrive, in
+        ms; 0 where none may be begun. It is asked as the call is sent:
+        whoever decided on it may have waited for the store, or for a
+        connection, until the duties were another router's. Without it, any
+        call may be made.
     """
 
-    def __init__(self, address: str, timeout_ms: int, router: str) -> None:
+    def __init__(
+        self,
+        address: str,
+        timeout_ms: int,
+        router: str,
+        order_ms: ty.Optional[ty.Callable[[int], int]] = None,
+    ) -> None:
         self.address = address
         """Where the API is."""
+        self._timeout_ms = timeout_ms
         self._http = calls.HttpCalls(timeout_ms)
         self._router = router
+        self._order_ms = order_ms or (lambda fencing: timeout_ms)
 
     def report_usage(
         self, window: int, counts: dict[str, int], fencing: int
@@ -62,7 +79,18 @@
         self, path: str, body: dict[str, ty.Any], fencing: int
     ) -> ty.Optional[failures.Failure]:
         headers = {names.HOLDER: self._router, names.FENCING: str(fencing)}
-        reply = self._http.call('POST', self.address, path, body, headers)
+        left = self._order_ms(fencing)
+        if not left:
+            return failures.not_run(NOT_HELD)
+        reply = self._http.call(
+            'POST',
+            self.address,
+            path,
+            body,
+            headers,
+            timeout_ms=min(self._timeout_ms, left),
+            may_send=lambda: self._order_ms(fencing) > 0,
+        )
         if isinstance(reply, failures.Failure):
             return reply
         if reply.status == _REFUSED:
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -153,7 +153,10 @@
         platform, bounds = self._file.platform, self._file.bounds
         fleet_now = self.knowledge.fleet_clock.now
         self._cloud = cloud_api.PlatformCloud(
-            platform.cloud, platform.timeout_ms, self.cfg.name
+            platform.cloud,
+            platform.timeout_ms,
+            self.cfg.name,
+            self.lease.order_ms,
         )
         reporter = usage_reporter.UsageReporter(
             self.serving.usage,
--- a/src/peridotmast/wire/calls.py
+++ b/src/peridotmast/wire/calls.py
@@ -61,9 +61,13 @@
         timeout_ms: int = 0,
         answer_ms: int = 0,
         on_bytes: ty.Callable[[], None] = lambda: None,
+        may_send: ty.Callable[[], bool] = lambda: True,
     ) -> ty.Union[Reply, failures.Failure]:
         """Make one call.
 
+        What is on its way when it is given up is dropped with its connection:
+        it would arrive after a cut, when whoever sent it has decided anew.
+
         Parameters
         ----------
         body : optional
@@ -77,6 +81,9 @@
             the answer is short.
         on_bytes : callable, optional
             Called as bytes of the answer come.
+        may_send : callable, optional
+            Asked once there is a connection, right before the first byte:
+            whether the call is still to be made.
 
         Returns
         -------
@@ -87,6 +94,10 @@
         conn = self._pool.take(address)
         if isinstance(conn, failures.Failure):
             return conn
+        if not may_send():
+            conn.close()
+            return failures.not_run('too_late')
+        conn.drops_unsent = True
         try:
             reply: ty.Union[Reply, failures.Failure, None] = _send(
                 conn, method, address, path, body, headers or {}, deadline
@@ -103,6 +114,7 @@
             # What made one connection silent may have hit the others.
             self._pool.forget(address)
         else:
+            conn.drops_unsent = False
             self._pool.give_back(address, conn)
         return reply
 
--- a/src/peridotmast/wire/connection.py
+++ b/src/peridotmast/wire/connection.py
@@ -5,6 +5,7 @@
 import dataclasses
 import http.client
 import socket
+import struct
 import typing as ty
 
 from peridotmast import clock as clock_
@@ -27,6 +28,8 @@
 _KEEPALIVE_PROBES = 2
 """A connection that went silent is found out in about three seconds, also
 where its upstream has nothing to send for longer."""
+_NO_LINGER = struct.pack('ii', 1, 0)
+"""Option by which closing a socket resets its connection."""
 _WIRE_ERRORS = (http.client.HTTPException, OSError, ValueError)
 
 
@@ -70,6 +73,10 @@
         """How long the upstream said it keeps it idle, in ms; 0 if unsaid."""
         self.requests = 0
         """Requests sent over it so far."""
+        self.drops_unsent = False
+        """Whether closing it drops what the other side has not taken yet.
+        Otherwise the kernel goes on sending, for seconds where there is a
+        cut."""
 
     def connect(self, timeout_ms: int) -> ty.Optional[failures.Failure]:
         """Open it; a failure means that nothing was sent."""
@@ -126,6 +133,10 @@
         """Close it; doing so twice is the same as once."""
         if self._sock is not None:
             green.readiness.forget(self._sock.fileno())
+            if self.drops_unsent:
+                self._sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER
+                )
             self._sock.close()
             self._sock = None
 
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -553,6 +553,20 @@
         'is_first = self._outage_at <= limit',
         'store_reads',
     ),
+    Mutation(
+        'send an order though the duties are gone by then',
+        COORDINATION + 'lease.py',
+        'return self.left_ms if is_same and self.may_act() else 0',
+        'return self.length_ms',
+        'duties',
+    ),
+    Mutation(
+        'let what a call has sent arrive after it was given up',
+        WIRE + 'calls.py',
+        'conn.drops_unsent = True',
+        'conn.drops_unsent = False',
+        'duties',
+    ),
     Mutation(
         'close a connection on which a request has come',
         WIRE + 'server.py',
