Usage counts each request that began to run once, also where its run failed before an event

Cause: an attempt at a stream was counted with its first event only, so one that the engine answered with a failure of its own, or whose answer was lost with its connection, was left out; a request that ran twice at plain services counted twice; and an answer that was lost counted in the window in which that was noticed.

Change: the first attempt that ran counts, and no other one of the same request; a failure answered by the engine, and an answer that broke off, count from when the request was sent. A stream that stayed silent does not count: it may have waited at the engine all the while.

--- a/src/peridotmast/serving/desk.py
+++ b/src/peridotmast/serving/desk.py
@@ -163,27 +163,46 @@
     ) -> ty.Union[reply_.Reply, failures.Failure]:
         exchange = work.exchange
         silence = self._silence_ms(work)
+        sent_at = self._clock.now()
         sent = self._sender.send(exchange, place, silence)
         if isinstance(sent, failures.Failure):
             if sent.kind is failures.FailureKind.OUTCOME_UNKNOWN:
                 work.runs += 1
-                if not exchange.is_stream:
-                    self._usage.began(exchange.team)
+                self._count_lost(work, sent, sent_at)
             return sent
         if sent.verdict in (Verdict.NOT_RUN, Verdict.ELSEWHERE):
             return self._not_run(exchange, sent)
         work.runs += 1
         work.ran_at.add(place.view.name)
-        if not exchange.is_stream:
-            self._usage.began(exchange.team, self._clock.now() - sent.at)
+        streams = exchange.is_stream and sent.verdict is Verdict.ANSWER
+        if not streams:
+            self._count(work, sent.at)
         if sent.verdict is Verdict.GARBLED:
             sent.conn.close()
             place.view.health.failed()
             return failures.unknown('garbled', str(sent.head.status))
-        if exchange.is_stream and sent.verdict is Verdict.ANSWER:
+        if streams:
             return self._stream(work, sent, silence)
         return self._whole(work, sent)
 
+    def _count(self, work: _Work, began_at: int) -> None:
+        """Count a request that an upstream began, once in all."""
+        if not work.counted:
+            work.counted = True
+            ago = self._clock.now() - began_at
+            self._usage.began(work.exchange.team, ago)
+
+    def _count_lost(
+        self, work: _Work, failure: failures.Failure, sent_at: int
+    ) -> None:
+        """Count a request whose answer was lost, as begun when it was sent.
+
+        One whose stream stayed silent may have waited at the engine all the
+        while: it begins with its first token.
+        """
+        if not work.exchange.is_stream or failure.reason != 'silent':
+            self._count(work, sent_at)
+
     def _not_run(
         self, exchange: exchange_.Exchange, sent: sender_.Sent
     ) -> failures.Failure:
@@ -205,10 +224,11 @@
         )
         if isinstance(stream, failures.Failure):
             sent.conn.close()
+            self._count_lost(work, stream, sent.at)
             return stream
         self._note_reading(work, sent)
         # An engine begins a request with its first token.
-        self._usage.began(work.exchange.team)
+        self._count(work, self._clock.now())
         stream.tried |= work.ran_at
         return reply_.Reply(
             sent.head,
@@ -327,6 +347,8 @@
         """Upstreams that took it."""
         self.runs = 0
         """Attempts that ran, or may have."""
+        self.counted = False
+        """Whether it is counted for usage."""
         self.fallback: ty.Optional[reply_.Reply] = None
         """A failure that an upstream answered with, if nothing better
         comes."""
