--- a/features/callers.feature
+++ b/features/callers.feature
@@ -74,6 +74,27 @@
     When a caller asks it for "/holds/seat"
     Then the status is 503 with a time to come back
 
+  # By reading: who knows no configuration, or an old one, turned a request away for
+  # good by bounds that were not the ones in force, and by models that it had not
+  # read yet. The same cause as in `spread`: what is known to be old, or to be nothing,
+  # was answered from as if it were final.
+  Scenario: A router that knows no configuration says so of bounds and models too
+    Given a router that starts while the store is out
+    When a caller sends it a body of 2000000 bytes
+    Then the status is 503 with a time to come back
+    When a caller sends it a header of 20000 bytes
+    Then the status is 503 with a time to come back
+    When this is posted to "/v1/chat/completions"
+      """
+      {"model": "x", "messages": []}
+      """
+    Then the status is 503 and the reason holds "no_config"
+    When this is posted to "/v1/services/booking/hold"
+      """
+      {"payload": "1"}
+      """
+    Then the status is 503 and the reason holds "no_config"
+
   Scenario: Two requests on one connection, and what callers leave out
     When a caller sends a request without an id or a deadline
     Then the status is 200
--- a/features/spread.feature
+++ b/features/spread.feature
@@ -76,6 +76,17 @@
     And 8000 ms pass on the links
     Then no link of those has carried more than 100000 bytes
 
+  # By reading: what the store has and this router can't read counted as denied by
+  # the store, so that "there is none" was final again.
+  Scenario: What the store has and a router can't read is not denied
+    Given 8 routers on links of 625 bytes a millisecond
+    And 1 of them can read no newer one
+    When 1 of them have 1600 routes more within 10 ms
+    And 1 of those 1 fall silent at once
+    And 8000 ms pass on the links
+    Then the one that can't read it knows that it is behind
+    And the store was asked at most 1 times by each
+
   Scenario: Who has heard of a newer configuration does not say that a route isn't there
     Given a fleet of 1 routers
     When the router hears of a configuration that is newer than its own
@@ -97,3 +108,16 @@
       {"payload": "1"}
       """
     Then the status is 503 and the reason holds "no_route"
+
+  Scenario: Nor that anything is larger than it may be
+    Given a fleet of 1 routers
+    When the router hears of a configuration that is newer than its own
+    And a caller sends a body of 5000000 bytes
+    Then the status is 503 with a time to come back
+    When a caller sends a header of 40000 bytes
+    Then the status is 503 with a time to come back
+    When this is posted to "/v1/chat/completions"
+      """
+      {"model": "draft-7b", "messages": [], "max_tokens": 99999}
+      """
+    Then the status is 503 and the reason holds "max_tokens"
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -174,6 +174,18 @@
     )
 
 
+@when('a caller sends it a body of {size:d} bytes')
+def large_body_to_it(context, size):
+    context.last = helpers.ask(context.router.address, body=b'x' * size)
+
+
+@when('a caller sends it a header of {size:d} bytes')
+def large_header_to_it(context, size):
+    context.last = helpers.ask(
+        context.router.address, headers=[('X-Large', 'x' * size)]
+    )
+
+
 @when('a caller sends a body of {size:d} bytes')
 def large_body(context, size):
     context.last = helpers.ask(fleet_steps.front(context), body=b'x' * size)
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -387,6 +387,13 @@
         )
 
 
+@then("the one that can't read it knows that it is behind")
+def unreadable_behind(context):
+    node = context.world.nodes[0]
+    assert node.version == OLD
+    assert node.catch_up.config.is_behind()
+
+
 @then('no link of those has carried more than {most:d} bytes')
 def those_carried(context, most):
     carried = context.world.carried
