What the store has is known by the store's word, not by what is readable here

Cause: after a read of the store a router compared what peers had said with what it had in force itself. A version that the store has and that it can't read counted as denied, its tellers were not believed for ten seconds, and unknown routes were final again. Each read also forgot the other part. Change: a read returns the version that the store has; it alone denies, of the part that was read. What the store has and is not readable here is left alone for ten seconds, as a peer's copy is. Result: spread.feature:81, red before, passes; two mutations of it are caught.

--- a/src/peridotmast/coordination/config_feed.py
+++ b/src/peridotmast/coordination/config_feed.py
@@ -176,22 +176,25 @@
         self.offer_own(result.revision, spec, 'commit')
         return result.revision
 
-    def refresh(self, routes: bool) -> ty.Optional[failures.Failure]:
-        """Read one part once: the platform's object, or the own document."""
-        if routes:
-            return self._refresh(self._kind, self._name)
-        return self.refresh_own()
-
-    def refresh_own(self) -> ty.Optional[failures.Failure]:
-        """Read the own document once."""
-        return self._refresh(KIND, NAME)
+    def refresh(self, routes: bool) -> ty.Union[int, failures.Failure]:
+        """Read one part once: the platform's object, or the own document.
 
-    def _refresh(self, kind: str, name: str) -> ty.Optional[failures.Failure]:
+        Returns
+        -------
+        int or Failure
+            The version that the store has, whether or not it can be put into
+            force here; 0 where it has none.
+        """
+        kind, name = (self._kind, self._name) if routes else (KIND, NAME)
         stored = self._store.read(kind, name)
         if isinstance(stored, failures.Failure):
             return stored
         self._take([stored])
-        return None
+        if stored.spec is None:
+            return 0
+        if routes:
+            return self._reader.read_version(stored.spec)
+        return stored.revision
 
     def _settle(
         self, failure: failures.Failure, nonce: str
@@ -199,7 +202,7 @@
         """Find out what came of a commit whose reply did not say."""
         unknown = failures.FailureKind.OUTCOME_UNKNOWN
         for _ in range(_TRIES):
-            if self.refresh_own() is None:
+            if not isinstance(self.refresh(False), failures.Failure):
                 if self.own.document.get('nonce') == nonce:
                     return self.own.version
                 break
--- a/src/peridotmast/router/config_asking.py
+++ b/src/peridotmast/router/config_asking.py
@@ -277,12 +277,13 @@
             self._log.error('peer_garbled', peer=address, error=str(exc)[:200])
             return Answer.FAILED
         if not news and (routes or own):
-            self._give_up(reply)
+            self._give_up(
+                _Versions(reply.config_version, reply.document_version)
+            )
         return Answer.NEWS if news else Answer.NOTHING
 
-    def _give_up(self, reply: pb.ConfigReply) -> None:
+    def _give_up(self, found: _Versions) -> None:
         """Ask no more for a while for a version that can't be read here."""
-        found = _Versions(reply.config_version, reply.document_version)
         if not found.is_over(self._in_force()):
             return
         until = self._clock.now() + _USELESS_MS
@@ -294,28 +295,34 @@
     def _ask_store(self) -> None:
         """Read from the store what is lacking; believe it before peers."""
         known, claimed = self._in_force(), self._newest
-        routes = claimed.routes > known.routes
+        part = 'routes' if claimed.routes > known.routes else 'own'
         # Those whose word is older than the reading.
         said = {a: peer.has for a, peer in self._known.items()}
         self._asks_store = True
         try:
-            failure = self._config.refresh(routes)
+            stored = self._config.refresh(part == 'routes')
         finally:
             self._asks_store = False
-        found = self._in_force()
-        if failure is None:
-            part = 0 if routes else 1
-            wrong = [a for a, has in said.items() if has[part] > found[part]]
-            self._deny(wrong, claimed)
+        outcome = 'answered'
+        if isinstance(stored, failures.Failure):
+            outcome = stored.reason
+        else:
+            # By what the store has, which need not be readable here.
+            self._give_up(_NONE._replace(**{part: stored}))
+            found = claimed._replace(**{part: stored})
+            wrong = [a for a, has in said.items() if has.is_over(found)]
+            self._deny(wrong, claimed, found)
         self._log.info(
             'config_from_store',
             known=known.routes,
             claimed=claimed.routes,
-            version=found.routes,
-            outcome='answered' if failure is None else failure.reason,
+            version=self._in_force().routes,
+            outcome=outcome,
         )
 
-    def _deny(self, wrong: list[str], claimed: _Versions) -> None:
+    def _deny(
+        self, wrong: list[str], claimed: _Versions, found: _Versions
+    ) -> None:
         """Believe none of those for a while who said what the store denies.
 
         Not by the version: one that comes later may be below what was said.
@@ -325,11 +332,10 @@
         for address in wrong:
             self._known.pop(address, None)
             self._denied[address] = now + _USELESS_MS
-        newest = self._in_force()
         for peer in self._known.values():
-            newest = newest.joined(peer.has)
+            found = found.joined(peer.has)
         if self._newest == claimed:
-            self._newest = newest
+            self._newest = found
 
 
 def _text(packed: bytes, plain: bytes) -> bytes:
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -705,6 +705,20 @@
         'pass',
         'spread',
     ),
+    Mutation(
+        'take for denied what the store has and is not read here',
+        ROUTER + 'config_asking.py',
+        'found = claimed._replace(**{part: stored})',
+        'found = self._in_force()',
+        'spread',
+    ),
+    Mutation(
+        'read again and again from the store what can not be read',
+        ROUTER + 'config_asking.py',
+        'self._give_up(_NONE._replace(**{part: stored}))',
+        'pass',
+        'spread',
+    ),
     Mutation(
         'ask again for what can not be read',
         ROUTER + 'config_asking.py',
