Bounds and models are not a final "no" either while the configuration is old, or none

A body or a head that is larger than the bounds in force here, and a longest answer beyond the model's, were refused for good by a router that had heard of a newer configuration; a router that knew none yet said so of routes only, and judged bounds by its defaults and models by an empty list. Change: one place says whether a "no" is final, and when to come back where it is not; the platform's face, the chat API and the reader of heads ask it.

--- a/src/peridotmast/platform/callers.py
+++ b/src/peridotmast/platform/callers.py
@@ -56,7 +56,7 @@
     'silent': 504,
     'timed_out': 504,
 }
-_CLOSE_STATUSES = frozenset((400, 408, 413, 431))
+_TOO_LARGE = 413
 
 
 class PlatformCallers:
@@ -98,10 +98,7 @@
                 self._limits.max_body_bytes, self._limits.idle_ms
             )
         except request_body.BadBody as exc:
-            self._decisions.note(
-                request_id, 'refused', reason=exc.reason, status=exc.status
-            )
-            return _refuse(start, exc.status, exc.reason, request_id)
+            return self._refuse_body(start, exc, request_id)
         asked = gateway_.Asked(
             id=request_id,
             method=environ['REQUEST_METHOD'],
@@ -127,6 +124,21 @@
             return self._refuse(start, result, request_id)
         return _Answer(result, conn, start, self._decisions, request_id)
 
+    def _refuse_body(
+        self,
+        start: ty.Callable[..., ty.Any],
+        bad: request_body.BadBody,
+        request_id: str,
+    ) -> ty.Iterable[bytes]:
+        # A newer configuration may take larger ones.
+        is_bound = bad.status == _TOO_LARGE
+        retry_ms = self._gateway.retry_ms() if is_bound else 0
+        status = 503 if retry_ms else bad.status
+        self._decisions.note(
+            request_id, 'refused', reason=bad.reason, status=status
+        )
+        return _refuse(start, status, bad.reason, request_id, retry_ms)
+
     def _refuse(
         self,
         start: ty.Callable[..., ty.Any],
--- a/src/peridotmast/router/chat_api.py
+++ b/src/peridotmast/router/chat_api.py
@@ -142,9 +142,10 @@
             _DEFAULT_MAX_TOKENS, model.max_tokens
         )
         if not 1 <= max_tokens <= model.max_tokens:
-            return failures.invalid(
+            beyond = failures.invalid(
                 'max_tokens', f'must be from 1 to {model.max_tokens}'
             )
+            return self._gateway.unless_behind(beyond)
         if not body.messages:
             return failures.invalid('messages', 'at least one is needed')
         route = next((r for r in config.routes if r.name == model.route), None)
--- a/src/peridotmast/router/faces.py
+++ b/src/peridotmast/router/faces.py
@@ -56,6 +56,7 @@
         )
         self.front = server_.HttpServer(cfg.listen, face, self._limits)
         """Where the platform's callers connect."""
+        self.front.retry_ms = serving.gateway.retry_ms
         self.chat: ty.Optional[server_.HttpServer] = None
         """Where the chat API is served, if anywhere."""
         if cfg.chat_listen:
--- a/src/peridotmast/serving/gateway.py
+++ b/src/peridotmast/serving/gateway.py
@@ -140,18 +140,28 @@
         return result
 
     def unless_behind(self, failure: failures.Failure) -> failures.Failure:
-        """Return a final "no", but not from what is known to be old.
+        """Return a final "no", but not from what is old, or nothing yet.
 
         Callers don't ask again after it; what they ask for may be in the
         newer configuration that is on its way here.
         """
-        if not self.is_behind():
+        why, retry_ms = self._outdated()
+        if not why:
             return failure
-        return failures.not_run(
-            'config_behind',
-            f'{failure.reason} {failure.detail}',
-            _BEHIND_RETRY_MS,
-        )
+        detail = f'{failure.reason} {failure.detail}'.strip()
+        return failures.not_run(why, detail, retry_ms)
+
+    def retry_ms(self) -> int:
+        """Return when to come back who was told "no" here; 0 for never."""
+        return self._outdated()[1]
+
+    def _outdated(self) -> tuple[str, int]:
+        """Return why a "no" is not final here, and when to come back."""
+        if self._routes is None:
+            return 'no_config', _START_RETRY_MS
+        if self.is_behind():
+            return 'config_behind', _BEHIND_RETRY_MS
+        return '', 0
 
     def _handle(
         self, asked: Asked, span: tracing.Span
--- a/src/peridotmast/wire/server.py
+++ b/src/peridotmast/wire/server.py
@@ -92,6 +92,9 @@
         """Kept connections on which nothing is in work."""
         self.is_closing = False
         """Whether each connection is closed after its answer."""
+        self.retry_ms: ty.Callable[[], int] = lambda: 0
+        """Says when callers may come back whose heads are larger than the
+        limits, in ms; 0 where these are final."""
         self._task: ty.Any = None
 
     def start(self) -> None:
--- a/src/peridotmast/wire/strict_protocol.py
+++ b/src/peridotmast/wire/strict_protocol.py
@@ -25,6 +25,8 @@
 CONNECTION = 'peridotmast.connection'
 """Key of the `CallerConnection` in the WSGI environment."""
 
+_TOO_LARGE = 431
+
 _REQUEST_LINE = re.compile(
     rb'(' + request_body.TOKEN + rb') ([\x21-\x7e]+) (HTTP/1\.[01])\r\n'
 )
@@ -91,7 +93,10 @@
         status = self._parse_head()
         if status:
             self._cancel_timer()
-            self._answer_badly(status, http.client.responses[status])
+            # A newer configuration may take larger ones.
+            retry_ms = self.owner.retry_ms() if status == _TOO_LARGE else 0
+            status = 503 if retry_ms else status
+            self._answer_badly(status, http.client.responses[status], retry_ms)
             return False
         self.close_connection = self._closes()
         return True
@@ -128,7 +133,7 @@
         while (raw := file.readline(max(2, room + 1))) != b'\r\n':
             room -= len(raw)
             if room < 0:
-                return 431
+                return _TOO_LARGE
             header = request_body.HEADER.fullmatch(raw)
             if header is None:
                 return 400
@@ -161,12 +166,13 @@
             return 0 if 'keep-alive' in words else 1
         return 1 if 'close' in words else 0
 
-    def _answer_badly(self, status: int, text: str) -> None:
+    def _answer_badly(self, status: int, text: str, retry_ms: int = 0) -> None:
         self.close_connection = 1
         self.lingers = True
+        retry = f'Retry-After: {retry_ms / 1000:g}\r\n' if retry_ms else ''
         try:
             self.wfile.write(
-                f'HTTP/1.1 {status} {text}\r\nConnection: close\r\n'
+                f'HTTP/1.1 {status} {text}\r\nConnection: close\r\n{retry}'
                 'Content-Length: 0\r\n\r\n'.encode()
             )
             self.wfile.flush()
