--- a/features/config.feature
+++ b/features/config.feature
@@ -17,6 +17,13 @@
     And the operators change the configuration 1 times
     Then the last one is in force everywhere within 3000 ms
 
+  # By reading: who watches is chosen by who is heard, not by whom the store answers.
+  Scenario: All that watch for the others are turned away by the store
+    Given a fleet of 12 routers
+    When the store calls of all that watch the configuration fail from then on
+    And the operators change the configuration 1 times
+    Then the last one is in force everywhere within 5000 ms
+
   Scenario: A router that starts in an outage has it from its peers
     Given a fleet of 2 routers
     When the operators change the configuration 1 times
--- a/features/steps/config_steps.py
+++ b/features/steps/config_steps.py
@@ -82,6 +82,22 @@
     green.sleep_ms(300)
 
 
+@when('the store calls of all that watch the configuration fail from then on')
+def watchers_calls_fail(context):
+    routers = context.fleet.routers
+    turned_away = [
+        router
+        for router in routers
+        if router.knowledge.watchers.is_due(names.CONFIG_KIND)
+    ]
+    assert 0 < len(turned_away) < len(routers), len(turned_away)
+    for router in turned_away:
+        router.store.address = '127.0.0.1:1'
+    # The watches that wait already end with the next news.
+    context.fleet.write_config(context.fleet.shape.config)
+    green.sleep_ms(1000)
+
+
 @when('the store forgets its history while changes are made')
 def forgets(context):
     follow(context)
