More routers watch while the store does not answer somebody

Cause: six routers watch for all in a large fleet, chosen by who is heard. A store that turns some routers away may turn away just these; the others wait for their word, though the store would answer them. Change: twelve watch while an outage is felt anywhere, by the word that goes round in beacons already.

--- a/src/peridotmast/coordination/watchers.py
+++ b/src/peridotmast/coordination/watchers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import typing as ty
+
 from peridotmast.coordination import members as members_
 from peridotmast.coordination import rank
 
@@ -14,6 +16,13 @@
 enough that some are left when a failure domain is cut off."""
 
 
+_IN_DOUBT = 2
+"""Times as many watch while somebody is not answered: a store that turns away
+a third of the routers turns away all of six once in 700 times, and all of
+twelve once in half a million. No more: each asks again and again in an
+outage."""
+
+
 class Watchers:
     """Chooses watchers by rendezvous hashing over the routers heard.
 
@@ -28,6 +37,8 @@
 
     def __init__(self, members: members_.Members) -> None:
         self._members = members
+        self.is_outage_felt: ty.Callable[[], bool] = lambda: False
+        """Says whether the store does not answer some router."""
 
     def all_watch(self) -> bool:
         """Return whether the fleet is so small that every router watches."""
@@ -43,4 +54,5 @@
             rank.of(what, peer.member.name) < mine
             for peer in self._members.heard()
         )
-        return before < _WATCHERS
+        times = _IN_DOUBT if self.is_outage_felt() else 1
+        return before < times * _WATCHERS
--- a/src/peridotmast/router/knowledge.py
+++ b/src/peridotmast/router/knowledge.py
@@ -138,6 +138,8 @@
         tell : callable
             Called once news was taken in.
         """
+        # Those that watch may be just the ones that the store turns away.
+        self.watchers.is_outage_felt = is_outage_felt
         for kind, follower in (
             (names.CONFIG_KIND, self.config),
             (config_feed.KIND, self.config),
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -705,6 +705,13 @@
         'pass',
         'spread',
     ),
+    Mutation(
+        'leave the watching to those that are turned away',
+        ROUTER + 'knowledge.py',
+        'self.watchers.is_outage_felt = is_outage_felt',
+        'pass',
+        'config',
+    ),
     Mutation(
         'take for denied what the store has and is not read here',
         ROUTER + 'config_asking.py',
