--- a/features/spread.feature
+++ b/features/spread.feature
@@ -76,6 +76,21 @@
     And 8000 ms pass on the links
     Then no link of those has carried more than 100000 bytes
 
+  Scenario: What a router could not read it asks for again after a while
+    Given 8 routers on links of 625 bytes a millisecond
+    And 1 of them can read no newer one
+    When 1 of them have 1600 routes more within 10 ms
+    And 2000 ms pass on the links
+    And that one can read what it could not
+    Then all have them within 11000 ms more
+
+  Scenario: A long reading of the store is not begun anew beside itself
+    Given 8 routers on links of 62 bytes a millisecond
+    When 1 of them have 1600 routes more within 10 ms
+    And 1 of those 1 fall silent at once
+    Then all have them within 12000 ms more
+    And the store was asked at most 1 times by each
+
   # By reading: what the store has and this router can't read counted as denied by
   # the store, so that "there is none" was final again.
   Scenario: What the store has and a router can't read is not denied
@@ -121,3 +136,12 @@
       {"model": "draft-7b", "messages": [], "max_tokens": 99999}
       """
     Then the status is 503 and the reason holds "max_tokens"
+
+  # By reading: whoever starts asks the seeds in the order in which they are told, all
+  # the same one first. Its answer tells of every router, 8 kB at 80 of them, and a call
+  # has 800 ms: 79 answers take 1.0 s of a thin link, and each is given up.
+  Scenario: Routers that start together do not all ask one seed first
+    Given 80 routers on links of 625 bytes a millisecond
+    When all but 3 that know everybody join by these at once
+    And 2000 ms pass on the links
+    Then no call of theirs has failed, and all know everybody
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -95,6 +95,7 @@
         self.stored = None
         self.store_out = False
         self.reads = 0
+        self.failed = []
         self._sleepers = []
         self._order = itertools.count()
         self.nodes = [Node(self, number) for number in range(count)]
@@ -174,11 +175,18 @@
         self.head = None
         self.address = f'10.0.0.{number + 1}:7'
         me = pb.Member(
-            name=f'router-{number:03}',
-            incarnation=1,
+            name=f'router-hall-{number:03}',
+            incarnation=1_800_000_000_000,
+            address=f'10.0.0.{number + 1}:8221',
             peer_address=self.address,
+            beacon_address=f'10.0.0.{number + 1}:8231',
+            failure_domain='hall-one',
+            region='coast',
+            state=members_.ALIVE,
+            ready=True,
+            revision=3,
         )
-        members = members_.Members(
+        self.members = members = members_.Members(
             me, clock_.AwakeClock(world.clock, AWAKE_MS), 1250
         )
         checks = invariants.Invariants(
@@ -218,6 +226,7 @@
         size = request.ByteSize() + reply.ByteSize()
         if self._world.carry(ends, size, timeout_ms):
             return reply
+        self._world.failed.append((self.address, address, method))
         return failures.unavailable('deadline_exceeded')
 
     def beacon(self):
@@ -245,6 +254,9 @@
         if node is not self and node.address not in self._world.silent:
             self.catch_up.compare(node.beacon())
 
+    def join(self, seeds):
+        self._spawn('join', self.catch_up.join, seeds)
+
     def _spawn(self, name, func, *args):
         self._world.tasks.append(green.spawn(func, *args))
 
@@ -387,6 +399,14 @@
         )
 
 
+@when('that one can read what it could not')
+def can_read(context):
+    node = context.world.nodes[0]
+    node.config._reader = config_codec
+    # Beacons go on, and bring the word again.
+    node.head = context.first[0]
+
+
 @then("the one that can't read it knows that it is behind")
 def unreadable_behind(context):
     node = context.world.nodes[0]
@@ -454,6 +474,26 @@
     assert answer.status == 404, answer
 
 
+@when('all but {count:d} that know everybody join by these at once')
+def all_join(context, count):
+    world = context.world
+    seeds, others = world.nodes[:count], world.nodes[count:]
+    for seed in seeds:
+        for node in world.nodes:
+            seed.members.learn(node.members.me)
+    for node in others:
+        node.join([seed.address for seed in seeds])
+
+
+@then('no call of theirs has failed, and all know everybody')
+def all_joined(context):
+    world = context.world
+    assert not world.failed, (len(world.failed), world.failed[0])
+    for node in world.nodes:
+        known = len(node.members.peers())
+        assert known == len(world.nodes) - 1, (node.number, known)
+
+
 @when('one gives copies until it puts a peer off')
 def gives_until_put_off(context):
     [context.giver] = context.first
