Whoever starts asks the seeds in an order of its own

Cause: all asked the first seed first. Its answer to Join tells of each router, 8 kB at 80; given to 77 at once by a link of 5 Mbit/s none is there within the 800 ms that a call has, and all go on to the second one together. Change: each router asks in an order that follows from its name.

--- a/src/peridotmast/router/catch_up.py
+++ b/src/peridotmast/router/catch_up.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import random
 import typing as ty
 
 from peridotmast import clock as clock_
@@ -92,7 +93,11 @@
 
         Used beside the store, which may be out while this router starts.
         """
-        for address in seeds:
+        order = list(seeds)
+        # Those who start together are told the same ones: asked by all at
+        # once, a seed on a thin link answers none of them in time.
+        random.Random(self._members.me.name).shuffle(order)
+        for address in order:
             if address == self._members.me.peer_address:
                 continue
             request = pb.JoinRequest(member=self._members.me)
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -726,6 +726,27 @@
         'pass',
         'spread',
     ),
+    Mutation(
+        'ask never again for what could not be read',
+        ROUTER + 'config_asking.py',
+        'return self.versions if now < self.until else _NONE',
+        'return self.versions',
+        'spread',
+    ),
+    Mutation(
+        'read the store anew while it is being read',
+        ROUTER + 'config_asking.py',
+        ' and not self._asks_store:',
+        ':',
+        'spread',
+    ),
+    Mutation(
+        'ask the same seed as all others first',
+        ROUTER + 'catch_up.py',
+        'random.Random(self._members.me.name).shuffle(order)',
+        'pass',
+        'spread',
+    ),
     Mutation(
         'ask again for what can not be read',
         ROUTER + 'config_asking.py',
