Failing test: a team gets a fourth too much while heads are lost

Red: behave features/groups.feature -n 'while heads are lost' (3756518 tokens in the worst 8 s, where 3346200 are allowed). Its companion, a team that asks for half of its limit, is green.

--- a/features/groups.feature
+++ b/features/groups.feature
@@ -158,3 +158,23 @@
     And the limit is put to 338000 a second, with a burst of 338000
     Then of 2028000 a second, in requests of 9000, at most 3346200 pass in any 8 s
     And in all no less than the limit
+
+  # Seen: a team that asked for many times its limit at 58 routers got a fourth more
+  # than rate and burst allow in 8 s, with a third of the routers killed. How: heads
+  # were among them. Their members heard of nobody's spends for 2 s, and nobody heard
+  # of theirs; all of these buckets filled as if nothing was spent. Cause: the next
+  # head tells only what is counted from then on, and nobody allowed for the gap.
+  # Proof: heads and others are killed while a team asks for six times its limit.
+  Scenario: A team gets no more than its own while heads are lost
+    Given 58 routers that know each other's names
+    When 5000 ms pass in the groups
+    And the limit is put to 338000 a second, with a burst of 338000
+    And 3 heads and 14 others are killed after 3000 ms, and start 3000 ms later
+    Then of 2028000 a second, in requests of 9000, at most 3346200 pass in any 8 s
+
+  Scenario: A team that asks for half of its limit is refused nothing then
+    Given 58 routers that know each other's names
+    When 5000 ms pass in the groups
+    And the limit is put to 338000 a second, with a burst of 338000
+    And 3 heads and 14 others are killed after 3000 ms, and start 3000 ms later
+    Then of 169000 a second, in requests of 9000, none is refused
--- a/features/steps/group_steps.py
+++ b/features/steps/group_steps.py
@@ -135,6 +135,7 @@
         self.sent = collections.Counter()
         self.got = collections.Counter()
         self.numbers = iter(range(1000))
+        self.events = {}
         self.add(count)
         if not starts:
             # They have run for long, and know what is left of the limit.
@@ -150,6 +151,7 @@
 
     def run(self, ms):
         for _ in range(ms // ROUND_MS):
+            self.events.pop(self.clock.now(), lambda: None)()
             for node in list(self.nodes.values()):
                 node.peering.tick()
                 node.serving.demand.tick()
@@ -479,10 +481,7 @@
     name = sorted(fleet.nodes)[3]
     del fleet.nodes[name]
     fleet.clock.advance(10)
-    node = Node(int(name[-3:]), fleet.clock, limited=False)
-    for other in fleet.nodes.values():
-        node.members.learn(copy_of(other.members.me))
-    context.anew = fleet.nodes[name] = node
+    context.anew = fleet.nodes[name] = next_run(fleet, name)
 
 
 @when('it gets the same limit')
@@ -548,7 +547,49 @@
     context.passed = sum(passed)
 
 
-def asked_at_random(fleet, draws, offered, tokens):
+@when(
+    '{heads:d} heads and {others:d} others are killed after {ms:d} ms, and'
+    ' start {later:d} ms later'
+)
+def heads_and_others(context, heads, others, ms, later):
+    fleet = context.groups
+    ended = []
+
+    def kill():
+        leading = {node.name for node in fleet.heads()}
+        ended.extend(sorted(leading)[:heads])
+        ended.extend(sorted(fleet.nodes.keys() - leading)[:others])
+        for name in ended:
+            del fleet.nodes[name]
+
+    def start():
+        for name in ended:
+            fleet.nodes[name] = next_run(fleet, name)
+            fleet.nodes[name].limit(*context.limit)
+
+    now = fleet.clock.now()
+    fleet.events = {now + ms: kill, now + ms + later: start}
+
+
+def next_run(fleet, name):
+    """Return the next run of a router that has ended."""
+    node = Node(int(name[-3:]), fleet.clock, limited=False)
+    for other in fleet.nodes.values():
+        node.members.learn(copy_of(other.members.me))
+    return node
+
+
+@then('of {rate:d} a second, in requests of {tokens:d}, none is refused')
+def none_refused(context, rate, tokens):
+    draws = random.Random(0)
+    rounds = 1000 // ROUND_MS
+    refused = []
+    for _ in range(OVER_S * rounds):
+        asked_at_random(context.groups, draws, rate // rounds, tokens, refused)
+    assert not refused, refused
+
+
+def asked_at_random(fleet, draws, offered, tokens, refused=None):
     """Let a round pass with requests at any routers; return what passed."""
     fleet.run(ROUND_MS)
     nodes = list(fleet.nodes.values())
@@ -557,6 +598,8 @@
         size = round(tokens * draws.uniform(0.4, 1.6))
         if not draws.choice(nodes).serving.quota.take('noor', size):
             passed += size
+        elif refused is not None:
+            refused.append(size)
     return passed
 
 
