While nobody tells what some routers spend, they are taken to spend their part

Cause: a head that is killed takes with it what its members counted until the next one tells; they hear of nobody's spends for 1.5 to 2 s, and nobody hears of theirs.

Change: each way by which a router hears of others (a member from its head, a head from each other head) that is silent for 800 ms is taken to spend its part of the limit from the last word on, except while the bucket was full. If the same head is heard again, it is taken back; if another one is, what is missing is reckoned.

--- a/src/peridotmast/coordination/groups.py
+++ b/src/peridotmast/coordination/groups.py
@@ -143,6 +143,10 @@
         """Return the names of the peers in a group."""
         return [peer.member.name for peer in self._groups.get(group, [])]
 
+    def heard_in(self, group: int) -> int:
+        """Return how many peers in a group are heard."""
+        return len(self._heard_in(group))
+
     def is_member(self, name: str) -> bool:
         """Return whether a router is of this router's group."""
         return self.group_of(name) == self.mine
--- a/src/peridotmast/coordination/tally.py
+++ b/src/peridotmast/coordination/tally.py
@@ -116,6 +116,11 @@
         if counted:
             self._apply(grown)
 
+    def reckon(self, counts: Counts) -> None:
+        """Take in what others may have counted while nobody told of it."""
+        _add(self._elsewhere, counts)
+        self._apply(counts)
+
     def group(self) -> Counts:
         """Return what this router and its members count."""
         total = collections.Counter(self._gone)
--- a/src/peridotmast/router/peering.py
+++ b/src/peridotmast/router/peering.py
@@ -8,6 +8,7 @@
 
 from peridotmast import clock as clock_
 from peridotmast.coordination import beacons as beacons_
+from peridotmast.coordination import gaps as gaps_
 from peridotmast.coordination import groups as groups_
 from peridotmast.coordination import lease as lease_
 from peridotmast.coordination import members as members_
@@ -44,6 +45,9 @@
 """How long a peer's word holds that it was not told yet what is left of the
 teams' limits: two rounds of a large fleet."""
 
+_FLEET = 'fleet'
+"""The way by which a member hears of all others."""
+
 
 class _Role(ty.NamedTuple):
     """By which way a router hears of the others' counts."""
@@ -95,6 +99,7 @@
         self._outage_at = self._member_outage_at = -_FELT_MS
         self._sharing = sharing
         self._groups = groups_.Groups(members)
+        self._gaps = gaps_.Gaps(clock, serving.quota.worth)
         self._rounds = itertools.count()
         self._role = _Role(False, False, 1)
         self._group_heard: dict[int, int] = {}
@@ -196,6 +201,8 @@
         self._untold = {p: at for p, at in self._untold.items() if at >= limit}
         self._felt = {p: at for p, at in self._felt.items() if at >= limit}
         look, split = self._look(), self._groups.is_split()
+        if split:
+            self._sharing.reckon(self._gaps.tick(self._shares(look)))
         self._sharing.forget(
             {p.member.name for p in self._members.peers()},
             look.members_heard()
@@ -302,15 +309,40 @@
             group = look.group_of(name)
             self._group_heard[group] = self._clock.now()
             self._members.hear_some(beacon.alive, look.names_in(group))
-            self._sharing.hear_group(
-                name, run, group, beacon.group, split and look.leads
-            )
+            counted = split and look.leads
+            self._sharing.hear_group(name, run, group, beacon.group, counted)
+            if counted:
+                self._close_gap(_source(group), (name, run), look)
         if beacon.HasField('others') and self._follows(name):
             self._members.hear_all(beacon.alive)
             counted = split and not look.leads
             if counted:
                 clock.follow(beacon.wall_ms)
             self._sharing.follow(name, run, beacon.others, counted)
+            if counted:
+                self._close_gap(_FLEET, (name, run), look)
+
+    def _close_gap(
+        self, source: str, teller: tuple[str, int], look: groups_.Look
+    ) -> None:
+        """Take note that a source is told of."""
+        share = self._shares(look).get(source, 0.0)
+        self._sharing.reckon(self._gaps.hear(source, teller, share))
+
+    def _shares(self, look: groups_.Look) -> dict[str, float]:
+        """Return the parts of the fleet that others tell this router of.
+
+        Only of those that count as there: what the others might spend comes
+        off the limits already.
+        """
+        whole = self._members.counted()
+        if not look.leads:
+            return {_FLEET: len(self._members.heard()) / whole}
+        return {
+            _source(group): look.heard_in(group) / whole
+            for group in range(look.count)
+            if group != look.mine
+        }
 
     def _follows(self, head: str) -> bool:
         """Return whether `head` is the one whose totals are gone by.
@@ -353,6 +385,7 @@
             )
         if role != known:
             self._sharing.switch()
+            self._gaps.begin(self._shares(look) if split else ())
             self._log.info(
                 'role',
                 groups=role.groups,
@@ -380,3 +413,8 @@
     def _some_peer(self) -> ty.Optional[pb.Member]:
         heard = self._members.heard()
         return self._choice.choice(heard).member if heard else None
+
+
+def _source(group: int) -> str:
+    """Return the way by which a head hears of another group."""
+    return f'group-{group}'
--- a/src/peridotmast/router/sharing.py
+++ b/src/peridotmast/router/sharing.py
@@ -120,6 +120,11 @@
             self._table.take_loads(FLEET, totals.loads)
             self._hear_readings(head, totals)
 
+    def reckon(self, spends: dict[str, int]) -> None:
+        """Take in what others may have spent while nobody told of it."""
+        if spends:
+            self._spends.reckon(spends)
+
     def regroup(self, is_member: ty.Callable[[str], bool]) -> None:
         """Begin anew with groups that are not those of before."""
         self._group_loads = {}
--- a/src/peridotmast/serving/quota.py
+++ b/src/peridotmast/serving/quota.py
@@ -59,11 +59,15 @@
     is_sure: bool
     """Whether the level is what all routers together have left, as far as
     it can be: not while this router has started just now, and was not told."""
+    full_at: int = 0
+    """Last moment at which it was full, in ms."""
 
     def fill(self, now: int, share: float, routers: int) -> None:
         """Bring the level up to `now`, at a share of the rate."""
         gained = (now - self.at) / 1000 * self.rate
         self.level = min(self.burst, self.level + gained * share)
+        if self.level >= self.burst:
+            self.full_at = now
         self.owed = max(0.0, self.owed - gained * _PART / routers)
         self.at = now
 
@@ -177,6 +181,20 @@
                 bucket.fill(now, self.share, self.routers())
                 bucket.level = min(bucket.burst, bucket.level - tokens)
 
+    def worth(self, share: float, since: int) -> dict[str, int]:
+        """Return what part of the routers may have spent since a moment.
+
+        That is their part of what came in and was not lost at full buckets:
+        nothing was gained while they were full.
+        """
+        now = self._clock.now()
+        found = {}
+        for team, bucket in self._buckets.items():
+            bucket.fill(now, self.share, self.routers())
+            ms = now - max(since, bucket.full_at)
+            found[team] = round(bucket.rate * share * max(0, ms) / 1000)
+        return found
+
     def tick(self) -> None:
         """Wait no longer to be told, once the time for it is over."""
         if not self._is_new():
