--- a/features/groups.feature
+++ b/features/groups.feature
@@ -178,3 +178,35 @@
     And the limit is put to 338000 a second, with a burst of 338000
     And 3 heads and 14 others are killed after 3000 ms, and start 3000 ms later
     Then of 169000 a second, in requests of 9000, none is refused
+
+  # A head whose beacons were lost for a moment tells all that was missed: what was
+  # reckoned meanwhile must not come off the limit twice.
+  Scenario: What was reckoned in a silence is taken back after it
+    Given 58 routers that know each other's names
+    When 5000 ms pass in the groups
+    And a team uses up its burst of 40000, at 2000 a second
+    And no beacon comes for 1000 ms
+    Then to each at most 600 more seem to be left
+    When 1000 ms pass in the groups
+    Then to each from 3990 to 4010 more seem to be left
+
+  Scenario: What a head missed is missed by its members as well
+    Given 58 routers that know each other's names
+    When 5000 ms pass in the groups
+    And a team uses up its burst of 40000, at 2000 a second
+    And no head hears another one for 2000 ms
+    Then to each at most 2000 more seem to be left
+
+  Scenario: Another head tells only what is counted from then on
+    Given half of a fleet is told of by one head, and 2000 tokens come in a second
+    And nothing is left of a burst of 4000
+    When 500 ms later another head tells
+    Then 500 tokens are reckoned
+    When 500 ms later the same head tells
+    Then 0 tokens are reckoned
+
+  Scenario: Nothing is reckoned for a time in which the limit was unused
+    Given half of a fleet is told of by one head, and 2000 tokens come in a second
+    And all is left of a burst of 4000
+    When 500 ms later another head tells
+    Then 0 tokens are reckoned
--- a/features/steps/group_steps.py
+++ b/features/steps/group_steps.py
@@ -13,6 +13,7 @@
 
 from peridotmast import clock as clock_
 from peridotmast.coordination import fleet_clock
+from peridotmast.coordination import gaps as gaps_
 from peridotmast.coordination import groups
 from peridotmast.coordination import members as members_
 from peridotmast.coordination import tally
@@ -136,6 +137,7 @@
         self.got = collections.Counter()
         self.numbers = iter(range(1000))
         self.events = {}
+        self.is_cut = lambda beacon: False
         self.add(count)
         if not starts:
             # They have run for long, and know what is left of the limit.
@@ -166,6 +168,8 @@
             there = self.nodes.get(peer.member.name)
             if there is None or self.draws.random() < self.lost:
                 continue
+            if self.is_cut(beacon):
+                continue
             self.got[there.name] += 1
             there.peering.take(pb.Beacon.FromString(data))
 
@@ -637,3 +641,81 @@
         while node.serving.budget.take('pool'):
             sent += 1
     assert sent <= most, sent
+
+
+@when('no beacon comes for {ms:d} ms')
+def no_beacon(context, ms):
+    cut_for(context, ms, lambda beacon: True)
+
+
+@when('no head hears another one for {ms:d} ms')
+def no_other_head(context, ms):
+    cut_for(context, ms, lambda beacon: beacon.HasField('group'))
+
+
+def cut_for(context, ms, is_cut):
+    """Lose some beacons for a while; keep what was left before."""
+    fleet = context.groups
+    context.left = left_of(fleet)
+    fleet.is_cut = is_cut
+    fleet.run(ms)
+    fleet.is_cut = lambda beacon: False
+
+
+def left_of(fleet):
+    """Return what is left of the limit, by each router."""
+    return {
+        node.name: node.serving.quota.levels()['noor']
+        for node in fleet.nodes.values()
+    }
+
+
+@then('to each at most {most:d} more seem to be left')
+def at_most_more(context, most):
+    for name, level in left_of(context.groups).items():
+        assert level - context.left[name] <= most, (name, level)
+
+
+@then('to each from {least:d} to {most:d} more seem to be left')
+def from_to_more(context, least, most):
+    for name, level in left_of(context.groups).items():
+        grown = level - context.left[name]
+        assert least <= grown <= most, (name, grown)
+
+
+@given(
+    'half of a fleet is told of by one head, and {rate:d} tokens come in a'
+    ' second'
+)
+def half_told(context, rate):
+    context.clock = clock_.ManualClock()
+    context.rate = rate
+    context.quota = quota_.Quota(context.clock)
+    context.gaps = gaps_.Gaps(context.clock, context.quota.worth)
+    context.gaps.hear('half', ('first', 1), 0.5)
+
+
+@given('nothing is left of a burst of {burst:d}')
+def nothing_left(context, burst):
+    all_left(context, burst)
+    context.quota.spent_elsewhere({'noor': burst})
+
+
+@given('all is left of a burst of {burst:d}')
+def all_left(context, burst):
+    team = pb.Team(name='noor', rate=context.rate, burst=burst)
+    context.quota.configure([team])
+    context.quota.hear_levels({'noor': burst})
+
+
+@when('{ms:d} ms later {which} head tells')
+def head_tells(context, ms, which):
+    context.clock.advance(ms)
+    # The first word of another one, and then the next of that one.
+    assert which in ('another', 'the same'), which
+    context.reckoned = context.gaps.hear('half', ('second', 1), 0.5)
+
+
+@then('{count:d} tokens are reckoned')
+def tokens_reckoned(context, count):
+    assert context.reckoned.get('noor', 0) == count, context.reckoned
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -539,6 +539,42 @@
         'if True:',
         'groups',
     ),
+    Mutation(
+        'reckon nothing while a head is silent',
+        COORDINATION + 'gaps.py',
+        'if source is None or now - source.at <= _FRESH_MS:',
+        'if True:',
+        'groups',
+    ),
+    Mutation(
+        'reckon nothing for the gap between two heads',
+        COORDINATION + 'gaps.py',
+        'return self._worth(share, known.until)',
+        'return {}',
+        'groups',
+    ),
+    Mutation(
+        'take nothing back when the same head is heard',
+        COORDINATION + 'gaps.py',
+        'return {team: -count for team, count in known.reckoned.items()}',
+        'return {}',
+        'groups',
+    ),
+    Mutation(
+        'reckon for a time in which nothing came in',
+        SERVING + 'quota.py',
+        'ms = now - max(since, bucket.full_at)',
+        'ms = now - since',
+        'groups',
+    ),
+    Mutation(
+        'tell no member what its head missed',
+        COORDINATION + 'tally.py',
+        """        _add(self._elsewhere, counts)
+        self._apply(counts)""",
+        '        self._apply(counts)',
+        'groups',
+    ),
     Mutation(
         'pace by what did not run',
         SERVING + 'quota.py',
