--- a/features/steps/group_steps.py
+++ b/features/steps/group_steps.py
@@ -13,6 +13,7 @@
 
 from peridotmast import clock as clock_
 from peridotmast.coordination import fleet_clock
+from peridotmast.coordination import gaps as gaps_
 from peridotmast.coordination import groups
 from peridotmast.coordination import members as members_
 from peridotmast.coordination import tally
@@ -135,6 +136,8 @@
         self.sent = collections.Counter()
         self.got = collections.Counter()
         self.numbers = iter(range(1000))
+        self.events = {}
+        self.is_cut = lambda beacon: False
         self.add(count)
         if not starts:
             # They have run for long, and know what is left of the limit.
@@ -150,6 +153,7 @@
 
     def run(self, ms):
         for _ in range(ms // ROUND_MS):
+            self.events.pop(self.clock.now(), lambda: None)()
             for node in list(self.nodes.values()):
                 node.peering.tick()
                 node.serving.demand.tick()
@@ -164,6 +168,8 @@
             there = self.nodes.get(peer.member.name)
             if there is None or self.draws.random() < self.lost:
                 continue
+            if self.is_cut(beacon):
+                continue
             self.got[there.name] += 1
             there.peering.take(pb.Beacon.FromString(data))
 
@@ -479,10 +485,7 @@
     name = sorted(fleet.nodes)[3]
     del fleet.nodes[name]
     fleet.clock.advance(10)
-    node = Node(int(name[-3:]), fleet.clock, limited=False)
-    for other in fleet.nodes.values():
-        node.members.learn(copy_of(other.members.me))
-    context.anew = fleet.nodes[name] = node
+    context.anew = fleet.nodes[name] = next_run(fleet, name)
 
 
 @when('it gets the same limit')
@@ -548,7 +551,49 @@
     context.passed = sum(passed)
 
 
-def asked_at_random(fleet, draws, offered, tokens):
+@when(
+    '{heads:d} heads and {others:d} others are killed after {ms:d} ms, and'
+    ' start {later:d} ms later'
+)
+def heads_and_others(context, heads, others, ms, later):
+    fleet = context.groups
+    ended = []
+
+    def kill():
+        leading = {node.name for node in fleet.heads()}
+        ended.extend(sorted(leading)[:heads])
+        ended.extend(sorted(fleet.nodes.keys() - leading)[:others])
+        for name in ended:
+            del fleet.nodes[name]
+
+    def start():
+        for name in ended:
+            fleet.nodes[name] = next_run(fleet, name)
+            fleet.nodes[name].limit(*context.limit)
+
+    now = fleet.clock.now()
+    fleet.events = {now + ms: kill, now + ms + later: start}
+
+
+def next_run(fleet, name):
+    """Return the next run of a router that has ended."""
+    node = Node(int(name[-3:]), fleet.clock, limited=False)
+    for other in fleet.nodes.values():
+        node.members.learn(copy_of(other.members.me))
+    return node
+
+
+@then('of {rate:d} a second, in requests of {tokens:d}, none is refused')
+def none_refused(context, rate, tokens):
+    draws = random.Random(0)
+    rounds = 1000 // ROUND_MS
+    refused = []
+    for _ in range(OVER_S * rounds):
+        asked_at_random(context.groups, draws, rate // rounds, tokens, refused)
+    assert not refused, refused
+
+
+def asked_at_random(fleet, draws, offered, tokens, refused=None):
     """Let a round pass with requests at any routers; return what passed."""
     fleet.run(ROUND_MS)
     nodes = list(fleet.nodes.values())
@@ -557,6 +602,8 @@
         size = round(tokens * draws.uniform(0.4, 1.6))
         if not draws.choice(nodes).serving.quota.take('noor', size):
             passed += size
+        elif refused is not None:
+            refused.append(size)
     return passed
 
 
@@ -594,3 +641,81 @@
         while node.serving.budget.take('pool'):
             sent += 1
     assert sent <= most, sent
+
+
+@when('no beacon comes for {ms:d} ms')
+def no_beacon(context, ms):
+    cut_for(context, ms, lambda beacon: True)
+
+
+@when('no head hears another one for {ms:d} ms')
+def no_other_head(context, ms):
+    cut_for(context, ms, lambda beacon: beacon.HasField('group'))
+
+
+def cut_for(context, ms, is_cut):
+    """Lose some beacons for a while; keep what was left before."""
+    fleet = context.groups
+    context.left = left_of(fleet)
+    fleet.is_cut = is_cut
+    fleet.run(ms)
+    fleet.is_cut = lambda beacon: False
+
+
+def left_of(fleet):
+    """Return what is left of the limit, by each router."""
+    return {
+        node.name: node.serving.quota.levels()['noor']
+        for node in fleet.nodes.values()
+    }
+
+
+@then('to each at most {most:d} more seem to be left')
+def at_most_more(context, most):
+    for name, level in left_of(context.groups).items():
+        assert level - context.left[name] <= most, (name, level)
+
+
+@then('to each from {least:d} to {most:d} more seem to be left')
+def from_to_more(context, least, most):
+    for name, level in left_of(context.groups).items():
+        grown = level - context.left[name]
+        assert least <= grown <= most, (name, grown)
+
+
+@given(
+    'half of a fleet is told of by one head, and {rate:d} tokens come in a'
+    ' second'
+)
+def half_told(context, rate):
+    context.clock = clock_.ManualClock()
+    context.rate = rate
+    context.quota = quota_.Quota(context.clock)
+    context.gaps = gaps_.Gaps(context.clock, context.quota.worth)
+    context.gaps.hear('half', ('first', 1), 0.5)
+
+
+@given('nothing is left of a burst of {burst:d}')
+def nothing_left(context, burst):
+    all_left(context, burst)
+    context.quota.spent_elsewhere({'noor': burst})
+
+
+@given('all is left of a burst of {burst:d}')
+def all_left(context, burst):
+    team = pb.Team(name='noor', rate=context.rate, burst=burst)
+    context.quota.configure([team])
+    context.quota.hear_levels({'noor': burst})
+
+
+@when('{ms:d} ms later {which} head tells')
+def head_tells(context, ms, which):
+    context.clock.advance(ms)
+    # The first word of another one, and then the next of that one.
+    assert which in ('another', 'the same'), which
+    context.reckoned = context.gaps.hear('half', ('second', 1), 0.5)
+
+
+@then('{count:d} tokens are reckoned')
+def tokens_reckoned(context, count):
+    assert context.reckoned.get('noor', 0) == count, context.reckoned
