--- a/src/peridotmast/green.py
+++ b/src/peridotmast/green.py
@@ -1,8 +1,8 @@
-"""The one module that knows eventlet's hub; the others use its names.
+"""The one module that uses eventlet's hub; the others use its names.
 
 Eventlet is in bug-fix mode upstream, and the house runs on it. What the
 rest of the project needs of it passes through here, `wire.server` and `rpc`,
-so that a successor has three modules to replace.
+so that a successor has three modules to replace, and `loop_hub`, the hub.
 """
 
 from __future__ import annotations
@@ -29,6 +29,8 @@
 from eventlet import queue  # noqa: E402
 from eventlet import semaphore  # noqa: E402
 
+from peridotmast import loop_hub  # noqa: E402
+
 Event = event.Event
 GreenPool = greenpool.GreenPool
 Queue = queue.Queue
@@ -48,7 +50,7 @@
     The asyncio hub lets gRPC's servers and channels run on the same loop.
     Nothing is monkey-patched: with gRPC that ends in a crash.
     """
-    hubs.use_hub('asyncio')
+    hubs.use_hub(loop_hub.LoopHub)
     # A task that dies is reported by its program's own log, not the hub's.
     hubs.get_hub().set_debug_listeners(False)
 
