A head adds up once what all others have, not once for each member

Cause: for each member of its group a head added up anew what every other member and every other group had in work, had spent and had begun: the work of a round grew with the square of a group.

Change: all of it is added up once in a round, and what a member has itself is taken off for that member.

--- a/src/peridotmast/coordination/tally.py
+++ b/src/peridotmast/coordination/tally.py
@@ -124,13 +124,15 @@
             _add(total, grown)
         return dict(total)
 
-    def others(self, member: str) -> Counts:
-        """Return what all but one member count."""
-        total = collections.Counter(self.group())
-        _add(total, self._elsewhere)
-        for name, count in self._grown.get(member, {}).items():
-            total[name] -= count
-        return dict(total)
+    def others(self, members: ty.Iterable[str]) -> ty.Iterator[Counts]:
+        """Yield for each of some members what all but that one count."""
+        everybody = collections.Counter(self.group())
+        _add(everybody, self._elsewhere)
+        for member in members:
+            total = dict(everybody)
+            for name, count in self._grown.get(member, {}).items():
+                total[name] -= count
+            yield total
 
     def switch(self) -> None:
         """Begin to count by another way.
--- a/src/peridotmast/router/peering.py
+++ b/src/peridotmast/router/peering.py
@@ -274,11 +274,12 @@
         yield from self._with_levels(beacon, look.other_heads())
         base.alive.extend(heard)
         base.outage_felt = self.is_outage_felt()
-        for peer in look.members():
+        peers = {peer.member.name: peer for peer in look.members()}
+        for name, totals in self._sharing.others(list(peers)):
             beacon = pb.Beacon()
             beacon.CopyFrom(base)
-            beacon.others.CopyFrom(self._sharing.others(peer.member.name))
-            yield from self._with_levels(beacon, [peer])
+            beacon.others.CopyFrom(totals)
+            yield from self._with_levels(beacon, [peers[name]])
 
     def _take_load(self, news: pb.LoadNews) -> None:
         peer = self._members.get(news.router)
--- a/src/peridotmast/router/sharing.py
+++ b/src/peridotmast/router/sharing.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 import typing as ty
 
 from peridotmast.coordination import tally
@@ -16,6 +15,14 @@
 
 Loads = ty.Iterable[pb.UpstreamLoad]
 
+_Loads = list[pb.UpstreamLoad]
+
+_Work = dict[tuple[str, int], tuple[int, int, int]]
+"""Requests, unread tokens and tokens in memory by upstream and its run; there
+are requests wherever there is work."""
+
+_NOTHING = (0, 0, 0)
+
 
 class Sharing:
     """Counts of this router, of those it hears, and of all.
@@ -59,24 +66,40 @@
         """Return what this router and the members that it heads have."""
         return pb.Totals(
             spends=_spends(self._spends.group()),
-            loads=_sum(self._members_loads()),
+            loads=_listed(_add_up(self._members_loads())),
             usage=self._usage.group(),
             demand=_demand(self._asked.group(), self._readings()),
         )
 
-    def others(self, member: str) -> pb.Totals:
-        """Return what all but one member have, for that member."""
-        return pb.Totals(
-            spends=_spends(self._spends.others(member)),
-            loads=_sum(
-                [
-                    *self._members_loads(without=member),
-                    *self._group_loads.values(),
-                ]
-            ),
-            usage=self._usage.others(member),
-            demand=_demand(self._asked.others(member), self._readings()),
+    def others(
+        self, members: ty.Sequence[str]
+    ) -> ty.Iterator[tuple[str, pb.Totals]]:
+        """Yield for each of some members what all but that one have.
+
+        All of it is added up once, and each member's own is taken off again:
+        adding up for each what all the others have would grow with the
+        square of a group.
+        """
+        loads = _add_up([*self._members_loads(), *self._group_loads.values()])
+        readings = self._readings()
+        told = zip(
+            members,
+            self._spends.others(members),
+            self._asked.others(members),
+            self._usage.others(members),
+            strict=True,
         )
+        for member, spent, asked, used in told:
+            own = _add_up([self._loads.get(member, ())])
+            yield (
+                member,
+                pb.Totals(
+                    spends=_spends(spent),
+                    loads=_listed(loads, without=own),
+                    usage=used,
+                    demand=_demand(asked, readings),
+                ),
+            )
 
     def hear(
         self, router: str, run: int, totals: pb.Totals, counted: bool
@@ -164,9 +187,8 @@
         names = {_group_name(group) for group in self._group_loads}
         self._table.forget_loads({*self._loads, *names})
 
-    def _members_loads(self, without: str = '') -> list[Loads]:
-        others = [v for r, v in self._loads.items() if r != without]
-        return [self._table.my_loads(), *others]
+    def _members_loads(self) -> list[Loads]:
+        return [self._table.my_loads(), *self._loads.values()]
 
     def _readings(self) -> dict[str, float]:
         found = {s: self._demand.reading(s) for s in self._demand.counts()}
@@ -204,23 +226,34 @@
     return {demand.service: demand.tokens for demand in totals.demand}
 
 
-def _sum(parts: ty.Iterable[Loads]) -> list[pb.UpstreamLoad]:
+def _add_up(parts: ty.Iterable[Loads]) -> _Work:
     """Return the work at each run of an upstream, of all parts together."""
-    found: dict[tuple[str, int], list[int]] = collections.defaultdict(
-        lambda: [0, 0, 0]
-    )
+    found: _Work = {}
     for load in (load for part in parts for load in part):
-        total = found[load.upstream, load.born]
-        total[0] += load.running
-        total[1] += load.unread
-        total[2] += load.memory
-    return [
-        pb.UpstreamLoad(
-            upstream=upstream,
-            running=running,
-            unread=unread,
-            memory=memory,
-            born=born,
+        key = load.upstream, load.born
+        running, unread, memory = found.get(key, _NOTHING)
+        found[key] = (
+            running + load.running,
+            unread + load.unread,
+            memory + load.memory,
         )
-        for (upstream, born), (running, unread, memory) in found.items()
-    ]
+    return found
+
+
+def _listed(work: _Work, without: ty.Optional[_Work] = None) -> _Loads:
+    """Return work as it is told, less what one router has of it."""
+    less = without or {}
+    found = []
+    for (upstream, born), (running, unread, memory) in work.items():
+        own = less.get((upstream, born), _NOTHING)
+        if running > own[0]:
+            found.append(
+                pb.UpstreamLoad(
+                    upstream=upstream,
+                    running=running - own[0],
+                    unread=unread - own[1],
+                    memory=memory - own[2],
+                    born=born,
+                )
+            )
+    return found
--- a/src/peridotmast/serving/usage.py
+++ b/src/peridotmast/serving/usage.py
@@ -117,16 +117,23 @@
             for window in self._windows()
         ]
 
-    def others(self, member: str) -> list[pb.UsageCount]:
-        """Return what all but one member count, by window."""
-        found = []
-        for window in self._windows():
-            counts = collections.Counter(self._heard(window))
-            for (router, _), windows in self._others.items():
-                if router == member:
-                    counts.subtract(windows.get(window, {}))
-            found.append(pb.UsageCount(window=window, requests=counts))
-        return found
+    def others(
+        self, members: ty.Iterable[str]
+    ) -> ty.Iterator[list[pb.UsageCount]]:
+        """Yield for each of some members what all but that one count."""
+        everybody = {w: self._heard(w) for w in self._windows()}
+        runs = collections.defaultdict(list)
+        for (router, _), windows in self._others.items():
+            runs[router].append(windows)
+        for member in members:
+            found = []
+            for window, heard in everybody.items():
+                counts = dict(heard)
+                for windows in runs.get(member, ()):
+                    for team, count in windows.get(window, {}).items():
+                        counts[team] -= count
+                found.append(pb.UsageCount(window=window, requests=counts))
+            yield found
 
     def _heard(self, window: int) -> Counts:
         """Return what this router knows of itself, members and groups."""
