--- a/features/spread.feature
+++ b/features/spread.feature
@@ -69,6 +69,13 @@
     And another one has 49 routes of the store's, and tells of it
     Then all but the first have them within 1500 ms more
 
+  Scenario: One that was wrong is believed again after a while
+    Given 8 routers on links of 625 bytes a millisecond
+    When one says again and again that it has what the store has not
+    And 4000 ms pass on the links
+    And that one has 49 routes of the store's, and tells of it
+    Then all have them within 13000 ms more
+
   Scenario: What a router can't read it does not ask for again and again
     Given 8 routers on links of 625 bytes a millisecond
     And 1 of them can read no newer one
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -376,6 +376,16 @@
     world.nodes[0].take(world.stored)
 
 
+@when("that one has {routes:d} routes of the store's, and tells of it")
+def liar_tells(context, routes):
+    world = context.world
+    [liar] = context.first
+    # From now on it says what it has.
+    del liar.beacon
+    world.stored = document(NEW, routes, seed=3)
+    liar.take(world.stored)
+
+
 @then('all but the first have them within {ms:d} ms more')
 def all_but_first(context, ms):
     context.world.run(ms)
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -747,6 +747,13 @@
         'pass',
         'spread',
     ),
+    Mutation(
+        'believe never again who was wrong once',
+        ROUTER + 'config_asking.py',
+        'self._denied[address] = now + _USELESS_MS',
+        'self._denied[address] = now + 10**9',
+        'spread',
+    ),
     Mutation(
         'ask again for what can not be read',
         ROUTER + 'config_asking.py',
