--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -701,7 +701,7 @@
     Mutation(
         'believe what the store denies',
         ROUTER + 'config_asking.py',
-        'self._deny(wrong, claimed)',
+        'self._deny(wrong, claimed, found)',
         'pass',
         'spread',
     ),
