--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -751,7 +751,7 @@
     Mutation(
         'believe what the store denies',
         ROUTER + 'config_asking.py',
-        'self._deny(wrong, claimed)',
+        'self._deny(wrong, claimed, found)',
         'pass',
         'spread',
     ),
@@ -797,6 +797,13 @@
         'pass',
         'spread',
     ),
+    Mutation(
+        'believe never again who was wrong once',
+        ROUTER + 'config_asking.py',
+        'self._denied[address] = now + _USELESS_MS',
+        'self._denied[address] = now + 10**9',
+        'spread',
+    ),
     Mutation(
         'ask again for what can not be read',
         ROUTER + 'config_asking.py',
