What peers say of outages is a module of its own

Change: moved, no change of logic; a test's bare knowledge has the call that is bound at the start now.

--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -396,6 +396,7 @@
         ),
         table=upstreams_.UpstreamTable(clock),
         is_watching=lambda what: watches,
+        doubt_store=lambda: None,
     )
     catch_up = catch_up_.CatchUp(
         clock, knowledge, None, lambda name, *rest: asked.append(name)
--- a/src/peridotmast/loop_hub.py
+++ b/src/peridotmast/loop_hub.py
@@ -64,5 +64,5 @@
         except self.SYSTEM_EXCEPTIONS:
             raise
         except BaseException:
-            # The same.
+            # As above: it ends no other.
             self.squelch_timer_exception(timer, sys.exc_info())
--- a/src/peridotmast/router/peering.py
+++ b/src/peridotmast/router/peering.py
@@ -12,6 +12,7 @@
 from peridotmast.coordination import groups as groups_
 from peridotmast.coordination import lease as lease_
 from peridotmast.coordination import members as members_
+from peridotmast.coordination import outage_word
 from peridotmast import logs
 from peridotmast.router import catch_up as catch_up_
 from peridotmast.router import knowledge as knowledge_
@@ -21,9 +22,6 @@
 from peridotmast.serving import quota as quota_
 from peridotmast.serving import upstream_view
 
-_FELT_MS = 1000
-"""How long a peer's word of a store that fails it holds: a few beacons."""
-
 _GROUP_ROUNDS = 2
 """Rounds of which a large fleet uses one: each thing is told on three times
 there, so that totals are as late as a second and a half; at every round they
@@ -96,7 +94,7 @@
         self._lease = lease
         self._catch_up = catch_up
         self._choice = random.Random(members.me.name)
-        self._outage_at = self._member_outage_at = -_FELT_MS
+        self._outages = outage_word.OutageWord(clock, knowledge.doubt_store)
         self._sharing = sharing
         self._groups = groups_.Groups(members)
         self._gaps = gaps_.Gaps(clock, serving.quota.worth)
@@ -104,8 +102,6 @@
         self._role = _Role(False, False, 1)
         self._group_heard: dict[int, int] = {}
         self._untold: dict[str, int] = {}
-        self._felt: dict[str, int] = {}
-        self._doubted_at = -_FELT_MS
         serving.quota.routers = serving.budget.routers = members.counted
         self._followed = '', -_GROUP_SILENT_MS
         self._looked: tuple[ty.Optional[groups_.Look], int] = None, 0
@@ -170,7 +166,7 @@
             self._members.learn(changed)
         self._take_totals(beacon)
         if beacon.outage_felt:
-            self._hear_outage(member.name, beacon.HasField('own'))
+            self._outages.hear(member.name, beacon.HasField('own'))
         if beacon.untold:
             self._untold[member.name] = self._clock.now()
         else:
@@ -199,7 +195,7 @@
             group: at for group, at in self._group_heard.items() if at >= limit
         }
         self._untold = {p: at for p, at in self._untold.items() if at >= limit}
-        self._felt = {p: at for p, at in self._felt.items() if at >= limit}
+        self._outages.forget(limit)
         look, split = self._look(), self._groups.is_split()
         if split:
             self._sharing.reckon(self._gaps.tick(self._shares(look)))
@@ -218,8 +214,8 @@
 
     def is_outage_felt(self) -> bool:
         """Return whether what is missing may be missing due to an outage."""
-        heard = self._is_recent(self._outage_at)
-        return heard or self._knowledge.outage.is_felt()
+        is_heard = self._outages.is_heard()
+        return is_heard or self._knowledge.outage.is_felt()
 
     def _fill(self) -> pb.Beacon:
         """Return what every beacon says."""
@@ -277,7 +273,7 @@
         beacon.CopyFrom(base)
         beacon.group.CopyFrom(self._sharing.group())
         beacon.alive.extend(name for name in members if name in heard)
-        beacon.outage_felt |= self._is_recent(self._member_outage_at)
+        beacon.outage_felt |= self._outages.is_heard_of_member()
         yield from self._with_levels(beacon, look.other_heads())
         base.alive.extend(heard)
         base.outage_felt = self.is_outage_felt()
@@ -394,23 +390,6 @@
                 leads=role.leads,
             )
 
-    def _hear_outage(self, peer: str, from_member: bool) -> None:
-        """Take in that the store does not answer a peer."""
-        now = self._clock.now()
-        limit = now - _FELT_MS
-        is_first = self._felt.get(peer, limit) <= limit
-        self._felt[peer] = now
-        # Once for many that say so at the same time.
-        if is_first and self._doubted_at <= limit:
-            self._doubted_at = now
-            self._knowledge.doubt_store()
-        self._outage_at = now
-        if from_member:
-            self._member_outage_at = now
-
-    def _is_recent(self, moment: int) -> bool:
-        return self._clock.now() - moment < _FELT_MS
-
     def _some_peer(self) -> ty.Optional[pb.Member]:
         heard = self._members.heard()
         return self._choice.choice(heard).member if heard else None
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -584,9 +584,9 @@
     ),
     Mutation(
         'let one peer that is refused speak for all',
-        ROUTER + 'peering.py',
+        COORDINATION + 'outage_word.py',
         'is_first = self._felt.get(peer, limit) <= limit',
-        'is_first = self._outage_at <= limit',
+        'is_first = self._at <= limit',
         'store_reads',
     ),
     Mutation(
