Callers are named other routers drawn anew for each answer

Cause: an answer names at most 64 routers, those of the caller's failure domain and the first of the others by name, the same ones for everybody. Change: the others are drawn anew; both directories use one class.

Proof: 195 routers in 6 failure domains, and 330 in 3: none is named more than 1.5 times as often as the mean.

--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -8,6 +8,21 @@
     Given a fleet of 3 routers that know no seeds
     Then every directory names all 3, near ones first
 
+  # Seen: 33 of 195 routers served a third of all requests, up to 306 where others
+  # had 30. How: callers were named those of their failure domain and the first 30 of
+  # the others by name, the same ones in every answer. Proof: answers of many routers.
+  Scenario: No router is named to many more callers than another one
+    Given 195 routers in 6 failure domains, as 12 of them know them
+    When callers of each failure domain ask them 20 times each
+    Then each answer names 64, all of the caller's failure domain first
+    And no router is named more than 1.5 times as often as the mean
+
+  Scenario: A failure domain of more routers than an answer holds
+    Given 330 routers in 3 failure domains, as 12 of them know them
+    When callers of each failure domain ask them 20 times each
+    Then each answer names 64 of the caller's failure domain
+    And no router is named more than 1.5 times as often as the mean
+
   Scenario: A router that joins in an outage is found through its seeds
     Given a fleet of 2 routers
     When the store is out and a third router starts
--- a/features/steps/group_steps.py
+++ b/features/steps/group_steps.py
@@ -16,6 +16,7 @@
 from peridotmast.coordination import gaps as gaps_
 from peridotmast.coordination import groups
 from peridotmast.coordination import members as members_
+from peridotmast.coordination import nearest
 from peridotmast.coordination import tally
 from peridotmast.router import catch_up as catch_up_
 from peridotmast.router import peering as peering_
@@ -29,6 +30,7 @@
 from peridotmast.serving import usage as usage_
 
 ROUND_MS = 250
+STEP_MS = 50
 BURST = 1_000_000
 WINDOW_MS = 600_000
 
@@ -56,6 +58,7 @@
     def __init__(self, number, clock, limited=True):
         self.name = f'router-{number:03}'
         self.clock = Skewed(clock)
+        self.spawned = []
         me = pb.Member(
             name=self.name,
             incarnation=clock.wall() + number,
@@ -96,9 +99,12 @@
                 hear=lambda hint: None,
                 known_holder=lambda: None,
             ),
-            catch_up_.CatchUp(self.clock, knowledge, None, lambda *args: None),
+            catch_up_.CatchUp(self.clock, knowledge, None, self._spawn),
         )
 
+    def _spawn(self, name, *args):
+        self.spawned.append(name)
+
     def limit(self, rate, burst):
         team = pb.Team(name='noor', rate=rate or 1e-9, burst=burst)
         self.serving.quota.configure([team])
@@ -111,7 +117,7 @@
             table=self.table,
             fleet_clock=self.time,
             outage=types.SimpleNamespace(is_felt=lambda: False),
-            is_watching=lambda what: True,
+            is_watching=lambda what: False,
             overtaken=lambda what: None,
             doubt_store=lambda: None,
         )
@@ -173,6 +179,21 @@
             self.got[there.name] += 1
             there.peering.take(pb.Beacon.FromString(data))
 
+    def run_apart(self, ms):
+        """Pass time while each router has rounds at a moment of its own."""
+        for node in self.nodes.values():
+            node.phase = self.draws.randrange(0, ROUND_MS, STEP_MS)
+            if self.draws.random() < 0.5:
+                next(node.peering._rounds)
+        for passed in range(0, ms, STEP_MS):
+            for node in list(self.nodes.values()):
+                if passed % ROUND_MS == node.phase:
+                    node.peering.tick()
+                    for beacon, peers in list(node.peering.due()):
+                        self.hand_over(node, beacon, peers)
+            self.clock.advance(STEP_MS)
+            yield
+
     def heads(self):
         return [node for node in self.nodes.values() if node.look().leads]
 
@@ -201,12 +222,72 @@
     context.groups.run(ms)
 
 
+@given(
+    '{count:d} routers in {domains:d} failure domains, as {some:d} of them'
+    ' know them'
+)
+def in_domains(context, count, domains, some):
+    clock = clock_.ManualClock()
+    everyone = [
+        pb.Member(
+            name=f'router-{number % domains}-{number:03}',
+            failure_domain=f'fd-{number % domains}',
+            state=members_.ALIVE,
+            ready=True,
+        )
+        for number in range(count)
+    ]
+    context.domains = collections.Counter(m.failure_domain for m in everyone)
+    context.directories = []
+    for me in everyone[:some]:
+        members = members_.Members(copy_of(me), clock, 1250)
+        for member in everyone:
+            members.hear(copy_of(member))
+        context.directories.append(nearest.Nearest(members, 64))
+
+
+@when('callers of each failure domain ask them {times:d} times each')
+def callers_ask(context, times):
+    context.answers = [
+        (domain, directory.of(domain))
+        for domain in sorted(context.domains)
+        for directory in context.directories
+        for _ in range(times)
+    ]
+
+
+@then("each answer names {count:d}, all of the caller's failure domain first")
+def names_near_first(context, count):
+    for domain, found in context.answers:
+        assert len({member.name for member in found}) == count, len(found)
+        near = context.domains[domain]
+        assert all(m.failure_domain == domain for m in found[:near]), found
+
+
+@then("each answer names {count:d} of the caller's failure domain")
+def names_near_only(context, count):
+    for domain, found in context.answers:
+        assert len({member.name for member in found}) == count, len(found)
+        assert all(m.failure_domain == domain for m in found), found
+
+
+@then('no router is named more than {times:g} times as often as the mean')
+def named_evenly(context, times):
+    named = collections.Counter(
+        member.name for _, found in context.answers for member in found
+    )
+    mean = sum(named.values()) / sum(context.domains.values())
+    (name, most), *_ = named.most_common(1)
+    assert most <= times * mean, (name, most, mean)
+
+
 @then('each hears all the others')
 def each_hears(context):
     nodes = context.groups.nodes
     for node in nodes.values():
         heard = {peer.member.name for peer in node.members.heard()}
-        assert heard == nodes.keys() - {node.name}, nodes.keys() - heard
+        missing = nodes.keys() - heard - {node.name}
+        assert not missing, (node.name, missing)
 
 
 @then('a router that is no head sends at most {most:d} beacons a second')
@@ -294,6 +375,110 @@
         assert total == 3000 * len(context.groups.nodes), (node.name, total)
 
 
+@when('each looks at the others, and then says to all that it is there')
+def each_announces(context):
+    for node in context.groups.nodes.values():
+        node.peering.tick()
+    for node in context.groups.nodes.values():
+        tell_news(context.groups, node)
+
+
+def tell_news(fleet, node):
+    fleet.hand_over(node, node.peering.news.fill(), node.members.peers())
+
+
+@then('for {ms:d} ms each hears all the others, whose rounds are not at once')
+def hears_all_for(context, ms):
+    for _ in context.groups.run_apart(ms):
+        each_hears(context)
+
+
+@then('only the heads lead')
+def only_heads_lead(context):
+    groups_led = [node.look().mine for node in context.groups.heads()]
+    assert len(groups_led) == len(set(groups_led)), groups_led
+
+
+@when('one that is no head has news, and is killed')
+def news_and_killed(context):
+    tell_news(context.groups, context.groups.member())
+    member_killed(context)
+
+
+def entered(node, count):
+    """Enter so many new upstreams into a router's table, as its watch does."""
+    for _ in range(count):
+        revision = node.table.revision + 1
+        node.table.merge(
+            pb.UpstreamRecord(
+                upstream=pb.Upstream(
+                    name=f'new-{revision}',
+                    address=f'10.9.1.{revision}:80',
+                    service='pool',
+                    slots=8,
+                ),
+                state=upstreams_.LIVE,
+                revision=revision,
+            )
+        )
+
+
+@when('one that watches tells of {count:d} new upstream')
+@when('one that watches tells of {count:d} new upstreams')
+def watcher_tells(context, count):
+    fleet = context.groups
+    nodes = list(fleet.nodes.values())
+    context.teller = nodes[0]
+    for node in nodes:
+        node.spawned.clear()
+    entered(context.teller, count)
+    tell_news(fleet, context.teller)
+
+
+@when(
+    'one that watches tells of {count:d} new upstreams, and another misses it'
+)
+def watcher_tells_most(context, count):
+    fleet = context.groups
+    missing = list(fleet.nodes.values())[1]
+    del fleet.nodes[missing.name]
+    watcher_tells(context, count)
+    fleet.nodes[missing.name] = missing
+    context.missing = missing
+
+
+def news_known(node):
+    names = {view.name for view in node.table.all()}
+    return sum(name.startswith('new-') for name in names)
+
+
+@then('each of the others knows the {count:d}, and none has asked for them')
+def others_know(context, count):
+    for node in context.groups.nodes.values():
+        assert news_known(node) == count, (node.name, news_known(node))
+        assert 'ask_upstreams' not in node.spawned, node.name
+
+
+@then(
+    'the one that missed it knows {count:d} of the {all_:d}, and asks for those'
+    ' since then'
+)
+def missed_asks(context, count, all_):
+    node = context.missing
+    assert news_known(node) == count, news_known(node)
+    assert node.table.revision == 1, node.table.revision
+    assert 'ask_upstreams' in node.spawned
+    assert news_known(context.teller) == all_
+
+
+@then('each of the others knows {count:d} of them, and asks')
+def others_ask(context, count):
+    for node in context.groups.nodes.values():
+        if node is not context.teller:
+            assert news_known(node) == count, (node.name, news_known(node))
+            assert 'ask_upstreams' in node.spawned, node.name
+
+
 @when('a head is killed')
 def head_killed(context):
     fleet = context.groups
@@ -312,7 +497,7 @@
     context.ended = node.name
     node.members.change_me(state=members_.LEAVING, ready=False)
     context.groups.hand_over(
-        node, node.peering.fill_news(), node.members.peers()
+        node, node.peering.news.fill(), node.members.peers()
     )
 
 
@@ -323,6 +508,16 @@
         assert context.ended not in names, node.name
 
 
+@when('a head says that it leaves, and ends {ms:d} ms later')
+def head_leaves(context, ms):
+    fleet = context.groups
+    node = fleet.heads()[0]
+    node.members.change_me(state=members_.LEAVING, ready=False)
+    tell_news(fleet, node)
+    fleet.run(ms)
+    del fleet.nodes[node.name]
+
+
 @when('{count:d} more routers come')
 def more_come(context, count):
     context.groups.add(count)
--- a/src/peridotmast/platform/directory.py
+++ b/src/peridotmast/platform/directory.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from peridotmast.coordination import members as members_
+from peridotmast.coordination import nearest
 from peridotmast.platform import names
-from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast import web
 
 _ADDRESSES = 64
@@ -24,6 +24,7 @@
 
     def __init__(self, members: members_.Members, ttl_s: float) -> None:
         self._members = members
+        self._nearest = nearest.Nearest(members, _ADDRESSES)
         self._ttl_s = ttl_s
         self.resolve = web.WebApp('directory')
         """Tells where to connect."""
@@ -34,7 +35,7 @@
 
     def _on_resolve(self, req: web.Request) -> web.Response:
         domain = req.query.get(names.FAILURE_DOMAIN, '')
-        addresses = [member.address for member in self._nearest(domain)]
+        addresses = [member.address for member in self._nearest.of(domain)]
         if not addresses:
             return web.error_response(503, 'unavailable', 'no router serves')
         answer = {names.ADDRESSES: addresses, names.TTL_S: self._ttl_s}
@@ -46,8 +47,3 @@
         if not ready:
             return web.error_response(503, 'unavailable', 'not ready')
         return web.Response(200, b'ready', 'text/plain')
-
-    def _nearest(self, domain: str) -> list[pb.Member]:
-        serving = self._members.serving()
-        serving.sort(key=lambda m: (m.failure_domain != domain, m.name))
-        return serving[:_ADDRESSES]
--- a/src/peridotmast/router/chat_api.py
+++ b/src/peridotmast/router/chat_api.py
@@ -13,6 +13,7 @@
 from peridotmast import clock as clock_
 from peridotmast.coordination import config_feed as config_feed_
 from peridotmast.coordination import members as members_
+from peridotmast.coordination import nearest
 from peridotmast import failures
 from peridotmast import logs
 from peridotmast.router import chat_answers
@@ -68,7 +69,7 @@
         self._clock = clock
         self._feed = feed
         self._gateway = gateway
-        self._members = members
+        self._nearest = nearest.Nearest(members, _RESOLVED)
         self._keep_ms = keep_ms
         self._log = logs.get('chat')
 
@@ -115,11 +116,10 @@
 
     def _resolve(self, req: web.Request) -> web.Response:
         domain = req.query.get('failure_domain', '')
-        serving = [m for m in self._members.serving() if m.chat_address]
-        serving.sort(key=lambda m: (m.failure_domain != domain, m.name))
+        found = self._nearest.of(domain, lambda m: bool(m.chat_address))
         return web.json_response(
             {
-                'addresses': [m.chat_address for m in serving[:_RESOLVED]],
+                'addresses': [member.chat_address for member in found],
                 'keep_ms': self._keep_ms,
             }
         )
