Routers that start at once do not all watch the store

Change: who is known and about to speak counts among those of whom the first six watch; before the store has told of the others a router waits 1.5 s at most.

Proof: 40 that start at once: 6 watch, and 6 of the rest when half of them say nothing.

--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -75,6 +75,15 @@
     When the store is back
     Then it is ready within 4000 ms
 
+  # Seen: after 195 routers had started at once each had begun three watches of the
+  # store, since it had heard of nobody yet: 184 of them asked anew for all three when
+  # the store failed 5 s later, and each news was told to all by the store.
+  Scenario: Of those that start at once few watch the store
+    Given 40 members that start at once and know each other
+    Then 6 of them watch each kind
+    When 1600 ms pass in which 20 of them say nothing
+    Then 6 of them watch each kind
+
   Scenario: In large fleets few routers watch the store
     Given 40 members that hear each other
     Then 6 of them watch each kind
--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -528,6 +528,26 @@
         context.members.append(members)
 
 
+@given('{count:d} members that start at once and know each other')
+def members_that_start(context, count):
+    many_members(context, count)
+    context.members = []
+    for me in context.everyone:
+        members = members_.Members(me, context.clock, 1000)
+        for other in context.everyone:
+            members.learn(other)
+        context.members.append(members)
+
+
+@when('{ms:d} ms pass in which {count:d} of them say nothing')
+def some_say_nothing(context, ms, count):
+    context.clock.advance(ms)
+    context.members = context.members[count:]
+    for members in context.members:
+        for other in context.everyone[count:]:
+            members.hear(other)
+
+
 def watching(context, kind):
     return [
         members
--- a/src/peridotmast/coordination/watchers.py
+++ b/src/peridotmast/coordination/watchers.py
@@ -42,17 +42,20 @@
 
     def all_watch(self) -> bool:
         """Return whether the fleet is so small that every router watches."""
-        return len(self._members.heard()) < _EVERYBODY
+        return len(self._there()) < _EVERYBODY
 
     def is_due(self, kind: str) -> bool:
         """Return whether this router is to watch `kind`."""
-        if self.all_watch():
+        there = self._there()
+        if len(there) < _EVERYBODY:
             return True
         what = f'watch|{kind}'
         mine = rank.of(what, self._members.me.name)
-        before = sum(
-            rank.of(what, peer.member.name) < mine
-            for peer in self._members.heard()
-        )
+        before = sum(rank.of(what, name) < mine for name in there)
         times = _IN_DOUBT if self.is_outage_felt() else 1
         return before < times * _WATCHERS
+
+    def _there(self) -> set[str]:
+        """Return the names of the routers that watch, or may in a moment."""
+        heard = {peer.member.name for peer in self._members.heard()}
+        return heard | self._members.coming()
--- a/src/peridotmast/router/knowledge.py
+++ b/src/peridotmast/router/knowledge.py
@@ -46,6 +46,10 @@
 
 _REGISTER_MS = 1000
 
+_ALONE_MS = 1500
+"""Time after which a router that could not enter the store goes by whom it
+hears, and watches for itself where that is nobody."""
+
 _CHECK_MS = 500
 """Time between two looks at a store that has failed: it is asked where nothing
 has asked it since the last look, so half a second to a second after the call
@@ -117,6 +121,7 @@
         self._registry = registry_.Registry(self.store, self.members)
         self._watches: list[kind_watch.KindWatch] = []
         self._is_entered = False
+        self._began = clock.now()
         self._spawn: ty.Callable[..., None] = lambda name, func: None
 
     @property
@@ -158,7 +163,7 @@
                 self._clock,
                 is_outage_felt,
                 tell,
-                functools.partial(self.watchers.is_due, kind),
+                functools.partial(self._is_due, kind),
             )
             self._watches.append(watch)
             tasks.spawn(f'watch_{kind}', watch.run)
@@ -208,6 +213,17 @@
         self._upstreams.tick()
         self.table.forget_gone()
 
+    def _is_due(self, kind: str) -> bool:
+        """Return whether this router is to watch a kind.
+
+        Not before it knows of the others: in a fleet that starts as a whole
+        each would take itself for one of few.
+        """
+        waits = self._clock.now() - self._began < _ALONE_MS
+        if waits and not self._is_entered:
+            return False
+        return self.watchers.is_due(kind)
+
     def _watch_anew(self) -> None:
         """Ask for what may have waited through an outage of the store."""
         for watch in self._watches:
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -37,6 +37,48 @@
 
 
 MUTATIONS = (
+    Mutation(
+        'watch the store until others have spoken',
+        COORDINATION + 'watchers.py',
+        'return heard | self._members.coming()',
+        'return heard',
+        'fleet',
+    ),
+    Mutation(
+        'take what an entry says for found again',
+        COORDINATION + 'registry.py',
+        'if own is not None and _is_at_its_place(own, me):',
+        'if own is not None:',
+        'fleet',
+    ),
+    Mutation(
+        'read the others only before the own entry is there',
+        COORDINATION + 'registry.py',
+        'return self._learn() is not None',
+        'return True',
+        'fleet',
+    ),
+    Mutation(
+        'send a whole round at once',
+        COORDINATION + 'beacons.py',
+        'green.sleep_ms(_PAUSE_MS)',
+        'pass',
+        'groups',
+    ),
+    Mutation(
+        'believe a new head that others are not there',
+        ROUTER + 'peering.py',
+        'base.others_alive = led_ms < _LED_MS',
+        'base.others_alive = False',
+        'groups',
+    ),
+    Mutation(
+        'ignore a new head until the old one is silent',
+        ROUTER + 'peering.py',
+        'known = head == followed or head in first',
+        'known = head == followed',
+        'groups',
+    ),
     Mutation(
         'leave renewals to the beacons',
         DUTIES + 'holder.py',
