--- a/features/steps/group_steps.py
+++ b/features/steps/group_steps.py
@@ -176,7 +176,7 @@
             for node in list(self.nodes.values()):
                 node.peering.tick()
                 node.serving.demand.tick()
-                for beacon, peers in list(node.peering.due()):
+                for beacon, peers in list(node.peering.rounds.due()):
                     self.hand_over(node, beacon, peers)
             self.clock.advance(ROUND_MS)
 
@@ -200,14 +200,14 @@
         for node in self.nodes.values():
             node.next_at = self.draws.randrange(0, ROUND_MS, STEP_MS)
             if self.draws.random() < 0.5:
-                next(node.peering._rounds)
+                node.peering.rounds.skip()
         for passed in range(0, ms, STEP_MS):
             for node in list(self.nodes.values()):
                 if passed >= node.next_at:
                     late = self.draws.randrange(0, LATE_MS, STEP_MS)
                     node.next_at = passed + ROUND_MS + late
                     node.peering.tick()
-                    for beacon, peers in list(node.peering.due()):
+                    for beacon, peers in list(node.peering.rounds.due()):
                         self.hand_over(node, beacon, peers)
             self.clock.advance(STEP_MS)
             yield
--- a/src/peridotmast/router/peering.py
+++ b/src/peridotmast/router/peering.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
-import random
 import typing as ty
 
 from peridotmast import clock as clock_
@@ -11,24 +9,19 @@
 from peridotmast.coordination import gaps as gaps_
 from peridotmast.coordination import groups as groups_
 from peridotmast.coordination import lease as lease_
-from peridotmast.coordination import members as members_
 from peridotmast.coordination import outage_word
 from peridotmast import logs
 from peridotmast.router import borrowing as borrowing_
 from peridotmast.router import catch_up as catch_up_
 from peridotmast.router import knowledge as knowledge_
 from peridotmast.router import news as news_
+from peridotmast.router import rounds as rounds_
 from peridotmast.router import serving as serving_
 from peridotmast.router import sharing as sharing_
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import quota as quota_
 from peridotmast.serving import upstream_view
 
-_GROUP_ROUNDS = 2
-"""Rounds of which a large fleet uses one: each thing is told on three times
-there, so that totals are as late as a second and a half; at every round they
-would be half as late and cost twice as many bytes."""
-
 _GROUP_SILENT_MS = 2000
 """Silence after which a group's work counts no more, and another head may be
 followed: four of its beacons."""
@@ -36,19 +29,6 @@
 _LOOK_MS = 500
 """Time for which the groups are not looked at anew: a round."""
 
-_LED_MS = 1500
-"""How long a head does not say of anybody that it is not there: three rounds,
-in which it hears its members and the other heads."""
-
-_CHANGED_MS = 3000
-_CHANGED_MOST = 64
-"""How long changed entries are told of, and how many at most: as often as
-a beacon may be lost on its way over two heads."""
-
-_ASKED_LEVELS_MS = 1200
-"""How long a peer's word holds that it was not told yet what is left of the
-teams' limits: two rounds of a large fleet."""
-
 _FLEET = 'fleet'
 """The way by which a member hears of all others."""
 
@@ -101,7 +81,6 @@
         self._catch_up = catch_up
         self.news = news_.News(knowledge, catch_up)
         """What this router tells all others at once."""
-        self._choice = random.Random(members.me.name)
         self._outages = outage_word.OutageWord(clock, knowledge.doubt_store)
         self._sharing = sharing
         self._groups = groups_.Groups(members)
@@ -109,35 +88,26 @@
             members, serving.quota, self._look_if_split
         )
         """What heads lend of the teams' limits."""
+        self.rounds = rounds_.Rounds(
+            clock,
+            knowledge,
+            serving.quota,
+            sharing,
+            lease,
+            self._outages,
+            self._groups,
+            self._look,
+        )
+        """What this router tells in its rounds."""
         self._gaps = gaps_.Gaps(clock, serving.quota.worth)
-        self._rounds = itertools.count()
         self._role = _Role(False, False, 1)
-        self._leads_since = 0
         self._group_heard: dict[int, int] = {}
-        self._untold: dict[str, int] = {}
         serving.quota.routers = serving.budget.routers = members.counted
         serving.quota.knows_late = self.knows_late
         self._followed = '', -_GROUP_SILENT_MS
         self._looked: tuple[ty.Optional[groups_.Look], int] = None, 0
         self._log = logs.get('peering', router=members.me.name)
 
-    def due(self) -> beacons_.Round:
-        """Return the beacons of a round, and the peers that each goes to.
-
-        In a small fleet all tell all. In a large one members tell their head
-        and the one after it, heads tell each other of their groups, and each
-        of their members of all others: the messages of a router stay the
-        same in number and size, however large the fleet is.
-        """
-        if not self._groups.is_split():
-            return self._own_round(self._members.peers())
-        if next(self._rounds) % _GROUP_ROUNDS:
-            return []
-        look = self._look()
-        if look.leads:
-            return self._head_round(look)
-        return self._own_round(look.heads())
-
     def load_round(self, view: upstream_view.UpstreamView) -> beacons_.Round:
         """Return news of this router's work at an upstream, and for whom.
 
@@ -179,10 +149,7 @@
         self._take_totals(beacon)
         if beacon.outage_felt:
             self._outages.hear(member.name, beacon.HasField('own'))
-        if beacon.untold:
-            self._untold[member.name] = self._clock.now()
-        else:
-            self._untold.pop(member.name, None)
+        self.rounds.note_untold(member.name, beacon.untold)
         if beacon.levels:
             self._serving.quota.hear_levels(
                 {level.team: level.tokens for level in beacon.levels}
@@ -203,7 +170,6 @@
         self._group_heard = {
             group: at for group, at in self._group_heard.items() if at >= limit
         }
-        self._untold = {p: at for p, at in self._untold.items() if at >= limit}
         self._outages.forget(limit)
         look, split = self._look(), self._groups.is_split()
         if split:
@@ -226,75 +192,6 @@
         is_heard = self._outages.is_heard()
         return is_heard or self._knowledge.outage.is_felt()
 
-    def _fill(self) -> pb.Beacon:
-        """Return what every beacon says."""
-        return pb.Beacon(
-            member=self._members.me,
-            config_version=self._config.routes.version,
-            document_version=self._config.own.version,
-            upstreams_revision=self._table.revision,
-            wall_ms=self._clock.wall(),
-            lease=self._lease.hint(),
-            other=self._some_peer(),
-            outage_felt=self._knowledge.outage.is_felt(),
-            untold=self._serving.quota.is_untold(),
-        )
-
-    def _own_round(self, peers: list[members_.Peer]) -> beacons_.Round:
-        """Yield what this router counts itself, for some peers."""
-        beacon = self._fill()
-        beacon.own.CopyFrom(self._sharing.own())
-        yield from self._with_levels(beacon, peers)
-
-    def _with_levels(
-        self, beacon: pb.Beacon, peers: list[members_.Peer]
-    ) -> beacons_.Round:
-        """Yield a beacon; for those not told yet, with what is left."""
-        limit = self._clock.now() - _ASKED_LEVELS_MS
-        untold = [
-            peer
-            for peer in peers
-            if self._untold.get(peer.member.name, limit) > limit
-        ]
-        if not untold:
-            yield beacon, peers
-            return
-        yield beacon, [peer for peer in peers if peer not in untold]
-        fuller = pb.Beacon()
-        fuller.CopyFrom(beacon)
-        fuller.levels.extend(
-            pb.TeamLevel(team=team, tokens=tokens)
-            for team, tokens in self._serving.quota.levels().items()
-        )
-        yield fuller, untold
-
-    def _head_round(self, look: groups_.Look) -> beacons_.Round:
-        """Yield what a head tells other heads, and each of its members."""
-        heard = {peer.member.name for peer in self._members.heard()}
-        members = [peer.member.name for peer in look.members()]
-        base = self._fill()
-        base.wall_ms = self._knowledge.fleet_clock.now()
-        base.changed.extend(self._members.changed(_CHANGED_MS, _CHANGED_MOST))
-        led_ms = self._clock.now() - self._leads_since
-        base.others_alive = led_ms < _LED_MS
-        lease = self._lease.known_holder()
-        if lease is not None:
-            base.lease.CopyFrom(lease)
-        beacon = pb.Beacon()
-        beacon.CopyFrom(base)
-        beacon.group.CopyFrom(self._sharing.group())
-        beacon.alive.extend(name for name in members if name in heard)
-        beacon.outage_felt |= self._outages.is_heard_of_member()
-        yield from self._with_levels(beacon, look.other_heads())
-        base.alive.extend(heard)
-        base.outage_felt = self.is_outage_felt()
-        peers = {peer.member.name: peer for peer in look.members()}
-        for name, totals in self._sharing.others(list(peers)):
-            beacon = pb.Beacon()
-            beacon.CopyFrom(base)
-            beacon.others.CopyFrom(totals)
-            yield from self._with_levels(beacon, [peers[name]])
-
     def _take_load(self, news: pb.LoadNews) -> None:
         peer = self._members.get(news.router)
         if peer is None or not peer.heard_at:
@@ -395,7 +292,7 @@
         role = _Role(split, split and look.leads, look.count if split else 1)
         known, self._role = self._role, role
         if role.leads and not known.leads:
-            self._leads_since = self._clock.now()
+            self.rounds.note_lead()
         if role.leads or not split:
             self._knowledge.fleet_clock.lead()
         if role.groups != known.groups:
@@ -413,10 +310,6 @@
                 leads=role.leads,
             )
 
-    def _some_peer(self) -> ty.Optional[pb.Member]:
-        heard = self._members.heard()
-        return self._choice.choice(heard).member if heard else None
-
 
 def _source(group: int) -> str:
     """Return the way by which a head hears of another group."""
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -139,7 +139,7 @@
         self.beacons = beacons_.Beacons(
             f'{host}:{port}',
             self.members,
-            self._peering.due,
+            self._peering.rounds.due,
             self._peering.news.fill,
             self._peering.take,
             _secret(tls),
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -67,7 +67,7 @@
     ),
     Mutation(
         'believe a new head that others are not there',
-        ROUTER + 'peering.py',
+        ROUTER + 'rounds.py',
         'base.others_alive = led_ms < _LED_MS',
         'base.others_alive = False',
         'groups',
@@ -329,8 +329,8 @@
     Mutation(
         'go on with a stream that may not be resumed',
         SERVING + 'stream_relay.py',
-        'if over or not exchange.route.resumable or not stream.may_go_on():',
-        'if over:',
+        'return route.resumable and len(self.tried) < route.attempts',
+        'return len(self.tried) < route.attempts',
         'streams',
     ),
     Mutation(
@@ -470,8 +470,8 @@
     Mutation(
         'forget at a restart who was before',
         COORDINATION + 'lease.py',
-        'same = mine or self._follows(current)',
-        'same = mine',
+        'not (mine or self._follows(current))',
+        'not mine',
         'lease',
     ),
     Mutation(
@@ -654,8 +654,8 @@
     Mutation(
         'begin with a full bucket whatever was spent',
         SERVING + 'quota.py',
-        'if bucket.is_sure:',
-        'if True:',
+        'if bucket.is_sure:\n            return self._pause_ms',
+        'if True:\n            return self._pause_ms',
         'groups',
     ),
     Mutation(
@@ -667,7 +667,7 @@
     ),
     Mutation(
         'tell nobody what is left',
-        ROUTER + 'peering.py',
+        ROUTER + 'rounds.py',
         'if not untold:',
         'if True:',
         'groups',
@@ -682,7 +682,7 @@
     Mutation(
         'keep to no part where little is left',
         SERVING + 'quota.py',
-        'if not (self.knows_late and little and _is_small(bucket, tokens)):',
+        'if not (self.knows_late() and little and _is_small(bucket, tokens)):',
         'if True:',
         'groups',
     ),
@@ -787,8 +787,8 @@
     ),
     Mutation(
         'let watches wait on when a peer is not answered',
-        ROUTER + 'peering.py',
-        'self._knowledge.doubt_store()',
+        COORDINATION + 'outage_word.py',
+        'self._doubt()',
         'pass',
         'store_reads',
     ),
