The next holder of the duties knows what was found and ordered

What was ordered was known to the one who did only; what is needed was written with each usage report, up to 5 s late. Change: both are written with the lease, which is renewed anyway, and at once after an order: within 0.2 s of it the next holder would know. A run that loses the duties while nobody else takes them goes on from what it knows. Ruled out: writing before each order (none could be given while the store is out, which is when they are needed).

Left: an order of the last 0.2 s before its holder is killed is not known.

Proof: a killed holder's order and need reach the next one; what is awaited is not taken back; what is older than a minute says nothing; four mutations.

--- a/features/duties.feature
+++ b/features/duties.feature
@@ -36,16 +36,6 @@
     When the next holder begins
     Then it sends window 7 as it was written and goes on with window 8
 
-  Scenario: The next holder hears what the one before has found to be needed
-    Given a holder that has found 46 to be needed and reported window 7
-    When the next holder begins 2 windows later
-    Then it takes over that 46 are needed
-
-  Scenario: What was found long ago says nothing
-    Given a holder that has found 46 to be needed and reported window 7
-    When the next holder begins 13 windows later
-    Then it takes over nothing
-
   Scenario: A report whose writing was not answered
     Given a usage reporter whose next write is not answered
     When two windows are over
@@ -137,6 +127,21 @@
     When beacons come every 1400 ms, and the holder ends after a renewal
     Then the next one has the duties 4800 ms later
 
+  # Seen: a holder that took the duties ordered 1 engine where the one before had
+  # ordered 14, 8 s earlier, which the platform's store had not told of yet: they were
+  # taken back. Cause: what was ordered was known to the one who did only.
+  Scenario: The next holder knows what the one before has found and ordered
+    Given five routers that started one after the other
+    When all start, and their first one finds 46 to be needed
+    And 1000 ms later it orders, and is killed 200 ms after that
+    Then the next one knows the 46, and of the order
+
+  Scenario: A holder that loses the duties to nobody goes on from what it knows
+    Given five routers that started one after the other
+    When all start, and their first one finds 46 to be needed
+    And the store is out for 5000 ms
+    Then the first one has them again, and goes on from what it knows
+
   Scenario: A fleet's first start costs one router's calls
     Given five routers that started one after the other
     When all start and 3000 ms pass
--- a/features/planner.feature
+++ b/features/planner.feature
@@ -103,6 +103,19 @@
     And the one before has found 12 to be needed
     Then at its first look 8 more were ordered
 
+  Scenario: What the one before has ordered is awaited, and not taken back
+    Given a holder that takes over 2 reclaimable ones in each domain
+    And the one before has found 9 to be needed
+    And it has ordered 3 more in "fd-2", which come in 6000 ms
+    When it acts for 5000 ms, and hears of little demand yet
+    Then no order was for fewer than 5 in "fd-2"
+
+  Scenario: What another holder has left long ago says nothing
+    Given a holder that takes over 3 reclaimable ones in each domain
+    And the one before has found 15 to be needed
+    And all that was 61000 ms ago
+    Then at its first look 4 more were ordered
+
   Scenario: The need falls slowly and rises at once
     Given a scaler with 6 upstreams
     When the demand falls from 5 upstreams' to 1's
--- a/features/steps/duty_steps.py
+++ b/features/steps/duty_steps.py
@@ -108,11 +108,32 @@
     assert turns(context) == ['r1', 'r2', 'r3', 'r4', 'r0']
 
 
+class Remembering:
+    """A duty that leaves something, and remembers what was left to it."""
+
+    def __init__(self):
+        self.changes = 0
+        self.needed = 0
+        self.left = []
+
+    def begin(self, left):
+        self.left.append(left)
+
+    def act(self, fencing):
+        pass
+
+    def leave(self, left):
+        left.needs['pool'] = self.needed
+        for _ in range(self.changes):
+            left.orders.add(service='pool', coming=5)
+
+
 class Contender:
     """A run of a router that only contends for the duties."""
 
     def __init__(self, context, name, run):
         self.name = name
+        self.duty = Remembering()
         self.store = MemoryStore()
         self.store.objects = context.objects
         self.store.out = 'store_out' in context
@@ -125,7 +146,12 @@
         self._peers = [member_of(context, other) for other in context.starts]
         self._runs = context.runs if 'runs' in context else []
         self._holder = holder_.DutyHolder(
-            self.lease, self._members, (), clock, self._tell
+            self.lease,
+            self._members,
+            (self.duty,),
+            clock,
+            self._tell,
+            clock.wall,
         )
 
     def _tell(self, heirs):
@@ -138,6 +164,7 @@
         for peer in self._peers:
             self._members.hear(peer)
         self._holder.keep_lease()
+        self._holder.act()
 
 
 def start_all(context, run):
@@ -212,6 +239,48 @@
     assert held == ['r1'], held
 
 
+@when('all start, and their first one finds {count:d} to be needed')
+def first_finds(context, count):
+    all_start(context, 3000)
+    first = context.runs[0]
+    assert first.lease.held() and first.duty.left == [pb.DutiesLeft()]
+    first.duty.needed = count
+
+
+@when('{ms:d} ms later it orders, and is killed {later:d} ms after that')
+def orders_and_ends(context, ms, later):
+    go_on(context, ms)
+    context.runs[0].duty.changes += 1
+    go_on(context, later)
+    context.runs.pop(0)
+
+
+@then('the next one knows the {count:d}, and of the order')
+def next_knows(context, count):
+    go_on(context, 5000)
+    (holder,) = [one for one in context.runs if one.lease.held()]
+    (left,) = holder.duty.left
+    assert left.needs['pool'] == count, left
+    assert [order.coming for order in left.orders] == [5], left
+
+
+@when('the store is out for {ms:d} ms')
+def store_out_for(context, ms):
+    for one in context.runs:
+        one.store.out = True
+    go_on(context, ms)
+    for one in context.runs:
+        one.store.out = False
+    go_on(context, 1000)
+
+
+@then('the first one has them again, and goes on from what it knows')
+def has_again(context):
+    first = context.runs[0]
+    assert first.lease.held() and first.lease.fencing == 2, first.lease.fencing
+    assert first.duty.left[-1] is None, first.duty.left
+
+
 @then('the {which} one has the duties with the number {number:d}')
 def one_has(context, which, number):
     lease = context.runs[{'first': 0, 'last': -1}[which]].lease
@@ -369,28 +438,12 @@
         WINDOW_MS,
         context.clock.wall,
         invariants.Invariants(registry, fatal=True),
-        context.estate,
     )
 
 
-@dataclasses.dataclass
-class Estate:
-    """Remembers what is taken over."""
-
-    left: dict = dataclasses.field(default_factory=dict)
-    taken: dict = dataclasses.field(default_factory=dict)
-
-    def leave(self):
-        return self.left
-
-    def take_over(self, left):
-        self.taken = left
-
-
 def set_up(context, window):
     context.store = MemoryStore()
     context.reports = Reports()
-    context.estate = Estate()
     context.clock = clock_.ManualClock(window * WINDOW_MS)
     context.usage = usage_.Usage(context.clock.wall, WINDOW_MS)
 
@@ -403,40 +456,10 @@
     context.usage.began('noor')
 
 
-@given(
-    'a holder that has found 46 to be needed and reported window {window:d}'
-)
-def found_and_reported(context, window):
-    set_up(context, window)
-    context.estate.left = {'pool': 46}
-    found = reporter(context)
-    found.begin()
-    context.clock.advance(WINDOW_MS + WINDOW_MS // 2)
-    found.act(1)
-    assert context.reports.sent[0][0] == window, context.reports.sent
-    context.estate.left = {}
-
-
-@when('the next holder begins {windows:d} windows later')
-def next_holder_later(context, windows):
-    context.clock.advance(windows * WINDOW_MS)
-    next_holder(context)
-
-
-@then('it takes over that {count:d} are needed')
-def takes_over(context, count):
-    assert context.estate.taken == {'pool': count}, context.estate.taken
-
-
-@then('it takes over nothing')
-def takes_nothing(context):
-    assert not context.estate.taken, context.estate.taken
-
-
 @when('the next holder begins')
 def next_holder(context):
     context.reporter = reporter(context)
-    context.reporter.begin()
+    context.reporter.begin(None)
     for _ in range(4):
         context.reporter.act(2)
         context.clock.advance(WINDOW_MS // 2)
@@ -457,7 +480,7 @@
     set_up(context, 10)
     context.usage.began('noor')
     context.reporter = reporter(context)
-    context.reporter.begin()
+    context.reporter.begin(None)
     context.store.lose_next = 1
 
 
--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -603,12 +603,40 @@
         for number in range(reclaimable):
             enter(context, f'{domain}-{number}', domain, True)
     context.took_over = reclaimable * len(START_DOMAINS)
-    context.scaler.begin()
+    context.left = pb.DutiesLeft(at_ms=context.clock.wall())
+    context.scaler.begin(context.left)
 
 
 @given('the one before has found {count:d} to be needed')
 def found_needed(context, count):
-    context.scaler.needs.take_over({'pool': count})
+    context.left.needs['pool'] = count
+    context.scaler.begin(context.left)
+
+
+@given('it has ordered {count:d} more in "{domain}", which come in {ms:d} ms')
+def has_ordered(context, count, domain, ms):
+    live = live_by_domain(context)[domain]
+    context.left.orders.add(
+        service='pool',
+        failure_domain=domain,
+        reclaimable=True,
+        live=live,
+        coming=count,
+        within_ms=ms,
+    )
+    context.scaler.begin(context.left)
+
+
+@given('all that was {ms:d} ms ago')
+def was_ago(context, ms):
+    context.clock.advance(ms)
+    context.scaler.begin(context.left)
+
+
+@then('no order was for fewer than {count:d} in "{domain}"')
+def no_fewer(context, count, domain):
+    ordered = [n for d, n, _ in context.orders.taken if d == domain]
+    assert all(n >= count for n in ordered), context.orders.taken
 
 
 @when('it acts for {ms:d} ms, and hears of little demand yet')
--- a/src/peridotmast/coordination/lease.py
+++ b/src/peridotmast/coordination/lease.py
@@ -90,6 +90,11 @@
         self._log = logs.get('lease', lease=name, router=router)
         self.fencing = 0
         """Number that goes with each order; grows with every new holder."""
+        self.leave: ty.Callable[[], objects.Json] = dict
+        """Returns what the next holder is to know; written with the lease."""
+        self.left: ty.Optional[objects.Json] = None
+        """What the holder before had left when this one took the lease; None
+        where that was this run."""
 
     def bind(self, place: str) -> None:
         """Say where this run stands, once nobody else can.
@@ -185,6 +190,8 @@
         spec = self._next_spec()
         if spec is None:
             return Outcome.TAKEN
+        current = (self._seen.spec if self._seen else None) or {}
+        mine = current.get('holder') == self._holder and bool(self.fencing)
         revision = self._seen.revision if self._seen else 0
         result = self._store.write(KIND, self._name, spec, revision)
         if isinstance(result, failures.Failure):
@@ -192,7 +199,7 @@
             self._sure = False
             lost = result.kind is failures.FailureKind.CONFLICT
             return Outcome.TAKEN if lost else self._unreached()
-        self._take(result, spec, began)
+        self._take(result, spec, began, mine)
         return Outcome.HELD
 
     def succeed(self) -> Outcome:
@@ -215,7 +222,12 @@
             for router, ms in _before(current).items()
             if ms + held_ms < self.length_ms
         }
-        spec = {**current, 'before': before, 'released': True}
+        spec = {
+            **current,
+            'before': before,
+            'left': self.leave(),
+            'released': True,
+        }
         self._store.write(KIND, self._name, spec, self._seen.revision)
         self._sure = False
         self._log.info('lease_released', fencing=self.fencing)
@@ -246,6 +258,7 @@
             'place': self._place,
             'fencing': fencing if again and fencing else fencing + 1,
             'length-ms': self.length_ms,
+            'left': self._next_left(current, again),
             'nonce': f'{self._holder}:{next(self._numbers)}',
         }
 
@@ -267,6 +280,14 @@
         known = self._seen is not None and self._seen.revision == hinted
         return bool(hinted) and known and now >= self._hint_ends
 
+    def _next_left(
+        self, current: objects.Json, again: bool
+    ) -> ty.Optional[objects.Json]:
+        """Return what is left: at first, what was left to this run."""
+        if again and self.fencing:
+            return self.leave()
+        return current.get('left') or {}
+
     def _next_before(self, current: objects.Json) -> dict[str, int]:
         """Return who had it before this run or the one that it follows."""
         before = _before(current)
@@ -296,7 +317,11 @@
         return bound_ms >= self._guard_ms and self._follows(current)
 
     def _take(
-        self, result: objects.Stored, spec: objects.Json, began: int
+        self,
+        result: objects.Stored,
+        spec: objects.Json,
+        began: int,
+        mine: bool,
     ) -> None:
         self._seen = objects.Stored(self._name, result.revision, spec)
         self._seen_at = self._clock.boot()
@@ -306,6 +331,7 @@
         if fencing != self.fencing:
             self.fencing = fencing
             self._taken_at = began
+            self.left = None if mine else spec['left']
             self._log.info('lease_taken', fencing=fencing)
 
     def _unreached(self) -> Outcome:
--- a/src/peridotmast/duties/duty.py
+++ b/src/peridotmast/duties/duty.py
@@ -4,12 +4,28 @@
 
 import typing as ty
 
+from peridotmast.schema import peridotmast_pb2 as pb
+
 
 class Duty(ty.Protocol):
     """Work of the lease's holder, done a little at each tick."""
 
-    def begin(self) -> None:
-        """Take the duty on: learn from the store how far it has come."""
+    @property
+    def changes(self) -> int:
+        """Grows with each change that the next holder must know of."""
+
+    def begin(self, left: ty.Optional[pb.DutiesLeft]) -> None:
+        """Take the duty on.
+
+        Parameters
+        ----------
+        left : DutiesLeft, optional
+            What the holder before has left; None where that was this run,
+            and nobody has had the duties since.
+        """
 
     def act(self, fencing: int) -> None:
         """Do what is due, with `fencing` on each order."""
+
+    def leave(self, left: pb.DutiesLeft) -> None:
+        """Fill in what the next holder is to know."""
--- a/src/peridotmast/duties/holder.py
+++ b/src/peridotmast/duties/holder.py
@@ -4,9 +4,12 @@
 
 import typing as ty
 
+from google.protobuf import json_format
+
 from peridotmast import clock as clock_
 from peridotmast.coordination import lease as lease_
 from peridotmast.coordination import members as members_
+from peridotmast.coordination import objects
 from peridotmast.duties import duty as duty_
 from peridotmast import logs
 from peridotmast.schema import peridotmast_pb2 as pb
@@ -60,6 +63,8 @@
         Times the turns.
     tell : callable
         Tells some routers until when the lease is held.
+    fleet_now : callable
+        Returns ms since 1970 by the fleet's clock.
     """
 
     def __init__(
@@ -69,12 +74,16 @@
         duties: ty.Sequence[duty_.Duty],
         clock: clock_.Clock,
         tell: ty.Callable[[ty.Sequence[pb.Member]], None] = lambda heirs: None,
+        fleet_now: ty.Callable[[], int] = lambda: 0,
     ) -> None:
         self._lease = lease
         self._members = members
         self._duties = duties
         self._clock = clock
         self._tell = tell
+        self._fleet_now = fleet_now
+        self._changes = 0
+        lease.leave = self._leave
         self._length_ms = lease.length_ms
         self._vacant_since = 0
         self._not_before = 0
@@ -85,7 +94,8 @@
     def keep_lease(self) -> None:
         """Take or renew the lease where that is due."""
         if self._lease.held():
-            if self._lease.left_ms < _RENEW_SHARE * self._length_ms:
+            is_due = self._lease.left_ms < _RENEW_SHARE * self._length_ms
+            if is_due or self._count_changes() != self._changes:
                 self._renew()
         elif self._is_vacant():
             self._contend()
@@ -99,8 +109,10 @@
             return
         if not self._holding:
             self._holding = True
+            left = _read_left(self._lease.left)
             for duty in self._duties:
-                duty.begin()
+                duty.begin(left)
+            self._changes = self._count_changes()
         for duty in self._duties:
             if self._lease.may_act():
                 duty.act(self._lease.fencing)
@@ -110,10 +122,26 @@
         self._holding = False
         self._lease.release()
 
+    def _leave(self) -> objects.Json:
+        """Return what the next holder is to know, as the lease holds it."""
+        left = pb.DutiesLeft(at_ms=self._fleet_now())
+        for duty in self._duties:
+            duty.leave(left)
+        return json_format.MessageToDict(left)
+
+    def _count_changes(self) -> int:
+        return sum(duty.changes for duty in self._duties)
+
     def _renew(self) -> None:
-        left_ms = self._lease.left_ms
+        """Renew the lease, and write with it what the next holder needs.
+
+        At once where an order was given: the next one must not order for
+        the same need again, nor take back what is on its way.
+        """
+        left_ms, changes = self._lease.left_ms, self._count_changes()
         self._lease.attempt()
         if self._lease.left_ms > left_ms:
+            self._changes = changes
             me = self._members.me.name
             heirs = [m for m in self._contenders() if m.name != me]
             self._tell(heirs[:_HEIRS])
@@ -166,5 +194,19 @@
         return sorted(self._members.serving(), key=_age)
 
 
+def _read_left(
+    left: ty.Optional[objects.Json],
+) -> ty.Optional[pb.DutiesLeft]:
+    """Return what the holder before has left; nothing where it is garbled."""
+    if left is None:
+        return None
+    try:
+        return json_format.ParseDict(
+            left, pb.DutiesLeft(), ignore_unknown_fields=True
+        )
+    except json_format.ParseError:
+        return pb.DutiesLeft()
+
+
 def _age(member: pb.Member) -> tuple[int, str]:
     return member.incarnation, member.name
--- a/src/peridotmast/duties/order_book.py
+++ b/src/peridotmast/duties/order_book.py
@@ -6,6 +6,7 @@
 import typing as ty
 
 from peridotmast import clock as clock_
+from peridotmast.schema import peridotmast_pb2 as pb
 
 Key = tuple[str, str, bool]
 """Service, failure domain, and whether its upstreams may be reclaimed."""
@@ -51,6 +52,29 @@
         self._clock = clock
         self._pending: dict[Key, _Pending] = {}
         self._closed: dict[Key, _Closed] = {}
+        self.changes = 0
+        """Orders that were given."""
+
+    def leave(self) -> ty.Iterator[pb.OrderLeft]:
+        """Yield what was ordered and has not come, for the next holder."""
+        now = self._clock.now()
+        for (service, domain, reclaimable), order in self._pending.items():
+            yield pb.OrderLeft(
+                service=service,
+                failure_domain=domain,
+                reclaimable=reclaimable,
+                live=order.live,
+                coming=order.coming,
+                within_ms=max(0, order.until - now),
+            )
+
+    def take_over(self, orders: ty.Iterable[pb.OrderLeft]) -> None:
+        """Take in what another holder has ordered."""
+        now = self._clock.now()
+        for order in orders:
+            key = order.service, order.failure_domain, order.reclaimable
+            until = now + order.within_ms
+            self._pending[key] = _Pending(order.live, order.coming, until)
 
     def clear(self) -> None:
         """Forget everything."""
@@ -83,6 +107,7 @@
     def given(self, key: Key, live: int, coming: int, boot_ms: int) -> None:
         """Note an order that was taken, for so many beside those there."""
         self._closed.pop(key, None)
+        self.changes += 1
         until = self._clock.now() + boot_ms + _BOOT_SLACK_MS
         self._pending[key] = _Pending(live, coming, until)
 
--- a/src/peridotmast/duties/scaler.py
+++ b/src/peridotmast/duties/scaler.py
@@ -17,6 +17,9 @@
 _GIVE_BACK_MS = 1000
 """Time between two upstreams that are given back."""
 
+_OLD_MS = 60_000
+"""Age from which on what another holder has left says nothing any more."""
+
 _FIRST = 1
 """Number of the first holder of the duties that a fleet has."""
 
@@ -68,10 +71,25 @@
         """How many upstreams the demand needs."""
         self._gave_back_at = 0
 
-    def begin(self) -> None:
-        """Forget what an earlier time as holder has left."""
+    @property
+    def changes(self) -> int:
+        """Orders that were given or refused."""
+        return self._book.changes
+
+    def begin(self, left: ty.Optional[pb.DutiesLeft]) -> None:
+        """Go on from what the holder before has left."""
+        if left is None:
+            return
         self._book.clear()
         self.needs.forget()
+        if abs(self._fleet_now() - left.at_ms) <= _OLD_MS:
+            self._book.take_over(left.orders)
+            self.needs.take_over(dict(left.needs))
+
+    def leave(self, left: pb.DutiesLeft) -> None:
+        """Fill in what is needed and what was ordered."""
+        left.needs.update(self.needs.leave())
+        left.orders.extend(self._book.leave())
 
     def act(self, fencing: int) -> None:
         """Order what is due."""
--- a/src/peridotmast/duties/usage_reporter.py
+++ b/src/peridotmast/duties/usage_reporter.py
@@ -8,6 +8,7 @@
 from peridotmast import failures
 from peridotmast import invariants as invariants_
 from peridotmast import logs
+from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import usage as usage_
 
 KIND = 'peridotmast-duties'
@@ -22,10 +23,6 @@
 after its due time."""
 
 
-_OLD_WINDOWS = 12
-"""Windows after which what another holder has left says nothing any more."""
-
-
 class Reports(ty.Protocol):
     """Where usage is reported to."""
 
@@ -35,23 +32,12 @@
         """Send one window's counts; the same ones again do no harm."""
 
 
-class Estate(ty.Protocol):
-    """What a holder of the duties leaves for the next one."""
-
-    def leave(self) -> dict[str, int]:
-        """Return it."""
-
-    def take_over(self, left: dict[str, int]) -> None:
-        """Take in what another holder has left."""
-
-
 class UsageReporter:
     """Reports windows in order, each with the counts that were written down.
 
     Two reports of one window must not differ, and a holder may die after
     it has sent one. So the counts are written to the store before they are
     sent; the next holder sends what it finds there, and goes on after it.
-    What else a holder leaves is written along: it costs no call of its own.
 
     Parameters
     ----------
@@ -67,8 +53,6 @@
         Returns ms since 1970 by the fleet's clock.
     checks : invariants.Invariants
         Where a second report of a window would be seen.
-    estate : Estate
-        What is left for the next holder.
     """
 
     def __init__(
@@ -79,7 +63,6 @@
         window_ms: int,
         fleet_now: ty.Callable[[], int],
         checks: invariants_.Invariants,
-        estate: Estate,
     ) -> None:
         self._usage = usage
         self._reports = reports
@@ -87,19 +70,26 @@
         self._window_ms = window_ms
         self._fleet_now = fleet_now
         self._checks = checks
-        self._estate = estate
         self._first_window = usage.window_now()
         self._written: ty.Optional[objects.Stored] = None
         self._sure = False
         self._unsent = False
         self._log = logs.get('usage')
 
-    def begin(self) -> None:
+    @property
+    def changes(self) -> int:
+        """None that the next holder can't read in the store."""
+        return 0
+
+    def begin(self, left: ty.Optional[pb.DutiesLeft]) -> None:
         """Forget what an earlier time as holder has left."""
         self._written = None
         self._sure = False
         self._unsent = False
 
+    def leave(self, left: pb.DutiesLeft) -> None:
+        """Leave nothing: what was reported is in the store."""
+
     def act(self, fencing: int) -> None:
         """Write down and send what is due."""
         if not self._sure and not self._read():
@@ -119,15 +109,8 @@
         self._sure = True
         # The one who wrote it may not have come to send it.
         self._unsent = stored.spec is not None
-        self._take_over(stored.spec or {})
         return True
 
-    def _take_over(self, spec: objects.Json) -> None:
-        """Take in what another holder has left, unless that is long ago."""
-        age = self._usage.window_now() - int(spec.get('window') or 0)
-        if spec and age <= _OLD_WINDOWS:
-            self._estate.take_over(spec.get('left') or {})
-
     def _next_window(self) -> int:
         newest = self._usage.window_now()
         spec = (self._written.spec if self._written else None) or {}
@@ -135,11 +118,7 @@
         return max(after, newest - _STALE_WINDOWS)
 
     def _write(self, window: int) -> bool:
-        spec = {
-            'window': window,
-            'counts': self._usage.total(window),
-            'left': self._estate.leave(),
-        }
+        spec = {'window': window, 'counts': self._usage.total(window)}
         revision = self._written.revision if self._written else 0
         result = self._store.write(KIND, NAME, spec, revision)
         if isinstance(result, failures.Failure):
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -176,7 +176,6 @@
             int(bounds.usage_window_s * 1000),
             fleet_now,
             self.checks,
-            scaler.needs,
         )
         self._holder = holder_.DutyHolder(
             self.lease,
@@ -184,6 +183,7 @@
             (reporter, scaler),
             self._clock,
             self._tell_heirs,
+            fleet_now,
         )
 
     @property
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -37,6 +37,34 @@
 
 
 MUTATIONS = (
+    Mutation(
+        'forget what the holder before has ordered',
+        DUTIES + 'scaler.py',
+        'self._book.take_over(left.orders)',
+        'pass',
+        'planner',
+    ),
+    Mutation(
+        'take over what was found long ago',
+        DUTIES + 'scaler.py',
+        'if abs(self._fleet_now() - left.at_ms) <= _OLD_MS:',
+        'if True:',
+        'planner',
+    ),
+    Mutation(
+        'leave an order to the next renewal',
+        DUTIES + 'holder.py',
+        'if is_due or self._count_changes() != self._changes:',
+        'if is_due:',
+        'duties',
+    ),
+    Mutation(
+        'begin anew with duties that were lost to nobody',
+        COORDINATION + 'lease.py',
+        "self.left = None if mine else spec['left']",
+        "self.left = spec['left']",
+        'duties',
+    ),
     Mutation(
         'watch the store until others have spoken',
         COORDINATION + 'watchers.py',
@@ -121,13 +149,6 @@
         'if False:',
         'planner',
     ),
-    Mutation(
-        'take over what was found long ago',
-        DUTIES + 'usage_reporter.py',
-        'if spec and age <= _OLD_WINDOWS:',
-        'if spec:',
-        'duties',
-    ),
     Mutation(
         'forget who had the lease before the last holder',
         COORDINATION + 'lease.py',
@@ -470,8 +491,8 @@
     Mutation(
         'forget at a restart who was before',
         COORDINATION + 'lease.py',
-        'not (mine or self._follows(current))',
-        'not mine',
+        'before = _before(current)\n        mine',
+        'before = {}\n        mine',
         'lease',
     ),
     Mutation(
