What was left is passed on by a holder that has not begun; news of orders are spaced

By reading: one that gives the duties up before it has begun left nothing for the one after it; and with the store out each tick would have tried to write an order down, every 200 ms. A method of the rounds that only tests used goes.

--- a/features/duties.feature
+++ b/features/duties.feature
@@ -133,9 +133,15 @@
   Scenario: The next holder knows what the one before has found and ordered
     Given five routers that started one after the other
     When all start, and their first one finds 46 to be needed
-    And 1000 ms later it orders, and is killed 200 ms after that
+    And 1000 ms later it orders, and is killed 800 ms after that
     Then the next one knows the 46, and of the order
 
+  Scenario: What was left is passed on by one that has not begun
+    Given five routers that started one after the other
+    When all start, and their first one finds 46 to be needed
+    And it is stopped, and the next one before it has begun
+    Then the one after them knows the 46
+
   Scenario: A holder that loses the duties to nobody goes on from what it knows
     Given five routers that started one after the other
     When all start, and their first one finds 46 to be needed
--- a/features/steps/duty_steps.py
+++ b/features/steps/duty_steps.py
@@ -160,6 +160,10 @@
             if one.name in names:
                 one.lease.hear(self.lease.hint())
 
+    def stop(self):
+        """Give the duties up, as a planned stop does."""
+        self._holder.release()
+
     def keep(self):
         for peer in self._peers:
             self._members.hear(peer)
@@ -264,6 +268,25 @@
     assert [order.coming for order in left.orders] == [5], left
 
 
+@when('it is stopped, and the next one before it has begun')
+def two_stopped(context):
+    go_on(context, 2000)
+    first, second = context.runs[:2]
+    first.stop()
+    second.lease.attempt()
+    assert second.lease.held() and not second.duty.left
+    second.stop()
+    del context.runs[:2]
+
+
+@then('the one after them knows the {count:d}')
+def third_knows(context, count):
+    go_on(context, 6000)
+    (holder,) = [one for one in context.runs if one.lease.held()]
+    (left,) = holder.duty.left
+    assert left.needs['pool'] == count, left
+
+
 @when('the store is out for {ms:d} ms')
 def store_out_for(context, ms):
     for one in context.runs:
--- a/features/steps/group_steps.py
+++ b/features/steps/group_steps.py
@@ -200,7 +200,7 @@
         for node in self.nodes.values():
             node.next_at = self.draws.randrange(0, ROUND_MS, STEP_MS)
             if self.draws.random() < 0.5:
-                node.peering.rounds.skip()
+                next(node.peering.rounds._numbers)
         for passed in range(0, ms, STEP_MS):
             for node in list(self.nodes.values()):
                 if passed >= node.next_at:
--- a/src/peridotmast/duties/holder.py
+++ b/src/peridotmast/duties/holder.py
@@ -23,7 +23,8 @@
 a write takes, so that one contender's write is enough in most cases."""
 
 _AGAIN_MS = 700
-"""Pause after an attempt that did not succeed."""
+"""Pause after an attempt that did not succeed, and after a renewal before one
+that is only for what the next holder must know."""
 
 _HEIRS = 3
 """Contenders that are told of each renewal at once: the first ones in turn,
@@ -83,6 +84,8 @@
         self._tell = tell
         self._fleet_now = fleet_now
         self._changes = 0
+        self._renewed_at = 0
+        self._begun_with = 0
         lease.leave = self._leave
         self._length_ms = lease.length_ms
         self._vacant_since = 0
@@ -95,7 +98,7 @@
         """Take or renew the lease where that is due."""
         if self._lease.held():
             is_due = self._lease.left_ms < _RENEW_SHARE * self._length_ms
-            if is_due or self._count_changes() != self._changes:
+            if is_due or self._is_news_due():
                 self._renew()
         elif self._is_vacant():
             self._contend()
@@ -113,6 +116,7 @@
             for duty in self._duties:
                 duty.begin(left)
             self._changes = self._count_changes()
+            self._begun_with = self._lease.fencing
         for duty in self._duties:
             if self._lease.may_act():
                 duty.act(self._lease.fencing)
@@ -124,6 +128,9 @@
 
     def _leave(self) -> objects.Json:
         """Return what the next holder is to know, as the lease holds it."""
+        was_left = self._lease.left
+        if was_left is not None and self._begun_with != self._lease.fencing:
+            return was_left
         left = pb.DutiesLeft(at_ms=self._fleet_now())
         for duty in self._duties:
             duty.leave(left)
@@ -132,6 +139,11 @@
     def _count_changes(self) -> int:
         return sum(duty.changes for duty in self._duties)
 
+    def _is_news_due(self) -> bool:
+        """Return whether there is what the next holder must know at once."""
+        pause_over = self._clock.boot() - self._renewed_at >= _AGAIN_MS
+        return pause_over and self._count_changes() != self._changes
+
     def _renew(self) -> None:
         """Renew the lease, and write with it what the next holder needs.
 
@@ -139,6 +151,7 @@
         the same need again, nor take back what is on its way.
         """
         left_ms, changes = self._lease.left_ms, self._count_changes()
+        self._renewed_at = self._clock.boot()
         self._lease.attempt()
         if self._lease.left_ms > left_ms:
             self._changes = changes
--- a/src/peridotmast/duties/scaler.py
+++ b/src/peridotmast/duties/scaler.py
@@ -73,7 +73,7 @@
 
     @property
     def changes(self) -> int:
-        """Orders that were given or refused."""
+        """Orders that were given."""
         return self._book.changes
 
     def begin(self, left: ty.Optional[pb.DutiesLeft]) -> None:
--- a/src/peridotmast/router/rounds.py
+++ b/src/peridotmast/router/rounds.py
@@ -103,10 +103,6 @@
             return self._head_round(look)
         return self._own_round(look.heads())
 
-    def skip(self) -> None:
-        """Leave one round out."""
-        next(self._numbers)
-
     def note_lead(self) -> None:
         """Take note that this router leads its group from now on."""
         self._leads_since = self._clock.now()
