--- a/src/peridotmast/router/news.py
+++ b/src/peridotmast/router/news.py
@@ -30,8 +30,7 @@
     def __init__(
         self, knowledge: knowledge_.Knowledge, catch_up: catch_up_.CatchUp
     ) -> None:
-        self._members = knowledge.members
-        self._config = knowledge.config
+        self._knowledge = knowledge
         self._table = knowledge.table
         self._catch_up = catch_up
         self._told_revision = 0
@@ -40,7 +39,7 @@
         """Return what is new of this router."""
         since, self._told_revision = self._told_revision, self._table.revision
         changed = self._table.told_since(since)
-        beacon = self._word()
+        beacon = _word(self._knowledge)
         beacon.upstreams_since = since
         if len(changed) <= _MOST:
             beacon.upstreams.extend(changed)
@@ -48,7 +47,7 @@
 
     def fill_lease(self, hint: ty.Optional[pb.LeaseHint]) -> pb.Beacon:
         """Return until when the lease on the duties is held here."""
-        beacon = self._word()
+        beacon = _word(self._knowledge)
         if hint is not None:
             beacon.lease.CopyFrom(hint)
         return beacon
@@ -58,12 +57,19 @@
         self._catch_up.take_upstreams(beacon)
         self._catch_up.compare(beacon)
 
-    def _word(self) -> pb.Beacon:
-        """Return what each word of news says."""
-        return pb.Beacon(
-            member=self._members.me,
-            config_version=self._config.routes.version,
-            document_version=self._config.own.version,
-            upstreams_revision=self._table.revision,
-            news_only=True,
-        )
+
+def beacon_of(knowledge: knowledge_.Knowledge) -> pb.Beacon:
+    """Return who a router is and how new its knowledge is."""
+    return pb.Beacon(
+        member=knowledge.members.me,
+        config_version=knowledge.config.routes.version,
+        document_version=knowledge.config.own.version,
+        upstreams_revision=knowledge.table.revision,
+    )
+
+
+def _word(knowledge: knowledge_.Knowledge) -> pb.Beacon:
+    """Return what each word of news says."""
+    beacon = beacon_of(knowledge)
+    beacon.news_only = True
+    return beacon
--- a/src/peridotmast/router/rounds.py
+++ b/src/peridotmast/router/rounds.py
@@ -13,6 +13,7 @@
 from peridotmast.coordination import members as members_
 from peridotmast.coordination import outage_word
 from peridotmast.router import knowledge as knowledge_
+from peridotmast.router import news
 from peridotmast.router import sharing as sharing_
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import quota as quota_
@@ -72,16 +73,14 @@
     ) -> None:
         self._clock = clock
         self._knowledge = knowledge
-        self._members = members = knowledge.members
-        self._config = knowledge.config
-        self._table = knowledge.table
+        self._members = knowledge.members
         self._quota = quota
         self._sharing = sharing
         self._lease = lease
         self._outages = outages
         self._groups = groups
         self._look = look
-        self._choice = random.Random(members.me.name)
+        self._choice = random.Random(knowledge.members.me.name)
         self._numbers = itertools.count()
         self._untold: dict[str, int] = {}
         self._leads_since = 0
@@ -117,18 +116,17 @@
             self._untold[peer] = now
 
     def _fill(self) -> pb.Beacon:
-        """Return what every beacon says."""
-        return pb.Beacon(
-            member=self._members.me,
-            config_version=self._config.routes.version,
-            document_version=self._config.own.version,
-            upstreams_revision=self._table.revision,
-            wall_ms=self._clock.wall(),
-            lease=self._lease.hint(),
-            other=self._some_peer(),
-            outage_felt=self._knowledge.outage.is_felt(),
-            untold=self._quota.is_untold(),
-        )
+        """Return what every beacon of a round says."""
+        beacon = news.beacon_of(self._knowledge)
+        beacon.wall_ms = self._clock.wall()
+        beacon.outage_felt = self._knowledge.outage.is_felt()
+        beacon.untold = self._quota.is_untold()
+        hint, other = self._lease.hint(), self._some_peer()
+        if hint is not None:
+            beacon.lease.CopyFrom(hint)
+        if other is not None:
+            beacon.other.CopyFrom(other)
+        return beacon
 
     def _own_round(self, peers: list[members_.Peer]) -> beacons_.Round:
         """Yield what this router counts itself, for some peers."""
