--- a/features/steps/chat_steps.py
+++ b/features/steps/chat_steps.py
@@ -168,6 +168,8 @@
     fleet = context.fleet
     context.caller = fleet.caller('noor', 1)
     first = fleet.routers[0]
+    # A beacon that comes now would tell it of the other one again.
+    first.beacons.stop()
     for peer in list(first.members.peers()):
         first.members._peers.pop(peer.member.name)
     context.caller._addresses = [first.chat_address]
