Log a request fingerprint with each attempt

Attempts were logged only under the request id. Callers generate a new id each time they send a request, so the logs could not show whether upstreams terminate under a single request or under many. Each attempt's log line now includes the request's fingerprint: a digest of the host, the path without the query, the team and the body.

--- a/src/peridotmast/ids.py
+++ b/src/peridotmast/ids.py
@@ -7,6 +7,9 @@
 RequestKey = ty.NewType('RequestKey', str)
 """``team/request id``: what one accepted request is known by everywhere."""
 
+Fingerprint = ty.NewType('Fingerprint', str)
+"""Digest of a request's host, path, team and body; independent of its id."""
+
 StreamId = ty.NewType('StreamId', str)
 """Id of a stream on an engine, derived from the key and the body."""
 
--- a/src/peridotmast/serving/desk.py
+++ b/src/peridotmast/serving/desk.py
@@ -318,6 +318,7 @@
             work.exchange.id,
             'attempt',
             route=work.exchange.route.name,
+            fingerprint=work.exchange.fingerprint,
             upstream=place.view.name,
             born=place.view.born,
             number=len(work.tried),
--- a/src/peridotmast/serving/exchange.py
+++ b/src/peridotmast/serving/exchange.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import typing as ty
 
+from peridotmast import ids
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import fingerprint as fingerprint_
 from peridotmast.wire import connection as connection_
 
 Headers = connection_.Headers
@@ -92,3 +95,10 @@
     def is_stream(self) -> bool:
         """Whether it is answered with events."""
         return self.route.kind == pb.RequestKind.STREAMING
+
+    @functools.cached_property
+    def fingerprint(self) -> ids.Fingerprint:
+        """Digest that stays the same when the caller resends the request."""
+        host = next((v for n, v in self.headers if n.lower() == 'host'), '')
+        path = self.target.partition('?')[0]
+        return fingerprint_.compute(host, path, self.team, self.body)
