--- a/src/peridotmast/standin/upstream_app.py
+++ b/src/peridotmast/standin/upstream_app.py
@@ -50,6 +50,10 @@
         self.faults: dict[str, float] = {}
         """Share of requests that each fault hits: ``refuse``, ``error``,
         ``lose``, ``cut``, ``hang``, ``garble``, ``extra``."""
+        self.crash_body = b''
+        """Body of the requests that crash it; none by default."""
+        self.on_crash: ty.Callable[[], None] = lambda: None
+        """Ends this run of the upstream, and closes its connections."""
         self._draws = random.Random(seed)
         self._serials = itertools.count(1)
         self._clock = clock_.SystemClock()
@@ -117,6 +121,9 @@
         self.bodies[request_id] = body
         self.teams[request_id] = _header(environ, names.TEAM)
         conn = environ[strict_protocol.CONNECTION]
+        if self.crash_body and body == self.crash_body:
+            green.spawn(self.on_crash)
+            green.sleep_ms(_HANG_MS)
         if self.hits('hang'):
             green.sleep_ms(_HANG_MS)
         if self.hits('lose'):
