Refuse requests that have crashed three upstreams on all routers

Impact: one request, resent under new ids, crashed one upstream after another.

Cause: a router discarded what it knew of a request once it had answered it. The retry budget limits retries per service and `attempts` limits them per id. A resent request is new to both, and no information about it reached the other routers. Class: a limit kept per request or per router where it must hold for the whole fleet.

Fix: each router records which runs of upstreams broke off under which request fingerprint and sends the records to all other routers. The sets are joined by union, so duplicate, delayed or relayed updates have no effect. After three crashes all routers refuse the request (503 with a retry time, or 502 if it ran) and cancel its queued attempts. A run that answers a request sent later does not count as crashed, and a complete answer clears the request. Blocked requests are stored with the lease, so that they survive a kill of all routers. Only the holder of the duties retries a blocked request, ten minutes after its last crash and at most twice.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -12,12 +12,55 @@
     And "/once/tag" with the body "bad" crashes the upstream that runs it
     When it is sent 8 times, to each router in turn
     Then 3 upstreams have crashed
-    And the last 5 are refused with 503 and told when to come back
+    And the last 5 are refused with 503 and a retry time
     And the same body at "/once/other" is answered
 
-  Scenario: A router does not try a request on after it has crashed three
+  Scenario: A router stops retrying a request after three crashes
     Given a fleet of 1 routers
     And "/chat/tag" with the body "bad" crashes the upstream that runs it
     When it is sent 1 times, to each router in turn
     Then 3 upstreams have crashed
     And it has the status 502
+
+  Scenario: Random histories of a fleet that receives a crashing request
+    Then in 300 histories of 40 steps it is sent at most three times once blocked
+
+  Scenario: A request stays blocked on a new router and after all are killed
+    Given a fleet of 2 routers
+    And "/once/tag" with the body "bad" crashes the upstream that runs it
+    When it is sent 3 times, to each router in turn
+    And another router starts
+    And all routers are killed and start again
+    Then it is refused at each of the 3 routers
+    And 3 upstreams have crashed
+
+  Scenario: An attempt queued at an upstream is cancelled by the third crash
+    Given a fleet of 2 routers
+    And "/once/tag" with the body "bad" crashes the upstream that runs it
+    And an attempt of it is queued at an upstream
+    When it is sent 3 times, to each router in turn
+    Then the queued attempt ends with 502, and its upstream has not crashed
+
+  Scenario: Broken connections to upstreams that answer others are not crashes
+    Given a crash tracker
+    When the answer to one request breaks off at 5 upstreams that answer others
+    Then it is not refused
+
+  Scenario: A request running at upstreams lost together is not refused
+    Given a crash tracker
+    When one request is running at 4 upstreams that are lost within 100 ms
+    Then it is not refused
+
+  Scenario: A complete answer unblocks a request on all routers
+    Given a crash tracker
+    When one request crashes 3 upstreams
+    Then it is refused, also by a router that receives the update
+    When that router receives a complete answer to it
+    Then neither router refuses it
+
+  Scenario: The number of tracked requests is bounded
+    Given a crash tracker
+    When one request crashes 3 upstreams
+    And 5000 other requests lose one upstream each
+    Then at most 1024 requests are tracked, and the first is still refused
+    And an update contains at most 32 of them
--- a/features/groups.feature
+++ b/features/groups.feature
@@ -308,3 +308,13 @@
     And all is left of a burst of 4000
     When 500 ms later another head tells
     Then 0 tokens are reckoned
+
+  Scenario: A request that has crashed three upstreams is refused in all groups
+    Given 40 routers that know each other's names
+    When 5000 ms pass in the groups
+    And one request crashes an upstream at a member of each of three groups
+    And 2500 ms pass in the groups
+    Then each of the 40 refuses it
+    When 20 more routers come
+    And 2500 ms pass in the groups
+    Then each of the 60 refuses it
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -7,15 +7,18 @@
 from behave import given
 from behave import then
 from behave import when
+import crash_model
 import helpers
 
+from peridotmast import clock as clock_
 from peridotmast.embedded import shape as shape_
 from peridotmast import green
 from peridotmast.platform import names
+from peridotmast.serving import crash_tracker as crash_tracker_
 
-PAUSE_MS = 700
-"""Time in which each router hears of what another one has seen: two beacons,
-of which one may be lost."""
+PROPAGATION_MS = 700
+"""Time for an update to reach all routers: two beacons, one of which may be
+lost."""
 
 
 @when(
@@ -55,21 +58,22 @@
     assert len(set(distinct)) == len(distinct), distinct
 
 
-def arm(context, guest):
-    """Let an upstream crash under the request, and another one replace it."""
+def set_crash_body(context, guest):
+    """Make the request crash an upstream, which is then replaced."""
     app = guest.upstream.app
     app.crash_body = context.body
-    app.on_crash = functools.partial(crash, context, guest)
+    app.on_crash = functools.partial(crash_and_replace, context, guest)
 
 
-def crash(context, guest):
+def crash_and_replace(context, guest):
     context.crashed.append(guest.name)
     context.fleet.lose(guest)
     upstream = guest.record.upstream
     if upstream.service == shape_.SERVICE:
-        arm(context, context.fleet.add_service(upstream.failure_domain))
+        added = context.fleet.add_service(upstream.failure_domain)
     else:
-        arm(context, context.fleet.add_engine(upstream.failure_domain))
+        added = context.fleet.add_engine(upstream.failure_domain)
+    set_crash_body(context, added)
 
 
 @given('"{path}" with the body "{body}" crashes the upstream that runs it')
@@ -77,7 +81,7 @@
     context.path, context.body = path, body.encode()
     context.crashed, context.answers = [], []
     for guest in helpers.guests(context):
-        arm(context, guest)
+        set_crash_body(context, guest)
 
 
 @when('it is sent {count:d} times, to each router in turn')
@@ -87,15 +91,15 @@
         router = routers[number % len(routers)]
         answer = helpers.ask(router.address, context.path, body=context.body)
         context.answers.append(answer)
-        green.sleep_ms(PAUSE_MS)
+        green.sleep_ms(PROPAGATION_MS)
 
 
 @then('{count:d} upstreams have crashed')
-def count_crashes(context, count):
+def crash_count(context, count):
     assert len(context.crashed) == count, context.crashed
 
 
-@then('the last {count:d} are refused with 503 and told when to come back')
+@then('the last {count:d} are refused with 503 and a retry time')
 def last_refused(context, count):
     for answer in context.answers[-count:]:
         assert answer.status == 503, context.answers
@@ -114,3 +118,181 @@
 @then('it has the status {status:d}')
 def has_status(context, status):
     assert context.answers[-1].status == status, context.answers
+
+
+@then(
+    'in {count:d} histories of {steps:d} steps it is sent at most three times'
+    ' once blocked'
+)
+def random_histories(context, count, steps):
+    crash_model.run_histories(count, steps)
+
+
+@when('another router starts')
+def router_starts(context):
+    context.fleet.add_router('router-3', wait=True)
+
+
+@when('all routers are killed and start again')
+def all_killed(context):
+    helpers.wait_until(
+        lambda: any(
+            left
+            for router in context.fleet.serving()
+            if router.lease.held()
+            for left in [(router.lease._current().get('left') or {})]
+            if left.get('crashSuspects')
+        ),
+        'the block is stored with the lease',
+    )
+    killed = context.fleet.serving()
+    for router in killed:
+        router.stop()
+    for router in killed:
+        context.fleet.restart(router)
+    helpers.wait_until(
+        lambda: all(
+            router.serving.crashes.blocked()
+            for router in context.fleet.serving()
+        ),
+        'the block is restored',
+    )
+
+
+@then('it is refused at each of the {count:d} routers')
+def refused_at_each(context, count):
+    routers = context.fleet.serving()
+    assert len(routers) == count, routers
+    send_in_turn(context, count)
+    last_refused(context, count)
+
+
+@given('an attempt of it is queued at an upstream')
+def queued_attempt(context):
+    """Hold an attempt at one upstream, as a long queue would."""
+    guest = helpers.guests(context, shape_.ENGINES)[0]
+    app = guest.upstream.app
+    app.crash_body = b''
+    app.faults['hang'] = 1.0
+    others = helpers.guests(context, shape_.ENGINES)[1:]
+    for other in others:
+        context.fleet.announce_leaving(other)
+    router = context.fleet.routers[0]
+    helpers.wait_until(
+        lambda: len(router.table.live(shape_.ENGINES)) == 1,
+        'one engine is live',
+    )
+    context.queued = green.spawn(
+        helpers.ask, router.address, context.path, body=context.body
+    )
+    helpers.wait_until(lambda: app.arrivals, 'the attempt has arrived')
+    context.queued_at = guest
+    context.fleet.announce_leaving(guest)
+    for other in others:
+        added = context.fleet.add_engine(context.fleet.domains[0])
+        set_crash_body(context, added)
+    helpers.wait_until(
+        lambda: all(
+            len(router.table.live(shape_.ENGINES)) == len(others)
+            for router in context.fleet.routers
+        ),
+        'the replacements are live',
+    )
+
+
+@then('the queued attempt ends with 502, and its upstream has not crashed')
+def queued_attempt_ends(context):
+    answer = context.queued.wait()
+    assert answer.status == 502, answer
+    assert context.queued_at.name not in context.crashed
+
+
+@given('a crash tracker')
+def crash_tracker(context):
+    context.clock = clock_.ManualClock(5_000_000)
+    context.tracker = crash_tracker_.CrashTracker(context.clock, 'router-1')
+
+
+def lose_upstream(context, fingerprint, name, ran_ms=5):
+    sent_at = context.clock.now() - ran_ms
+    view = crash_model.make_view(name)
+    context.tracker.note_failure(
+        fingerprint, view, crash_model.BROKE_OFF, sent_at
+    )
+
+
+@when(
+    'the answer to one request breaks off at {count:d} upstreams that answer'
+    ' others'
+)
+def answers_break_off(context, count):
+    for number in range(count):
+        context.clock.advance(1000)
+        lose_upstream(context, crash_model.CRASHING, f'i-{number}')
+        context.clock.advance(100)
+        view = crash_model.make_view(f'i-{number}')
+        context.tracker.note_response(view, context.clock.now())
+
+
+@when(
+    'one request is running at {count:d} upstreams that are lost within'
+    ' {ms:d} ms'
+)
+def lost_together(context, count, ms):
+    for number in range(count):
+        lose_upstream(context, crash_model.CRASHING, f'i-{number}', ran_ms=ms)
+        context.clock.advance(ms // count)
+
+
+@when('one request crashes {count:d} upstreams')
+def crashes_upstreams(context, count):
+    for number in range(count):
+        context.clock.advance(1000)
+        lose_upstream(context, crash_model.CRASHING, f'i-{number}')
+
+
+@then('it is not refused')
+def not_refused(context):
+    assert not context.tracker.retry_after_ms(crash_model.CRASHING)
+
+
+@then('it is refused, also by a router that receives the update')
+def refused_by_both(context):
+    other = crash_tracker_.CrashTracker(context.clock, 'router-2')
+    other.hear(context.tracker.updates())
+    context.other_tracker = other
+    assert context.tracker.retry_after_ms(crash_model.CRASHING)
+    assert other.retry_after_ms(crash_model.CRASHING)
+
+
+@when('that router receives a complete answer to it')
+def answered_completely(context):
+    context.clock.advance(100)
+    context.other_tracker.note_success(crash_model.CRASHING)
+    context.tracker.hear(context.other_tracker.updates())
+
+
+@then('neither router refuses it')
+def neither_refuses(context):
+    assert not context.tracker.retry_after_ms(crash_model.CRASHING)
+    assert not context.other_tracker.retry_after_ms(crash_model.CRASHING)
+
+
+@when('{count:d} other requests lose one upstream each')
+def other_requests_lose_upstreams(context, count):
+    for number in range(count):
+        lose_upstream(context, f'other-{number}', f'j-{number}')
+        context.clock.advance(1)
+
+
+@then('at most {most:d} requests are tracked, and the first is still refused')
+def tracked_requests_are_bounded(context, most):
+    assert len(context.tracker) <= most, len(context.tracker)
+    assert context.tracker.retry_after_ms(crash_model.CRASHING)
+
+
+@then('an update contains at most {most:d} of them')
+def update_is_bounded(context, most):
+    updates = context.tracker.updates()
+    assert len(updates) <= most, len(updates)
+    assert crash_model.CRASHING in {update.fingerprint for update in updates}
--- a/features/steps/group_steps.py
+++ b/features/steps/group_steps.py
@@ -13,6 +13,7 @@
 from behave import given
 from behave import then
 from behave import when
+import crash_model
 
 from peridotmast import clock as clock_
 from peridotmast.coordination import beacons as beacons_
@@ -27,6 +28,7 @@
 from peridotmast.router import peering as peering_
 from peridotmast.router import sharing as sharing_
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import crash_tracker as crash_tracker_
 from peridotmast.serving import demand as demand_
 from peridotmast.serving import quota as quota_
 from peridotmast.serving import retry_budget
@@ -91,6 +93,7 @@
             demand=demand_.Demand(self.clock),
             usage=usage_.Usage(self.time.now, WINDOW_MS),
             budget=retry_budget.RetryBudget(self.clock, 0.2, 10_000, 50),
+            crashes=crash_tracker_.CrashTracker(self.clock, self.name),
         )
         if limited:
             self.limit(rate=0, burst=BURST)
@@ -1034,3 +1037,29 @@
 @then('{count:d} tokens are reckoned')
 def tokens_reckoned(context, count):
     assert context.reckoned.get('noor', 0) == count, context.reckoned
+
+
+@when('one request crashes an upstream at a member of each of three groups')
+def crashes_in_groups(context):
+    fleet = context.groups
+    members = [n for n in fleet.nodes.values() if not n.look().leads]
+    by_group = {node.look().mine: node for node in members}
+    assert len(by_group) >= 3, by_group
+    for number, node in enumerate(list(by_group.values())[:3]):
+        fleet.clock.advance(ROUND_MS)
+        node.serving.crashes.note_failure(
+            crash_model.CRASHING,
+            crash_model.make_view(f'i-{number}'),
+            crash_model.BROKE_OFF,
+            fleet.clock.now() - 5,
+        )
+
+
+@then('each of the {count:d} refuses it')
+def all_refuse(context, count):
+    nodes = context.groups.nodes.values()
+    assert len(nodes) == count, len(nodes)
+    assert all(
+        node.serving.crashes.retry_after_ms(crash_model.CRASHING)
+        for node in nodes
+    )
--- a/src/peridotmast/coordination/beacon_check.py
+++ b/src/peridotmast/coordination/beacon_check.py
@@ -38,6 +38,8 @@
         _check_member(found, 'other', beacon.other)
     for member in beacon.changed:
         _check_member(found, 'changed', member)
+    for suspect in beacon.crash_suspects:
+        _check_suspect(found, suspect)
     if any(number < 0 for number in _counts(beacon)):
         found.add('counts', 'must not be negative')
     return found
@@ -54,6 +56,21 @@
             found.add(f'{place} {name}', 'must be IP:port')
 
 
+def _check_suspect(
+    found: findings_.Findings, suspect: pb.CrashSuspect
+) -> None:
+    names = [suspect.fingerprint, *(crash.run for crash in suspect.crashes)]
+    if not all(0 < len(name) <= _LONGEST_NAME for name in names):
+        found.add(
+            'crash_suspects', 'a fingerprint or run is missing or too long'
+        )
+    numbers = [suspect.retries, suspect.idle_ms, suspect.answered_ago_ms]
+    for crash in suspect.crashes:
+        numbers += [crash.ago_ms, crash.ran_ms]
+    if min(numbers) < 0:
+        found.add('crash_suspects', 'must not be negative')
+
+
 def _counts(beacon: pb.Beacon) -> ty.Iterator[int]:
     """Yield the numbers that count something."""
     yield from (beacon.config_version, beacon.document_version)
--- /dev/null
+++ b/src/peridotmast/duties/crash_blocks.py
@@ -0,0 +1,41 @@
+"""Persistence of blocked requests across a restart of all routers."""
+
+from __future__ import annotations
+
+import typing as ty
+
+from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import crash_tracker as crash_tracker_
+
+
+class CrashBlocks:
+    """Stores blocked requests with the lease and restores them from it.
+
+    Routers hold blocks only in memory, which is lost if all routers are
+    killed at once.
+
+    Parameters
+    ----------
+    crashes : crash_tracker.CrashTracker
+        Holds the blocked requests.
+    """
+
+    def __init__(self, crashes: crash_tracker_.CrashTracker) -> None:
+        self._crashes = crashes
+
+    @property
+    def changes(self) -> int:
+        """Incremented when the blocked requests or their retries change."""
+        return self._crashes.changes
+
+    def begin(self, left: ty.Optional[pb.DutiesLeft]) -> None:
+        """Restore the blocked requests of the previous holder."""
+        if left is not None:
+            self._crashes.hear(left.crash_suspects)
+
+    def act(self, fencing: int) -> None:
+        """Do nothing: this duty has no periodic work."""
+
+    def leave(self, left: pb.DutiesLeft) -> None:
+        """Store the blocked requests for the next holder."""
+        left.crash_suspects.extend(self._crashes.blocked())
--- a/src/peridotmast/router/news.py
+++ b/src/peridotmast/router/news.py
@@ -52,6 +52,12 @@
             beacon.lease.CopyFrom(hint)
         return beacon
 
+    def fill_crashes(self, updates: ty.Iterable[pb.CrashSuspect]) -> pb.Beacon:
+        """Return a beacon with updates on requests that crash upstreams."""
+        beacon = _word(self._knowledge)
+        beacon.crash_suspects.extend(updates)
+        return beacon
+
     def take(self, beacon: pb.Beacon) -> None:
         """Take a peer's news in."""
         self._catch_up.take_upstreams(beacon)
--- a/src/peridotmast/router/peering.py
+++ b/src/peridotmast/router/peering.py
@@ -92,6 +92,7 @@
             clock,
             knowledge,
             serving.quota,
+            serving.crashes,
             sharing,
             lease,
             self._outages,
@@ -104,6 +105,7 @@
         self._group_heard: dict[int, int] = {}
         serving.quota.routers = serving.budget.routers = members.counted
         serving.quota.knows_late = self.knows_late
+        serving.crashes.relays_updates = self.knows_late
         self._followed = '', -_GROUP_SILENT_MS
         self._looked: tuple[ty.Optional[groups_.Look], int] = None, 0
         self._log = logs.get('peering', router=members.me.name)
@@ -123,6 +125,11 @@
         )
         return [(pb.Beacon(load_news=news), self._members.heard())]
 
+    def crash_round(self) -> beacons_.Round:
+        """Return updates on requests that crash upstreams, for all peers."""
+        beacon = self.news.fill_crashes(self._serving.crashes.updates())
+        return [(beacon, self._members.peers())]
+
     def take(self, beacon: pb.Beacon) -> None:
         """Take in a peer's beacon."""
         if beacon.HasField('load_news'):
@@ -139,6 +146,7 @@
             return
         if beacon.lease.holder:
             self._lease.hear(beacon.lease)
+        self._serving.crashes.hear(beacon.crash_suspects)
         if beacon.news_only:
             self.news.take(beacon)
             return
--- a/src/peridotmast/router/rounds.py
+++ b/src/peridotmast/router/rounds.py
@@ -16,6 +16,7 @@
 from peridotmast.router import news
 from peridotmast.router import sharing as sharing_
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import crash_tracker as crash_tracker_
 from peridotmast.serving import quota as quota_
 
 _GROUP_ROUNDS = 2
@@ -48,6 +49,8 @@
         What is known from the store, and of the members.
     quota : quota.Quota
         What is left of the teams' limits.
+    crashes : crash_tracker.CrashTracker
+        Tracks requests that crash upstreams.
     sharing : sharing.Sharing
         What routers count together.
     lease : lease.Lease
@@ -65,6 +68,7 @@
         clock: clock_.Clock,
         knowledge: knowledge_.Knowledge,
         quota: quota_.Quota,
+        crashes: crash_tracker_.CrashTracker,
         sharing: sharing_.Sharing,
         lease: lease_.Lease,
         outages: outage_word.OutageWord,
@@ -75,6 +79,7 @@
         self._knowledge = knowledge
         self._members = knowledge.members
         self._quota = quota
+        self._crashes = crashes
         self._sharing = sharing
         self._lease = lease
         self._outages = outages
@@ -121,6 +126,7 @@
         beacon.wall_ms = self._clock.wall()
         beacon.outage_felt = self._knowledge.outage.is_felt()
         beacon.untold = self._quota.is_untold()
+        beacon.crash_suspects.extend(self._crashes.updates())
         hint, other = self._lease.hint(), self._some_peer()
         if hint is not None:
             beacon.lease.CopyFrom(hint)
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -11,6 +11,7 @@
 from peridotmast.coordination import lease as lease_
 from peridotmast.coordination import members as members_
 from peridotmast.coordination import place
+from peridotmast.duties import crash_blocks
 from peridotmast.duties import holder as holder_
 from peridotmast.duties import scaler as scaler_
 from peridotmast.duties import usage_reporter
@@ -44,6 +45,10 @@
 """Last part of the lease in which no order is begun: what an order may take
 on its way while the platform answers."""
 
+_CRASH_GATHER_MS = 20
+"""Delay of crash updates, so that one beacon reports all requests that lose
+their connections as an upstream crashes."""
+
 _HOUSEKEEPING_MS = 250
 _LEASE_TICK_MS = 200
 _DUTY_TICK_MS = 250
@@ -77,6 +82,7 @@
         )
         """Promises checked while it runs."""
         self._tracer = tracing.Tracing(self.cfg.name, file.telemetry)
+        self._is_crash_tell_due = False
         self.is_running = False
         """Whether it was started and not stopped yet."""
         self.knowledge = knowledge_.Knowledge(file, self._clock, self.checks)
@@ -150,6 +156,8 @@
         self.serving.gateway.is_behind = self._catch_up.config.is_behind
         self.serving.places.tell = self._tell_load
         self.serving.places.knows_late = self._peering.knows_late
+        self.serving.crashes.tell = self._tell_crashes_soon
+        self.serving.crashes.may_retry = self.lease.may_act
 
     def _make_duties(self) -> None:
         platform, bounds = self._file.platform, self._file.bounds
@@ -180,7 +188,11 @@
         self._holder = holder_.DutyHolder(
             self.lease,
             self.members,
-            (reporter, scaler),
+            (
+                reporter,
+                scaler,
+                crash_blocks.CrashBlocks(self.serving.crashes),
+            ),
             self._clock,
             self._tell_heirs,
             fleet_now,
@@ -319,6 +331,17 @@
         for beacon, peers in self._peering.load_round(view):
             self.beacons.send(beacon, peers)
 
+    def _tell_crashes_soon(self) -> None:
+        """Schedule crash updates to all peers, unless already scheduled."""
+        if not self._is_crash_tell_due:
+            self._is_crash_tell_due = True
+            green.call_after_ms(_CRASH_GATHER_MS, self._tell_crashes)
+
+    def _tell_crashes(self) -> None:
+        self._is_crash_tell_due = False
+        for beacon, peers in self._peering.crash_round():
+            self.beacons.send(beacon, peers)
+
     def _tell_news(self) -> None:
         """Tell those who don't watch that there is news."""
         if not self.knowledge.watchers.all_watch():
--- a/src/peridotmast/router/serving.py
+++ b/src/peridotmast/router/serving.py
@@ -12,6 +12,7 @@
 from peridotmast.platform import engine_control
 from peridotmast.router import knowledge as knowledge_
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import crash_tracker as crash_tracker_
 from peridotmast.serving import decisions as decisions_
 from peridotmast.serving import demand as demand_
 from peridotmast.serving import desk as desk_
@@ -83,12 +84,19 @@
             bounds.budget_slack,
         )
         """How many repeats may be sent."""
+        self.crashes = crash_tracker_.CrashTracker(clock, cfg.name)
+        """Tracks requests that crash upstreams."""
         self.pool = pool_.ConnectionPool(clock, cfg.connect_ms)
         """Connections to upstreams."""
         self._metrics = metrics_.ServingMetrics(registry)
         self._sender = sender_.Sender(
-            clock, self.pool, dialect.PlatformDialect(), self.decisions
+            clock,
+            self.pool,
+            dialect.PlatformDialect(),
+            self.decisions,
+            self.crashes,
         )
+        self.crashes.on_block = self._sender.cancel_attempts
         self.places = placement.Placement(
             knowledge.table,
             placement.POLICIES[cfg.policy](cfg.failure_domain),
@@ -100,6 +108,7 @@
             self._sender,
             self.places,
             self.budget,
+            self.crashes,
             self._metrics,
             self.decisions,
         )
@@ -129,6 +138,7 @@
         """Take rates from here on; close connections that are too old."""
         self.pool.drop_old()
         self.demand.tick()
+        self.crashes.tick()
 
     def apply(self, file: pb.RouterFile) -> None:
         """Take changed settings in."""
@@ -147,6 +157,7 @@
             self.places,
             self._relay,
             self.budget,
+            self.crashes,
             self.usage,
             self.demand,
             self._metrics,
--- /dev/null
+++ b/src/peridotmast/serving/crash_tracker.py
@@ -0,0 +1,389 @@
+"""Tracking and blocking of requests that crash upstreams."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing as ty
+
+from peridotmast import clock as clock_
+from peridotmast import failures
+from peridotmast import ids
+from peridotmast import logs
+from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import upstream_view
+
+BLOCK_REASON = 'crashes_upstreams'
+"""Failure reason of blocked requests, whether refused or cancelled."""
+
+BLOCK_THRESHOLD = 3
+"""Number of crashes at which a request is blocked."""
+
+MAX_RETRIES = 2
+"""Retries allowed for a blocked request. All routers together may send it at
+most 3 times after its last crash; the third allows for a lease that changes
+hands before the previous holder's update arrives."""
+
+RETRY_DELAY_MS = 600_000
+"""Time after the last crash before a blocked request is retried."""
+
+_SIMULTANEOUS_MS = 250
+"""Losses of upstreams within this time of the first count as one crash if the
+request had been sent to each of them before the first was lost: the upstreams
+were lost together, not one after another because of the request."""
+
+RETENTION_MS = 3_600_000
+"""Time without a crash or a refusal after which a request is forgotten."""
+
+MAX_SUSPECTS = 1024
+"""Maximum number of tracked requests, about 400 bytes each."""
+
+_RETAINED_SHARE = 0.75
+"""Share of `MAX_SUSPECTS` that remains after an eviction."""
+
+_MAX_CRASHES = 16
+"""Maximum number of crashes recorded per request."""
+
+_UPDATE_MS = 5000
+_MAX_UPDATES = 32
+"""How long a change is included in beacons, and for how many requests at most:
+less than 1.5 kB compressed, in as many rounds as may be lost in a row."""
+
+_CRASH_REASONS = frozenset(('broke_off', 'cut_short', 'upstream_restarted'))
+"""Failure reasons that indicate a crash regardless of the upstream's state."""
+
+_ENDED_STATES = frozenset((upstream_view.GONE, upstream_view.LAPSED))
+
+_NEVER = -(1 << 62)
+
+
+class _Crash(ty.NamedTuple):
+    """Loss of an upstream while it ran a request."""
+
+    at: int
+    """Time at which the connection broke, in ms."""
+    sent_at: int
+    """Time at which the request was sent to the upstream, in ms."""
+
+
+@dataclasses.dataclass
+class _Suspect:
+    """A request that may have crashed upstreams."""
+
+    fingerprint: ids.Fingerprint
+    crashes: dict[str, _Crash] = dataclasses.field(default_factory=dict)
+    """Crashes by run of an upstream."""
+    answered_at: int = _NEVER
+    """Time of the last complete answer, in ms."""
+    retries: int = 0
+    """Number of times it was sent while blocked."""
+    seen_at: int = _NEVER
+    """Time of the last crash or refusal, in ms."""
+    changed_at: int = _NEVER
+    """Time of the last change to send to peers, in ms."""
+    is_blocked: bool = False
+    """Whether it was blocked at the last evaluation."""
+
+
+class CrashTracker:
+    """Counts the upstreams that each request crashes, across all routers.
+
+    A request that has crashed `BLOCK_THRESHOLD` upstreams is refused by every
+    router that knows of the crashes. Routers exchange the crashes of a request
+    as a set of runs of upstreams and join these sets by union, so duplicate,
+    late or relayed updates have no further effect. A broken connection counts
+    as a crash until the same run of the upstream answers a request that was
+    sent to it later. A complete answer at any router discards the earlier
+    crashes of the request.
+
+    Only the holder of the duties retries a blocked request, and rarely, so
+    that a request blocked by mistake does not remain blocked indefinitely.
+
+    Parameters
+    ----------
+    clock : clock.Clock
+        Times the crashes.
+    router : str
+        Name of this router.
+    """
+
+    def __init__(self, clock: clock_.Clock, router: str) -> None:
+        self._clock = clock
+        self._log = logs.get('crashes', router=router)
+        self._suspects: dict[ids.Fingerprint, _Suspect] = {}
+        self._last_answered: dict[str, int] = {}
+        """Send time of the latest answered request, in ms, by run of an
+        upstream; only runs with a recorded crash."""
+        self.changes = 0
+        """Incremented when the blocked requests or their retries change."""
+        self.relays_updates: ty.Callable[[], bool] = lambda: False
+        """Returns whether this router relays updates from peers."""
+        self.may_retry: ty.Callable[[], bool] = lambda: False
+        """Returns whether this router may retry a blocked request."""
+        self.tell: ty.Callable[[], None] = lambda: None
+        """Called when peers must be updated at once."""
+        self.on_block: ty.Callable[[ids.Fingerprint], None] = lambda f: None
+        """Called when a request becomes blocked."""
+
+    def __len__(self) -> int:
+        """Return the number of tracked requests."""
+        return len(self._suspects)
+
+    def note_failure(
+        self,
+        fingerprint: ids.Fingerprint,
+        view: upstream_view.UpstreamView,
+        failure: failures.Failure,
+        sent_at: int,
+    ) -> None:
+        """Record an attempt that did not receive a complete answer.
+
+        Parameters
+        ----------
+        sent_at : int
+            Time at which the attempt was sent, in ms.
+        """
+        has_ended = view.record.state in _ENDED_STATES
+        is_crash = failure.reason in _CRASH_REASONS or (
+            failure.reason == 'silent' and has_ended
+        )
+        if not is_crash:
+            return
+        now = self._clock.now()
+        suspect = self._ensure_suspect(fingerprint, now)
+        if self._add_crash(suspect, view.run, _Crash(now, sent_at)):
+            suspect.changed_at = now
+        self._log.info(
+            'crash_noted',
+            fingerprint=fingerprint,
+            upstream=view.name,
+            born=view.born,
+            crashes=len(suspect.crashes),
+            reason=failure.reason,
+        )
+        self._update_block(suspect)
+        if len(suspect.crashes) > 1:
+            self.tell()
+
+    def note_response(
+        self, view: upstream_view.UpstreamView, sent_at: int
+    ) -> None:
+        """Record that an upstream answers a request.
+
+        The run of the upstream cannot have crashed before the request was
+        sent.
+
+        Parameters
+        ----------
+        sent_at : int
+            Time at which the request was sent, in ms.
+        """
+        if not self._last_answered:
+            return
+        known = self._last_answered.get(view.run)
+        if known is not None and sent_at > known:
+            self._last_answered[view.run] = sent_at
+
+    def note_success(self, fingerprint: ids.Fingerprint) -> None:
+        """Record a complete answer, which discards earlier crashes."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            return
+        before = self._count_crashes(suspect)
+        suspect.answered_at = suspect.changed_at = self._clock.now()
+        self._update_block(suspect)
+        if before > 1:
+            self.tell()
+
+    def retry_after_ms(self, fingerprint: ids.Fingerprint) -> int:
+        """Return how long a request is refused, in ms; 0 if it may be sent.
+
+        Returning 0 for a blocked request uses up one of its retries.
+        """
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or not self._update_block(suspect):
+            return 0
+        now = self._clock.now()
+        suspect.seen_at = now
+        last = max(crash.at for crash in suspect.crashes.values())
+        remaining = last + RETRY_DELAY_MS - now
+        if remaining > 0:
+            return remaining
+        if suspect.retries >= MAX_RETRIES or not self.may_retry():
+            return RETRY_DELAY_MS
+        suspect.retries += 1
+        suspect.changed_at = now
+        self.changes += 1
+        self._log.info('crash_retry', fingerprint=fingerprint)
+        self.tell()
+        return 0
+
+    def updates(self) -> list[pb.CrashSuspect]:
+        """Return the blocked and recently changed requests for peers."""
+        if not self._suspects:
+            return []
+        cutoff = self._clock.now() - _UPDATE_MS
+        selected = [
+            suspect
+            for suspect in self._suspects.values()
+            if suspect.is_blocked or suspect.changed_at > cutoff
+        ]
+        selected.sort(key=lambda s: (s.is_blocked, s.changed_at), reverse=True)
+        return [
+            self._to_message(suspect) for suspect in selected[:_MAX_UPDATES]
+        ]
+
+    def blocked(self) -> list[pb.CrashSuspect]:
+        """Return the blocked requests."""
+        return [
+            self._to_message(suspect)
+            for suspect in self._suspects.values()
+            if self._update_block(suspect)
+        ]
+
+    def hear(self, updates: ty.Iterable[pb.CrashSuspect]) -> None:
+        """Merge updates from another router."""
+        for message in updates:
+            self._merge(message)
+
+    def tick(self) -> None:
+        """Remove requests whose retention period has passed."""
+        if not self._suspects:
+            self._last_answered.clear()
+            return
+        cutoff = self._clock.now() - RETENTION_MS
+        expired = [f for f, s in self._suspects.items() if s.seen_at < cutoff]
+        self._remove(expired)
+
+    def _merge(self, message: pb.CrashSuspect) -> None:
+        now = self._clock.now()
+        fingerprint = ids.Fingerprint(message.fingerprint)
+        suspect = self._ensure_suspect(fingerprint, now - message.idle_ms)
+        before = self._summary(suspect)
+        for crash in message.crashes:
+            at = now - crash.ago_ms
+            self._add_crash(suspect, crash.run, _Crash(at, at - crash.ran_ms))
+        if message.HasField('answered_ago_ms'):
+            answered_at = now - message.answered_ago_ms
+            suspect.answered_at = max(suspect.answered_at, answered_at)
+        suspect.retries = max(suspect.retries, message.retries)
+        is_ahead = (
+            len(suspect.crashes) > len(message.crashes)
+            or suspect.retries > message.retries
+        )
+        is_changed = self._summary(suspect) != before
+        if is_changed and (is_ahead or self.relays_updates()):
+            suspect.changed_at = now
+        self._update_block(suspect)
+        if is_changed and is_ahead:
+            self.tell()
+
+    def _summary(self, suspect: _Suspect) -> tuple[int, int, bool]:
+        """Return what must differ for a merge to count as a change."""
+        has_answered = suspect.answered_at != _NEVER
+        return len(suspect.crashes), suspect.retries, has_answered
+
+    def _ensure_suspect(
+        self, fingerprint: ids.Fingerprint, seen_at: int
+    ) -> _Suspect:
+        """Return the entry of a request, and create it if missing."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            suspect = _Suspect(fingerprint, seen_at=seen_at)
+            self._suspects[fingerprint] = suspect
+            self._evict()
+        suspect.seen_at = max(suspect.seen_at, seen_at)
+        return suspect
+
+    def _add_crash(self, suspect: _Suspect, run: str, crash: _Crash) -> bool:
+        """Add a crash, and return whether it was new.
+
+        Of two reports on the same run, the earlier one is kept, as it is
+        closer to the crash. A discounted report gives way to a later one.
+        """
+        known = suspect.crashes.get(run)
+        if known is None and len(suspect.crashes) >= _MAX_CRASHES:
+            return False
+        self._last_answered.setdefault(run, _NEVER)
+        if known is None or self._is_discounted(suspect, run, known):
+            suspect.crashes[run] = max(known or crash, crash)
+            return suspect.crashes[run] != known
+        if not self._is_discounted(suspect, run, crash):
+            suspect.crashes[run] = min(known, crash)
+        return False
+
+    def _is_discounted(
+        self, suspect: _Suspect, run: str, crash: _Crash
+    ) -> bool:
+        """Return whether a later answer clears the upstream or the request."""
+        answered_at = max(
+            suspect.answered_at, self._last_answered.get(run, _NEVER)
+        )
+        return crash.at < answered_at
+
+    def _count_crashes(self, suspect: _Suspect) -> int:
+        """Return the number of crashes, counting simultaneous ones once."""
+        crashes = sorted(
+            crash
+            for run, crash in suspect.crashes.items()
+            if not self._is_discounted(suspect, run, crash)
+        )
+        count, first_at = 0, _NEVER
+        for crash in crashes:
+            is_near = crash.at - first_at <= _SIMULTANEOUS_MS
+            if not (is_near and crash.sent_at < first_at):
+                count, first_at = count + 1, crash.at
+        return count
+
+    def _update_block(self, suspect: _Suspect) -> bool:
+        """Return whether a request is blocked; log and report a change."""
+        is_blocked = self._count_crashes(suspect) >= BLOCK_THRESHOLD
+        if is_blocked != suspect.is_blocked:
+            suspect.is_blocked = is_blocked
+            self.changes += 1
+            self._log.info(
+                'request_blocked' if is_blocked else 'request_unblocked',
+                fingerprint=suspect.fingerprint,
+                crashes=' '.join(suspect.crashes),
+            )
+            if is_blocked:
+                self.on_block(suspect.fingerprint)
+        return is_blocked
+
+    def _to_message(self, suspect: _Suspect) -> pb.CrashSuspect:
+        now = self._clock.now()
+        message = pb.CrashSuspect(
+            fingerprint=suspect.fingerprint,
+            crashes=[
+                pb.Crash(
+                    run=run,
+                    ago_ms=now - crash.at,
+                    ran_ms=crash.at - crash.sent_at,
+                )
+                for run, crash in suspect.crashes.items()
+            ],
+            retries=suspect.retries,
+            idle_ms=now - suspect.seen_at,
+        )
+        if suspect.answered_at != _NEVER:
+            message.answered_ago_ms = now - suspect.answered_at
+        return message
+
+    def _evict(self) -> None:
+        """Remove the oldest requests above the limit, blocked ones last."""
+        if len(self._suspects) <= MAX_SUSPECTS:
+            return
+        order = sorted(
+            self._suspects.values(), key=lambda s: (s.is_blocked, s.seen_at)
+        )
+        retained = int(MAX_SUSPECTS * _RETAINED_SHARE)
+        self._remove([suspect.fingerprint for suspect in order[:-retained]])
+
+    def _remove(self, fingerprints: ty.Iterable[ids.Fingerprint]) -> None:
+        removed = [self._suspects.pop(f) for f in fingerprints]
+        if removed:
+            runs = {r for s in self._suspects.values() for r in s.crashes}
+            self._last_answered = {
+                run: at
+                for run, at in self._last_answered.items()
+                if run in runs
+            }
--- a/src/peridotmast/serving/desk.py
+++ b/src/peridotmast/serving/desk.py
@@ -8,6 +8,7 @@
 from peridotmast import failures
 from peridotmast import invariants as invariants_
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import crash_tracker as crash_tracker_
 from peridotmast.serving import decisions as decisions_
 from peridotmast.serving import demand as demand_
 from peridotmast.serving import dialect as dialect_
@@ -37,6 +38,11 @@
 upstream gave without saying that it did not run the request is not passed
 on."""
 
+_FINAL_REASONS = frozenset(
+    ('no_upstream', 'deadline', crash_tracker_.BLOCK_REASON)
+)
+"""Failure reasons after which a request is not retried."""
+
 Verdict = dialect_.Verdict
 
 
@@ -58,6 +64,8 @@
         Passes streams on.
     budget : retry_budget.RetryBudget
         Bounds repeats.
+    crashes : crash_tracker.CrashTracker
+        Tracks requests that crash upstreams.
     usage : usage.Usage
         Counts what upstreams began.
     demand : demand.Demand
@@ -79,6 +87,7 @@
         places: placement.Placement,
         relay: stream_relay.StreamRelay,
         budget: retry_budget.RetryBudget,
+        crashes: crash_tracker_.CrashTracker,
         usage: usage_.Usage,
         demand: demand_.Demand,
         metrics: metrics_.ServingMetrics,
@@ -91,6 +100,7 @@
         self._places = places
         self._relay = relay
         self._budget = budget
+        self._crashes = crashes
         self._usage = usage
         self._demand = demand
         self._metrics = metrics
@@ -122,6 +132,11 @@
         self, work: _Work
     ) -> ty.Union[reply_.Reply, failures.Failure]:
         exchange = work.exchange
+        retry_after_ms = self._crashes.retry_after_ms(exchange.fingerprint)
+        if retry_after_ms:
+            return failures.not_run(
+                crash_tracker_.BLOCK_REASON, '', retry_after_ms
+            )
         place = self._places.choose(exchange, work.service, work.tried)
         if place is None:
             return failures.not_run('no_upstream', '', _RETRY_MS)
@@ -256,7 +271,7 @@
         body = sent.conn.read_all(deadline, _WHOLE_BYTES)
         if isinstance(body, failures.Failure):
             sent.conn.close()
-            view.health.failed()
+            self._sender.note_failure(work.exchange, view, body, sent.at)
             return body
         self._sender.finish(sent)
         reply = reply_.Reply(sent.head, body, view.name)
@@ -266,13 +281,14 @@
                 work.fallback = reply
             return failures.unknown('answered_badly', str(sent.head.status))
         view.health.succeeded()
+        self._crashes.note_success(work.exchange.fingerprint)
         return reply
 
     def _may_try_again(self, work: _Work, failure: failures.Failure) -> bool:
         exchange = work.exchange
         if self._clock.now() >= exchange.ends_at:
             return False
-        if failure.reason in ('no_upstream', 'deadline'):
+        if failure.reason in _FINAL_REASONS:
             return False
         if failure.kind is failures.FailureKind.NOT_RUN:
             never_sent = failure.reason == 'no_connection'
--- a/src/peridotmast/serving/sender.py
+++ b/src/peridotmast/serving/sender.py
@@ -8,6 +8,8 @@
 
 from peridotmast import clock as clock_
 from peridotmast import failures
+from peridotmast import ids
+from peridotmast.serving import crash_tracker as crash_tracker_
 from peridotmast.serving import decisions as decisions_
 from peridotmast.serving import dialect as dialect_
 from peridotmast.serving import exchange as exchange_
@@ -24,6 +26,13 @@
 
 Verdict = dialect_.Verdict
 
+_UNATTRIBUTED = frozenset(
+    (Verdict.FOREIGN, Verdict.ELSEWHERE, Verdict.GARBLED)
+)
+"""Verdicts on answers that may come from another upstream."""
+
+_InUse = weakref.WeakKeyDictionary[connection_.Connection, ids.Fingerprint]
+
 
 @dataclasses.dataclass
 class Sent:
@@ -50,6 +59,8 @@
         What upstreams speak.
     decisions : decisions.Decisions
         Notes answers that belong to others.
+    crashes : crash_tracker.CrashTracker
+        Records failed attempts and responses of upstreams.
     """
 
     def __init__(
@@ -58,13 +69,15 @@
         pool: pool_.ConnectionPool,
         dialect: dialect_.Dialect,
         decisions: decisions_.Decisions,
+        crashes: crash_tracker_.CrashTracker,
     ) -> None:
         self._clock = clock
         self._pool = pool
         self._dialect = dialect
         self._decisions = decisions
+        self._crashes = crashes
         self._in_use: weakref.WeakKeyDictionary[
-            upstream_view.UpstreamView, weakref.WeakSet[connection_.Connection]
+            upstream_view.UpstreamView, _InUse
         ] = weakref.WeakKeyDictionary()
 
     def send(
@@ -91,22 +104,43 @@
         if isinstance(conn, failures.Failure):
             view.health.failed()
             return conn
-        self._in_use.setdefault(view, weakref.WeakSet()).add(conn)
+        in_use = self._in_use.setdefault(view, weakref.WeakKeyDictionary())
+        in_use[conn] = exchange.fingerprint
         sent: ty.Union[Sent, failures.Failure, None] = None
+        sent_at = self._clock.now()
         try:
             sent = self._exchange(exchange, place, conn, silence_ms, resume)
         finally:
             if not isinstance(sent, Sent):
                 conn.close()
         if isinstance(sent, failures.Failure):
-            view.health.failed()
+            self.note_failure(exchange, view, sent, sent_at)
         return sent
 
+    def note_failure(
+        self,
+        exchange: exchange_.Exchange,
+        view: upstream_view.UpstreamView,
+        failure: failures.Failure,
+        sent_at: int,
+    ) -> None:
+        """Record that an answer did not arrive or was incomplete.
+
+        Parameters
+        ----------
+        sent_at : int
+            Time at which the request was sent, in ms.
+        """
+        view.health.failed()
+        self._crashes.note_failure(
+            exchange.fingerprint, view, failure, sent_at
+        )
+
     def finish(self, sent: Sent) -> None:
         """Take the connection of an answer that has ended back."""
         in_use = self._in_use.get(sent.place.view)
         if in_use is not None:
-            in_use.discard(sent.conn)
+            in_use.pop(sent.conn, None)
         self._pool.give_back(sent.place.view.address, sent.conn)
 
     def run_ended(self, view: upstream_view.UpstreamView) -> None:
@@ -119,6 +153,16 @@
         for conn in list(self._in_use.pop(view, ())):
             conn.cancel('upstream_restarted')
 
+    def cancel_attempts(self, fingerprint: ids.Fingerprint) -> None:
+        """Cancel all attempts of a request that are in progress.
+
+        An attempt queued at an upstream would crash it once it runs.
+        """
+        for in_use in self._in_use.values():
+            for conn, conn_fingerprint in list(in_use.items()):
+                if conn_fingerprint == fingerprint:
+                    conn.cancel(crash_tracker_.BLOCK_REASON)
+
     def _exchange(
         self,
         exchange: exchange_.Exchange,
@@ -145,6 +189,8 @@
                 return head
             place.view.was_heard()
             verdict = self._dialect.verdict(exchange, head)
+            if verdict not in _UNATTRIBUTED:
+                self._crashes.note_response(place.view, now)
             if verdict is not Verdict.FOREIGN:
                 return Sent(place, conn, head, verdict, now)
             self._decisions.note(
--- a/src/peridotmast/serving/stream_relay.py
+++ b/src/peridotmast/serving/stream_relay.py
@@ -9,6 +9,7 @@
 from peridotmast import failures
 from peridotmast import green
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import crash_tracker as crash_tracker_
 from peridotmast.serving import decisions as decisions_
 from peridotmast.serving import dialect as dialect_
 from peridotmast.serving import exchange as exchange_
@@ -41,6 +42,8 @@
         Chooses that upstream.
     budget : retry_budget.RetryBudget
         Bounds how often that is done.
+    crashes : crash_tracker.CrashTracker
+        Tracks requests that crash upstreams.
     metrics : metrics.ServingMetrics
         Counts what breaks and what goes on.
     decisions : decisions.Decisions
@@ -53,6 +56,7 @@
         sender: sender_.Sender,
         places: placement.Placement,
         budget: retry_budget.RetryBudget,
+        crashes: crash_tracker_.CrashTracker,
         metrics: metrics_.ServingMetrics,
         decisions: decisions_.Decisions,
     ) -> None:
@@ -60,6 +64,7 @@
         self._sender = sender
         self._places = places
         self._budget = budget
+        self._crashes = crashes
         self._metrics = metrics
         self._decisions = decisions
         self._open: list[Stream] = []
@@ -111,6 +116,7 @@
         stream.give_up_move()
         stream.sent.place.release()
         if stream.ended:
+            self._crashes.note_success(stream.exchange.fingerprint)
             self._sender.finish(stream.sent)
         else:
             stream.sent.conn.close()
@@ -125,7 +131,7 @@
             if isinstance(data, failures.Failure):
                 moved = self._go_where_moved(stream)
                 if moved is None:
-                    stream.sent.place.view.health.failed()
+                    self._note_failure(stream, data)
                     return data
                 if isinstance(moved, failures.Failure):
                     return moved
@@ -155,10 +161,15 @@
             )
             moved = self._go_where_moved(stream)
             if moved is None:
-                stream.sent.place.view.health.failed()
+                self._note_failure(stream, failure)
                 moved = self._resume(stream, failure)
             failure = moved if isinstance(moved, failures.Failure) else None
 
+    def _note_failure(self, stream: Stream, failure: failures.Failure) -> None:
+        sent = stream.sent
+        view = sent.place.view
+        self._sender.note_failure(stream.exchange, view, failure, sent.at)
+
     def _patient_until(self, stream: Stream) -> int:
         """Return until when its upstream may say nothing, in ms.
 
@@ -196,6 +207,8 @@
         over = self._clock.now() >= exchange.ends_at
         if over or not stream.may_go_on():
             raise reply_.BrokenAnswer(failure.reason)
+        if self._crashes.retry_after_ms(exchange.fingerprint):
+            raise reply_.BrokenAnswer(crash_tracker_.BLOCK_REASON)
         if not self._budget.take(stream.service.name):
             raise reply_.BrokenAnswer('no_budget')
         stream.sent.place.release()
--- a/src/peridotmast/standin/upstream_app.py
+++ b/src/peridotmast/standin/upstream_app.py
@@ -51,9 +51,9 @@
         """Share of requests that each fault hits: ``refuse``, ``error``,
         ``lose``, ``cut``, ``hang``, ``garble``, ``extra``."""
         self.crash_body = b''
-        """Body of the requests that crash it; none by default."""
+        """Requests with this body crash the upstream; empty for none."""
         self.on_crash: ty.Callable[[], None] = lambda: None
-        """Ends this run of the upstream, and closes its connections."""
+        """Ends this run of the upstream and closes its connections."""
         self._draws = random.Random(seed)
         self._serials = itertools.count(1)
         self._clock = clock_.SystemClock()
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -1048,6 +1048,62 @@
         'self.is_out',
         'upstreams',
     ),
+    Mutation(
+        'send on what has crashed three upstreams',
+        SERVING + 'desk.py',
+        'if retry_after_ms:',
+        'if False:',
+        'crashes',
+    ),
+    Mutation(
+        'hear of no crashes from peers',
+        ROUTER + 'peering.py',
+        'self._serving.crashes.hear(beacon.crash_suspects)',
+        'pass',
+        'crashes',
+    ),
+    Mutation(
+        'pass no crashes on as a head',
+        ROUTER + 'peering.py',
+        'serving.crashes.relays_updates = self.knows_late',
+        'pass',
+        'groups',
+    ),
+    Mutation(
+        'leave no refused request with the lease',
+        DUTIES + 'crash_blocks.py',
+        'left.crash_suspects.extend(self._crashes.blocked())',
+        'pass',
+        'crashes',
+    ),
+    Mutation(
+        'let attempts of a refused request wait on',
+        SERVING + 'sender.py',
+        'conn.cancel(crash_tracker_.BLOCK_REASON)',
+        'pass',
+        'crashes',
+    ),
+    Mutation(
+        'take each lost connection for a crash',
+        SERVING + 'crash_tracker.py',
+        'self._last_answered[view.run] = sent_at',
+        'pass',
+        'crashes',
+    ),
+    Mutation(
+        'blame a request for upstreams lost together',
+        SERVING + 'crash_tracker.py',
+        'if not (is_near and crash.sent_at < first_at):',
+        'if True:',
+        'crashes',
+    ),
+    Mutation(
+        'forget refused requests first',
+        SERVING + 'crash_tracker.py',
+        'key=lambda s: (s.is_blocked, s.seen_at)',
+        'key=lambda s: s.seen_at',
+        'crashes',
+    ),
 )
 
 
