Add a scenario for the retries of blocked requests

Two mutations of the retries of blocked requests survived, because the random histories seldom reach these retries: retrying from any router, and retrying without limit. The new scenario lets the retry delay pass on a manual clock: a router that does not hold the duties keeps refusing the request, and the holder of the duties sends it twice. The scenario catches both mutations.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -64,3 +64,12 @@
     And 5000 other requests lose one upstream each
     Then at most 1024 requests are tracked, and the first is still refused
     And an update contains at most 32 of them
+
+  Scenario: Only the holder of the duties retries a blocked request, twice
+    # If every router retried, each retry would crash another upstream.
+    Given a crash tracker
+    When one request crashes 3 upstreams
+    And the retry delay passes
+    Then it is refused, also by a router that receives the update
+    When the router becomes the holder of the duties
+    Then it sends the request 2 times, each after the retry delay
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -296,3 +296,29 @@
     updates = context.tracker.updates()
     assert len(updates) <= most, len(updates)
     assert crash_model.CRASHING in {update.fingerprint for update in updates}
+
+
+@when('the retry delay passes')
+def retry_delay_passes(context):
+    context.clock.advance(crash_tracker_.RETRY_DELAY_MS)
+
+
+@when('the router becomes the holder of the duties')
+def router_becomes_holder(context):
+    context.tracker.may_retry = lambda: True
+
+
+@then('it sends the request {count:d} times, each after the retry delay')
+def retries_are_limited(context, count):
+    retry_times = []
+    for number in range(5 * count):
+        if not context.tracker.retry_after_ms(crash_model.CRASHING):
+            retry_times.append(context.clock.now())
+            lose_upstream(context, crash_model.CRASHING, f'j-{number}')
+        context.clock.advance(crash_tracker_.RETRY_DELAY_MS // 2)
+    intervals = [
+        later - earlier
+        for earlier, later in zip(retry_times, retry_times[1:], strict=False)
+    ]
+    assert len(retry_times) == count, retry_times
+    assert min(intervals) >= crash_tracker_.RETRY_DELAY_MS, intervals
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -1104,6 +1104,20 @@
         'key=lambda s: s.seen_at',
         'crashes',
     ),
+    Mutation(
+        'send a refused request again from any router',
+        SERVING + 'crash_tracker.py',
+        'not self.may_retry()',
+        'False',
+        'crashes',
+    ),
+    Mutation(
+        'send a refused request again and again',
+        SERVING + 'crash_tracker.py',
+        'suspect.retries += 1',
+        'pass',
+        'crashes',
+    ),
 )
 
 
