--- a/src/peridotmast/platform/names.py
+++ b/src/peridotmast/platform/names.py
@@ -23,6 +23,8 @@
 EXPECT_UPSTREAM = 'X-Expect-Instance'
 UPSTREAM = 'X-Instance-Id'
 NOT_RUN = 'X-Not-Executed'
+LIMIT = 'Server-Limit'
+"""Requests per second that an upstream accepts from all routers together."""
 PRIORITY = 'X-Request-Urgency'
 EXPECT_VERSION = 'X-Expect-Version'
 PIN_MS = 'X-Pin-Ms'
--- a/src/peridotmast/standin/upstream_app.py
+++ b/src/peridotmast/standin/upstream_app.py
@@ -50,6 +50,8 @@
         self.faults: dict[str, float] = {}
         """Share of requests that each fault hits: ``refuse``, ``error``,
         ``lose``, ``cut``, ``hang``, ``garble``, ``extra``."""
+        self.limit = ''
+        """Limit that it names in its answers; empty for none."""
         self.crash_body = b''
         """Requests with this body crash the upstream; empty for none."""
         self.on_crash: ty.Callable[[], None] = lambda: None
@@ -84,9 +86,11 @@
 
     def seal(self, request_id: str) -> list[tuple[str, str]]:
         """Return the headers that every answer of a run has."""
+        limit = [(names.LIMIT, self.limit)] if self.limit else []
         return [
             (names.REQUEST_ID, request_id),
             (names.SEAL, f'{self.name}.{next(self._serials)}'),
+            *limit,
         ]
 
     def _request(
