Recompute the share of a limit on use

When a router started or left, every router recomputed its shares of all limits at once. With 8,192 limits and 330 routers, this blocked the event loop for 354 ms. A share is now recomputed when its upstream is next considered.

A share that was not used for two membership changes starts empty: in between, it may have belonged to another router. The scenario for this fails without the reset.

The model of shared limits now also isolates routers from their peers and lets routers idle. Correct the documented memory size of a limit: 385 bytes were measured.

--- a/features/steps/group_steps.py
+++ b/features/steps/group_steps.py
@@ -1087,9 +1087,7 @@
 def shares_add_up(context, rate, burst):
     nodes = context.groups.nodes.values()
     limits = [
-        limit
-        for node in nodes
-        for limit in node.serving.limits._limits.values()
+        node.serving.limits._get_limit(limit_model.UPSTREAM) for node in nodes
     ]
     total_rate = sum(limit.share for limit in limits)
     total_burst = sum(limit.burst for limit in limits)
--- a/features/steps/limit_model.py
+++ b/features/steps/limit_model.py
@@ -16,14 +16,15 @@
 EXCESS_FACTOR = 1.5
 EXCESS_REQUESTS = 5
 START_MS = 3000
-"""Time after its start in which the requests of a router are not counted."""
+"""Time after its start or reconnection in which the requests of a router are
+not counted."""
 ROUTERS = strategies.integers(0, 7)
 DURATIONS_MS = strategies.sampled_from([10, 100, 400, 1000, 3000])
 RATES = strategies.sampled_from([0.2, 0.5, 1.0, 2.5, 12.0])
 
 
 class LimitHistory(stateful.RuleBasedStateMachine):
-    """Routers under load that start, stop and restart.
+    """Routers under load that start, stop, restart, idle or are isolated.
 
     Fails if the upstream receives more requests in a window than permitted.
     """
@@ -34,6 +35,8 @@
         self.rate = 1.0
         self.routers = {}
         self.counted_from = {}
+        self.isolated = set()
+        self.idle = set()
         self.sends = []
         for number in range(6):
             self.add_router(number)
@@ -49,8 +52,9 @@
     def update_membership(self):
         """Give all routers the names of those that are running."""
         names = [f'router-{number}' for number in self.routers]
-        for limits in self.routers.values():
-            limits.set_routers(names)
+        for number, limits in self.routers.items():
+            if number not in self.isolated:
+                limits.set_routers(names)
 
     def run(self, ms):
         """Advance the clock while each router sends whenever it may."""
@@ -61,9 +65,12 @@
             if ms > 250:
                 self.update_membership()
             for number, limits in self.routers.items():
+                if number in self.idle:
+                    continue
                 while not limits.wait_ms(UPSTREAM):
                     limits.take(UPSTREAM)
-                    if now >= self.counted_from[number]:
+                    is_counted = now >= self.counted_from[number]
+                    if is_counted and number not in self.isolated:
                         self.sends.append(now)
 
     @stateful.rule(number=ROUTERS)
@@ -75,6 +82,21 @@
         if len(self.routers) > 1:
             self.routers.pop(number, None)
 
+    @stateful.rule(number=ROUTERS)
+    def isolate(self, number):
+        """Cut a router off from its peers, and do not count its requests."""
+        self.isolated.add(number)
+
+    @stateful.rule(number=ROUTERS)
+    def reconnect(self, number):
+        self.isolated.discard(number)
+        self.counted_from[number] = self.clock.now() + START_MS
+
+    @stateful.rule(number=ROUTERS)
+    def toggle_load(self, number):
+        """Stop or resume the load of a router."""
+        self.idle ^= {number}
+
     @stateful.rule(rate=RATES)
     def change_limit(self, rate):
         """Change the limit and let all routers read it at once."""
--- a/features/steps/upstream_limit_steps.py
+++ b/features/steps/upstream_limit_steps.py
@@ -4,6 +4,7 @@
 
 import itertools
 import types
+from unittest import mock
 
 from behave import given
 from behave import then
@@ -273,3 +274,45 @@
 @then('the upstream has received from {least:d} to {most:d} requests')
 def received_between(context, least, most):
     assert least <= context.received <= most, context.received
+
+
+@when('a third router starts, and the limit of one upstream is used')
+def third_router_starts(context):
+    limits = context.pair[0]
+    with mock.patch.object(
+        limits, '_assign_share', wraps=limits._assign_share
+    ) as context.assign_share:
+        limits.set_routers('abc')
+        limits.wait_ms(limit_model.UPSTREAM)
+        limits.wait_ms(limit_model.UPSTREAM)
+
+
+@then('one share is recomputed')
+def one_share_recomputed(context):
+    count = context.assign_share.call_count
+    assert count == 1, count
+
+
+@when('{seconds:d} s pass without load')
+def seconds_pass_without_load(context, seconds):
+    context.clock.advance(seconds * 1000)
+
+
+@when('{count:d} routers join and leave again')
+def routers_join_and_leave(context, count):
+    names = [f'router-{number}' for number in range(len(context.fleet_limits))]
+    joined = [f'joined-{number}' for number in range(count)]
+    for limits in context.fleet_limits:
+        assert not limits.wait_ms(limit_model.UPSTREAM)
+        limits.set_routers([*names, *joined])
+        limits.set_routers(names)
+
+
+@then('none of the first routers may send at once')
+def none_may_send(context):
+    for limits in context.fleet_limits[::2]:
+        limits.note_limit(limit_model.UPSTREAM, 1.1)
+    waits = [
+        limits.wait_ms(limit_model.UPSTREAM) for limits in context.fleet_limits
+    ]
+    assert all(waits), waits
--- a/features/upstream_limits.feature
+++ b/features/upstream_limits.feature
@@ -48,6 +48,20 @@
     When one reads a limit of 4 a second later, and they exchange updates
     Then both know a limit of 4
 
+  Scenario: A membership change recomputes only the shares in use
+    # Recomputing all shares at once would block the event loop.
+    Given two routers that share a limit of 1
+    When one reads the limits of 1000 more upstreams
+    And a third router starts, and the limit of one upstream is used
+    Then one share is recomputed
+
+  Scenario: A share regained after two membership changes starts empty
+    # Another router may have used the share in between.
+    Given 5 routers under load that share a limit of 1
+    When 60 s pass without load
+    And 100 routers join and leave again
+    Then none of the first routers may send at once
+
   Scenario: The number of limits kept is bounded
     Given two routers that share a limit of 1
     When one reads the limits of 9000 more upstreams
--- a/src/peridotmast/serving/upstream_limits.py
+++ b/src/peridotmast/serving/upstream_limits.py
@@ -38,7 +38,7 @@
 """How long a limit is kept without an answer that states it."""
 
 MAX_LIMITS = 8192
-"""Maximum number of limits kept, about 300 bytes each."""
+"""Maximum number of limits kept, about 400 bytes each."""
 
 _MAX_UPDATES = 32
 """Maximum number of limits in one beacon, about a kilobyte."""
@@ -66,6 +66,8 @@
     """Requests that this router may send now."""
     filled_at: int = 0
     """Time up to which `tokens` is filled, in ms."""
+    routers: frozenset[str] = frozenset()
+    """Known routers for which the share was computed."""
 
     def fill(self, now: int) -> None:
         """Add the tokens gained up to `now`."""
@@ -100,6 +102,8 @@
         self._log = logs.get('limits', router=router)
         self._limits: dict[str, _Limit] = {}
         self._routers: frozenset[str] = frozenset((router,))
+        self._previous_routers = self._routers
+        """Known routers before the last membership change."""
         self.tell: ty.Callable[[], None] = lambda: None
         """Called when peers must be updated at once."""
 
@@ -108,12 +112,11 @@
         return len(self._limits)
 
     def set_routers(self, routers: ty.Iterable[str]) -> None:
-        """Split the limits between this router and `routers`."""
+        """Set the routers that share the limits with this one."""
         names = frozenset((self._router, *routers))
+        # An equal set is not replaced: `_get_limit` compares by identity.
         if names != self._routers:
-            self._routers = names
-            for run, limit in self._limits.items():
-                self._assign_share(run, limit)
+            self._previous_routers, self._routers = self._routers, names
 
     def note_limit(
         self, view: upstream_view.UpstreamView, rate: float
@@ -140,7 +143,7 @@
 
     def wait_ms(self, view: upstream_view.UpstreamView) -> int:
         """Return how long this router must not send to an upstream, in ms."""
-        limit = self._limits.get(view.run) if self._limits else None
+        limit = self._get_limit(view)
         if limit is None or limit.rate is None:
             return 0
         limit.fill(self._clock.now())
@@ -153,7 +156,7 @@
 
     def take(self, view: upstream_view.UpstreamView) -> None:
         """Take a token for a request that is sent to an upstream."""
-        limit = self._limits.get(view.run) if self._limits else None
+        limit = self._get_limit(view)
         if limit is not None and limit.rate is not None:
             limit.fill(self._clock.now())
             limit.tokens -= 1
@@ -205,6 +208,19 @@
             )
         }
 
+    def _get_limit(
+        self, view: upstream_view.UpstreamView
+    ) -> ty.Optional[_Limit]:
+        """Return the limit of an upstream, with an up-to-date share.
+
+        Shares are recomputed on use: recomputing all of them whenever a
+        router starts or leaves would block the event loop.
+        """
+        limit = self._limits.get(view.run) if self._limits else None
+        if limit is not None and limit.routers is not self._routers:
+            self._assign_share(view.run, limit)
+        return limit
+
     def _merge(
         self,
         upstream: str,
@@ -255,6 +271,12 @@
         A router that had no share before starts without tokens.
         """
         limit.fill(self._clock.now())
+        known = (self._routers, self._previous_routers)
+        if not any(limit.routers is routers for routers in known):
+            # After more than one membership change, the share may have
+            # belonged to another router in between.
+            limit.tokens = 0.0
+        limit.routers = self._routers
         limit.share = limit.burst = 0.0
         if limit.rate is not None:
             rate = max(limit.rate, _MIN_RATE)
