--- a/src/peridotmast/serving/crash_tracker.py
+++ b/src/peridotmast/serving/crash_tracker.py
@@ -35,7 +35,7 @@
 """Time without a crash or a refusal after which a request is forgotten."""
 
 MAX_SUSPECTS = 1024
-"""Maximum number of tracked requests, about 400 bytes each."""
+"""Maximum number of tracked requests, about 600 bytes each."""
 
 _RETAINED_SHARE = 0.75
 """Share of `MAX_SUSPECTS` that remains after an eviction."""
