--- a/features/steps/helpers.py
+++ b/features/steps/helpers.py
@@ -14,6 +14,7 @@
 from peridotmast import failures
 from peridotmast import green
 from peridotmast.platform import names
+from peridotmast.serving import crash_tracker
 from peridotmast.serving import quota as quota_
 from peridotmast.serving import retry_budget
 from peridotmast.wire import connection as connection_
@@ -149,6 +150,7 @@
     return types.SimpleNamespace(
         quota=quota_.Quota(clock),
         budget=retry_budget.RetryBudget(clock, 0.2, 10_000, 50),
+        crashes=crash_tracker.CrashTracker(clock, 'router-1'),
     )
 
 
