Give the bare routers of two features their upstream limits

With both, the 52 scenarios of fleet, store_reads and router_stop pass. The checks are as they were.

--- a/features/steps/helpers.py
+++ b/features/steps/helpers.py
@@ -17,6 +17,7 @@
 from peridotmast.serving import crash_tracker
 from peridotmast.serving import quota as quota_
 from peridotmast.serving import retry_budget
+from peridotmast.serving import upstream_limits
 from peridotmast.wire import connection as connection_
 
 KEY = f'{names.KEY_SCHEME}key-noor'
@@ -151,6 +152,7 @@
         quota=quota_.Quota(clock),
         budget=retry_budget.RetryBudget(clock, 0.2, 10_000, 50),
         crashes=crash_tracker.CrashTracker(clock, 'router-1'),
+        limits=upstream_limits.UpstreamLimits(clock, 'router-1'),
     )
 
 
