Do not count cancelled attempts as crashes or failures of an upstream

Impact: when a request had crashed three upstreams, the routers cancelled its attempts that were waiting at other upstreams. Each cancelled attempt was recorded as another crash caused by the request, at a healthy upstream, and as a failure of that upstream.

Cause: a cancelled connection reported the reason for the cancellation only if the interrupted read returned. If the read raised an error, which is the usual case, the connection reported that the upstream had broken it off.

Fix: every failed send or read on a cancelled connection reports the reason for the cancellation. An attempt that this router has cancelled because its request is blocked counts neither as a crash nor as a failure of its upstream.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -41,6 +41,16 @@
     When it is sent 3 times, to each router in turn
     Then the queued attempt ends with 502, and its upstream has not crashed
 
+  Scenario: A cancelled attempt counts neither as a crash nor as a failure
+    # A cancelled connection must not be recorded as broken by the upstream.
+    Given a fleet of 1 routers
+    And "/once/tag" with the body "bad" crashes the upstream that runs it
+    And 2 attempts of it are queued at an upstream
+    When it is sent 3 times, to each router in turn
+    Then the queued attempts end with 502
+    And 3 crashes of it are recorded
+    And their upstream has no failures and a closed circuit breaker
+
   Scenario: Broken connections to upstreams that answer others are not crashes
     Given a crash tracker
     When the answer to one request breaks off at 5 upstreams that answer others
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -15,6 +15,7 @@
 from peridotmast import green
 from peridotmast.platform import names
 from peridotmast.serving import crash_tracker as crash_tracker_
+from peridotmast.serving import health as health_
 
 PROPAGATION_MS = 700
 """Time for an update to reach all routers: two beacons, one of which may be
@@ -169,7 +170,16 @@
 
 @given('an attempt of it is queued at an upstream')
 def queued_attempt(context):
-    """Hold an attempt at one upstream, as a long queue would."""
+    start_queued_attempts(context, 1)
+
+
+@given('{count:d} attempts of it are queued at an upstream')
+def queued_attempts(context, count):
+    start_queued_attempts(context, count)
+
+
+def start_queued_attempts(context, count):
+    """Start attempts that stay unanswered at one upstream, as if queued."""
     guest = helpers.guests(context, shape_.ENGINES)[0]
     app = guest.upstream.app
     app.crash_body = b''
@@ -182,10 +192,15 @@
         lambda: len(router.table.live(shape_.ENGINES)) == 1,
         'one engine is live',
     )
-    context.queued = green.spawn(
-        helpers.ask, router.address, context.path, body=context.body
+    context.queued = [
+        green.spawn(
+            helpers.ask, router.address, context.path, body=context.body
+        )
+        for _ in range(count)
+    ]
+    helpers.wait_until(
+        lambda: len(app.arrivals) == count, 'the attempts have arrived'
     )
-    helpers.wait_until(lambda: app.arrivals, 'the attempt has arrived')
     context.queued_at = guest
     context.fleet.announce_leaving(guest)
     for other in others:
@@ -202,11 +217,35 @@
 
 @then('the queued attempt ends with 502, and its upstream has not crashed')
 def queued_attempt_ends(context):
-    answer = context.queued.wait()
-    assert answer.status == 502, answer
+    queued_attempts_end(context)
     assert context.queued_at.name not in context.crashed
 
 
+@then('the queued attempts end with 502')
+def queued_attempts_end(context):
+    for task in context.queued:
+        answer = task.wait()
+        assert answer.status == 502, answer
+
+
+@then('{count:d} crashes of it are recorded')
+def recorded_crashes(context, count):
+    [blocked] = context.fleet.routers[0].serving.crashes.blocked()
+    assert len(blocked.crashes) == count, blocked
+
+
+@then('their upstream has no failures and a closed circuit breaker')
+def upstream_is_healthy(context):
+    router = context.fleet.routers[0]
+    [view] = [
+        view
+        for view in router.table.all()
+        if view.name == context.queued_at.name
+    ]
+    assert view.health.failing_share() == 0, view.health.failing_share()
+    assert view.health.breaker is health_.Breaker.CLOSED, view.health.breaker
+
+
 @given('a crash tracker')
 def crash_tracker(context):
     context.clock = clock_.ManualClock(5_000_000)
--- a/src/peridotmast/serving/sender.py
+++ b/src/peridotmast/serving/sender.py
@@ -136,6 +136,9 @@
         sent_at : int
             Time at which the request was sent, in ms.
         """
+        if failure.reason == crash_tracker_.BLOCK_REASON:
+            # Cancelled by this router: not a failure of the upstream.
+            return
         view.health.failed()
         self._crashes.note_failure(
             exchange.fingerprint, view, failure, sent_at
--- a/src/peridotmast/wire/connection.py
+++ b/src/peridotmast/wire/connection.py
@@ -171,8 +171,7 @@
         except _EarlyAnswer:
             self._body_sent = False
         except _WIRE_ERRORS as exc:
-            self.close()
-            return failures.unknown('broke_off', repr(exc)[:200])
+            return self._close_with_failure('broke_off', repr(exc)[:200])
         return None
 
     def read_head(
@@ -183,11 +182,9 @@
         try:
             head = self._read_head(method)
         except TimeoutError as exc:
-            self.close()
-            return failures.unknown('silent', str(exc))
+            return self._close_with_failure('silent', str(exc))
         except _WIRE_ERRORS as exc:
-            self.close()
-            return failures.unknown('broke_off', repr(exc)[:200])
+            return self._close_with_failure('broke_off', repr(exc)[:200])
         return self._unless_cancelled(head)
 
     def read_some(self, deadline: int) -> ty.Union[bytes, failures.Failure]:
@@ -197,14 +194,13 @@
         try:
             data = resp.read1(_READ_BYTES)
         except TimeoutError as exc:
-            self.close()
-            return failures.unknown('silent', str(exc))
+            return self._close_with_failure('silent', str(exc))
         except _WIRE_ERRORS as exc:
-            self.close()
-            return failures.unknown('broke_off', repr(exc)[:200])
+            return self._close_with_failure('broke_off', repr(exc)[:200])
         if not data and resp.length:
-            self.close()
-            return failures.unknown('cut_short', f'{resp.length} bytes')
+            return self._close_with_failure(
+                'cut_short', f'{resp.length} bytes'
+            )
         return self._unless_cancelled(data)
 
     def read_all(
@@ -258,8 +254,18 @@
         """Return what was read, or why it is broken off."""
         if not self._cancelled:
             return found
+        return self._close_with_failure(self._cancelled)
+
+    def _close_with_failure(
+        self, reason: str, detail: str = ''
+    ) -> failures.Failure:
+        """Close the connection and return a failure for `reason`.
+
+        On a cancelled connection, the reason passed to `cancel` is used
+        instead.
+        """
         self.close()
-        return failures.unknown(self._cancelled)
+        return failures.unknown(self._cancelled or reason, detail)
 
     def _read_head(self, method: str) -> ResponseHead:
         while True:
