Add a fault with a request that crashes engines to each soak

The new kind of fault sends one request 24 times, each time with a new request id, and each engine that runs it crashes and is replaced. The oracle counts the engines that it crashes after the time by which all routers can know of the third crash. Three are allowed, plus one for each router that has started or resumed after a pause since then.

--- a/features/experiments.feature
+++ b/features/experiments.feature
@@ -33,3 +33,17 @@
 
   Scenario: Every kind of fault is on a soak's timetable
     Then seeds 1 to 20 have each kind of fault at least once
+
+  Scenario Outline: Engine crashes caused by a blocked request are limited
+    # Guards against soaks that pass although blocked requests are sent.
+    When one request crashes engines at <crashes> ms, and routers start at <starts> ms
+    Then <count> crashes exceed the limit
+
+    Examples:
+      | crashes                                     | starts   | count |
+      | 0 100 200                                   | 500      | 0     |
+      | 0 100 200 400 600 1200                      | 500      | 0     |
+      | 0 100 200 1300 1400 1500                    | 500      | 0     |
+      | 0 100 200 1300 1400 1500 1600 1700          | 500      | 2     |
+      | 0 100 200 1300 1400 1500 1600 1700          | 500 1250 | 1     |
+      | 1700 0 1600 100 1500 200 1400 1300          | 500      | 2     |
--- a/features/steps/experiment_steps.py
+++ b/features/steps/experiment_steps.py
@@ -11,6 +11,7 @@
 from peridotmast.load import arrivals
 from peridotmast.load import experiment
 from peridotmast.load import faults
+from peridotmast.load import oracle
 from peridotmast.load import soak
 
 EXPERIMENTS = pathlib.Path(__file__).parents[2] / 'experiments'
@@ -78,3 +79,22 @@
     kinds = {kind.value for kind in faults.FaultKind}
     assert set(context.report['faults']) == kinds, context.report['faults']
     assert context.report['answered_whole'], context.report
+
+
+def parse_times(text):
+    return [int(word) for word in text.split()]
+
+
+@when(
+    'one request crashes engines at {crashes} ms, and routers start at'
+    ' {starts} ms'
+)
+def count_excess_crashes(context, crashes, starts):
+    context.excess_crashes = oracle.count_excess_crashes(
+        parse_times(crashes), parse_times(starts)
+    )
+
+
+@then('{count:d} crashes exceed the limit')
+def check_excess_crashes(context, count):
+    assert context.excess_crashes == count, context.excess_crashes
--- a/src/peridotmast/embedded/fleet.py
+++ b/src/peridotmast/embedded/fleet.py
@@ -79,6 +79,8 @@
         """Routers, those that were stopped or killed too."""
         self.dry: set[str] = set()
         """Failure domains that have no reclaimable engines to give."""
+        self.on_crash: ty.Callable[[guest_.Guest], None] = self.lose
+        """Called when a request crashes an upstream, to stop it."""
         self._version = 0
 
     def start(self) -> None:
@@ -337,6 +339,8 @@
     ) -> guest_.Guest:
         guest = guest_.Guest(record, upstream)
         guest.began_ms = self.clock.now()
+        upstream.app.crash_body = self.shape.crash_body
+        upstream.app.on_crash = lambda: self.on_crash(guest)
         self.guests.append(guest)
         self.links.front(links_.LinkKind.UPSTREAM, upstream.address)
         record.upstream.address = self.links.via(upstream.address)
--- a/src/peridotmast/embedded/shape.py
+++ b/src/peridotmast/embedded/shape.py
@@ -106,5 +106,7 @@
     trace_file: str = ''
     chat: bool = True
     """Whether routers listen for the chat API too."""
+    crash_body: bytes = b''
+    """Bytes in request bodies that crash upstreams; empty for none."""
     proxied: bool = False
     """Whether links have proxies in front, for faults of the network."""
--- a/src/peridotmast/load/faults.py
+++ b/src/peridotmast/load/faults.py
@@ -51,6 +51,7 @@
     HEALTH_SAYS_DOWN = 'health_says_down'
     HEALTH_SAYS_UP = 'health_says_up'
     FLAP_VM = 'flap_vm'
+    CRASHING_REQUEST = 'crashing_request'
 
 
 IN_PROCESSES = tuple(FaultKind)
@@ -67,6 +68,13 @@
 _FLAPS = 3
 """Times that an upstream stops in one fault; two are an accident."""
 
+CRASH_PROMPT = 'crash the engine'
+"""Prompt of requests that crash every engine that runs them."""
+_CRASHING_REQUEST_SENDS = 24
+"""Number of times that one fault sends the crashing request."""
+_CRASHING_REQUEST_INTERVAL_MS = 200
+"""Interval between these sends, and the deadline of each."""
+
 _NEVER = 1 << 62
 """Moment that does not come, in ms."""
 
@@ -140,6 +148,12 @@
         """Faults of links, by kind of fault and of link."""
         self.races_lost = 0
         """Operators who were told of a conflict."""
+        self.crash_times: list[int] = []
+        """When requests crashed engines, in ms of the fleet's clock."""
+        self.resume_times: list[int] = []
+        """When routers were added, restarted or thawed, in ms of the fleet's
+        clock."""
+        fleet.on_crash = self._replace_crashed
 
     def run(self, timetable: ty.Iterable[pb.Fault]) -> None:
         """Bring the faults about, each at its time from now."""
@@ -233,6 +247,28 @@
         green.sleep_ms(fault.for_ms)
         self._fleet.store.drop(names.UPSTREAM_KIND, name)
 
+    def _crashing_request(self, fault: pb.Fault) -> None:
+        """Send one request repeatedly, each time with a new request id."""
+        caller = self._fleet.caller('kalnins', fault.target)
+        for _ in range(_CRASHING_REQUEST_SENDS):
+            green.spawn(
+                caller.chat,
+                oracle_.MODEL,
+                CRASH_PROMPT,
+                max_tokens=20,
+                idempotent=False,
+                deadline_ms=_CRASHING_REQUEST_INTERVAL_MS,
+            )
+            green.sleep_ms(_CRASHING_REQUEST_INTERVAL_MS)
+
+    def _replace_crashed(self, guest: guest_.Guest) -> None:
+        """Stop an engine that a request has crashed, and replace it."""
+        if not guest.ended_ms:
+            self.crash_times.append(self._fleet.clock.now())
+            self._fleet.lose(guest, keep_entry=True)
+            self._replace([guest])
+            self._fleet.drop_entry(guest)
+
     def _mute_connections(self, fault: pb.Fault) -> None:
         guest = self._pick_engine(fault.target)
         if guest is not None:
@@ -306,6 +342,7 @@
             green.sleep_ms(fault.for_ms)
             router.thaw()
             self.thawed.append(self._fleet.clock.now())
+            self.resume_times.append(self.thawed[-1])
 
     def _kill_all_routers(self, fault: pb.Fault) -> None:
         killed = self._fleet.serving()
@@ -315,6 +352,7 @@
         green.sleep_ms(self._replace_ms)
         for router in killed:
             self._fleet.restart(router)
+            self.resume_times.append(self._fleet.clock.now())
 
     def _pick_router(self, target: int) -> ty.Any:
         live = [
@@ -329,6 +367,7 @@
         self._fleet.add_router(
             f'router-{next(self._names)}', failure_domain=domain
         )
+        self.resume_times.append(self._fleet.clock.now())
 
     def _platform_outage(self, fault: pb.Fault) -> None:
         self._platform(fault, outage=1.0)
--- a/src/peridotmast/load/oracle.py
+++ b/src/peridotmast/load/oracle.py
@@ -23,6 +23,7 @@
     'cut_by_planned_stop',
     'reports_that_differ',
     'duties_out_of_turn',
+    'sent_though_blocked',
     'invariant_violations',
 )
 """Counts of a verdict that must be zero."""
@@ -30,6 +31,12 @@
 _LEAVING_BOUND_MS = 2000
 CUT_MS = 500
 """Time after a router's end in which its callers see their connections go."""
+_BLOCK_THRESHOLD = 3
+"""Number of crashes at which a request must be blocked."""
+_BLOCK_PROPAGATION_MS = 1000
+"""Time after the last of these crashes until all routers know of the block."""
+_MAX_CRASHES_ONCE_BLOCKED = 3
+"""Maximum number of engines that a request may crash after that time."""
 _THAW_MS = 300
 """Time after a thaw in which a call that was on its way may still arrive."""
 _Kinds = failures.FailureKind
@@ -66,6 +73,8 @@
     reports_that_differ: int = 0
     duties_out_of_turn: int = 0
     """Calls of the platform with a lower fencing number than one before."""
+    sent_though_blocked: int = 0
+    """Engines crashed by a blocked request in excess of the limit."""
     invariant_violations: int = 0
     outcome_unknown: int = 0
     """Requests that may have run and got no answer."""
@@ -98,6 +107,8 @@
         noticed: dict[str, int],
         drained: dict[str, Span],
         thawed: ty.Sequence[int],
+        crash_times: ty.Sequence[int] = (),
+        resume_times: ty.Sequence[int] = (),
     ) -> Verdict:
         """Return the verdict.
 
@@ -109,6 +120,10 @@
             Stops as planned: chat address, and from when to when, in ms.
         thawed : sequence of int
             When frozen routers went on, in ms.
+        crash_times : sequence of int, optional
+            When requests crashed engines, in ms.
+        resume_times : sequence of int, optional
+            When routers were added, restarted or thawed, in ms.
         """
         verdict = Verdict(requests=len(self.outcomes))
         refused: collections.Counter[str] = collections.Counter()
@@ -125,6 +140,9 @@
             not any(0 <= at - thaw <= _THAW_MS for thaw in thawed)
             for at in cloud.out_of_turn
         )
+        verdict.sent_though_blocked = count_excess_crashes(
+            crash_times, resume_times
+        )
         verdict.invariant_violations = self._fleet.broken_promises()
         for guest in self._fleet.guests:
             totals = getattr(guest.upstream, 'totals', {})
@@ -200,6 +218,23 @@
     return silent and began <= last.ended <= ended + CUT_MS
 
 
+def count_excess_crashes(
+    crash_times: ty.Sequence[int], resume_times: ty.Sequence[int]
+) -> int:
+    """Return by how many crashes a blocked request exceeds the limit.
+
+    The limit rises by one for each router that starts or resumes after the
+    block: it may send the request once before it receives the update.
+    """
+    times = sorted(crash_times)
+    if len(times) <= _BLOCK_THRESHOLD:
+        return 0
+    blocked_at = times[_BLOCK_THRESHOLD - 1] + _BLOCK_PROPAGATION_MS
+    crashes = sum(at > blocked_at for at in times)
+    resumes = sum(at > blocked_at for at in resume_times)
+    return max(0, crashes - _MAX_CRASHES_ONCE_BLOCKED - resumes)
+
+
 def expected(arrival: arrivals_.Arrival) -> str:
     """Return the answer that an arrival must get."""
     if arrival.service:
--- a/src/peridotmast/load/soak.py
+++ b/src/peridotmast/load/soak.py
@@ -56,6 +56,7 @@
         times=engine.EngineTimes(step_ms=10, batch=24),
         router={'policy': policy},
         bounds={'usage_window_s': 2.0, 'lease_ms': 1000},
+        crash_body=faults_.CRASH_PROMPT.encode(),
     )
 
 
--- a/src/peridotmast/load/trial.py
+++ b/src/peridotmast/load/trial.py
@@ -55,7 +55,11 @@
             fault_task.wait()
             faults.wait()
             self.verdict = oracle.judge(
-                faults.noticed, faults.drained, faults.thawed
+                faults.noticed,
+                faults.drained,
+                faults.thawed,
+                faults.crash_times,
+                faults.resume_times,
             )
             self.outcomes = oracle.outcomes
             return self._figures(fleet, oracle, faults, driver)
@@ -73,6 +77,7 @@
             **dataclasses.asdict(self.verdict),
             **report_.latencies(oracle.outcomes),
             'faults': dict(faults.counts),
+            'crashed_engines': len(faults.crash_times),
             'link_faults': dict(faults.links),
             'broken_by_proxy': collections.Counter(
                 fleet.links.broken.values()
--- a/src/peridotmast/standin/upstream_app.py
+++ b/src/peridotmast/standin/upstream_app.py
@@ -53,7 +53,7 @@
         self.limit = ''
         """Value of the limit header of its answers; empty for none."""
         self.crash_body = b''
-        """Requests with this body crash the upstream; empty for none."""
+        """Bytes in request bodies that crash it; empty for none."""
         self.on_crash: ty.Callable[[], None] = lambda: None
         """Ends this run of the upstream and closes its connections."""
         self._draws = random.Random(seed)
@@ -125,7 +125,7 @@
         self.bodies[request_id] = body
         self.teams[request_id] = _header(environ, names.TEAM)
         conn = environ[strict_protocol.CONNECTION]
-        if self.crash_body and body == self.crash_body:
+        if self.crash_body and self.crash_body in body:
             green.spawn(self.on_crash)
             green.sleep_ms(_HANG_MS)
         if self.hits('hang'):
