Do not block requests that run at upstreams that another one crashes

Impact: when a request crashed upstreams one after the other, streams that ran there were resumed at the next upstream, where the request crashed them again. After the third upstream, they were also refused for ten minutes (BUDGET).

Cause: each request whose answer breaks off is recorded with a crash of its upstream. At the third upstream, the requests that were running there have the same record as the one that causes the crashes.

Fix: each recorded crash states whether an event of the answer had arrived. A crash after the first event does not count if another request, with at most one crash fewer, broke off at that upstream before its first event. A request that crashes upstreams after its first event is still blocked, because requests that happen to wait at one of these upstreams have fewer crashes.

Tested: the random histories now include a request that each crashed upstream is answering. They and the scenario with such a request fail if no crash is attributed to another request. The scenario with a request that crashes upstreams after its first event fails if the numbers of crashes are not compared. The scenario on recorded crashes fails if streams do not record that an event has arrived. Still blocked are requests that wait for their first event at three such upstreams, and those whose answer is read as a whole.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -61,6 +61,26 @@
     When one request is running at 4 upstreams that are lost within 100 ms
     Then it is not refused
 
+  Scenario: A request being answered by upstreams that another one crashes is not refused
+    # Both lose their connections to the same upstreams at the same time.
+    Given a crash tracker
+    When one request crashes 3 upstreams while they answer another one
+    Then only the first is refused, also by a router that receives the update
+
+  Scenario: A request that crashes upstreams while they answer it is refused
+    # The crashes must not be attributed to requests queued at one upstream each.
+    Given a crash tracker
+    When one request crashes 3 upstreams while they answer it, each with another request queued
+    Then it is refused, also by a router that receives the update
+
+  Scenario: A recorded crash states whether the request was being answered
+    Given a fleet of 1 routers
+    And "/once/tag" with the body "bad" crashes the upstream that runs it
+    When a caller streams 60 tokens from "/chat/x" and its upstream is killed
+    Then 1 crash is recorded for a request that was being answered
+    When it is sent 1 times, to each router in turn
+    Then 1 more crash is recorded for a request that was not
+
   Scenario: A complete answer unblocks a request on all routers
     Given a crash tracker
     When one request crashes 3 upstreams
--- a/features/steps/crash_model.py
+++ b/features/steps/crash_model.py
@@ -16,6 +16,7 @@
 
 CRASHING = ids.Fingerprint('bad')
 HARMLESS = ids.Fingerprint('good')
+STREAMING = ids.Fingerprint('streaming')
 BROKE_OFF = failures.unknown('broke_off')
 
 ROUTERS = strategies.sampled_from(['a', 'b', 'c'])
@@ -44,9 +45,10 @@
 class CrashHistory(stateful.RuleBasedStateMachine):
     """Three routers, and a request that crashes each upstream that runs it.
 
-    Fails if the request is sent too often once blocked, is unblocked too
-    early, or if a harmless request is refused. One router at a time, other
-    than the holder of the duties, may be cut off from the others.
+    Fails if the request is sent too often once blocked or is unblocked too
+    early, if a harmless request is refused, or if a request that each of
+    these upstreams was answering is blocked. One router at a time, other than
+    the holder of the duties, may be cut off from the others.
     """
 
     def __init__(self):
@@ -65,8 +67,12 @@
         tracker = crash_tracker_.CrashTracker(self.clock, name)
         tracker.may_retry = lambda: name == self.holder
         tracker.tell = lambda: self.tell(name)
+        tracker.on_block = self.on_block
         return tracker
 
+    def on_block(self, fingerprint):
+        assert fingerprint != STREAMING, 'blocked for crashes of another'
+
     def tell(self, name):
         if name == self.isolated:
             return
@@ -87,6 +93,9 @@
             assert self.sends_after_block <= MAX_SENDS, 'sent too often'
         self.clock.advance(5)
         view = make_view(f'i-{self.runs}')
+        tracker.note_failure(
+            STREAMING, view, BROKE_OFF, self.last_arrival - 500, True
+        )
         tracker.note_failure(CRASHING, view, BROKE_OFF, self.last_arrival)
 
     @stateful.rule(router=ROUTERS)
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -252,11 +252,11 @@
     context.tracker = crash_tracker_.CrashTracker(context.clock, 'router-1')
 
 
-def lose_upstream(context, fingerprint, name, ran_ms=5):
+def lose_upstream(context, fingerprint, name, ran_ms=5, was_answering=False):
     sent_at = context.clock.now() - ran_ms
     view = crash_model.make_view(name)
     context.tracker.note_failure(
-        fingerprint, view, crash_model.BROKE_OFF, sent_at
+        fingerprint, view, crash_model.BROKE_OFF, sent_at, was_answering
     )
 
 
@@ -290,6 +290,60 @@
         lose_upstream(context, crash_model.CRASHING, f'i-{number}')
 
 
+@when('one request crashes {count:d} upstreams while they answer another one')
+def crashes_upstreams_answering_another(context, count):
+    for number in range(count):
+        context.clock.advance(1000)
+        name = f'i-{number}'
+        lose_upstream(
+            context, crash_model.HARMLESS, name, 900, was_answering=True
+        )
+        assert not context.tracker.retry_after_ms(crash_model.HARMLESS)
+        lose_upstream(context, crash_model.CRASHING, name)
+
+
+@when(
+    'one request crashes {count:d} upstreams while they answer it, each with'
+    ' another request queued'
+)
+def crashes_upstreams_answering_it(context, count):
+    for number in range(count):
+        context.clock.advance(1000)
+        name = f'i-{number}'
+        lose_upstream(
+            context, crash_model.CRASHING, name, 900, was_answering=True
+        )
+        lose_upstream(context, f'other-{number}', name)
+
+
+@then('only the first is refused, also by a router that receives the update')
+def only_first_refused(context):
+    refused_by_both(context)
+    for tracker in (context.tracker, context.other_tracker):
+        assert not tracker.retry_after_ms(crash_model.HARMLESS)
+
+
+def was_answering_flags(context):
+    [router] = context.fleet.serving()
+    return [
+        crash.was_answering
+        for suspect in router.serving.crashes.updates()
+        for crash in suspect.crashes
+    ]
+
+
+@then('1 crash is recorded for a request that was being answered')
+def crash_while_answering(context):
+    flags = was_answering_flags(context)
+    assert flags == [True], flags
+
+
+@then('1 more crash is recorded for a request that was not')
+def crash_before_answering(context):
+    flags = was_answering_flags(context)
+    assert sorted(flags) == [False, True], flags
+
+
 @then('it is not refused')
 def not_refused(context):
     assert not context.tracker.retry_after_ms(crash_model.CRASHING)
--- a/src/peridotmast/serving/crash_tracker.py
+++ b/src/peridotmast/serving/crash_tracker.py
@@ -63,6 +63,12 @@
     """Time at which the connection broke, in ms."""
     sent_at: int
     """Time at which the request was sent to the upstream, in ms."""
+    was_answering: bool = False
+    """Whether the upstream had sent an event of the answer."""
+
+
+_CrashesByRun = dict[str, _Crash]
+"""Crashes of a request by run of an upstream."""
 
 
 @dataclasses.dataclass
@@ -70,8 +76,7 @@
     """A request that may have crashed upstreams."""
 
     fingerprint: ids.Fingerprint
-    crashes: dict[str, _Crash] = dataclasses.field(default_factory=dict)
-    """Crashes by run of an upstream."""
+    crashes: _CrashesByRun = dataclasses.field(default_factory=dict)
     answered_at: int = _NEVER
     """Time of the last complete answer, in ms."""
     retries: int = 0
@@ -95,6 +100,12 @@
     sent to it later. A complete answer at any router discards the earlier
     crashes of the request.
 
+    A crash also interrupts the other requests running at the upstream, which
+    may then be resent to the same upstreams as the request that causes the
+    crashes. Therefore, a crash does not count for a request that was being
+    answered if it is attributed to another request: one that the upstream was
+    not answering yet, and that has at most one crash fewer.
+
     Only the holder of the duties retries a blocked request, and rarely, so
     that a request blocked by mistake does not remain blocked indefinitely.
 
@@ -134,6 +145,7 @@
         view: upstream_view.UpstreamView,
         failure: failures.Failure,
         sent_at: int,
+        was_answering: bool = False,
     ) -> None:
         """Record an attempt that did not receive a complete answer.
 
@@ -141,6 +153,8 @@
         ----------
         sent_at : int
             Time at which the attempt was sent, in ms.
+        was_answering : bool, optional
+            Whether the upstream had sent an event of the answer.
         """
         has_ended = view.record.state in _ENDED_STATES
         is_crash = failure.reason in _CRASH_REASONS or (
@@ -150,7 +164,8 @@
             return
         now = self._clock.now()
         suspect = self._ensure_suspect(fingerprint, now)
-        if self._add_crash(suspect, view.run, _Crash(now, sent_at)):
+        crash = _Crash(now, sent_at, was_answering)
+        if self._add_crash(suspect, view.run, crash):
             suspect.changed_at = now
         self._log.info(
             'crash_noted',
@@ -159,6 +174,7 @@
             born=view.born,
             crashes=len(suspect.crashes),
             reason=failure.reason,
+            was_answering=was_answering,
         )
         self._update_block(suspect)
         if len(suspect.crashes) > 1:
@@ -188,7 +204,7 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             return
-        before = self._count_crashes(suspect)
+        before = _count_crashes(self._valid_crashes(suspect))
         suspect.answered_at = suspect.changed_at = self._clock.now()
         self._update_block(suspect)
         if before > 1:
@@ -261,7 +277,11 @@
         before = self._summary(suspect)
         for crash in message.crashes:
             at = now - crash.ago_ms
-            self._add_crash(suspect, crash.run, _Crash(at, at - crash.ran_ms))
+            self._add_crash(
+                suspect,
+                crash.run,
+                _Crash(at, at - crash.ran_ms, crash.was_answering),
+            )
         if message.HasField('answered_ago_ms'):
             answered_at = now - message.answered_ago_ms
             suspect.answered_at = max(suspect.answered_at, answered_at)
@@ -320,23 +340,53 @@
         )
         return crash.at < answered_at
 
-    def _count_crashes(self, suspect: _Suspect) -> int:
-        """Return the number of crashes, counting simultaneous ones once."""
-        crashes = sorted(
-            crash
+    def _valid_crashes(self, suspect: _Suspect) -> _CrashesByRun:
+        """Return the crashes that no later answer clears."""
+        return {
+            run: crash
             for run, crash in suspect.crashes.items()
             if not self._is_discounted(suspect, run, crash)
-        )
-        count, first_at = 0, _NEVER
-        for crash in crashes:
-            is_near = crash.at - first_at <= _SIMULTANEOUS_MS
-            if not (is_near and crash.sent_at < first_at):
-                count, first_at = count + 1, crash.at
-        return count
+        }
+
+    def _exclude_attributed(
+        self, suspect: _Suspect, crashes: _CrashesByRun
+    ) -> _CrashesByRun:
+        """Return the crashes that are not attributed to another request.
+
+        Crashes are not attributed to a request with fewer of them, which may
+        only have been waiting at one of the upstreams. One fewer is allowed,
+        as the last crash of that request may not be known yet.
+        """
+        min_crashes = len(crashes) - 1
+        others = [
+            self._valid_crashes(other)
+            for other in self._suspects.values()
+            if other is not suspect and len(other.crashes) >= min_crashes
+        ]
+        attributed_runs = {
+            run
+            for other_crashes in others
+            if len(other_crashes) >= min_crashes
+            for run, crash in other_crashes.items()
+            if not crash.was_answering
+        }
+        return {
+            run: crash
+            for run, crash in crashes.items()
+            if not (crash.was_answering and run in attributed_runs)
+        }
+
+    def _has_reached_threshold(self, suspect: _Suspect) -> bool:
+        crashes = self._valid_crashes(suspect)
+        if _count_crashes(crashes) < BLOCK_THRESHOLD:
+            # The common case, decided without a scan of the other requests.
+            return False
+        remaining = self._exclude_attributed(suspect, crashes)
+        return _count_crashes(remaining) >= BLOCK_THRESHOLD
 
     def _update_block(self, suspect: _Suspect) -> bool:
         """Return whether a request is blocked; log and report a change."""
-        is_blocked = self._count_crashes(suspect) >= BLOCK_THRESHOLD
+        is_blocked = self._has_reached_threshold(suspect)
         if is_blocked != suspect.is_blocked:
             suspect.is_blocked = is_blocked
             self.changes += 1
@@ -358,6 +408,7 @@
                     run=run,
                     ago_ms=now - crash.at,
                     ran_ms=crash.at - crash.sent_at,
+                    was_answering=crash.was_answering,
                 )
                 for run, crash in suspect.crashes.items()
             ],
@@ -387,3 +438,13 @@
                 for run, at in self._last_answered.items()
                 if run in runs
             }
+
+
+def _count_crashes(crashes: _CrashesByRun) -> int:
+    """Return the number of crashes, counting simultaneous ones once."""
+    count, first_at = 0, _NEVER
+    for crash in sorted(crashes.values()):
+        is_near = crash.at - first_at <= _SIMULTANEOUS_MS
+        if not (is_near and crash.sent_at < first_at):
+            count, first_at = count + 1, crash.at
+    return count
--- a/src/peridotmast/serving/sender.py
+++ b/src/peridotmast/serving/sender.py
@@ -128,6 +128,7 @@
         view: upstream_view.UpstreamView,
         failure: failures.Failure,
         sent_at: int,
+        was_answering: bool = False,
     ) -> None:
         """Record that an answer did not arrive or was incomplete.
 
@@ -135,13 +136,15 @@
         ----------
         sent_at : int
             Time at which the request was sent, in ms.
+        was_answering : bool, optional
+            Whether the upstream had sent an event of the answer.
         """
         if failure.reason == crash_tracker_.BLOCK_REASON:
             # Cancelled by this router: not a failure of the upstream.
             return
         view.health.failed()
         self._crashes.note_failure(
-            exchange.fingerprint, view, failure, sent_at
+            exchange.fingerprint, view, failure, sent_at, was_answering
         )
 
     def finish(self, sent: Sent) -> None:
--- a/src/peridotmast/serving/stream_relay.py
+++ b/src/peridotmast/serving/stream_relay.py
@@ -168,7 +168,9 @@
     def _note_failure(self, stream: Stream, failure: failures.Failure) -> None:
         sent = stream.sent
         view = sent.place.view
-        self._sender.note_failure(stream.exchange, view, failure, sent.at)
+        self._sender.note_failure(
+            stream.exchange, view, failure, sent.at, stream.is_answering
+        )
 
     def _patient_until(self, stream: Stream) -> int:
         """Return until when its upstream may say nothing, in ms.
@@ -281,6 +283,8 @@
         """Events that were not passed on yet."""
         self.ended = False
         """Whether the upstream ended it as complete."""
+        self.is_answering = False
+        """Whether the current attempt has sent a new event."""
         self._clock = clock
         self._first: ty.Optional[tuple[int, int]] = None
         self._move: ty.Optional[ty.Any] = None
@@ -288,7 +292,9 @@
     def take(self, data: bytes) -> None:
         """Take in the next bytes; none mean the end."""
         if data:
+            last_id = self.reader.last_id
             self.held += self.reader.feed(data)
+            self.is_answering |= self.reader.last_id > last_id
             if self._first is None and self.reader.last_id >= 0:
                 self._first = self._clock.now(), self.reader.last_id
             return
@@ -320,6 +326,7 @@
     def go_on(self, sent: sender_.Sent) -> None:
         """Take the rest from another attempt."""
         self.sent = sent
+        self.is_answering = False
         self.reader.restart()
 
     def move_begins(self) -> None:
