Shorten the retry time of a request just after it is blocked

Cause: a broken connection counts as a crash until the same run of the upstream answers another request. This unblocks the request within a moment, but the caller had already been given a retry time of ten minutes.

Fix: in the first 3 s after the last crash, the retry time is 1 s. A request that crashes upstreams is still refused.

Verification: the new scenario fails without the change (600 s instead of 1 s at its first check).

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -56,6 +56,16 @@
     When the answer to one request breaks off at 5 upstreams that answer others
     Then it is not refused
 
+  Scenario: A blocked request has a short retry time just after its last crash
+    # Connections reset at three upstreams count as crashes until these answer others.
+    Given a crash tracker
+    When one request crashes 3 upstreams
+    Then it is refused with a retry time of 1000 ms
+    When 2900 ms pass on the tracker's clock
+    Then it is refused with a retry time of 1000 ms
+    When 100 ms pass on the tracker's clock
+    Then it is refused with a retry time of 597000 ms
+
   Scenario: A request running at upstreams lost together is not refused
     Given a crash tracker
     When one request is running at 4 upstreams that are lost within 100 ms
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -391,6 +391,17 @@
     assert crash_model.CRASHING in {update.fingerprint for update in updates}
 
 
+@then('it is refused with a retry time of {ms:d} ms')
+def refused_with_retry_time(context, ms):
+    retry_after_ms = context.tracker.retry_after_ms(crash_model.CRASHING)
+    assert retry_after_ms == ms, retry_after_ms
+
+
+@when("{ms:d} ms pass on the tracker's clock")
+def time_passes(context, ms):
+    context.clock.advance(ms)
+
+
 @when('the retry delay passes')
 def retry_delay_passes(context):
     context.clock.advance(crash_tracker_.RETRY_DELAY_MS)
--- a/src/peridotmast/serving/crash_tracker.py
+++ b/src/peridotmast/serving/crash_tracker.py
@@ -26,6 +26,14 @@
 RETRY_DELAY_MS = 600_000
 """Time after the last crash before a blocked request is retried."""
 
+_CONFIRMATION_MS = 3000
+"""Time after the last crash within which an upstream that has only lost its
+connections is expected to answer other requests, which clears it."""
+
+_CONFIRMATION_RETRY_MS = 1000
+"""Retry time that callers are given within `_CONFIRMATION_MS`: a crash may yet
+prove to be only a broken connection."""
+
 _SIMULTANEOUS_MS = 250
 """Losses of upstreams within this time of the first count as one crash if the
 request had been sent to each of them before the first was lost: the upstreams
@@ -221,6 +229,8 @@
         now = self._clock.now()
         suspect.seen_at = now
         last = max(crash.at for crash in suspect.crashes.values())
+        if now - last < _CONFIRMATION_MS:
+            return _CONFIRMATION_RETRY_MS
         remaining = last + RETRY_DELAY_MS - now
         if remaining > 0:
             return remaining
