Record a failed resumption only for the upstream that it was sent to

Impact: when a stream broke off and the attempt to resume it at another upstream failed as well, the failure was recorded for both upstreams. An upstream that had only lost a connection, and had answered other requests since, counted as crashed again.

Cause: the sender records an attempt that fails while it is being sent for the upstream of that attempt. The relay also recorded each failure in its loop for the stream's current upstream, which is still the previous one at that time.

The new scenario fails without the change: failures are recorded for engine-1, engine-2, engine-1, engine-3 and engine-1.

Fix: the relay records only the failure that it has read from the stream's connection itself.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -91,6 +91,12 @@
     When it is sent 1 times, to each router in turn
     Then 1 more crash is recorded for a request that was not
 
+  Scenario: A failed attempt to resume a stream is recorded only for its own upstream
+    # Otherwise, the previous upstream's failure would be recorded twice.
+    Given a fleet of 1 routers
+    When a stream breaks off at its upstream and each attempt to resume it fails
+    Then exactly one failure is recorded for each upstream that it was sent to
+
   Scenario: A complete answer unblocks a request on all routers
     Given a crash tracker
     When one request crashes 3 upstreams
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import functools
+from unittest import mock
 
 from behave import given
 from behave import then
 from behave import when
 import crash_model
 import helpers
+import stream_steps
 
 from peridotmast import clock as clock_
 from peridotmast.embedded import shape as shape_
@@ -344,6 +346,40 @@
     assert sorted(flags) == [False, True], flags
 
 
+@when(
+    'a stream breaks off at its upstream and each attempt to resume it fails'
+)
+def stream_and_resumptions_fail(context):
+    [router] = context.fleet.serving()
+    sender = router.serving._sender
+    with mock.patch.object(
+        sender, 'note_failure', wraps=sender.note_failure
+    ) as context.note_failure:
+        stream_steps.stream_and(
+            context, 200, '/chat/x', kill_and_fail_resumptions(context)
+        )
+
+
+def kill_and_fail_resumptions(context):
+    """Return an action that kills an upstream and makes all others fail."""
+
+    def act(guest):
+        for other in helpers.guests(context, shape_.ENGINES):
+            other.upstream.app.faults['lose'] = 1.0
+        context.fleet.lose(guest)
+
+    return act
+
+
+@then('exactly one failure is recorded for each upstream that it was sent to')
+def one_failure_per_upstream(context):
+    upstreams = [
+        call.args[1].name for call in context.note_failure.call_args_list
+    ]
+    assert upstreams[0] == context.first_upstream.name, upstreams
+    assert len(upstreams) == len(set(upstreams)) > 1, upstreams
+
+
 @then('it is not refused')
 def not_refused(context):
     assert not context.tracker.retry_after_ms(crash_model.CRASHING)
--- a/src/peridotmast/serving/stream_relay.py
+++ b/src/peridotmast/serving/stream_relay.py
@@ -161,7 +161,10 @@
             )
             moved = self._go_where_moved(stream)
             if moved is None:
-                self._note_failure(stream, failure)
+                if failure is data:
+                    # Later failures are of attempts to resume elsewhere, and
+                    # must not be recorded for the previous upstream.
+                    self._note_failure(stream, failure)
                 moved = self._resume(stream, failure)
             failure = moved if isinstance(moved, failures.Failure) else None
 
