Order upstreams to make up for capacity lost to rate limits

Impact: while upstreams stated rate limits, the remaining upstreams were too few for the demand, and no additional ones were ordered (LIMIT).

Cause: the planner counted a rate-limited upstream at full capacity.

Evidence: with the shortfall fixed at 0, the two new scenarios on raising the need and on ordering fail: with 8 upstreams, two of them limited to 1 request per second where an upstream can carry 5, nothing is ordered.

Fix: add the capacity lost to limits to the need. The capacity of an upstream in requests per second is its reading speed divided by the tokens that it reads per request, which follow from the mean size of the requests that the duties holder itself has received. A limited upstream counts for limit / capacity, at most 1. The missing fractions are summed, rounded and ordered in addition to what the demand needs. Like any need, this rises at once and falls by one upstream per 5 s. While the mean request size is unknown, nothing is added.

--- a/features/planner.feature
+++ b/features/planner.feature
@@ -63,6 +63,13 @@
     Given two routers that were asked for 30000 and 60000 tokens in 6 s
     Then both measure 15000 tokens a second
 
+  Scenario: A router measures the mean size of its requests
+    Given a router that has just started
+    Then its mean request size is unknown
+    When it is asked for 24000 tokens in 250 ms
+    And it is asked for 12000 tokens in 250 ms
+    Then its mean request size is 18000 tokens
+
   Scenario: A clump of arrivals right after a start is not a rate
     Given a router that has just started
     When it is asked for 24000 tokens in 250 ms
@@ -123,6 +130,30 @@
     When the demand rises to 6 upstreams'
     Then the need is 6 at once
 
+  # Guards against counting rate-limited upstreams at full capacity, which leaves too few others.
+  Scenario: Upstream limits raise the need at once, and lifting them lowers it slowly
+    Given a scaler with 6 upstreams
+    And an upstream can carry 5 requests per second
+    When the demand rises to 4 upstreams'
+    And upstreams state limits of 1, 1 and 9 requests per second
+    Then the need is 6 at once
+    When no upstream states a limit
+    Then the need is still 6 after 4000 ms and 5 after 6000 ms
+
+  Scenario: Limits do not raise the need while the mean request size is unknown
+    Given a scaler with 6 upstreams
+    When the demand rises to 4 upstreams'
+    And upstreams state limits of 1, 1 and 9 requests per second
+    Then the need is 4 at once
+
+  Scenario: Upstreams are ordered to make up for the limits of others
+    Given a holder that takes over 2 reclaimable ones in each domain
+    And the one before has found 6 to be needed
+    And an upstream can carry 5 requests per second
+    And 2 live upstreams state a limit of 1 request per second
+    When the demand rises to 6 upstreams'
+    Then at its first look 3 more were ordered
+
   Scenario: Reclaimable ones are held for a demand that is seldom reached
     Given a scaler with 6 upstreams
     When the demand is 3 upstreams' and seldom 6
--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -25,6 +25,7 @@
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import demand as demand_
 from peridotmast.serving import reading
+from peridotmast.serving import upstream_limits
 from peridotmast.serving import upstreams as upstreams_
 
 DOMAINS = ('a', 'b', 'c', 'd')
@@ -412,6 +413,16 @@
     context.clock.advance(ms)
 
 
+@then('its mean request size is unknown')
+def mean_request_size_is_unknown(context):
+    assert not context.demand.mean_request_tokens('pool')
+
+
+@then('its mean request size is {tokens:d} tokens')
+def mean_request_size_is(context, tokens):
+    assert context.demand.mean_request_tokens('pool') == tokens
+
+
 @then('it measures {rate:d} tokens a second')
 def measures(context, rate):
     assert context.demand.rate('pool') == rate
@@ -435,6 +446,7 @@
 
         self.peak = 0.0
         self.speed = None
+        self.request_tokens = 0.0
 
     def rate(self, service):
         return self.value
@@ -448,6 +460,9 @@
     def reading(self, service):
         return self.speed
 
+    def mean_request_tokens(self, service):
+        return self.request_tokens
+
 
 @given('a scaler with {count:d} upstreams')
 def a_scaler(context, count):
@@ -457,11 +472,16 @@
     config = pb.Config(policy=policy)
     context.scaler_config = config
     context.upstreams = upstreams_.UpstreamTable(context.clock)
+    context.upstream_limits = upstream_limits.UpstreamLimits(
+        context.clock, 'router-1'
+    )
+    context.stated_limits = []
     context.scaler = scaler_.Scaler(
         None,
         lambda: config,
         context.upstreams,
         context.demand,
+        context.upstream_limits,
         context.clock,
         context.clock.wall,
     )
@@ -475,10 +495,37 @@
     context.clock.advance(ms)
     per_engine = context.scaler_config.policy.tokens_per_second
     return context.scaler.needs.of(
-        context.service.name, context.live, 0, per_engine, 0.0
+        context.service.name,
+        context.live,
+        0,
+        per_engine,
+        0.0,
+        context.stated_limits,
     ).count
 
 
+@given('an upstream can carry {count:d} requests per second')
+def set_request_size(context, count):
+    speed = PER_ENGINE * need_._PRIOR_SPEED
+    context.demand.request_tokens = speed / need_._READ_SHARE / count
+
+
+@when('upstreams state limits of {a:d}, {b:d} and {c:d} requests per second')
+def state_limits(context, a, b, c):
+    context.stated_limits = [a, b, c]
+
+
+@when('no upstream states a limit')
+def state_no_limits(context):
+    context.stated_limits = []
+
+
+@given('{count:d} live upstreams state a limit of {rate:d} request per second')
+def limit_live_upstreams(context, count, rate):
+    for view in context.upstreams.live('pool')[:count]:
+        context.upstream_limits.note_limit(view, rate)
+
+
 @given('a scaler with {count:d} upstreams at the start of its fleet')
 def scaler_at_start(context, count):
     a_scaler(context, count)
--- a/src/peridotmast/duties/need.py
+++ b/src/peridotmast/duties/need.py
@@ -67,6 +67,8 @@
     reserve: int = 0
     """How many are to be had where reclaimable ones can be: at least
     `count`."""
+    limit_shortfall: int = 0
+    """How many of them make up for the rate limits of other upstreams."""
 
 
 class Needs:
@@ -151,6 +153,7 @@
         planned: int,
         per_engine: float,
         exceeded: float,
+        limits: ty.Collection[float] = (),
     ) -> Need:
         """Return how many upstreams carry the demand of `service`.
 
@@ -166,10 +169,16 @@
             Part of the time in which the demand may exceed the reserve:
             one more upstream pays where it is needed for more of the time
             than its price is of what a shortage costs.
+        limits : collection of float, optional
+            Rate limits of live upstreams, in requests per second.
         """
-        need = self._count(service, live, planned, per_engine)
+        shortfall = self._limit_shortfall(service, per_engine, limits)
+        need = self._count(service, live, planned, per_engine, shortfall)
         peak = self._demand.quantile(service, 1 - exceeded)
-        need.reserve = max(need.count, self._staff(service, peak, per_engine))
+        need.limit_shortfall = shortfall
+        need.reserve = max(
+            need.count, self._staff(service, peak, per_engine) + shortfall
+        )
         if not need.known:
             need.reserve = max(need.reserve, len(self._seen[service]))
         return need
@@ -182,6 +191,12 @@
         few of them need more room for each than many (square-root staffing,
         Halfin and Whitt, 1981).
         """
+        load = rate * _READ_SHARE / self._reading_speed(service, per_engine)
+        scatter = _SCATTER_LATE if self.knows_late() else _SCATTER
+        return math.ceil(load + scatter * math.sqrt(load))
+
+    def _reading_speed(self, service: str, per_engine: float) -> float:
+        """Return the reading speed of an upstream, in tokens per second."""
         speed = per_engine * _PRIOR_SPEED
         seen = self._demand.reading(service)
         if seen is not None:
@@ -189,16 +204,35 @@
             # Between the two: an engine at work reads slower than the idle
             # one that was seen, by the steps of the requests that it runs.
             speed = math.sqrt(speed * min(high, max(low, seen * 1000)))
-        load = rate * _READ_SHARE / speed
-        scatter = _SCATTER_LATE if self.knows_late() else _SCATTER
-        return math.ceil(load + scatter * math.sqrt(load))
+        return speed
+
+    def _limit_shortfall(
+        self, service: str, per_engine: float, limits: ty.Collection[float]
+    ) -> int:
+        """Return how many upstreams make up for the capacity lost to limits.
+
+        A limited upstream still counts as live, so that other upstreams must
+        carry the load above its limit. Limits are in requests and the load is
+        in tokens: 0 is returned while the mean request size is unknown.
+        """
+        size = self._demand.mean_request_tokens(service) if limits else 0
+        if not size:
+            return 0
+        speed = self._reading_speed(service, per_engine)
+        capacity = speed / (_READ_SHARE * size)
+        return round(sum(max(0, 1 - limit / capacity) for limit in limits))
 
     def _count(
-        self, service: str, live: int, planned: int, per_engine: float
+        self,
+        service: str,
+        live: int,
+        planned: int,
+        per_engine: float,
+        limit_shortfall: int,
     ) -> Need:
         now = self._clock.now()
         rate = self._demand.rate(service)
-        wanted = max(
+        wanted = limit_shortfall + max(
             _LEAST_NEEDED, planned, self._staff(service, rate, per_engine)
         )
         known = self._demand.is_known(service)
--- a/src/peridotmast/duties/scale_round.py
+++ b/src/peridotmast/duties/scale_round.py
@@ -53,6 +53,9 @@
     reading : float
         Tokens a ms that an engine was seen to read, for the log; 0 where
         that is not known.
+    limit_shortfall : int
+        Upstreams of `needed` that make up for the rate limits of others, for
+        the log.
     may_be_reclaimed : bool
         Whether reclaimable upstreams may be ordered.
     """
@@ -69,6 +72,7 @@
         fencing: int,
         demand: int,
         reading: float = 0,
+        limit_shortfall: int = 0,
         may_be_reclaimed: bool = True,
     ) -> None:
         self._orders = orders
@@ -82,6 +86,7 @@
         self._fencing = fencing
         self._demand = demand
         self._reading = reading
+        self._limit_shortfall = limit_shortfall
         self._may_be_reclaimed = may_be_reclaimed
         self._log = logs.get('scaler')
 
@@ -254,6 +259,7 @@
             reserve=self._reserve,
             demand=self._demand,
             reading=round(self._reading, 1),
+            limit_shortfall=self._limit_shortfall,
             fencing=self._fencing,
             outcome='given' if failure is None else failure.reason,
             detail='' if failure is None else failure.detail,
--- a/src/peridotmast/duties/scaler.py
+++ b/src/peridotmast/duties/scaler.py
@@ -12,6 +12,7 @@
 from peridotmast.duties import scale_round
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import demand as demand_
+from peridotmast.serving import upstream_limits as upstream_limits_
 from peridotmast.serving import upstreams as upstreams_
 
 _GIVE_BACK_MS = 1000
@@ -44,6 +45,8 @@
         What there is.
     demand : demand.Demand
         What is asked for.
+    limits : upstream_limits.UpstreamLimits
+        Rate limits of the upstreams.
     clock : clock.Clock
         Times orders.
     fleet_now : callable
@@ -56,6 +59,7 @@
         config: ty.Callable[[], pb.Config],
         table: upstreams_.UpstreamTable,
         demand: demand_.Demand,
+        limits: upstream_limits_.UpstreamLimits,
         clock: clock_.Clock,
         fleet_now: ty.Callable[[], int],
     ) -> None:
@@ -63,6 +67,7 @@
         self._config = config
         self._table = table
         self._demand = demand
+        self._limits = limits
         self._clock = clock
         self._fleet_now = fleet_now
         self._book = order_book.OrderBook(clock)
@@ -119,6 +124,7 @@
             planned,
             policy.tokens_per_second,
             service.reclaimable_price / policy.shortage_price,
+            self._live_limits(service),
         )
         look = scale_round.ScaleRound(
             self._orders,
@@ -131,6 +137,7 @@
             fencing,
             int(self._demand.rate(service.name)),
             reading=self._demand.reading(service.name) or 0,
+            limit_shortfall=need.limit_shortfall,
             may_be_reclaimed=policy.scaling != REACTIVE,
         )
         look.order_reclaimable()
@@ -143,6 +150,11 @@
             if look.give_back(one=not need.is_guess):
                 self._gave_back_at = now
 
+    def _live_limits(self, service: pb.Service) -> list[float]:
+        """Return the limits of live upstreams, in requests per second."""
+        rates = map(self._limits.rate, self._table.live(service.name))
+        return [rate for rate in rates if rate is not None]
+
     def _count_live(self, service: pb.Service) -> capacity_plan.Mix:
         kinds: list[dict[str, int]] = [
             dict.fromkeys(service.domains, 0) for _ in range(2)
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -174,6 +174,7 @@
             lambda: self.config.config,
             self.table,
             self.serving.demand,
+            self.serving.limits,
             self._clock,
             fleet_now,
         )
--- a/src/peridotmast/serving/demand.py
+++ b/src/peridotmast/serving/demand.py
@@ -38,6 +38,7 @@
     def __init__(self, clock: clock_.Clock) -> None:
         self._clock = clock
         self._mine: collections.Counter[str] = collections.Counter()
+        self._request_counts: collections.Counter[str] = collections.Counter()
         self._reading = reading_.Reading()
         self._speeds: dict[str, dict[str, float]] = {}
         self._total: collections.Counter[str] = collections.Counter()
@@ -66,8 +67,13 @@
     def offered(self, service: str, tokens: int) -> None:
         """Count a request of so many tokens."""
         self._mine[service] += tokens
+        self._request_counts[service] += 1
         self._add(service, tokens)
 
+    def mean_request_tokens(self, service: str) -> float:
+        """Return the mean tokens per request to this router; 0 if none."""
+        return self._mine[service] / max(1, self._request_counts[service])
+
     def counts(self) -> dict[str, int]:
         """Return what this router was asked for in all its run."""
         return dict(self._mine)
--- a/src/peridotmast/serving/upstream_limits.py
+++ b/src/peridotmast/serving/upstream_limits.py
@@ -141,6 +141,14 @@
             if self._merge(view.name, view.born, None, sent_at, sent_at):
                 self.tell()
 
+    def rate(self, view: upstream_view.UpstreamView) -> ty.Optional[float]:
+        """Return the limit of an upstream, in requests per second.
+
+        None if no limit is known or the limit is lifted.
+        """
+        limit = self._limits.get(view.run)
+        return None if limit is None else limit.rate
+
     def wait_ms(self, view: upstream_view.UpstreamView) -> int:
         """Return how long this router must not send to an upstream, in ms."""
         limit = self._get_limit(view)
