Derive the retry time of a router without a share from the limit

Impact: when no other upstream was available for some seconds, routers without a share of the limit of the last one refused requests with a retry time of 30 s, regardless of the limit (LIMIT).

Cause: for a router without a share, the wait was the maximum retry time.

Evidence: the new scenario fails without the change: 16 of 20 routers return 30,000 ms for a limit of 0.5 requests per second.

Fix: such a router returns the time in which the limit permits one request of all routers together, 2,000 ms in the scenario, because another router may be able to send one by then.

--- a/features/steps/upstream_limit_steps.py
+++ b/features/steps/upstream_limit_steps.py
@@ -271,6 +271,19 @@
                 context.received += 1
 
 
+@then(
+    'a minute later, {count:d} of the routers have to wait for {ms:d} ms, and'
+    ' the others may send'
+)
+def routers_without_share_wait(context, count, ms):
+    context.clock.advance(60_000)
+    waits = [
+        limits.wait_ms(limit_model.UPSTREAM) for limits in context.fleet_limits
+    ]
+    assert sorted(waits, reverse=True)[:count] == [ms] * count, waits
+    assert waits.count(0) == len(waits) - count, waits
+
+
 @then('the upstream has received from {least:d} to {most:d} requests')
 def received_between(context, least, most):
     assert least <= context.received <= most, context.received
--- a/features/upstream_limits.feature
+++ b/features/upstream_limits.feature
@@ -36,6 +36,11 @@
     When 60 s pass
     Then the upstream has received from 27 to 33 requests
 
+  Scenario: The retry time of a router without a share depends on the limit
+    # The maximum wait of 30 s would delay retries that other routers could send.
+    Given 20 routers under load that share a limit of 0.5
+    Then a minute later, 16 of the routers have to wait for 2000 ms, and the others may send
+
   Scenario: An answer to a request sent before a limit was stated does not lift it
     Given two routers that share a limit of 1
     When one reads the limit, and then an answer without it to an earlier request
--- a/src/peridotmast/serving/upstream_limits.py
+++ b/src/peridotmast/serving/upstream_limits.py
@@ -157,9 +157,12 @@
         limit.fill(self._clock.now())
         if limit.tokens >= 1:
             return 0
-        if not limit.share:
-            return _MAX_WAIT_MS
-        wait = math.ceil((1 - limit.tokens) / limit.share * 1000)
+        if limit.share:
+            wait = math.ceil((1 - limit.tokens) / limit.share * 1000)
+        else:
+            # A retry may reach a router with a share: return the mean interval
+            # between the requests that the limit permits to all routers.
+            wait = math.ceil(1000 / max(limit.rate, _MIN_RATE))
         return min(_MAX_WAIT_MS, wait)
 
     def take(self, view: upstream_view.UpstreamView) -> None:
