Let an engine state a rate limit in each soak

With the new kind of fault, limit_vm, one engine states a limit of 0.2 requests per second for 8 s, unless it states one already. The oracle counts the requests that arrive there from 3 s after the engine starts to state the limit. It permits, in any 4 s, 1.5 times the number that the limit allows plus 5 requests. Requests in the 6 s after a kill of all routers are not counted, because the restarted routers do not know the limit at first.

--- a/features/experiments.feature
+++ b/features/experiments.feature
@@ -47,3 +47,20 @@
       | 0 100 200 1300 1400 1500 1600 1700          | 500      | 2     |
       | 0 100 200 1300 1400 1500 1600 1700          | 500 1250 | 1     |
       | 1700 0 1600 100 1500 200 1400 1300          | 500      | 2     |
+
+  Scenario Outline: Requests to an engine that states a limit are limited
+    # Guards against soaks that pass although limits are exceeded.
+    Given an engine that states a limit of 1 request per second from 0 to 10000 ms
+    When it receives <count> requests from <first> ms, <interval> ms apart
+    And all routers are killed at <killed> ms
+    Then its limit is <outcome>
+
+    Examples:
+      | count | first | interval | killed | outcome   |
+      | 11    | 4000  | 100      | -9000  | respected |
+      | 12    | 4000  | 100      | -9000  | exceeded  |
+      | 12    | 4000  | 400      | -9000  | respected |
+      | 30    | 0     | 90       | -9000  | respected |
+      | 30    | 10001 | 10       | -9000  | respected |
+      | 12    | 4000  | 100      | 3000   | respected |
+      | 12    | 4000  | 100      | -2100  | exceeded  |
--- a/features/steps/experiment_steps.py
+++ b/features/steps/experiment_steps.py
@@ -5,6 +5,7 @@
 import json
 import pathlib
 
+from behave import given
 from behave import then
 from behave import when
 
@@ -98,3 +99,34 @@
 @then('{count:d} crashes exceed the limit')
 def check_excess_crashes(context, count):
     assert context.excess_crashes == count, context.excess_crashes
+
+
+@given(
+    'an engine that states a limit of {rate:d} request per second from'
+    ' {first:d} to {last:d} ms'
+)
+def engine_states_limit(context, rate, first, last):
+    context.rate, context.span = rate, (first, last)
+
+
+@when(
+    'it receives {count:d} requests from {first:d} ms, {interval:d} ms apart'
+)
+def engine_receives_requests(context, count, first, interval):
+    context.arrival_times = [first + n * interval for n in range(count)]
+
+
+@when('all routers are killed at {at:d} ms')
+def all_routers_killed(context, at):
+    context.kill_all_times = [at]
+
+
+@then('its limit is {outcome}')
+def check_limit_outcome(context, outcome):
+    exceeds = oracle.exceeds_limit(
+        context.arrival_times,
+        context.rate,
+        context.span,
+        context.kill_all_times,
+    )
+    assert exceeds == (outcome == 'exceeded'), exceeds
--- a/src/peridotmast/load/faults.py
+++ b/src/peridotmast/load/faults.py
@@ -52,6 +52,7 @@
     HEALTH_SAYS_UP = 'health_says_up'
     FLAP_VM = 'flap_vm'
     CRASHING_REQUEST = 'crashing_request'
+    LIMIT_VM = 'limit_vm'
 
 
 IN_PROCESSES = tuple(FaultKind)
@@ -75,6 +76,12 @@
 _CRASHING_REQUEST_INTERVAL_MS = 200
 """Interval between these sends, and the deadline of each."""
 
+_LIMIT_RATE = 0.2
+"""Rate limit that an engine states, in requests per second."""
+_LIMIT_DURATION_MS = 8000
+"""How long it states the limit: longer than the time until all routers must
+enforce it plus the window in which the oracle counts requests."""
+
 _NEVER = 1 << 62
 """Moment that does not come, in ms."""
 
@@ -153,6 +160,10 @@
         self.resume_times: list[int] = []
         """When routers were added, restarted or thawed, in ms of the fleet's
         clock."""
+        self.limited_engines: list[oracle_.LimitedEngine] = []
+        """Engines that stated rate limits, and when."""
+        self.kill_all_times: list[int] = []
+        """When all routers were killed, in ms of the fleet's clock."""
         fleet.on_crash = self._replace_crashed
 
     def run(self, timetable: ty.Iterable[pb.Fault]) -> None:
@@ -261,6 +272,19 @@
             )
             green.sleep_ms(_CRASHING_REQUEST_INTERVAL_MS)
 
+    def _limit_vm(self, fault: pb.Fault) -> None:
+        """Let an engine state a rate limit in its answers."""
+        guest = self._pick_engine(fault.target)
+        if guest is not None and not guest.upstream.app.limit:
+            began = self._fleet.clock.now()
+            guest.upstream.app.limit = str(_LIMIT_RATE)
+            green.sleep_ms(_LIMIT_DURATION_MS)
+            guest.upstream.app.limit = ''
+            span = began, self._fleet.clock.now()
+            self.limited_engines.append(
+                oracle_.LimitedEngine(guest, _LIMIT_RATE, span)
+            )
+
     def _replace_crashed(self, guest: guest_.Guest) -> None:
         """Stop an engine that a request has crashed, and replace it."""
         if not guest.ended_ms:
@@ -346,6 +370,7 @@
 
     def _kill_all_routers(self, fault: pb.Fault) -> None:
         killed = self._fleet.serving()
+        self.kill_all_times.append(self._fleet.clock.now())
         for router in killed:
             self._killed[router.chat_address] = self._fleet.clock.now()
             router.stop()
--- a/src/peridotmast/load/oracle.py
+++ b/src/peridotmast/load/oracle.py
@@ -9,6 +9,7 @@
 
 from peridotmast.client import caller as caller_
 from peridotmast.embedded import fleet as fleet_
+from peridotmast.embedded import guest as guest_
 from peridotmast.embedded import links as links_
 from peridotmast import failures
 from peridotmast.load import arrivals as arrivals_
@@ -24,6 +25,7 @@
     'reports_that_differ',
     'duties_out_of_turn',
     'sent_though_blocked',
+    'sent_over_limit',
     'invariant_violations',
 )
 """Counts of a verdict that must be zero."""
@@ -37,6 +39,14 @@
 """Time after the last of these crashes until all routers know of the block."""
 _MAX_CRASHES_ONCE_BLOCKED = 3
 """Maximum number of engines that a request may crash after that time."""
+_LIMIT_WINDOW_MS = 4000
+"""Window in which requests to an upstream with a rate limit are counted."""
+_LIMIT_TOLERANCE_FACTOR = 1.5
+_LIMIT_TOLERANCE_REQUESTS = 5
+"""Maximum number of requests in the window: the number that the limit allows,
+times this factor, plus this number."""
+_LIMIT_PROPAGATION_MS = 3000
+"""Time after which all routers must enforce a limit that is new to them."""
 _THAW_MS = 300
 """Time after a thaw in which a call that was on its way may still arrive."""
 _Kinds = failures.FailureKind
@@ -59,6 +69,17 @@
         return self.answer.failure
 
 
+@dataclasses.dataclass(frozen=True)
+class LimitedEngine:
+    """An engine that stated a rate limit, and when."""
+
+    guest: guest_.Guest
+    rate: float
+    """The limit, in requests per second."""
+    span: Span
+    """When it stated the limit."""
+
+
 @dataclasses.dataclass
 class Verdict:
     """The counts that a run is judged by."""
@@ -75,6 +96,8 @@
     """Calls of the platform with a lower fencing number than one before."""
     sent_though_blocked: int = 0
     """Engines crashed by a blocked request in excess of the limit."""
+    sent_over_limit: int = 0
+    """Engines that received more requests than their limits allow."""
     invariant_violations: int = 0
     outcome_unknown: int = 0
     """Requests that may have run and got no answer."""
@@ -109,6 +132,8 @@
         thawed: ty.Sequence[int],
         crash_times: ty.Sequence[int] = (),
         resume_times: ty.Sequence[int] = (),
+        limited_engines: ty.Sequence[LimitedEngine] = (),
+        kill_all_times: ty.Sequence[int] = (),
     ) -> Verdict:
         """Return the verdict.
 
@@ -124,6 +149,10 @@
             When requests crashed engines, in ms.
         resume_times : sequence of int, optional
             When routers were added, restarted or thawed, in ms.
+        limited_engines : sequence of LimitedEngine, optional
+            Engines that stated rate limits, and when.
+        kill_all_times : sequence of int, optional
+            When all routers were killed, in ms.
         """
         verdict = Verdict(requests=len(self.outcomes))
         refused: collections.Counter[str] = collections.Counter()
@@ -143,6 +172,15 @@
         verdict.sent_though_blocked = count_excess_crashes(
             crash_times, resume_times
         )
+        verdict.sent_over_limit = sum(
+            exceeds_limit(
+                [at for at, _ in engine.guest.upstream.app.arrivals],
+                engine.rate,
+                engine.span,
+                kill_all_times,
+            )
+            for engine in limited_engines
+        )
         verdict.invariant_violations = self._fleet.broken_promises()
         for guest in self._fleet.guests:
             totals = getattr(guest.upstream, 'totals', {})
@@ -235,6 +273,48 @@
     return max(0, crashes - _MAX_CRASHES_ONCE_BLOCKED - resumes)
 
 
+def exceeds_limit(
+    arrival_times: ty.Sequence[int],
+    rate: float,
+    span: Span,
+    kill_all_times: ty.Sequence[int] = (),
+) -> bool:
+    """Return whether an upstream received too many requests for its limit.
+
+    Requests are not counted while routers still learn the limit: after it is
+    first stated, and after all routers were killed and have lost it.
+
+    Parameters
+    ----------
+    arrival_times : sequence of int
+        When requests arrived, in ms.
+    rate : float
+        Limit of the upstream, in requests per second.
+    span : tuple of int
+        First and last moment at which it stated the limit, in ms.
+    kill_all_times : sequence of int, optional
+        When all routers were killed, in ms.
+    """
+    first, last = span
+    counted = [
+        at
+        for at in arrival_times
+        if first + _LIMIT_PROPAGATION_MS <= at <= last
+        and not any(
+            0 <= at - killed_at <= 2 * _LIMIT_PROPAGATION_MS
+            for killed_at in kill_all_times
+        )
+    ]
+    allowed = (
+        _LIMIT_TOLERANCE_FACTOR * rate * _LIMIT_WINDOW_MS / 1000
+        + _LIMIT_TOLERANCE_REQUESTS
+    )
+    return any(
+        sum(0 <= at - start < _LIMIT_WINDOW_MS for at in counted) > allowed
+        for start in counted
+    )
+
+
 def expected(arrival: arrivals_.Arrival) -> str:
     """Return the answer that an arrival must get."""
     if arrival.service:
--- a/src/peridotmast/load/trial.py
+++ b/src/peridotmast/load/trial.py
@@ -60,6 +60,8 @@
                 faults.thawed,
                 faults.crash_times,
                 faults.resume_times,
+                faults.limited_engines,
+                faults.kill_all_times,
             )
             self.outcomes = oracle.outcomes
             return self._figures(fleet, oracle, faults, driver)
