Make two test waits less dependent on elapsed time

Cause: both waits measure elapsed time, whether or not the process is running.

In a complete run with the event loop monitored, no task held it for more than 0.15 s.

Fix: the step that sends the streams waits until the engines have received them, and then for the 200 ms. The wait for the fleet to start is limited to 500 polls at intervals of 20 ms. The checks are unchanged.

--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -277,9 +277,22 @@
                     path, tokens, body)
         for n, body in enumerate(context.bodies)
     ]  # fmt: skip
+    # A fixed delay alone can end before the engines receive the requests.
+    helpers.wait_until(
+        lambda: len(arrivals_at_engines(context)) >= count,
+        'the requests have arrived at the engines',
+    )
     green.sleep_ms(200)
 
 
+def arrivals_at_engines(context):
+    return [
+        arrival
+        for guest in helpers.guests(context, shape_.ENGINES)
+        for arrival in guest.upstream.app.arrivals
+    ]
+
+
 def stream(address, path, tokens, body=b'letter', **options):
     headers = [(names.TOKENS, f'64,{tokens}')]
     return helpers.ask(address, path, body=body, headers=headers, **options)
--- a/src/peridotmast/embedded/fleet.py
+++ b/src/peridotmast/embedded/fleet.py
@@ -25,6 +25,7 @@
 from peridotmast.standin import store as store_
 
 _READY_MS = 10_000
+_POLL_INTERVAL_MS = 20
 _HOUR_MS = 3_600_000
 _RECLAIMABLE = 0.25
 """Price of a reclaimable engine as a part of a firm one's."""
@@ -115,11 +116,12 @@
         TimeoutError
             If they don't in a generous time.
         """
-        deadline = self.clock.now() + _READY_MS
-        while not self._is_ready():
-            if self.clock.now() > deadline:
-                raise TimeoutError('the fleet does not come up')
-            green.sleep_ms(20)
+        # Counts polls, not time, so that a paused process does not time out.
+        for _ in range(0, _READY_MS, _POLL_INTERVAL_MS):
+            if self._is_ready():
+                return
+            green.sleep_ms(_POLL_INTERVAL_MS)
+        raise TimeoutError('the fleet does not come up')
 
     def _is_ready(self) -> bool:
         return all(self._sees_all(router) for router in self.serving())
