--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -1167,6 +1167,27 @@
         'if False:',
         'crashes',
     ),
+    Mutation(
+        'ignore upstream limits in the need calculation',
+        DUTIES + 'need.py',
+        'return round(sum(max(0, 1 - limit / capacity) for limit in limits))',
+        'return 0',
+        'planner',
+    ),
+    Mutation(
+        'pass no upstream limits to the need calculation',
+        DUTIES + 'scaler.py',
+        'self._live_limits(service),',
+        '(),',
+        'planner',
+    ),
+    Mutation(
+        'return the maximum retry time without a share',
+        SERVING + 'upstream_limits.py',
+        'wait = math.ceil(1000 / max(limit.rate, _MIN_RATE))',
+        'wait = _MAX_WAIT_MS',
+        'upstream_limits',
+    ),
     Mutation(
         'count no request against a limit of its upstream',
         SERVING + 'placement.py',
