A scenario for crashes whose callers have left fails

Cause: an attempt whose caller leaves is dropped with its connection, so nobody learns that its upstream ended. Not mended yet: the attempt would have to be remembered until the upstream answers others or is gone.

The scenario shows it without load: callers leave after 100 ms, upstreams crash 300 ms after they began; 8 crash where 3 may.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -91,6 +91,14 @@
     When it is sent 1 times, to each router in turn
     Then 1 more crash is recorded for a request that was not
 
+  Scenario: A crash is recorded although the caller has left
+    # Guards against blocked requests that are sent on because their callers leave early.
+    Given a fleet of 3 routers
+    And "/once/tag" with the body "bad" crashes the upstream that runs it
+    And upstreams crash 300 ms after they start to run it
+    When it is sent 8 times, to each router in turn, by callers that leave after 100 ms
+    Then 3 upstreams have crashed
+
   Scenario: A failed attempt to resume a stream is recorded only for its own upstream
     # Otherwise, the previous upstream's failure would be recorded twice.
     Given a fleet of 1 routers
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -18,6 +18,7 @@
 from peridotmast.platform import names
 from peridotmast.serving import crash_tracker as crash_tracker_
 from peridotmast.serving import health as health_
+from peridotmast.wire import connection as connection_
 
 PROPAGATION_MS = 700
 """Time for an update to reach all routers: two beacons, one of which may be
@@ -65,6 +66,7 @@
     """Make the request crash an upstream, which is then replaced."""
     app = guest.upstream.app
     app.crash_body = context.body
+    app.crash_delay_ms = context.crash_delay_ms
     app.on_crash = functools.partial(crash_and_replace, context, guest)
 
 
@@ -83,10 +85,34 @@
 def crashing_request(context, path, body):
     context.path, context.body = path, body.encode()
     context.crashed, context.answers = [], []
+    context.crash_delay_ms = 0
     for guest in helpers.guests(context):
         set_crash_body(context, guest)
 
 
+@given('upstreams crash {ms:d} ms after they start to run it')
+def delayed_crash(context, ms):
+    context.crash_delay_ms = ms
+    for guest in helpers.guests(context):
+        set_crash_body(context, guest)
+
+
+@when(
+    'it is sent {count:d} times, to each router in turn, by callers that'
+    ' leave after {ms:d} ms'
+)
+def send_and_leave(context, count, ms):
+    for number in range(count):
+        routers = context.fleet.serving()
+        address = routers[number % len(routers)].address
+        conn = connection_.Connection(address, clock_.SystemClock())
+        assert conn.connect(1000) is None
+        with green.Timeout(ms / 1000, False):
+            helpers.ask(address, context.path, body=context.body, conn=conn)
+        conn.close()
+        green.sleep_ms(context.crash_delay_ms + PROPAGATION_MS)
+
+
 @when('it is sent {count:d} times, to each router in turn')
 def send_in_turn(context, count):
     for number in range(count):
--- a/src/peridotmast/standin/upstream_app.py
+++ b/src/peridotmast/standin/upstream_app.py
@@ -54,6 +54,8 @@
         """Value of the limit header of its answers; empty for none."""
         self.crash_body = b''
         """Bytes in request bodies that crash it; empty for none."""
+        self.crash_delay_ms = 0
+        """Time from the start of such a request to the crash."""
         self.on_crash: ty.Callable[[], None] = lambda: None
         """Ends this run of the upstream and closes its connections."""
         self._draws = random.Random(seed)
@@ -126,7 +128,7 @@
         self.teams[request_id] = _header(environ, names.TEAM)
         conn = environ[strict_protocol.CONNECTION]
         if self.crash_body and self.crash_body in body:
-            green.spawn(self.on_crash)
+            green.spawn_after_ms(self.crash_delay_ms, self.on_crash)
             green.sleep_ms(_HANG_MS)
         if self.hits('hang'):
             green.sleep_ms(_HANG_MS)
