Attribute a crash to a request whose caller or time limit was over before

Callers saw: a request that crashes upstreams was sent on and on, if its callers left before each crash. An attempt was forgotten as soon as nobody waited for it, so that the end of its upstream was put down to no request; the same with attempts that had run into their time limit.

Such attempts are kept now until their upstream answers a request that was sent two seconds later, or for ten seconds. The loss of the upstream, or of a connection to it, counts as a crash of theirs, with the same rules as for others: an answer of the same run discards it. At most 1024 are kept, and a planned stop counts for nothing. Besides, a request whose caller leaves is counted as started, a probe whose caller leaves no longer keeps a circuit breaker half open for four seconds, and peridotmast_broken_answers counts.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -101,6 +101,37 @@
     When that request is sent 8 times, to each router in turn, by callers that leave after 100 ms
     Then 3 upstreams have crashed
 
+  Scenario: A crash is recorded although the time limit of its request is over
+    # As above: the router has closed the connection before the upstream crashes.
+    Given a fleet of 1 routers
+    And a request to "/once/tag" with the body "bad" crashes the upstream that runs it
+    And upstreams crash 600 ms after they start to run that request
+    When that request is sent 6 times, by callers that wait for 200 ms
+    Then 3 upstreams have crashed
+
+  Scenario: An upstream that answers long after an attempt was abandoned has survived it
+    Given abandoned attempts at 1 upstream
+    When the upstream answers a request that was sent 1900 ms later
+    Then 1 attempt is still kept
+    When the upstream answers a request that was sent 2100 ms later
+    Then no attempt is kept
+
+  Scenario: The number of abandoned attempts is bounded
+    Given abandoned attempts at 2000 upstreams
+    Then 1024 attempts are kept, the latest ones
+    When 10001 ms pass on the clock of the attempts
+    Then no attempt is kept
+
+  Scenario: The loss of an upstream that announced its stop is no crash
+    Given a fleet of 1 routers
+    When a caller leaves a request to "/holds/seat", whose upstream then announces its stop and is lost
+    Then 0 crashes are recorded
+
+  Scenario: A probe whose caller leaves does not keep a circuit breaker half open
+    Given a circuit breaker that is open
+    When its probe is sent and its caller leaves
+    Then another probe may be sent at once
+
   Scenario: A failed attempt to resume a stream is recorded only for its own upstream
     # Otherwise, the failure of the previous upstream would be recorded twice.
     Given a fleet of 1 routers
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -16,6 +16,7 @@
 from peridotmast.embedded import shape as shape_
 from peridotmast import green
 from peridotmast.platform import names
+from peridotmast.serving import abandoned_attempts
 from peridotmast.serving import crash_tracker as crash_tracker_
 from peridotmast.serving import health as health_
 from peridotmast.wire import connection as connection_
@@ -118,6 +119,110 @@
         green.sleep_ms(context.crash_delay_ms + PROPAGATION_MS)
 
 
+@when(
+    'that request is sent {count:d} times, by callers that wait for {ms:d} ms'
+)
+def send_with_time_limit(context, count, ms):
+    [router] = context.fleet.running_routers()
+    for _ in range(count):
+        helpers.send_request(
+            router.address, context.path, body=context.body, deadline_ms=ms
+        )
+        green.sleep_ms(context.crash_delay_ms + PROPAGATION_MS)
+
+
+@given('abandoned attempts at {count:d} upstream')
+@given('abandoned attempts at {count:d} upstreams')
+def abandoned_attempts_at(context, count):
+    context.clock = clock_.ManualClock()
+    context.attempts = abandoned_attempts.AbandonedAttempts(context.clock)
+    for number in range(count):
+        context.clock.advance(1)
+        view = crash_model.make_view(f'i-{number}')
+        now = context.clock.now()
+        context.attempts.add(crash_model.HARMLESS, view, now, False)
+
+
+@when('the upstream answers a request that was sent {ms:d} ms later')
+def upstream_answers_later(context, ms):
+    view = crash_model.make_view('i-0')
+    context.attempts.note_response(view, context.clock.now() + ms)
+
+
+@then('{count:d} attempt is still kept')
+def attempts_kept(context, count):
+    assert len(context.attempts) == count, len(context.attempts)
+
+
+@then('{count:d} attempts are kept, the latest ones')
+def latest_attempts_kept(context, count):
+    attempts_kept(context, count)
+    assert not context.attempts.at(crash_model.make_view('i-0'))
+    assert context.attempts.at(crash_model.make_view('i-1999'))
+
+
+@then('no attempt is kept')
+def no_attempt_kept(context):
+    attempts_kept(context, 0)
+
+
+@when('{ms:d} ms pass on the clock of the attempts')
+def time_of_attempts_passes(context, ms):
+    context.clock.advance(ms)
+    context.attempts.tick()
+
+
+@when(
+    'a caller leaves a request to "{path}", whose upstream then announces its'
+    ' stop and is lost'
+)
+def leave_before_planned_stop(context, path):
+    [router] = context.fleet.running_routers()
+    guests = helpers.guests(context, shape_.PLAIN_SERVICE)
+    for guest in guests:
+        guest.upstream.app.faults['hang'] = 1.0
+    conn = connection_.Connection(router.address, clock_.SystemClock())
+    assert conn.connect(1000) is None
+    with green.Timeout(0.2, False):
+        helpers.send_request(router.address, path, conn=conn)
+    conn.close()
+    for guest in guests:
+        context.fleet.announce_leaving(guest)
+    green.sleep_ms(PROPAGATION_MS)
+    for guest in guests:
+        context.fleet.kill_upstream(guest)
+    green.sleep_ms(PROPAGATION_MS)
+
+
+@then('0 crashes are recorded')
+def no_crashes_recorded(context):
+    [router] = context.fleet.running_routers()
+    assert not len(router.serving.crashes)
+
+
+@given('a circuit breaker that is open')
+def open_breaker(context):
+    context.clock = clock_.ManualClock()
+    context.health = health_.Health(context.clock)
+    context.health.record_failure()
+    context.health.record_failure()
+    assert not context.health.allows_request()
+    context.clock.advance(4000)
+
+
+@when('its probe is sent and its caller leaves')
+def probe_abandoned(context):
+    assert context.health.allows_request()
+    context.health.record_sent()
+    assert not context.health.allows_request()
+    context.health.release_probe()
+
+
+@then('another probe may be sent at once')
+def another_probe_allowed(context):
+    assert context.health.allows_request()
+
+
 @when('that request is sent {count:d} times, to each router in turn')
 def send_in_turn(context, count):
     for number in range(count):
--- a/src/peridotmast/router/serving.py
+++ b/src/peridotmast/router/serving.py
@@ -127,6 +127,7 @@
             bounds.drain_ms,
         )
         fleet_state.upstream_table.listen(migrator.on_change)
+        fleet_state.upstream_table.listen(self._sender.on_upstream_change)
         fleet_state.upstream_table.listen_replacements(self._sender.abort_run)
         self.gateway = gateway_.Gateway(
             clock,
@@ -144,6 +145,7 @@
         self.pool.close_expired()
         self.demand.tick()
         self.crashes.tick()
+        self._sender.tick()
         self.limits.tick()
 
     def apply_settings(self, file: pb.RouterFile) -> None:
--- a/src/peridotmast/serving/crash_tracker.py
+++ b/src/peridotmast/serving/crash_tracker.py
@@ -59,7 +59,9 @@
 number of requests in one beacon. The time spans as many beacons as may be lost
 in a row; 32 requests take less than 1.5 kB compressed."""
 
-_CRASH_REASONS = frozenset(('broke_off', 'cut_short', 'upstream_restarted'))
+CRASH_REASONS = frozenset(
+    ('broke_off', 'cut_short', 'upstream_restarted', 'upstream_lost')
+)
 """Failure reasons that indicate a crash regardless of the upstream's state."""
 
 _ENDED_STATES = frozenset((upstream_view.GONE, upstream_view.LAPSED))
@@ -171,7 +173,7 @@
             Whether the upstream had sent an event of the answer.
         """
         has_ended = view.record.state in _ENDED_STATES
-        is_crash = failure.reason in _CRASH_REASONS or (
+        is_crash = failure.reason in CRASH_REASONS or (
             failure.reason == 'silent' and has_ended
         )
         if not is_crash:
--- a/src/peridotmast/serving/dispatcher.py
+++ b/src/peridotmast/serving/dispatcher.py
@@ -196,7 +196,13 @@
         exchange = state.exchange
         first_bytes_ms = self._first_bytes_ms(state)
         sent_at = self._clock.now()
-        sent = self._sender.send(exchange, reservation, first_bytes_ms)
+        try:
+            sent = self._sender.send(exchange, reservation, first_bytes_ms)
+        except BaseException:
+            # The upstream may run a request that its caller no longer awaits.
+            if not exchange.is_stream:
+                self._count_started(state, sent_at)
+            raise
         if isinstance(sent, failures.Failure):
             if sent.kind is failures.FailureKind.OUTCOME_UNKNOWN:
                 state.runs += 1
@@ -213,9 +219,14 @@
             sent.conn.close()
             reservation.view.health.record_failure()
             return failures.unknown('garbled', str(sent.head.status))
-        if is_streaming:
-            return self._begin_stream(state, sent, first_bytes_ms)
-        return self._read_response(state, sent)
+        try:
+            if is_streaming:
+                return self._begin_stream(state, sent, first_bytes_ms)
+            return self._read_response(state, sent)
+        except BaseException:
+            self._sender.abandon(exchange, sent.reservation.view, sent.sent_at)
+            sent.conn.close()
+            raise
 
     def _count_started(self, state: _RequestState, started_at: int) -> None:
         """Count a request as started, at most once over all attempts."""
--- a/src/peridotmast/serving/health.py
+++ b/src/peridotmast/serving/health.py
@@ -71,8 +71,8 @@
             self.breaker = Breaker.HALF_OPEN
             self._is_probing = False
         # Only one probe at a time is sent to find out whether the upstream has
-        # recovered. A probe whose caller has left has no outcome, so that
-        # another one is allowed after a while.
+        # recovered. A cancelled probe has no outcome, so that another one is
+        # allowed after a while.
         is_expired = self._clock.now() - self._probed_at >= _MAX_OPEN_MS
         return not self._is_probing or is_expired
 
@@ -81,6 +81,14 @@
         self._is_probing = self.breaker is Breaker.HALF_OPEN
         self._probed_at = self._clock.now()
 
+    def release_probe(self) -> None:
+        """Record that the outcome of a request will not be known.
+
+        If the request was the probe of a half-open breaker, another one may
+        be sent at once.
+        """
+        self._is_probing = False
+
     def record_success(self) -> None:
         """Record a successful answer, which closes the breaker."""
         self._decay()
--- a/src/peridotmast/serving/sender.py
+++ b/src/peridotmast/serving/sender.py
@@ -9,6 +9,7 @@
 from peridotmast import clock as clock_
 from peridotmast import failures
 from peridotmast import ids
+from peridotmast.serving import abandoned_attempts
 from peridotmast.serving import crash_tracker as crash_tracker_
 from peridotmast.serving import decisions as decisions_
 from peridotmast.serving import dialect as dialect_
@@ -84,6 +85,7 @@
         self._decisions = decisions
         self._crashes = crashes
         self._limits = limits
+        self._abandoned = abandoned_attempts.AbandonedAttempts(clock)
         self._attempts: weakref.WeakKeyDictionary[
             upstream_view.UpstreamView, _AttemptMap
         ] = weakref.WeakKeyDictionary()
@@ -121,6 +123,9 @@
             sent = self._attempt(
                 exchange, reservation, conn, head_timeout_ms, resume
             )
+        except BaseException:
+            self.abandon(exchange, view, sent_at)
+            raise
         finally:
             if not isinstance(sent, Sent):
                 conn.close()
@@ -152,6 +157,47 @@
         self._crashes.note_failure(
             exchange.fingerprint, view, failure, sent_at, was_answering
         )
+        if failure.reason in crash_tracker_.CRASH_REASONS:
+            self._attribute_to_abandoned(view, failure)
+        elif failure.reason == 'silent':
+            self._abandoned.add(
+                exchange.fingerprint, view, sent_at, was_answering
+            )
+
+    def abandon(
+        self,
+        exchange: exchange_.Exchange,
+        view: upstream_view.UpstreamView,
+        sent_at: int,
+        was_answering: bool = False,
+    ) -> None:
+        """Keep an attempt whose caller has left until its upstream answers.
+
+        Parameters
+        ----------
+        sent_at : int
+            Time at which the request was sent, in ms.
+        was_answering : bool, optional
+            Whether the upstream had sent an event of the response.
+        """
+        view.health.release_probe()
+        self._abandoned.add(exchange.fingerprint, view, sent_at, was_answering)
+
+    def on_upstream_change(self, view: upstream_view.UpstreamView) -> None:
+        """Decide on the abandoned attempts of an upstream that has ended.
+
+        The loss of an upstream that announced its stop is not a crash.
+        """
+        if view.record.state == upstream_view.LEAVING:
+            self._abandoned.take(view)
+        elif view.record.state == upstream_view.GONE:
+            self._attribute_to_abandoned(
+                view, failures.unknown('upstream_lost')
+            )
+
+    def tick(self) -> None:
+        """Drop the abandoned attempts that no longer matter."""
+        self._abandoned.tick()
 
     def finish(self, sent: Sent) -> None:
         """Return the connection of a complete response to the pool."""
@@ -169,6 +215,9 @@
         self._pool.close_idle(view.address)
         for conn in list(self._attempts.pop(view, ())):
             conn.cancel('upstream_restarted')
+        self._attribute_to_abandoned(
+            view, failures.unknown('upstream_restarted')
+        )
 
     def cancel_attempts(self, fingerprint: ids.Fingerprint) -> None:
         """Cancel all attempts of a request that are in progress.
@@ -212,6 +261,7 @@
             verdict = self._dialect.verdict(exchange, head)
             if verdict not in _UNATTRIBUTED:
                 self._crashes.note_response(reservation.view, now)
+                self._abandoned.note_response(reservation.view, now)
                 self._note_limit(exchange, reservation.view, head, now)
             if verdict is not Verdict.FOREIGN:
                 return Sent(reservation, conn, head, verdict, now)
@@ -228,6 +278,19 @@
             'foreign_answers', 'no response matched the request'
         )
 
+    def _attribute_to_abandoned(
+        self, view: upstream_view.UpstreamView, failure: failures.Failure
+    ) -> None:
+        """Record a possible crash for the abandoned attempts at a run."""
+        for attempt in self._abandoned.take(view):
+            self._crashes.note_failure(
+                attempt.fingerprint,
+                view,
+                failure,
+                attempt.sent_at,
+                attempt.was_answering,
+            )
+
     def _note_limit(
         self,
         exchange: exchange_.Exchange,
--- a/src/peridotmast/serving/stream_relay.py
+++ b/src/peridotmast/serving/stream_relay.py
@@ -112,7 +112,14 @@
                 yield stream.take_pending()
             if stream.ended:
                 return
-            self._read_more(stream)
+            try:
+                self._read_more(stream)
+            except reply_.BrokenAnswer as exc:
+                stream.is_broken = True
+                self._metrics.broken_answers.labels(
+                    stream.service.name, str(exc)
+                ).inc()
+                raise
 
     def close(self, stream: Stream) -> None:
         """Release the resources of a stream, complete or not."""
@@ -123,8 +130,17 @@
         if stream.ended:
             self._crashes.note_success(stream.exchange.fingerprint)
             self._sender.finish(stream.sent)
-        else:
-            stream.sent.conn.close()
+            return
+        if not stream.is_broken:
+            # The caller has left.
+            sent = stream.sent
+            self._sender.abandon(
+                stream.exchange,
+                sent.reservation.view,
+                sent.sent_at,
+                stream.is_answering,
+            )
+        stream.sent.conn.close()
 
     def _first_event(
         self, stream: Stream, first_event_ms: int
@@ -302,6 +318,8 @@
         """Whether the upstream marked the stream as complete."""
         self.is_answering = False
         """Whether the current attempt has sent a new event."""
+        self.is_broken = False
+        """Whether the stream was interrupted and could not be resumed."""
         self._clock = clock
         self._first: ty.Optional[tuple[int, int]] = None
         self._migration: ty.Optional[ty.Any] = None
