--- a/features/steps/helpers.py
+++ b/features/steps/helpers.py
@@ -18,6 +18,7 @@
 from peridotmast.serving import quota as quota_
 from peridotmast.serving import retry_budget
 from peridotmast.serving import upstream_limits
+from peridotmast.serving import version_gate
 from peridotmast.wire import connection as connection_
 
 KEY = f'{names.KEY_SCHEME}key-noor'
@@ -155,6 +156,7 @@
         retry_budget=retry_budget.RetryBudget(clock, 0.2, 10_000, 50),
         crashes=crash_tracker.CrashTracker(clock, 'router-1'),
         limits=upstream_limits.UpstreamLimits(clock, 'router-1'),
+        versions=version_gate.VersionGate(clock, 'router-1', False),
     )
 
 
--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -27,6 +27,7 @@
 from peridotmast.serving import upstream_view
 from peridotmast.serving import upstreams as upstreams_
 from peridotmast.serving import urgency
+from peridotmast.serving import version_gate
 
 STEP_MS = 50
 BEACON_MS = 250
@@ -333,8 +334,10 @@
 
 
 def make_placement(table, policy, name):
-    limits = upstream_limits.UpstreamLimits(clock_.ManualClock(), name)
-    return placement.Placement(table, policy, name, limits)
+    clock = clock_.ManualClock()
+    limits = upstream_limits.UpstreamLimits(clock, name)
+    versions = version_gate.VersionGate(clock, name, False)
+    return placement.Placement(table, policy, name, limits, versions)
 
 
 def make_scored_placement(table, router=0):
@@ -608,11 +611,11 @@
 
     Parameters
     ----------
+    count : int
+        Number of prompts per router.
     is_reported : bool
         Whether each router receives the loads of the others at once.
     """
-    count : int
-        Number of prompts per router.
     counts = collections.Counter()
     tables = [make_table(context.clock, 20) for _ in range(40)]
     routers = [
--- a/src/peridotmast/cli/main.py
+++ b/src/peridotmast/cli/main.py
@@ -10,6 +10,7 @@
 import click
 
 from peridotmast.cli import quickstart as quickstart_
+from peridotmast.cli import rollout as rollout_
 from peridotmast.client import caller as caller_
 from peridotmast.coordination import config_feed
 from peridotmast import failures
@@ -364,6 +365,7 @@
 
 
 main.add_command(quickstart_.quickstart)
+main.add_command(rollout_.rollout)
 
 
 def _short_name(states: ty.Any, state: int) -> str:
--- a/src/peridotmast/coordination/kind_watch.py
+++ b/src/peridotmast/coordination/kind_watch.py
@@ -71,6 +71,8 @@
     should_watch : callable
         Returns whether this router is to watch the kind. If not, changes
         come from its peers, and only a single listing is read at the start.
+    is_lazy : bool
+        Whether even this listing is read only once the router is to watch.
     """
 
     def __init__(
@@ -82,6 +84,7 @@
         is_outage_suspected: ty.Callable[[], bool] = lambda: False,
         on_change: ty.Callable[[], None] = lambda: None,
         should_watch: ty.Callable[[], bool] = lambda: True,
+        is_lazy: bool = False,
     ) -> None:
         self._store = store
         self.kind = kind
@@ -91,6 +94,7 @@
         self._is_outage_suspected = is_outage_suspected
         self._on_change = on_change
         self._should_watch = should_watch
+        self._is_lazy = is_lazy
         self._jitter = random.Random(kind)
         self._revision = 0
         self._listed = False
@@ -112,7 +116,8 @@
 
     def step(self) -> None:
         """Make one call to the store, and pause after it if necessary."""
-        if self._listed and not self._should_watch():
+        is_idle = self._listed or self._is_lazy
+        if is_idle and not self._should_watch():
             green.sleep_ms(_ROLE_CHECK_MS)
             return
         failure = self._watch() if self._listed else self._list()
--- a/src/peridotmast/coordination/objects.py
+++ b/src/peridotmast/coordination/objects.py
@@ -19,6 +19,8 @@
     """Revision of its last change; 0 if the object does not exist."""
     spec: ty.Optional[Json] = None
     """Its value; None if the object does not exist."""
+    status: ty.Optional[Json] = None
+    """What the system has written on it; None if nothing."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -82,6 +84,11 @@
         A failure of kind CONFLICT means that nothing was written.
         """
 
+    def write_status(
+        self, kind: str, name: str, status: Json, revision: int
+    ) -> ty.Union[StoredObject, failures.Failure]:
+        """Write the status of an object that is still at `revision`."""
+
     def remove(
         self, kind: str, name: str, revision: int
     ) -> ty.Optional[failures.Failure]:
--- a/src/peridotmast/coordination/upstream_feed.py
+++ b/src/peridotmast/coordination/upstream_feed.py
@@ -119,6 +119,7 @@
             upstream=record.upstream.name,
             state=pb.UpstreamState.Name(record.state),
             service=record.upstream.service,
+            version=record.upstream.version,
             address=record.upstream.address,
             revision=record.revision,
             reclaimable=record.reclaimable,
--- a/src/peridotmast/duties/crash_blocks.py
+++ b/src/peridotmast/duties/crash_blocks.py
@@ -42,3 +42,6 @@
     def save(self, state: pb.DutiesLeft) -> None:
         """Store the blocked requests for the next holder."""
         state.crash_suspects.extend(self._crashes.blocked_requests())
+
+    def on_saved(self) -> None:
+        """Do nothing: no decision depends on stored blocks."""
--- a/src/peridotmast/duties/duty.py
+++ b/src/peridotmast/duties/duty.py
@@ -35,3 +35,6 @@
 
     def save(self, state: pb.DutiesLeft) -> None:
         """Write the state that the next holder needs into `state`."""
+
+    def on_saved(self) -> None:
+        """Record that the state last written by `save` is stored."""
--- a/src/peridotmast/duties/duty_holder.py
+++ b/src/peridotmast/duties/duty_holder.py
@@ -165,6 +165,8 @@
         self._lease.attempt()
         if self._lease.remaining_ms > remaining_ms:
             self._saved_version = version
+            for duty in self._duties:
+                duty.on_saved()
             me = self._members.me.name
             successors = [m for m in self._contenders() if m.name != me]
             self._notify(successors[:_MAX_NOTIFIED])
--- a/src/peridotmast/duties/scaler.py
+++ b/src/peridotmast/duties/scaler.py
@@ -13,6 +13,7 @@
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import demand as demand_
 from peridotmast.serving import upstream_limits as upstream_limits_
+from peridotmast.serving import upstream_view
 from peridotmast.serving import upstreams as upstreams_
 
 _REMOVE_INTERVAL_MS = 1000
@@ -78,6 +79,9 @@
         )
         """Estimator of the required upstreams of each service."""
         self._removed_at = 0
+        self.is_rolled_out: ty.Callable[[str], bool] = lambda service: False
+        """Returns whether a service is moved to another version now, so that
+        upstreams of both versions exist."""
 
     @property
     def state_version(self) -> int:
@@ -99,6 +103,9 @@
         state.needs.update(self.estimator.save())
         state.orders.extend(self._tracker.save())
 
+    def on_saved(self) -> None:
+        """Do nothing: no decision depends on stored orders."""
+
     def run(self, fencing: int) -> None:
         """Reconcile all scaled services with their demand."""
         config = self._config()
@@ -142,11 +149,14 @@
             prefill_rate=self._demand.prefill_rate(service.name) or 0,
             limit_shortfall=required.limit_shortfall,
             allow_reclaimable=policy.scaling != REACTIVE,
+            out_of_use=self._count_out_of_use(service),
         )
         reconciler.order_reclaimable()
         if not self.estimator.startup_complete:
             return
         reconciler.order_firm()
+        if self.is_rolled_out(service.name):
+            return
         now = self._clock.now()
         if now - self._removed_at >= _REMOVE_INTERVAL_MS:
             # Remove several upstreams at once only until the demand is
@@ -160,11 +170,26 @@
         return [rate for rate in rates if rate is not None]
 
     def _count_live(self, service: pb.Service) -> capacity_plan.Mix:
-        kinds: list[dict[str, int]] = [
-            dict.fromkeys(service.domains, 0) for _ in range(2)
-        ]
-        for view in self._table.live(service.name):
-            counts = kinds[view.record.reclaimable]
-            if view.failure_domain in counts:
-                counts[view.failure_domain] += 1
-        return capacity_plan.Mix(kinds[True], kinds[False])
+        return _count(service, self._table.live(service.name))
+
+    def _count_out_of_use(
+        self, service: pb.Service
+    ) -> ty.Optional[capacity_plan.Mix]:
+        """Return the upstreams of versions that are not in use, if any."""
+        if not self.is_rolled_out(service.name):
+            return None
+        return _count(service, self._table.out_of_use(service.name))
+
+
+def _count(
+    service: pb.Service, views: ty.Iterable[upstream_view.UpstreamView]
+) -> capacity_plan.Mix:
+    """Return some upstreams of a service by kind and failure domain."""
+    kinds: list[dict[str, int]] = [
+        dict.fromkeys(service.domains, 0) for _ in range(2)
+    ]
+    for view in views:
+        counts = kinds[view.record.reclaimable]
+        if view.failure_domain in counts:
+            counts[view.failure_domain] += 1
+    return capacity_plan.Mix(kinds[True], kinds[False])
--- a/src/peridotmast/duties/service_reconciler.py
+++ b/src/peridotmast/duties/service_reconciler.py
@@ -74,6 +74,9 @@
         for the log.
     allow_reclaimable : bool
         Whether reclaimable upstreams may be ordered.
+    out_of_use : capacity_plan.Mix, optional
+        Live upstreams of versions that are not in use. They serve nothing, but
+        the platform counts them among those of an order.
     """
 
     def __init__(
@@ -90,6 +93,7 @@
         prefill_rate: float = 0,
         limit_shortfall: int = 0,
         allow_reclaimable: bool = True,
+        out_of_use: ty.Optional[capacity_plan.Mix] = None,
     ) -> None:
         self._orders = orders
         self._tracker = tracker
@@ -104,6 +108,7 @@
         self._prefill_rate = prefill_rate
         self._limit_shortfall = limit_shortfall
         self._allow_reclaimable = allow_reclaimable
+        self._out_of_use = out_of_use or capacity_plan.Mix({}, {})
         self._log = logs.get('scaler')
 
     def order_reclaimable(self) -> None:
@@ -268,8 +273,17 @@
         return self._order(domain, reclaimable, count)
 
     def _order(self, domain: str, reclaimable: bool, count: int) -> bool:
+        unused = (
+            self._out_of_use.reclaimable
+            if reclaimable
+            else self._out_of_use.firm
+        )
         failure = self._orders.order(
-            self._service.name, domain, count, reclaimable, self._fencing
+            self._service.name,
+            domain,
+            count + unused.get(domain, 0),
+            reclaimable,
+            self._fencing,
         )
         self._record(domain, reclaimable, count, failure)
         self._log.info(
--- a/src/peridotmast/duties/usage_reporter.py
+++ b/src/peridotmast/duties/usage_reporter.py
@@ -96,6 +96,9 @@
     def save(self, state: pb.DutiesLeft) -> None:
         """Do nothing: the last reported window is in the store."""
 
+    def on_saved(self) -> None:
+        """Do nothing: no report depends on stored state."""
+
     def run(self, fencing: int) -> None:
         """Store and send the reports that are due."""
         if not self._is_current and not self._read():
--- a/src/peridotmast/embedded/fleet.py
+++ b/src/peridotmast/embedded/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import itertools
 import typing as ty
 
@@ -9,8 +10,8 @@
 from peridotmast import clock as clock_
 from peridotmast.coordination import config_feed
 from peridotmast.embedded import links as links_
-from peridotmast.embedded import router_settings
 from peridotmast.embedded import loopback_hosts
+from peridotmast.embedded import router_settings
 from peridotmast.embedded import shape as shape_
 from peridotmast.embedded import upstream_instance
 from peridotmast import green
@@ -24,14 +25,15 @@
 from peridotmast.standin import engine as engine_
 from peridotmast.standin import plain_service
 from peridotmast.standin import store as store_
+from peridotmast.standin import version_faults
 
 _READY_MS = 10_000
 _POLL_INTERVAL_MS = 20
 _HOUR_MS = 3_600_000
-_RECLAIMABLE_PRICE_RATIO = 0.25
-"""Price of a reclaimable engine relative to that of a firm one."""
 FIRST_VERSION = 'v1'
 """Version of the upstreams that a fleet starts with."""
+_RECLAIMABLE_PRICE_RATIO = 0.25
+"""Price of a reclaimable engine relative to that of a firm one."""
 
 
 class Fleet:
@@ -87,6 +89,13 @@
             [upstream_instance.UpstreamInstance], None
         ] = self.kill_upstream
         """Called to stop an upstream that a request has crashed."""
+        self._hosts = loopback_hosts.LoopbackHosts()
+        self.versions: collections.defaultdict[str, str] = (
+            collections.defaultdict(lambda: FIRST_VERSION)
+        )
+        """Version of upstreams that are started, by service."""
+        self.version_faults: dict[str, version_faults.VersionFault] = {}
+        """How versions misbehave."""
         self._config_version = 0
 
     def start(self) -> None:
@@ -167,6 +176,7 @@
         domain: str,
         reclaimable: bool = False,
         service: str = shape_.ENGINE_SERVICE,
+        version: str = '',
     ) -> upstream_instance.UpstreamInstance:
         """Start an engine and write its entry to the store."""
         name = f'engine-{next(self._upstream_numbers)}'
@@ -179,17 +189,21 @@
             service,
             self.shape.engine_profile.batch_size,
             reclaimable,
+            version,
         )
 
     def add_service(
-        self, domain: str, service: str = shape_.PLAIN_SERVICE
+        self,
+        domain: str,
+        service: str = shape_.PLAIN_SERVICE,
+        version: str = '',
     ) -> upstream_instance.UpstreamInstance:
         """Start an upstream of a plain service and write its store entry."""
         name = f'service-{next(self._upstream_numbers)}'
         upstream = plain_service.PlainService(
             name, next(self._ports), seed=self._seed
         )
-        return self._register(upstream, domain, service, 16, False)
+        return self._register(upstream, domain, service, 16, False, version)
 
     def running_upstreams(
         self, service: str = ''
@@ -348,6 +362,7 @@
         service: str,
         slots: int,
         reclaimable: bool,
+        version: str,
     ) -> upstream_instance.UpstreamInstance:
         record = pb.UpstreamRecord(
             upstream=pb.Upstream(
@@ -357,6 +372,7 @@
                 service=service,
                 slots=slots,
                 born=self.clock.wall_time(),
+                version=version or self.versions[service],
             ),
             state=pb.UPSTREAM_STATE_LIVE,
             reclaimable=reclaimable,
@@ -368,6 +384,9 @@
     ) -> upstream_instance.UpstreamInstance:
         instance = upstream_instance.UpstreamInstance(record, upstream)
         instance.started_ms = self.clock.now()
+        upstream.app.version_fault = self.version_faults.get(
+            record.upstream.version, version_faults.GOOD
+        )
         upstream.app.crash_body = self.shape.crash_body
         upstream.app.on_crash = lambda: self.on_crash(instance)
         self.instances.append(instance)
--- a/src/peridotmast/ids.py
+++ b/src/peridotmast/ids.py
@@ -25,6 +25,9 @@
 Address = ty.NewType('Address', str)
 """``IP:port``."""
 
+SoftwareVersion = ty.NewType('SoftwareVersion', str)
+"""Version of the software of an upstream, as the platform names it."""
+
 Version = ty.NewType('Version', int)
 """Version of a platform object; increases with each write."""
 
--- a/src/peridotmast/load/state_slopes.py
+++ b/src/peridotmast/load/state_slopes.py
@@ -12,6 +12,7 @@
 from peridotmast.serving import placement
 from peridotmast.serving import upstream_limits
 from peridotmast.serving import upstreams as upstreams_
+from peridotmast.serving import version_gate
 
 Rows = list[dict[str, float]]
 """One row for each size, with the size and the measured values."""
@@ -60,6 +61,7 @@
             placement.ScoredPolicy('region-1-fd-1'),
             'edge-1',
             upstream_limits.UpstreamLimits(clock_.SystemClock(), 'edge-1'),
+            version_gate.VersionGate(clock_.SystemClock(), 'edge-1', True),
         )
         _choose_place(placements, service)
         steady_us = profiling.measure_cpu_us(
--- a/src/peridotmast/platform/names.py
+++ b/src/peridotmast/platform/names.py
@@ -65,9 +65,17 @@
 }
 
 
+ROLLOUT_OUTCOMES = {
+    'running': pb.ROLLOUT_PHASE_TRIAL,
+    'completed': pb.ROLLOUT_PHASE_COMPLETED,
+    'rolled_back': pb.ROLLOUT_PHASE_ROLLED_BACK,
+}
+
+
 OBJECTS_PATH = '/objects'
 META = 'metadata'
 SPEC = 'spec'
+STATUS = 'status'
 REVISION = 'revision'
 """Revision of an object; the store has one counter for all kinds."""
 ITEMS = 'items'
@@ -84,6 +92,7 @@
 CONFIG_KIND = 'config'
 CONFIG_NAME = 'main'
 UPSTREAM_KIND = 'servers'
+ROLLOUT_KIND = 'rollouts'
 
 
 HOLDER = 'X-Duty-Holder'
--- a/src/peridotmast/platform/object_codec.py
+++ b/src/peridotmast/platform/object_codec.py
@@ -63,7 +63,13 @@
     spec = item.get(names.SPEC)
     if spec is None:
         spec = {}
-    return objects.StoredObject(name, revision, None if removed else spec)
+    status = item.get(names.STATUS)
+    return objects.StoredObject(
+        name,
+        revision,
+        None if removed else spec,
+        status if isinstance(status, dict) else None,
+    )
 
 
 def _recover_list(text: str, key: str) -> dict[str, ty.Any]:
--- a/src/peridotmast/platform/store.py
+++ b/src/peridotmast/platform/store.py
@@ -147,6 +147,18 @@
             response = self._call('POST', _path(kind), body)
         return _write_result(response, name)
 
+    def write_status(
+        self, kind: str, name: str, status: objects.Json, revision: int
+    ) -> ty.Union[objects.StoredObject, failures.Failure]:
+        """Write the status of an object that is still at `revision`."""
+        meta = {'name': name, names.REVISION: revision}
+        response = self._call(
+            'PUT',
+            f'{_path(kind, name)}/{names.STATUS}',
+            {names.META: meta, names.STATUS: status},
+        )
+        return _write_result(response, name)
+
     def remove(
         self, kind: str, name: str, revision: int
     ) -> ty.Optional[failures.Failure]:
--- a/src/peridotmast/platform/upstream_codec.py
+++ b/src/peridotmast/platform/upstream_codec.py
@@ -10,6 +10,8 @@
 
 Json = dict[str, ty.Any]
 
+_DEFAULT_VERSION = 'v1'
+
 _STATE_NAMES = {state: name for name, state in names.UPSTREAM_STATES.items()}
 
 
@@ -35,12 +37,12 @@
             service=fields.string('service'),
             slots=fields.integer('capacity-slots', minimum=1),
             born=fields.integer(names.BORN, 0),
+            version=fields.string('version'),
         ),
         state=fields.choice('state', names.UPSTREAM_STATES),
         revision=revision,
         reclaimable=fields.boolean(names.RECLAIMABLE),
     )
-    fields.string('version')
     fields.number('cold-left-ms')
     fields.integer('seq')
     fields.raise_if_malformed()
@@ -57,7 +59,7 @@
         'service': upstream.service,
         'addr': upstream.address,
         'zone': upstream.failure_domain,
-        'version': 'v1',
+        'version': upstream.version or _DEFAULT_VERSION,
         'capacity-slots': upstream.slots,
         'state': _STATE_NAMES[record.state],
         'cold-left-ms': 0,
--- a/src/peridotmast/router/beacon_rounds.py
+++ b/src/peridotmast/router/beacon_rounds.py
@@ -19,6 +19,7 @@
 from peridotmast.serving import crash_tracker as crash_tracker_
 from peridotmast.serving import quota as quota_
 from peridotmast.serving import upstream_limits as upstream_limits_
+from peridotmast.serving import version_gate
 
 _ROUNDS_PER_BEACON = 2
 """In a large fleet only one of this many rounds sends beacons. Each value is
@@ -55,6 +56,8 @@
         Tracks requests that crash upstreams.
     limits : upstream_limits.UpstreamLimits
         Splits the limits of upstreams between routers.
+    versions : version_gate.VersionGate
+        Knows the roll-outs.
     totals : shared_totals.SharedTotals
         Counts of all routers.
     lease : lease.Lease
@@ -74,6 +77,7 @@
         quota: quota_.Quota,
         crashes: crash_tracker_.CrashTracker,
         limits: upstream_limits_.UpstreamLimits,
+        versions: version_gate.VersionGate,
         totals: shared_totals_.SharedTotals,
         lease: lease_.Lease,
         outages: outage_reports.OutageReports,
@@ -86,6 +90,7 @@
         self._quota = quota
         self._crashes = crashes
         self._limits = limits
+        self._versions = versions
         self._totals = totals
         self._lease = lease
         self._outages = outages
@@ -137,6 +142,7 @@
         beacon.untold = self._quota.needs_levels()
         beacon.crash_suspects.extend(self._crashes.updates_for_peers())
         beacon.upstream_limits.extend(self._limits.updates_for_peers())
+        beacon.rollouts.extend(self._versions.states())
         hint, other = self._lease.hint(), self._random_peer()
         if hint is not None:
             beacon.lease.CopyFrom(hint)
--- a/src/peridotmast/router/fleet_state.py
+++ b/src/peridotmast/router/fleet_state.py
@@ -20,6 +20,7 @@
 from peridotmast import invariants as invariants_
 from peridotmast.platform import config_codec
 from peridotmast.platform import names
+from peridotmast.platform import rollout_orders
 from peridotmast.platform import store as store_
 from peridotmast.platform import upstream_codec
 from peridotmast.schema import peridotmast_pb2 as pb
@@ -120,6 +121,9 @@
         """Time of day, as the median of the fleet's clocks."""
         self.watchers = watchers_.Watchers(self.members)
         """Chooses the routers that watch the store."""
+        self.rollout_orders = rollout_orders.RolloutOrders(self.store)
+        """The operators' orders of roll-outs."""
+        self._has_rollouts = bounds.expose_share > 0
         self._upstreams = upstream_feed.UpstreamFeed(
             self.upstream_table, upstream_codec.read_upstream
         )
@@ -128,6 +132,9 @@
         self._is_registered = False
         self._created_at = clock.now()
         self._spawn: ty.Callable[..., None] = lambda name, func: None
+        self._rollout_watch: ty.Optional[kind_watch.KindWatch] = None
+        self.needs_rollouts: ty.Callable[[], bool] = lambda: False
+        """Returns whether this router needs the orders of roll-outs."""
 
     @property
     def has_config_and_upstreams(self) -> bool:
@@ -172,6 +179,8 @@
             )
             self._watches.append(watch)
             tasks.spawn(f'watch_{kind}', watch.run)
+        if self._has_rollouts:
+            self._watch_rollouts(tasks)
         self._spawn = tasks.spawn
         # Changes during an outage are lost on connections that stay open: a
         # watch waiting on one of them would receive nothing for 25 s.
@@ -220,6 +229,19 @@
         self._upstreams.tick()
         self.upstream_table.remove_gone()
 
+    def _watch_rollouts(self, tasks: green.Tasks) -> None:
+        """Watch the orders of roll-outs while they are needed here."""
+        watch = kind_watch.KindWatch(
+            self.store,
+            names.ROLLOUT_KIND,
+            self.rollout_orders,
+            self._clock,
+            should_watch=lambda: self.needs_rollouts(),
+            is_lazy=True,
+        )
+        self._rollout_watch = watch
+        tasks.spawn(f'watch_{names.ROLLOUT_KIND}', watch.run)
+
     def _must_watch(self, kind: str) -> bool:
         """Return whether this router must watch a kind.
 
@@ -237,6 +259,8 @@
         """Restart watches that may have missed changes in an outage."""
         for watch in self._watches:
             watch.on_outage()
+        if self._rollout_watch is not None:
+            self._rollout_watch.on_outage()
 
     def _register(self) -> None:
         while not self._registry.register():
--- a/src/peridotmast/router/operator_service.py
+++ b/src/peridotmast/router/operator_service.py
@@ -11,6 +11,7 @@
 from peridotmast.duties import event_plan
 from peridotmast import failures
 from peridotmast import logs
+from peridotmast.router import rollout_views
 from peridotmast import rpc
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import decisions as decisions_
@@ -43,6 +44,7 @@
         peers: rpc.RpcClient,
         operators: rpc.RpcClient,
         start_drain: ty.Callable[[], None],
+        rollouts: rollout_views.RolloutViews,
         tls: pb.TlsSettings,
     ) -> None:
         self._clock = clock
@@ -54,6 +56,7 @@
         self._peers = peers
         self._operators = operators
         self._start_drain = start_drain
+        self._rollouts = rollouts
         self._tls = tls
         self._log = logs.get('operators', router=members.me.name)
 
@@ -191,6 +194,20 @@
         plan = event_plan.plan(self._feed.config, self._clock.wall_time())
         return pb.PlanReply(lines=event_plan.explain(plan))
 
+    def RolloutList(  # noqa: N802
+        self, req: pb.RolloutListRequest, caller: rpc.Caller
+    ) -> pb.RolloutListReply:
+        """Return the known roll-outs and the findings on stored orders."""
+        self._require_role(caller, READ)
+        return self._rollouts.list()
+
+    def RolloutShow(  # noqa: N802
+        self, req: pb.RolloutShowRequest, caller: rpc.Caller
+    ) -> pb.RolloutShowReply:
+        """Return the evidence on the roll-out of one service."""
+        self._require_role(caller, READ)
+        return self._rollouts.show(req.service)
+
     def local_steps(self, req: pb.RequestShowRequest) -> pb.RequestShowReply:
         """Return this router's decisions on a request."""
         reply = pb.RequestShowReply()
--- a/src/peridotmast/router/peer_service.py
+++ b/src/peridotmast/router/peer_service.py
@@ -9,6 +9,7 @@
 from peridotmast.coordination import config_feed as config_feed_
 from peridotmast.coordination import members as members_
 from peridotmast.router import config_copies
+from peridotmast.router import rollout_views
 from peridotmast import rpc
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import upstreams as upstreams_
@@ -34,6 +35,8 @@
         The upstreams.
     local_steps : callable
         Returns this router's decisions on a request.
+    rollouts : rollout_views.RolloutViews
+        Returns what this router knows of a roll-out.
     tls : pb.TlsSettings
         Contains the name that all router certificates share.
     """
@@ -45,6 +48,7 @@
         config: config_feed_.ConfigFeed,
         table: upstreams_.UpstreamTable,
         local_steps: ty.Callable[[pb.RequestShowRequest], pb.RequestShowReply],
+        rollouts: rollout_views.RolloutViews,
         tls: pb.TlsSettings,
     ) -> None:
         self._members = members
@@ -53,6 +57,7 @@
         )
         self._table = table
         self._local_steps = local_steps
+        self._rollouts = rollouts
         self._tls = tls
 
     def Join(  # noqa: N802
@@ -93,6 +98,13 @@
         self._require_router(caller)
         return self._local_steps(req)
 
+    def FetchRollout(  # noqa: N802
+        self, req: pb.RolloutShowRequest, caller: rpc.Caller
+    ) -> pb.RolloutShowReply:
+        """Return the evidence on a roll-out that this router leads."""
+        self._require_router(caller)
+        return self._rollouts.local(req.service)
+
     def _require_router(self, caller: rpc.Caller) -> None:
         """Raise `rpc.PermissionDenied` if the caller is not a router."""
         is_router = self._tls.router_name in caller.alt_names
--- a/src/peridotmast/router/peering.py
+++ b/src/peridotmast/router/peering.py
@@ -101,6 +101,7 @@
             serving.quota,
             serving.crashes,
             serving.limits,
+            serving.versions,
             totals,
             lease,
             self._outages,
@@ -116,6 +117,8 @@
         )
         serving.quota.has_stale_peer_data = self.has_delayed_totals
         serving.crashes.relays_updates = self.has_delayed_totals
+        self.receive_rollouts: ty.Callable[[pb.Beacon], None] = lambda b: None
+        """Called with each beacon, which may concern roll-outs."""
         self._accepted_head = '', -_GROUP_TIMEOUT_MS
         self._cached_groups: tuple[ty.Optional[groups_.GroupSnapshot], int] = (
             None,
@@ -165,6 +168,7 @@
             self._lease.receive_hint(beacon.lease)
         self._serving.crashes.merge_updates(beacon.crash_suspects)
         self._serving.limits.merge_updates(beacon.upstream_limits)
+        self.receive_rollouts(beacon)
         if beacon.news_only:
             self.update_beacons.receive(beacon)
             return
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -20,6 +20,8 @@
 from peridotmast import invariants as invariants_
 from peridotmast import logs
 from peridotmast.platform import cloud_api
+from peridotmast.rollout import rollout_duty
+from peridotmast.rollout import rollout_run
 from peridotmast.router import catch_up as catch_up_
 from peridotmast.router import drain as drain_
 from peridotmast.router import fleet_state as fleet_state_
@@ -27,6 +29,8 @@
 from peridotmast.router import operator_service
 from peridotmast.router import peer_service
 from peridotmast.router import peering as peering_
+from peridotmast.router import rollout_exchange
+from peridotmast.router import rollout_views
 from peridotmast.router import serving as serving_
 from peridotmast.router import shared_totals as shared_totals_
 from peridotmast import rpc
@@ -52,6 +56,7 @@
 _HOUSEKEEPING_MS = 250
 _LEASE_TICK_MS = 200
 _DUTY_TICK_MS = 250
+_ROLLOUT_TICK_MS = 250
 
 
 class Router:
@@ -108,6 +113,7 @@
         )
         """Components that serve requests."""
         self._create_peering()
+        self._create_rollouts()
         self._create_duties()
         self._http_servers = http_servers_.HttpServers(
             file, self._clock, self.fleet_state, self.serving, self.registry
@@ -166,6 +172,36 @@
         self.serving.limits.notify_peers = self._schedule_serving_update
         self.serving.crashes.may_retry = self.lease.may_act
 
+    def _create_rollouts(self) -> None:
+        bounds, versions = self._file.bounds, self.serving.versions
+        orders = self.fleet_state.rollout_orders
+        self.rollouts = rollout_duty.RolloutDuty(
+            orders,
+            self.upstream_table,
+            versions,
+            rollout_run.RolloutLimits(
+                bounds.expose_share, bounds.expose_slack
+            ),
+            self._clock,
+            self.fleet_state.fleet_clock.now,
+            self.lease.may_act,
+            lambda: self._rollout_exchange.routers(),
+            lambda run, states: self._rollout_exchange.send_states(
+                run, states
+            ),
+            self._tasks.spawn,
+        )
+        """Carries out the orders of roll-outs."""
+        self._rollout_exchange = rollout_exchange.RolloutExchange(
+            self.fleet_state, versions, self.lease, self.rollouts, self.beacons
+        )
+        self._peering.receive_rollouts = self._rollout_exchange.receive
+        versions.on_rolled_back = self._rollout_exchange.relay
+        orders.listener = versions.read_orders
+        self.fleet_state.needs_rollouts = lambda: (
+            self.lease.is_held() or versions.must_read_orders
+        )
+
     def _create_duties(self) -> None:
         platform, bounds = self._file.platform, self._file.bounds
         fleet_now = self.fleet_state.fleet_clock.now
@@ -185,6 +221,7 @@
             fleet_now,
         )
         scaler.estimator.is_load_stale = self._peering.has_delayed_totals
+        scaler.is_rolled_out = self.serving.versions.is_rolled_out
         reporter = usage_reporter.UsageReporter(
             self.serving.usage,
             self._cloud,
@@ -200,6 +237,7 @@
                 reporter,
                 scaler,
                 crash_blocks.CrashBlocks(self.serving.crashes),
+                self.rollouts,
             ),
             self._clock,
             self._send_lease,
@@ -293,6 +331,14 @@
         self.serving.apply_settings(file)
 
     def _start_rpc(self) -> None:
+        rollouts = rollout_views.RolloutViews(
+            self.members,
+            self.serving.versions,
+            self.fleet_state.rollout_orders,
+            self.rollouts,
+            self.lease,
+            self._peers,
+        )
         operators = operator_service.OperatorService(
             self._clock,
             self.config,
@@ -303,6 +349,7 @@
             self._peers,
             self._operators,
             lambda: self._tasks.spawn('drain', self.drain),
+            rollouts,
             self._file.tls,
         )
         peers = peer_service.PeerService(
@@ -311,6 +358,7 @@
             self.config,
             self.upstream_table,
             operators.local_steps,
+            rollouts,
             self._file.tls,
         )
         self._rpc.start(
@@ -328,6 +376,8 @@
         every('keep_house', _HOUSEKEEPING_MS, self._run_housekeeping)
         every('lease', _LEASE_TICK_MS, self._duty_holder.keep_lease)
         every('duties', _DUTY_TICK_MS, self._duty_holder.run_duties)
+        if self._file.bounds.expose_share:
+            every('rollouts', _ROLLOUT_TICK_MS, self._run_rollouts)
 
     def _announce(self) -> None:
         """Send this router's changed entry to the peers at once."""
@@ -374,6 +424,10 @@
         self.serving.tick()
         self._update_readiness()
 
+    def _run_rollouts(self) -> None:
+        self._rollout_exchange.tick()
+        self.rollouts.tick()
+
     def _update_readiness(self) -> None:
         """Mark this router as ready once it knows how to route requests."""
         me = self.members.me
--- a/src/peridotmast/router/serving.py
+++ b/src/peridotmast/router/serving.py
@@ -26,6 +26,7 @@
 from peridotmast.serving import stream_relay
 from peridotmast.serving import upstream_limits as upstream_limits_
 from peridotmast.serving import usage as usage_
+from peridotmast.serving import version_gate
 from peridotmast import tracing
 from peridotmast.wire import pool as pool_
 
@@ -89,6 +90,13 @@
         """Tracks requests that crash upstreams."""
         self.limits = upstream_limits_.UpstreamLimits(clock, cfg.name)
         """Splits the limits of upstreams between routers."""
+        self.versions = version_gate.VersionGate(
+            clock, cfg.name, bounds.expose_share > 0
+        )
+        """Decides which versions of upstreams run requests."""
+        table = fleet_state.upstream_table
+        table.select_versions = self.versions.select
+        self.versions.on_change = table.update_versions
         self.pool = pool_.ConnectionPool(clock, cfg.connect_ms)
         """Connections to upstreams."""
         self._metrics = metrics_.ServingMetrics(registry)
@@ -102,10 +110,11 @@
         )
         self.crashes.on_block = self._sender.cancel_attempts
         self.placement = placement.Placement(
-            fleet_state.upstream_table,
+            table,
             placement.POLICIES[cfg.policy](cfg.failure_domain),
             cfg.name,
             self.limits,
+            self.versions,
         )
         """Chooses an upstream for each request."""
         self._relay = stream_relay.StreamRelay(
@@ -114,6 +123,7 @@
             self.placement,
             self.retry_budget,
             self.crashes,
+            self.versions,
             self._metrics,
             self.decisions,
         )
@@ -126,9 +136,11 @@
             spawn,
             bounds.drain_ms,
         )
-        fleet_state.upstream_table.listen(migrator.on_change)
-        fleet_state.upstream_table.listen(self._sender.on_upstream_change)
-        fleet_state.upstream_table.listen_replacements(self._sender.abort_run)
+        migrator.is_in_use = self.versions.is_in_use
+        self.versions.on_shift = migrator.vacate
+        table.listen(migrator.on_change)
+        table.listen(self._sender.on_upstream_change)
+        table.listen_replacements(self._sender.abort_run)
         self.gateway = gateway_.Gateway(
             clock,
             self._create_dispatcher(),
@@ -168,6 +180,7 @@
             self.crashes,
             self.usage,
             self.demand,
+            self.versions,
             self._metrics,
             self.decisions,
             self._tracer,
--- a/src/peridotmast/router/update_beacons.py
+++ b/src/peridotmast/router/update_beacons.py
@@ -40,7 +40,7 @@
         """Return a beacon with the changes since the previous one."""
         since, self._sent_revision = self._sent_revision, self._table.revision
         changed = self._table.records_since(since)
-        beacon = _empty_update(self._fleet_state)
+        beacon = empty_update(self._fleet_state)
         beacon.upstreams_since = since
         if len(changed) <= _MAX_RECORDS:
             beacon.upstreams.extend(changed)
@@ -48,7 +48,7 @@
 
     def build_lease(self, hint: ty.Optional[pb.LeaseHint]) -> pb.Beacon:
         """Return a beacon with the state of the lease on the duties."""
-        beacon = _empty_update(self._fleet_state)
+        beacon = empty_update(self._fleet_state)
         if hint is not None:
             beacon.lease.CopyFrom(hint)
         return beacon
@@ -59,7 +59,7 @@
         limits: ty.Iterable[pb.UpstreamLimit],
     ) -> pb.Beacon:
         """Return a beacon with crash and upstream limit updates."""
-        beacon = _empty_update(self._fleet_state)
+        beacon = empty_update(self._fleet_state)
         beacon.crash_suspects.extend(suspects)
         beacon.upstream_limits.extend(limits)
         return beacon
@@ -80,7 +80,7 @@
     )
 
 
-def _empty_update(fleet_state: fleet_state_.FleetState) -> pb.Beacon:
+def empty_update(fleet_state: fleet_state_.FleetState) -> pb.Beacon:
     """Return an update beacon without any changes."""
     beacon = base_beacon(fleet_state)
     beacon.news_only = True
--- a/src/peridotmast/serving/dispatcher.py
+++ b/src/peridotmast/serving/dispatcher.py
@@ -20,6 +20,7 @@
 from peridotmast.serving import sender as sender_
 from peridotmast.serving import stream_relay
 from peridotmast.serving import usage as usage_
+from peridotmast.serving import version_gate
 from peridotmast import tracing
 
 _MAX_BODY_BYTES = 1 << 20
@@ -76,6 +77,8 @@
         Counts the requests that upstreams started, by team.
     demand : demand.Demand
         Receives measured prefill times.
+    versions : version_gate.VersionGate
+        Receives the outcomes of attempts.
     metrics : metrics.ServingMetrics
         Counts attempts.
     decisions : decisions.Decisions
@@ -96,6 +99,7 @@
         crashes: crash_tracker_.CrashTracker,
         usage: usage_.Usage,
         demand: demand_.Demand,
+        versions: version_gate.VersionGate,
         metrics: metrics_.ServingMetrics,
         decisions: decisions_.Decisions,
         tracer: tracing.Tracing,
@@ -109,6 +113,7 @@
         self._crashes = crashes
         self._usage = usage
         self._demand = demand
+        self._versions = versions
         self._metrics = metrics
         self._decisions = decisions
         self._tracer = tracer
@@ -207,6 +212,7 @@
             if sent.kind is failures.FailureKind.OUTCOME_UNKNOWN:
                 state.runs += 1
                 self._count_unanswered(state, sent, sent_at)
+                self._note_end(state, reservation, sent_at, failed=True)
             return sent
         if sent.verdict in (Verdict.NOT_RUN, Verdict.ELSEWHERE):
             return self._handle_not_run(exchange, sent)
@@ -216,6 +222,7 @@
         if not is_streaming:
             self._count_started(state, sent.sent_at)
         if sent.verdict is Verdict.GARBLED:
+            self._note_end(state, reservation, sent_at, failed=True)
             sent.conn.close()
             reservation.view.health.record_failure()
             return failures.unknown('garbled', str(sent.head.status))
@@ -269,6 +276,7 @@
         if isinstance(stream, failures.Failure):
             sent.conn.close()
             self._count_unanswered(state, stream, sent.sent_at)
+            self._note_end(state, sent.reservation, sent.sent_at, failed=True)
             return stream
         self._note_prefill(state, sent)
         # A request starts at an engine when its first token is generated.
@@ -284,12 +292,20 @@
     def _note_prefill(self, state: _RequestState, sent: sender_.Sent) -> None:
         """Record the prefill time of an engine that had no other prefill."""
         reservation, prompt = sent.reservation, state.exchange.prompt
-        if reservation.selection.unread:
-            return
         tokens = prompt.tokens_in
         if reservation.selection.is_home:
             tokens -= sum(part.tokens for part in prompt.shared)
         took_ms = self._clock.now() - sent.sent_at
+        self._versions.note_first(
+            state.exchange.route.name,
+            reservation.view,
+            sent.sent_at,
+            took_ms,
+            tokens,
+        )
+        is_alone = not reservation.selection.unread
+        if not is_alone or not self._versions.is_in_use(reservation.view):
+            return
         self._demand.note_prefill(state.service.name, tokens, took_ms)
 
     def _read_response(
@@ -301,18 +317,35 @@
         if isinstance(body, failures.Failure):
             sent.conn.close()
             self._sender.note_failure(state.exchange, view, body, sent.sent_at)
+            self._note_end(state, sent.reservation, sent.sent_at, failed=True)
             return body
         self._sender.finish(sent)
         reply = reply_.Reply(sent.head, body, view.name)
-        if sent.verdict is Verdict.FAILED:
+        failed = sent.verdict is Verdict.FAILED
+        self._note_end(state, sent.reservation, sent.sent_at, failed)
+        if failed:
             view.health.record_error()
             if sent.head.status not in NOT_RUN_STATUSES:
                 state.fallback = reply
             return failures.unknown('answered_badly', str(sent.head.status))
         view.health.record_success()
         self._crashes.note_success(state.exchange.fingerprint)
+        took_ms = self._clock.now() - sent.sent_at
+        route = state.exchange.route.name
+        self._versions.note_first(route, view, sent.sent_at, took_ms, 0)
         return reply
 
+    def _note_end(
+        self,
+        state: _RequestState,
+        reservation: placement.Reservation,
+        sent_at: int,
+        failed: bool,
+    ) -> None:
+        """Record the outcome of an attempt as evidence on a version."""
+        route = state.exchange.route.name
+        self._versions.note_end(route, reservation.view, sent_at, failed)
+
     def _may_retry(
         self, state: _RequestState, failure: failures.Failure
     ) -> bool:
--- a/src/peridotmast/serving/placement.py
+++ b/src/peridotmast/serving/placement.py
@@ -13,6 +13,7 @@
 from peridotmast.serving import upstream_limits as upstream_limits_
 from peridotmast.serving import upstream_view
 from peridotmast.serving import upstreams as upstreams_
+from peridotmast.serving import version_gate
 
 Views = ty.Sequence[upstream_view.UpstreamView]
 
@@ -269,6 +270,8 @@
         Name of this router.
     limits : upstream_limits.UpstreamLimits
         Splits the request rate limits of upstreams between the routers.
+    versions : version_gate.VersionGate
+        Selects the requests that try a version that is rolled out.
     """
 
     def __init__(
@@ -277,11 +280,13 @@
         policy: Policy,
         router: str,
         limits: upstream_limits_.UpstreamLimits,
+        versions: version_gate.VersionGate,
     ) -> None:
         self._table = table
         self._policy = policy
         self._router = router
         self._limits = limits
+        self._versions = versions
         self._candidates: dict[str, candidates_.Candidates] = {}
         self._random = random.Random(router)
         self.has_stale_peer_data: ty.Callable[[], bool] = lambda: False
@@ -304,6 +309,10 @@
         avoid : collection of str
             Names of upstreams that must not be selected.
         """
+        if not avoid:
+            views = self._find_trial(service.name, exchange.route.name)
+            if views:
+                return self._reserve(exchange, service, views, None)
         candidates = self._candidates_of(service.name)
         home = self._find_home(candidates, exchange.prompt, avoid)
         views = self._select_compared(
@@ -319,15 +328,7 @@
                 for view in candidates.views
                 if view.name not in avoid and not self._limits.wait_ms(view)
             ]
-        ordered = self._policy.order(exchange, service, views, home)
-        if not ordered:
-            return None
-        best, load = ordered[0], ordered[0].total_load()
-        selection = Selection(
-            len(views), best is home, load.running, load.unread
-        )
-        self._limits.take(best)
-        return Reservation(best, exchange, selection, self.on_load_change)
+        return self._reserve(exchange, service, views, home, not avoid)
 
     def wait_ms(self, service: str, avoid: ty.Collection[str] = ()) -> int:
         """Return the time until the limit of an upstream permits a request.
@@ -344,6 +345,36 @@
             default=0,
         )
 
+    def _reserve(
+        self,
+        exchange: exchange_.Exchange,
+        service: pb.Service,
+        views: list[upstream_view.UpstreamView],
+        home: ty.Optional[upstream_view.UpstreamView],
+        is_first: bool = True,
+    ) -> ty.Optional[Reservation]:
+        """Reserve the best of some upstreams; None if there are none."""
+        ordered = self._policy.order(exchange, service, views, home)
+        if not ordered:
+            return None
+        best, load = ordered[0], ordered[0].total_load()
+        selection = Selection(
+            len(views), best is home, load.running, load.unread
+        )
+        self._limits.take(best)
+        self._versions.note_placed(best, is_first)
+        return Reservation(best, exchange, selection, self.on_load_change)
+
+    def _find_trial(
+        self, service: str, route: str
+    ) -> list[upstream_view.UpstreamView]:
+        """Return the upstreams at which the next request is a trial."""
+        names = self._versions.trial_upstreams(service, route)
+        found = [self._table.get(name) for name in names]
+        return self._filter_usable(
+            [view for view in found if view and view.is_available], ()
+        )
+
     def _select_compared(
         self, views: list[upstream_view.UpstreamView]
     ) -> list[upstream_view.UpstreamView]:
--- a/src/peridotmast/serving/stream_relay.py
+++ b/src/peridotmast/serving/stream_relay.py
@@ -19,6 +19,7 @@
 from peridotmast.serving import retry_budget
 from peridotmast.serving import sender as sender_
 from peridotmast.serving import upstream_view
+from peridotmast.serving import version_gate
 from peridotmast.wire import event_reader
 
 _MIGRATION_WAIT_MS = 1500
@@ -29,6 +30,11 @@
 the prefill of a long prompt between two tokens can exceed one target gap."""
 
 
+_GAP_EVENTS = 6
+"""Number of events after the first one from which the time between events is
+measured: a slow version is noticed long before its streams end."""
+
+
 class StreamRelay:
     """Forwards the events of streams and resumes interrupted streams.
 
@@ -44,6 +50,8 @@
         Limits how often streams are resumed.
     crashes : crash_tracker.CrashTracker
         Tracks requests that crash upstreams.
+    versions : version_gate.VersionGate
+        Receives the outcomes of streams.
     metrics : metrics.ServingMetrics
         Counts resumed streams.
     decisions : decisions.Decisions
@@ -57,6 +65,7 @@
         places: placement.Placement,
         budget: retry_budget.RetryBudget,
         crashes: crash_tracker_.CrashTracker,
+        versions: version_gate.VersionGate,
         metrics: metrics_.ServingMetrics,
         decisions: decisions_.Decisions,
     ) -> None:
@@ -65,6 +74,7 @@
         self._placement = places
         self._budget = budget
         self._crashes = crashes
+        self._versions = versions
         self._metrics = metrics
         self._decisions = decisions
         self._open: list[Stream] = []
@@ -73,6 +83,10 @@
         """Return the open streams that one run of an upstream serves."""
         return [s for s in self._open if s.sent.reservation.view is view]
 
+    def busy_views(self) -> list[upstream_view.UpstreamView]:
+        """Return the runs of upstreams that serve open streams."""
+        return list({s.sent.reservation.view: None for s in self._open})
+
     def begin(
         self,
         exchange: exchange_.Exchange,
@@ -130,6 +144,13 @@
         if stream.ended:
             self._crashes.note_success(stream.exchange.fingerprint)
             self._sender.finish(stream.sent)
+            self._note_gap(stream)
+            self._versions.note_end(
+                stream.exchange.route.name,
+                stream.sent.reservation.view,
+                stream.sent.sent_at,
+                failed=False,
+            )
             return
         if not stream.is_broken:
             # The caller has left.
@@ -169,6 +190,7 @@
         if not isinstance(data, failures.Failure):
             stream.sent.reservation.view.note_activity()
             stream.feed(data)
+            self._note_gap(stream, _GAP_EVENTS)
             return
         failure: ty.Optional[failures.Failure] = data
         while failure is not None:
@@ -197,6 +219,19 @@
         self._sender.note_failure(
             stream.exchange, view, failure, sent.sent_at, stream.is_answering
         )
+        if stream.is_answering:
+            route = stream.exchange.route.name
+            self._versions.note_end(route, view, sent.sent_at, failed=True)
+
+    def _note_gap(self, stream: Stream, min_events: int = 1) -> None:
+        """Record the mean time between events, once for each attempt."""
+        gap_ms = stream.take_gap_ms(min_events)
+        if gap_ms is not None:
+            sent = stream.sent
+            route = stream.exchange.route.name
+            self._versions.note_gap(
+                route, sent.reservation.view, sent.sent_at, gap_ms
+            )
 
     def _stall_deadline(self, stream: Stream) -> int:
         """Return the time by which the next bytes must arrive, in ms.
@@ -322,6 +357,8 @@
         """Whether the stream was interrupted and could not be resumed."""
         self._clock = clock
         self._first: ty.Optional[tuple[int, int]] = None
+        self._gap_start: ty.Optional[tuple[int, int]] = None
+        self._is_gap_taken = False
         self._migration: ty.Optional[ty.Any] = None
 
     def feed(self, data: bytes) -> None:
@@ -332,6 +369,8 @@
             self.is_answering |= self.reader.last_id > last_id
             if self._first is None and self.reader.last_id >= 0:
                 self._first = self._clock.now(), self.reader.last_id
+            if self._gap_start is None and self.is_answering:
+                self._gap_start = self._clock.now(), self.reader.last_id
             return
         self.ended = True
         self.pending += self.reader.buffered
@@ -341,6 +380,21 @@
         pending, self.pending = self.pending, b''
         return pending
 
+    def take_gap_ms(self, min_events: int = 1) -> ty.Optional[float]:
+        """Return the mean time between the events of this attempt, in ms.
+
+        It is returned once for each attempt, and None before `min_events` have
+        followed the first one.
+        """
+        if self._gap_start is None or self._is_gap_taken:
+            return None
+        started_at, first_id = self._gap_start
+        event_count = self.reader.last_id - first_id
+        if event_count < min_events:
+            return None
+        self._is_gap_taken = True
+        return (self._clock.now() - started_at) / event_count
+
     def expected_end(self, now: int) -> ty.Optional[int]:
         """Return the estimated end of the stream, in ms; None if unknown.
 
@@ -365,8 +419,15 @@
         """Continue the stream from another attempt."""
         self.sent = sent
         self.is_answering = False
+        self._gap_start = None
+        self._is_gap_taken = False
         self.reader.restart()
 
+    @property
+    def is_migrating(self) -> bool:
+        """Whether the run is being migrated."""
+        return self._migration is not None and not self._migration.ready()
+
     def begin_migration(self) -> None:
         """Mark that the run is about to be stopped and migrated."""
         self._migration = green.Event()
--- a/src/peridotmast/serving/upstream_view.py
+++ b/src/peridotmast/serving/upstream_view.py
@@ -94,6 +94,8 @@
         """Service that the upstream belongs to."""
         self.failure_domain = upstream.failure_domain
         """Failure domain of its VM."""
+        self.version = upstream.version
+        """Version of its software."""
         self.slots = upstream.slots or 1
         """Maximum number of concurrent requests."""
 
--- a/src/peridotmast/serving/upstreams.py
+++ b/src/peridotmast/serving/upstreams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import typing as ty
 
 from peridotmast import addresses
@@ -34,6 +35,9 @@
 
 Listener = ty.Callable[[upstream_view.UpstreamView], None]
 
+VersionSelector = ty.Callable[[str, ty.Mapping[str, int]], ty.Container[str]]
+"""Returns the versions in use of a service, of the available ones."""
+
 
 class UpstreamTable:
     """Upstreams by name; for each, the record with the highest revision wins.
@@ -81,6 +85,8 @@
         self._replacement_listeners: list[Listener] = []
         self.revision = 0
         """The highest revision of all merged records."""
+        self.select_versions: VersionSelector = lambda service, counts: counts
+        """Selects the versions whose upstreams are live."""
 
     def listen(self, listener: Listener) -> None:
         """Call `listener` with each view whose record has changed."""
@@ -158,7 +164,8 @@
         An upstream whose entry has been missing for longer than the grace
         period is returned only if the service has no other upstreams: during
         an outage, it is more likely that none of them could renew its entry
-        than that all of them have left.
+        than that all of them have left. Upstreams whose version is not in use
+        are not returned.
 
         Returns
         -------
@@ -172,6 +179,25 @@
             self._live_by_service = self._group_live()
         return self._live_by_service.get(service, ())
 
+    def out_of_use(self, service: str) -> list[upstream_view.UpstreamView]:
+        """Return the available upstreams whose version is not in use."""
+        used = set(self.live(service))
+        return [
+            view
+            for view in self._views.values()
+            if view.service == service
+            and view.is_available
+            and view not in used
+        ]
+
+    def update_versions(self) -> None:
+        """Select the versions in use again."""
+        self._live_by_service = None
+
+    def busy(self) -> list[upstream_view.UpstreamView]:
+        """Return the runs at which this router has requests."""
+        return list(self._busy)
+
     def local_loads(self) -> list[pb.UpstreamLoad]:
         """Return this router's load on each upstream that it uses."""
         return [
@@ -298,8 +324,10 @@
         cutoff = self._clock.now() - self._grace_ms
         confirmed: dict[str, list[upstream_view.UpstreamView]] = {}
         fallback: dict[str, list[upstream_view.UpstreamView]] = {}
-        for view in self._views.values():
-            if view.is_available:
+        available = [v for v in self._views.values() if v.is_available]
+        in_use = self._versions_in_use(available)
+        for view in available:
+            if view.version in in_use[view.service]:
                 group = confirmed if view.was_live_at(cutoff) else fallback
                 group.setdefault(view.service, []).append(view)
         lapsed_at = (
@@ -308,6 +336,19 @@
         self._valid_until = min(lapsed_at, default=_NEVER) + self._grace_ms
         return {**fallback, **confirmed}
 
+    def _versions_in_use(
+        self, available: ty.Iterable[upstream_view.UpstreamView]
+    ) -> dict[str, ty.Container[str]]:
+        """Return the versions in use by service."""
+        counts: dict[str, collections.Counter[str]] = {}
+        for view in available:
+            counter = counts.setdefault(view.service, collections.Counter())
+            counter[view.version] += 1
+        return {
+            service: self.select_versions(service, counter)
+            for service, counter in counts.items()
+        }
+
 
 _NAME_ONLY_STATES = frozenset((GONE, LAPSED, UNREADABLE))
 """States whose records contain only the name of the upstream."""
--- a/src/peridotmast/standin/engine.py
+++ b/src/peridotmast/standin/engine.py
@@ -190,6 +190,8 @@
     ) -> ty.Iterator[bytes]:
         stream_number = next(self.numbers)
         conn = environ[strict_protocol.CONNECTION]
+        step_ms = self._profile.step_ms * self._profile.tokens_per_event
+        pause_ms = step_ms * (self.delay_factor(environ) - 1)
         try:
             while True:
                 ended, ready = run.ended, self._events_ready(run)
@@ -198,6 +200,8 @@
                     if stream_number < self._stalled_below:
                         remaining = self._stalled_until - self._clock.now()
                         green.sleep_ms(max(0, remaining))
+                    if pause_ms:
+                        green.sleep_ms(pause_ms)
                     if self.fault_occurs('cut'):
                         conn.reset()
                         yield data[: len(data) // 2]
--- a/src/peridotmast/standin/plain_service.py
+++ b/src/peridotmast/standin/plain_service.py
@@ -59,7 +59,7 @@
         start: ty.Callable[..., ty.Any],
     ) -> ty.Iterable[bytes]:
         """Echo the request body after the processing time."""
-        green.sleep_ms(self._work_ms)
+        green.sleep_ms(self._work_ms * self.delay_factor(environ))
         payload = b'done:' + body
         headers = [
             *self.answer_headers(request_id),
--- a/src/peridotmast/standin/store.py
+++ b/src/peridotmast/standin/store.py
@@ -53,6 +53,9 @@
         self.app.route('POST', kind, self._create)
         self.app.route('GET', f'{kind}/([^/]+)', self._get)
         self.app.route('PUT', f'{kind}/([^/]+)', self._replace)
+        self.app.route(
+            'PUT', f'{kind}/([^/]+)/{names.STATUS}', self._replace_status
+        )
         self.app.route('DELETE', f'{kind}/([^/]+)', self._delete)
 
     def put(self, kind: str, name: str, spec: Json) -> int:
@@ -70,6 +73,11 @@
         body = self._objects.get(kind, {}).get(name)
         return body[names.SPEC] if body else None
 
+    def status(self, kind: str, name: str) -> ty.Optional[Json]:
+        """Return the status of an object, or None if it has none."""
+        body = self._objects.get(kind, {}).get(name)
+        return body[names.STATUS] if body else None
+
     def object_names(self, kind: str) -> list[str]:
         """Return the names of the objects of a kind."""
         return sorted(self._objects.get(kind, {}))
@@ -153,6 +161,30 @@
             )
         )
 
+    def _replace_status(
+        self, req: web.Request, kind: str, name: str
+    ) -> web.Response:
+        requested = req.json()
+        existing = self._find(kind, name)
+        if existing is None:
+            return web.error_response(404, 'missing', name)
+        revision = requested[names.META].get(names.REVISION)
+        if revision not in (None, existing[names.META][names.REVISION]):
+            return web.json_response(existing, 409)
+        status = requested[names.STATUS]
+        if existing[names.STATUS] == status:
+            return web.json_response(existing)
+        kind = urllib.parse.unquote(kind)
+        meta = {
+            **existing[names.META],
+            names.REVISION: self._revision + 1,
+        }
+        body = {**existing, names.META: meta, names.STATUS: status}
+        self._objects[kind][existing[names.META]['name']] = body
+        self.writes[f'{kind}/{names.STATUS}'] += 1
+        self._record_change(kind, body)
+        return web.json_response(body)
+
     def _delete(self, req: web.Request, kind: str, name: str) -> web.Response:
         existing = self._find(kind, name)
         if existing is None:
@@ -182,7 +214,7 @@
                 'deleting': False,
             },
             names.SPEC: json.loads(json.dumps(spec)),
-            'status': None,
+            names.STATUS: existing[names.STATUS] if existing else None,
         }
         objects[name] = body
         self._record_change(kind, body)
--- a/src/peridotmast/standin/upstream_app.py
+++ b/src/peridotmast/standin/upstream_app.py
@@ -10,6 +10,7 @@
 from peridotmast import clock as clock_
 from peridotmast import green
 from peridotmast.platform import names
+from peridotmast.standin import version_faults
 from peridotmast import web
 from peridotmast.wire import strict_protocol
 
@@ -56,11 +57,14 @@
         """Requests whose body contains this crash it; empty for none."""
         self.crash_delay_ms = 0
         """Delay from the start of such a request to the crash."""
+        self.version_fault = version_faults.GOOD
+        """How its version misbehaves."""
         self.on_crash: ty.Callable[[], None] = lambda: None
         """Called on a crash, to stop it and close its connections."""
         self._rng = random.Random(seed)
         self._serials = itertools.count(1)
         self._clock = clock_.SystemClock()
+        self._started_at = self._clock.now()
         self.route('GET', names.HEALTH_PATH, self._health)
 
     def __call__(
@@ -86,6 +90,24 @@
         share = self.faults.get(fault, 0)
         return bool(share) and self._rng.random() < share
 
+    def delay_factor(self, environ: dict[str, ty.Any]) -> float:
+        """Return how many times longer its version takes for a request."""
+        if not self._is_version_bad_for(environ):
+            return 1.0
+        return self.version_fault.delay_factor(self._rng)
+
+    def _version_fails(self, environ: dict[str, ty.Any]) -> bool:
+        return self._is_version_bad_for(environ) and self.version_fault.fails(
+            self._rng
+        )
+
+    def _is_version_bad_for(self, environ: dict[str, ty.Any]) -> bool:
+        return self.version_fault.applies(
+            environ['PATH_INFO'],
+            self._clock.now() - self._started_at,
+            self.in_progress,
+        )
+
     def answer_headers(self, request_id: str) -> list[tuple[str, str]]:
         """Return the headers that the answer to every request run has."""
         limit = [(names.LIMIT, self.limit)] if self.limit else []
@@ -139,7 +161,7 @@
             conn.reset()
             environ['eventlet.input'].get_socket().sendall(b'\x00no answer')
             raise ConnectionResetError('injected fault: garbled answer')
-        if self.fault_occurs('error'):
+        if self.fault_occurs('error') or self._version_fails(environ):
             headers = [
                 *self.answer_headers(request_id),
                 ('Content-Length', '5'),
--- a/tools/layers.py
+++ b/tools/layers.py
@@ -19,7 +19,7 @@
     ('schema', 'wire'),
     ('client', 'serving'),
     ('coordination',),
-    ('duties', 'platform'),
+    ('duties', 'platform', 'rollout'),
     ('router', 'standin'),
     ('embedded',),
     ('load',),
