--- a/src/peridotmast/cli/load.py
+++ b/src/peridotmast/cli/load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import sys
 import typing as ty
 
@@ -19,6 +20,8 @@
 from peridotmast.load import overhead as overhead_
 from peridotmast.load import overload as overload_
 from peridotmast.load import platform_calls
+from peridotmast.load import rollout_scenario
+from peridotmast.load import rollouts as rollouts_
 from peridotmast.load import slopes as slopes_
 from peridotmast.load import soak as soak_
 from peridotmast import logs
@@ -133,6 +136,46 @@
     _exit_with_result(slopes_.run(seed, out, _progress, router), out)
 
 
+@main.command('rollouts')
+@click.option('--count', default=500, show_default=True, help='Of each kind.')
+@click.option(
+    '--version',
+    'badnesses',
+    multiple=True,
+    type=click.Choice([b.value for b in rollout_scenario.Badness]),
+    help='Simulate only this kind of target.',
+)
+@click.option(
+    '--trouble',
+    'troubles',
+    multiple=True,
+    type=click.Choice([t.value for t in rollout_scenario.Trouble]),
+    help='Simulate only this trouble.',
+)
+@click.option(
+    '--swapped',
+    is_flag=True,
+    help='Record each outcome for the other version; the checks must fail.',
+)
+@click.option('--seed', default=0, show_default=True)
+@click.option('--out', required=True, help='Folder for the report.')
+def rollouts_command(
+    count: int,
+    badnesses: tuple[str, ...],
+    troubles: tuple[str, ...],
+    swapped: bool,
+    seed: int,
+    out: str,
+) -> None:
+    """Simulate roll-outs of good and bad versions under trouble."""
+    broken = rollouts_.run(
+        count, seed, out, _progress, badnesses, troubles, swapped
+    )
+    with open(f'{out}/report.json', encoding='utf-8') as file:
+        click.echo('\n' + '\n'.join(rollouts_.table(json.load(file)['kinds'])))
+    _exit_with_result(broken, out)
+
+
 @main.command('run')
 @click.argument('path')
 @click.option('--check', is_flag=True, help='Only check the experiment.')
