--- a/src/peridotmast/load/faults.py
+++ b/src/peridotmast/load/faults.py
@@ -16,6 +16,7 @@
 from peridotmast import failures
 from peridotmast import green
 from peridotmast.load import oracle as oracle_
+from peridotmast.load import rollout_fault
 from peridotmast.platform import names
 from peridotmast.platform import upstream_codec
 from peridotmast import rpc
@@ -53,6 +54,7 @@
     FLAP_VM = 'flap_vm'
     CRASHING_REQUEST = 'crashing_request'
     LIMIT_VM = 'limit_vm'
+    ROLL_OUT = 'roll_out'
 
 
 PROCESS_FAULT_KINDS = tuple(FaultKind)
@@ -170,6 +172,8 @@
         self.kill_all_times: list[int] = []
         """Times at which all routers were killed, in ms."""
         fleet.on_crash = self._replace_crashed
+        self.rollouts = rollout_fault.RolloutFault(fleet)
+        """Roll-outs of the engines."""
 
     def run(self, schedule: ty.Iterable[pb.Fault]) -> None:
         """Inject all faults, each at its time after the call."""
@@ -297,6 +301,10 @@
                 oracle_.LimitedEngine(guest, _LIMIT_RATE, span)
             )
 
+    def _roll_out(self, fault: pb.Fault) -> None:
+        """Roll the engines out to a good version, or to a bad one."""
+        self.rollouts.run(is_bad=bool(fault.target % 2))
+
     def _replace_crashed(
         self, guest: upstream_instance.UpstreamInstance
     ) -> None:
--- a/src/peridotmast/load/oracle.py
+++ b/src/peridotmast/load/oracle.py
@@ -27,6 +27,7 @@
     'duties_out_of_turn',
     'sent_though_blocked',
     'sent_over_limit',
+    'overexposed_versions',
     'invariant_violations',
 )
 """Fields of `Verdict` that must be zero."""
@@ -103,6 +104,9 @@
     """Crashes by a blocked request above the number that is tolerated."""
     sent_over_limit: int = 0
     """Engines that received more requests than their rate limit allows."""
+    overexposed_versions: int = 0
+    """Bad versions that got more requests than their bound, or any after
+    their roll-back."""
     invariant_violations: int = 0
     outcome_unknown: int = 0
     """Requests that may have run and received no answer."""
--- a/src/peridotmast/load/soak.py
+++ b/src/peridotmast/load/soak.py
@@ -14,6 +14,7 @@
 from peridotmast.load import driver as driver_
 from peridotmast.load import faults as faults_
 from peridotmast.load import report as report_
+from peridotmast.load import rollout_fault
 from peridotmast.load import trial as trial_
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.standin import engine
@@ -55,7 +56,12 @@
         engines=2,
         engine_profile=engine.EngineProfile(step_ms=10, batch_size=24),
         router={'policy': policy},
-        bounds={'usage_window_s': 2.0, 'lease_ms': 1000},
+        bounds={
+            'usage_window_s': 2.0,
+            'lease_ms': 1000,
+            'expose_share': rollout_fault.EXPOSE_SHARE,
+            'expose_slack': rollout_fault.EXPOSE_SLACK,
+        },
         crash_body=faults_.CRASH_PROMPT.encode(),
     )
 
--- a/src/peridotmast/load/trial.py
+++ b/src/peridotmast/load/trial.py
@@ -67,6 +67,8 @@
                 faults.limited_engines,
                 faults.kill_all_times,
             )
+            overexposed = faults.rollouts.count_overexposed()
+            self.verdict.overexposed_versions = overexposed
             self.outcomes = oracle.outcomes
             return self._report(fleet, oracle, faults, driver)
         finally:
