Tell members only of the loads that matter for their placement

A head told each member of its group the load of nearly every upstream of the fleet, twice a second: at 300 routers before 3,002 upstreams the busiest one sent 2.4 MB a second, and the middle one took 7.5% of its core. A router spreads its requests over 128 upstreams of a large service; it is told of these now, and of the 64 others with most to prefill. Services of up to 128 upstreams are told whole, as before. Not measured at 300 yet.

--- a/features/groups.feature
+++ b/features/groups.feature
@@ -9,6 +9,17 @@
   Scenario: The number of beacons of a group member does not depend on the size of the fleet
     Then at 20, 80 and 330 routers a member sends and receives equally many beacons a second
 
+  # Guards against messages that grow with the fleet's upstreams: at 300 routers before
+  # 3,002 upstreams the busiest head sent 2.4 MB a second, each member's share of which
+  # was the load of nearly all upstreams, although it spreads its requests over 128.
+  Scenario: A member is told of the loads that matter for its placement
+    Given a service of 3000 upstreams, each with work
+    When a member's loads are selected
+    Then they are those of the member's subset and of the 64 other upstreams with most to prefill
+    Given a service of 100 upstreams, each with work
+    When a member's loads are selected
+    Then they are those of all upstreams
+
   Scenario: The counts of each router reach every other exactly once
     Given 40 routers that know each other's names
     When 5000 ms pass in the fleet
--- a/features/steps/group_steps.py
+++ b/features/steps/group_steps.py
@@ -26,9 +26,11 @@
 from peridotmast.coordination import router_selector
 from peridotmast import green
 from peridotmast.router import catch_up as catch_up_
+from peridotmast.router import load_filter
 from peridotmast.router import peering as peering_
 from peridotmast.router import shared_totals as shared_totals_
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import candidates
 from peridotmast.serving import crash_tracker as crash_tracker_
 from peridotmast.serving import demand as demand_
 from peridotmast.serving import quota as quota_
@@ -37,6 +39,7 @@
 from peridotmast.serving import upstream_view
 from peridotmast.serving import upstreams as upstreams_
 from peridotmast.serving import usage as usage_
+from peridotmast.serving import version_gate
 
 ROUND_MS = 250
 STEP_MS = 50
@@ -99,6 +102,7 @@
             retry_budget=retry_budget.RetryBudget(self.clock, 0.2, 10_000, 50),
             crashes=crash_tracker_.CrashTracker(self.clock, self.name),
             limits=upstream_limits.UpstreamLimits(self.clock, self.name),
+            versions=version_gate.VersionGate(self.clock, self.name, False),
         )
         if limited:
             self.set_limit(rate=0, burst=BURST)
@@ -108,7 +112,7 @@
             self.clock,
             knowledge,
             self.serving,
-            shared_totals_.SharedTotals(self.serving, self.table),
+            shared_totals_.SharedTotals(self.serving, self.table, self.clock),
             types.SimpleNamespace(
                 hint=lambda: None,
                 receive_hint=lambda hint: None,
@@ -1170,3 +1174,55 @@
     total_burst = sum(limit.burst for limit in limits)
     assert math.isclose(total_rate, rate), total_rate
     assert math.isclose(total_burst, burst), total_burst
+
+
+@given('a service of {count:d} upstreams, each with work')
+def upstreams_with_work(context, count):
+    context.clock = clock_.ManualClock()
+    context.upstream_table = upstreams_.UpstreamTable(context.clock)
+    for number in range(count):
+        context.upstream_table.merge(
+            pb.UpstreamRecord(
+                upstream=pb.Upstream(
+                    name=f'u-{number}',
+                    address='127.0.0.1:9',
+                    service='pool',
+                    slots=32,
+                ),
+                state=pb.UPSTREAM_STATE_LIVE,
+                revision=number + 1,
+            )
+        )
+    context.loads = {
+        (f'u-{number}', 0): (1, number, number) for number in range(count)
+    }
+
+
+@when("a member's loads are selected")
+def select_loads(context):
+    filter_ = load_filter.LoadFilter(context.upstream_table, context.clock)
+    context.selected = filter_.select('router-7', context.loads)
+
+
+@then(
+    "they are those of the member's subset and of the {most:d} other upstreams"
+    ' with most to prefill'
+)
+def loads_of_subset(context, most):
+    live = context.upstream_table.live('pool')
+    subset = candidates.subset_of('router-7', live)
+    names = {view.name for view in subset}
+    others = sorted(
+        (load[1], key)
+        for key, load in context.loads.items()
+        if key[0] not in names
+    )
+    expected = {(name, 0) for name in names}
+    expected |= {key for _, key in others[-most:]}
+    assert len(names) == candidates.SUBSET_SIZE
+    assert set(context.selected) == expected
+
+
+@then('they are those of all upstreams')
+def loads_of_all(context):
+    assert context.selected == context.loads
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -144,7 +144,9 @@
             self._clock,
             self.fleet_state,
             self.serving,
-            shared_totals_.SharedTotals(self.serving, self.upstream_table),
+            shared_totals_.SharedTotals(
+                self.serving, self.upstream_table, self._clock
+            ),
             self.lease,
             self._catch_up,
         )
--- a/src/peridotmast/router/shared_totals.py
+++ b/src/peridotmast/router/shared_totals.py
@@ -4,7 +4,9 @@
 
 import typing as ty
 
+from peridotmast import clock as clock_
 from peridotmast.coordination import fleet_counts
+from peridotmast.router import load_filter
 from peridotmast.router import serving as serving_
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import upstreams as upstreams_
@@ -17,9 +19,9 @@
 
 _LoadList = list[pb.UpstreamLoad]
 
-_LoadSums = dict[tuple[str, int], tuple[int, int, int]]
-"""Running requests, unread prompt tokens and tokens in memory by upstream name
-and run. Every entry with any load has running requests."""
+_LoadSums = dict[load_filter.LoadKey, load_filter.LoadSum]
+"""Loads by run of an upstream. Every entry with any load has running
+requests."""
 
 _NO_LOAD = (0, 0, 0)
 
@@ -33,17 +35,21 @@
         Components that count requests.
     table : upstreams.UpstreamTable
         Table in which the load of other routers is entered.
+    clock : clock.Clock
+        Times the selection of loads for members.
     """
 
     def __init__(
         self,
         serving: serving_.Serving,
         table: upstreams_.UpstreamTable,
+        clock: clock_.Clock,
     ) -> None:
         self._quota = serving.quota
         self._demand = serving.demand
         self._usage = serving.usage
         self._table = table
+        self._load_filter = load_filter.LoadFilter(table, clock)
         self._spends = fleet_counts.FleetCounts(
             self._quota.spent, self._quota.subtract_peer_spends
         )
@@ -101,7 +107,10 @@
                 member,
                 pb.Totals(
                     spends=_spend_messages(spent),
-                    loads=_load_messages(loads, except_for=own),
+                    loads=_load_messages(
+                        self._load_filter.select(member, loads),
+                        except_for=own,
+                    ),
                     usage=used,
                     demand=_demand_messages(offered, rates),
                 ),
@@ -196,6 +205,7 @@
         self._spends.retain(known)
         self._demand_tokens.retain(known)
         self._demand.retain_routers(known)
+        self._load_filter.retain(known)
         self._loads = {r: v for r, v in self._loads.items() if r in live}
         self._group_loads = {
             g: v for g, v in self._group_loads.items() if g in groups
@@ -262,7 +272,7 @@
 
 
 def _load_messages(
-    sums: _LoadSums, except_for: ty.Optional[_LoadSums] = None
+    sums: load_filter.LoadSums, except_for: ty.Optional[_LoadSums] = None
 ) -> _LoadList:
     """Return load entries for a message, less the load of one router."""
     subtracted = except_for or {}
--- a/src/peridotmast/serving/candidates.py
+++ b/src/peridotmast/serving/candidates.py
@@ -52,14 +52,8 @@
     ) -> None:
         self.views = views
         """All live upstreams of the service."""
-        self.subset = list(views)
+        self.subset = subset_of(router, views)
         """The upstreams over which the router spreads its requests."""
-        if len(views) > SUBSET_SIZE:
-            self.subset = heapq.nsmallest(
-                SUBSET_SIZE,
-                views,
-                key=lambda view: _hash(f'{router}|{view.run}'),
-            )
         ring = sorted((_hash(v.run), v.name, v) for v in views)
         self._points = [point for point, _, _ in ring]
         self._ring = [view for _, _, view in ring]
@@ -90,6 +84,19 @@
         return [view for _, (_, view) in order]
 
 
+def subset_of(
+    router: str, views: ty.Sequence[upstream_view.UpstreamView]
+) -> list[upstream_view.UpstreamView]:
+    """Return the upstreams over which a router spreads its requests."""
+    if len(views) <= SUBSET_SIZE:
+        return list(views)
+    return heapq.nsmallest(
+        SUBSET_SIZE,
+        views,
+        key=lambda view: _hash(f'{router}|{view.run}'),
+    )
+
+
 @functools.lru_cache(maxsize=_CACHED_HASHES)
 def _hash(name: str) -> int:
     digest = hashlib.blake2b(name.encode(), digest_size=_POINT_BYTES).digest()
--- a/src/peridotmast/serving/upstreams.py
+++ b/src/peridotmast/serving/upstreams.py
@@ -179,6 +179,12 @@
             self._live_by_service = self._group_live()
         return self._live_by_service.get(service, ())
 
+    def services(self) -> ty.Collection[str]:
+        """Return the names of the services with live upstreams."""
+        if self._live_by_service is None:
+            self._live_by_service = self._group_live()
+        return self._live_by_service.keys()
+
     def out_of_use(self, service: str) -> list[upstream_view.UpstreamView]:
         """Return the available upstreams whose version is not in use."""
         used = set(self.live(service))
