--- a/features/steps/crash_model.py
+++ b/features/steps/crash_model.py
@@ -157,18 +157,3 @@
             assert idle >= crash_tracker_.RETENTION_MS, 'unblocked too early'
             self.sends_after_block = 0
         self.blocked = blocked
-
-
-def run_histories(count, steps):
-    """Run reproducible random histories of the model."""
-    stateful.run_state_machine_as_test(
-        CrashHistory,
-        settings=hypothesis.settings(
-            max_examples=count,
-            stateful_step_count=steps,
-            derandomize=True,
-            deadline=None,
-            database=None,
-            suppress_health_check=list(hypothesis.HealthCheck),
-        ),
-    )
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -10,6 +10,7 @@
 from behave import when
 import crash_model
 import helpers
+import histories
 import stream_steps
 
 from peridotmast import clock as clock_
@@ -266,7 +267,7 @@
     ' sent at most three times'
 )
 def blocked_request_sent_at_most_three_times(context, count, steps):
-    crash_model.run_histories(count, steps)
+    histories.run(crash_model.CrashHistory, count, steps)
 
 
 @when('another router starts')
--- a/features/steps/exposure_model.py
+++ b/features/steps/exposure_model.py
@@ -111,18 +111,3 @@
     def bound_is_kept(self):
         bound = SHARE * self.sent + SLACK
         assert self.exposed <= bound, (self.exposed, bound)
-
-
-def run_histories(count, steps):
-    """Run reproducible random histories of the model."""
-    stateful.run_state_machine_as_test(
-        ExposureHistory,
-        settings=hypothesis.settings(
-            max_examples=count,
-            stateful_step_count=steps,
-            derandomize=True,
-            deadline=None,
-            database=None,
-            suppress_health_check=list(hypothesis.HealthCheck),
-        ),
-    )
--- a/features/steps/lease_model.py
+++ b/features/steps/lease_model.py
@@ -4,7 +4,6 @@
 
 import typing as ty
 
-import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
 from memory_store import MemoryStore
@@ -132,18 +131,3 @@
         if own:
             passed = order.at - own[-1]
             assert passed >= RETURN_MS, (order, self.orders[-4:])
-
-
-def check_histories(count, steps):
-    """Check `count` histories of `steps` steps, the same ones each time."""
-    stateful.run_state_machine_as_test(
-        LeaseHistory,
-        settings=hypothesis.settings(
-            max_examples=count,
-            stateful_step_count=steps,
-            derandomize=True,
-            deadline=None,
-            database=None,
-            suppress_health_check=list(hypothesis.HealthCheck),
-        ),
-    )
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -12,6 +12,7 @@
 from behave import given
 from behave import then
 from behave import when
+import histories
 import lease_model
 from memory_store import MemoryStore
 
@@ -407,4 +408,4 @@
     ' {steps:d} steps'
 )
 def check_drawn_histories(context, count, steps):
-    lease_model.check_histories(count, steps)
+    histories.run(lease_model.LeaseHistory, count, steps)
--- a/features/steps/limit_model.py
+++ b/features/steps/limit_model.py
@@ -4,7 +4,6 @@
 
 import types
 
-import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
 
@@ -125,18 +124,3 @@
                 self.rate,
                 list(self.routers),
             )
-
-
-def run_histories(count, steps):
-    """Run reproducible random histories of the model."""
-    stateful.run_state_machine_as_test(
-        LimitHistory,
-        settings=hypothesis.settings(
-            max_examples=count,
-            stateful_step_count=steps,
-            derandomize=True,
-            deadline=None,
-            database=None,
-            suppress_health_check=list(hypothesis.HealthCheck),
-        ),
-    )
--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -21,6 +21,7 @@
 from peridotmast.serving import exchange as exchange_
 from peridotmast.serving import health as health_
 from peridotmast.serving import placement
+from peridotmast.serving import policies
 from peridotmast.serving import quota as quota_
 from peridotmast.serving import retry_budget
 from peridotmast.serving import upstream_limits
@@ -341,7 +342,7 @@
 
 
 def make_scored_placement(table, router=0):
-    policy = placement.ScoredPolicy(f'fd-{router}')
+    policy = policies.ScoredPolicy(f'fd-{router}')
     return make_placement(table, policy, f'router-{router}')
 
 
@@ -428,7 +429,7 @@
     assert min(found.values()) > count / engines / 2, found
 
 
-class RecordingPolicy(placement.ScoredPolicy):
+class RecordingPolicy(policies.ScoredPolicy):
     """Records the number of upstreams that it orders."""
 
     compared = 0
@@ -619,7 +620,7 @@
     counts = collections.Counter()
     tables = [make_table(context.clock, 20) for _ in range(40)]
     routers = [
-        make_placement(table, placement.LeastLoadedPolicy(), f'r-{n}')
+        make_placement(table, policies.LeastLoadedPolicy(), f'r-{n}')
         for n, table in enumerate(tables)
     ]
     for router in routers:
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -13,6 +13,7 @@
 import click.testing
 import exposure_model
 import helpers
+import histories
 
 from peridotmast.cli import main as cli
 from peridotmast.cli import rollout as rollout_cli
@@ -50,7 +51,7 @@
     ' more requests than its bound'
 )
 def bound_kept_in_histories(context, count, steps):
-    exposure_model.run_histories(count, steps)
+    histories.run(exposure_model.ExposureHistory, count, steps)
 
 
 def simulate(badness, trouble, count, is_swapped=False):
--- a/features/steps/upstream_limit_steps.py
+++ b/features/steps/upstream_limit_steps.py
@@ -10,6 +10,7 @@
 from behave import then
 from behave import when
 import helpers
+import histories
 import limit_model
 
 from peridotmast import clock as clock_
@@ -176,7 +177,7 @@
     ' than its limit permits'
 )
 def upstream_receives_no_more_than_limit(context, count, steps):
-    limit_model.run_histories(count, steps)
+    histories.run(limit_model.LimitHistory, count, steps)
 
 
 @given('two routers that share a limit of {rate:g} requests a second')
--- a/src/peridotmast/cli/_program.py
+++ b/src/peridotmast/cli/_program.py
@@ -15,7 +15,7 @@
 from peridotmast import green
 from peridotmast import ini
 from peridotmast import logs
-from peridotmast.serving import placement
+from peridotmast.serving import policies
 from peridotmast import web
 from peridotmast.wire import server as server_
 
@@ -37,8 +37,8 @@
     settings, found = ini.load_file(path, kind)
     router = getattr(settings, 'router', None)
     if router is not None and router.policy:
-        if router.policy not in placement.POLICIES:
-            known = ', '.join(placement.POLICIES)
+        if router.policy not in policies.POLICIES:
+            known = ', '.join(policies.POLICIES)
             found.add(path, f'[router] policy: must be one of {known}')
     telemetry = getattr(settings, 'telemetry', None)
     if telemetry is not None and telemetry.log_level not in logs.LEVELS:
--- a/src/peridotmast/load/rollout_model.py
+++ b/src/peridotmast/load/rollout_model.py
@@ -11,6 +11,7 @@
 
 from peridotmast import clock as clock_
 from peridotmast import failures
+from peridotmast.load import rollout_result
 from peridotmast.load import rollout_scenario as scenario_
 from peridotmast.rollout import rollout_duty
 from peridotmast.rollout import rollout_run
@@ -19,11 +20,10 @@
 
 Badness = scenario_.Badness
 Trouble = scenario_.Trouble
+Result = rollout_result.Result
+SHARE, SLACK = rollout_result.SHARE, rollout_result.SLACK
 
 SERVICE = 'pool'
-SHARE = 0.1
-SLACK = 50
-ROLLBACK_MS = 5000
 
 _TICK_MS = 250
 _DELAY_MS = (5, 60)
@@ -38,57 +38,6 @@
 _USUAL_RUNNING_MS = _FIRST_MS + _EVENTS * _GAP_MS
 
 
-@dataclasses.dataclass
-class Result:
-    """What the operators of a simulated roll-out see."""
-
-    scenario: scenario_.Scenario
-    outcome: str = ''
-    ended_ms: int = 0
-    """Time from the order until the outcome is stored, in ms."""
-    shifted_ms: int = 0
-    """Time from the order until all requests went to the target."""
-    requests: int = 0
-    """Requests to the service between the order and its time limit."""
-    exposed: int = 0
-    """Those of them that reached the target."""
-    bad_answers: int = 0
-    fiftieth_bad_ms: int = 0
-    last_exposed_ms: int = 0
-    """Time at which the last request was sent to the target."""
-    curve: list[tuple[int, int, float]] = dataclasses.field(
-        default_factory=list
-    )
-    """Time, exposed requests and log evidence, for plots."""
-
-    @property
-    def bound(self) -> float:
-        """Requests that a bad target may get until the time limit."""
-        return SHARE * self.requests + SLACK
-
-    @property
-    def stop_ms(self) -> int:
-        """Time from the 50th bad answer to the last request, in ms."""
-        if not self.fiftieth_bad_ms:
-            return 0
-        return max(0, self.last_exposed_ms - self.fiftieth_bad_ms)
-
-    @property
-    def was_bad_at_shift(self) -> bool:
-        """Whether the target was bad before all requests went to it."""
-        scenario = self.scenario
-        if scenario.badness is Badness.GOOD:
-            return False
-        return not self.shifted_ms or scenario.bad_from_ms < self.shifted_ms
-
-    @property
-    def is_exposure_broken(self) -> bool:
-        """Whether a target that was bad at the shift got too many requests."""
-        if not self.was_bad_at_shift:
-            return False
-        return self.exposed > self.bound or self.stop_ms > ROLLBACK_MS
-
-
 @dataclasses.dataclass(eq=False)
 class _View:
     """The attributes of an upstream that the decisions read."""
--- a/src/peridotmast/load/state_slopes.py
+++ b/src/peridotmast/load/state_slopes.py
@@ -10,6 +10,7 @@
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import exchange as exchange_
 from peridotmast.serving import placement
+from peridotmast.serving import policies
 from peridotmast.serving import upstream_limits
 from peridotmast.serving import upstreams as upstreams_
 from peridotmast.serving import version_gate
@@ -58,7 +59,7 @@
         update.state = pb.UPSTREAM_STATE_LEAVING
         placements = placement.Placement(
             table,
-            placement.ScoredPolicy('region-1-fd-1'),
+            policies.ScoredPolicy('region-1-fd-1'),
             'edge-1',
             upstream_limits.UpstreamLimits(clock_.SystemClock(), 'edge-1'),
             version_gate.VersionGate(clock_.SystemClock(), 'edge-1', True),
--- a/src/peridotmast/router/serving.py
+++ b/src/peridotmast/router/serving.py
@@ -19,6 +19,7 @@
 from peridotmast.serving import gateway as gateway_
 from peridotmast.serving import metrics as metrics_
 from peridotmast.serving import placement
+from peridotmast.serving import policies
 from peridotmast.serving import quota as quota_
 from peridotmast.serving import retry_budget
 from peridotmast.serving import sender as sender_
@@ -111,7 +112,7 @@
         self.crashes.on_block = self._sender.cancel_attempts
         self.placement = placement.Placement(
             table,
-            placement.POLICIES[cfg.policy](cfg.failure_domain),
+            policies.POLICIES[cfg.policy](cfg.failure_domain),
             cfg.name,
             self.limits,
             self.versions,
--- /dev/null
+++ b/src/peridotmast/serving/stream.py
@@ -0,0 +1,159 @@
+"""One stream and its progress."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing as ty
+
+from peridotmast import clock as clock_
+from peridotmast import green
+from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import exchange as exchange_
+from peridotmast.serving import placement
+from peridotmast.serving import sender as sender_
+from peridotmast.wire import event_reader
+
+_MIGRATION_WAIT_MS = 1500
+"""Time limit for a migration to finish once its stream has stopped, in ms."""
+
+
+@dataclasses.dataclass(frozen=True)
+class MigratedRun:
+    """Where a migrated run continues."""
+
+    reservation: placement.Reservation
+    kv_location: str
+    """Location of the KV cache of the run."""
+
+
+class Stream:
+    """One stream and its progress."""
+
+    def __init__(
+        self,
+        exchange: exchange_.Exchange,
+        service: pb.Service,
+        sent: sender_.Sent,
+        clock: clock_.Clock,
+    ) -> None:
+        self.exchange = exchange
+        self.service = service
+        self.sent = sent
+        """The attempt that currently supplies the events."""
+        self.reader = event_reader.EventReader()
+        self.tried: set[str] = {sent.reservation.view.name}
+        """Names of the upstreams chosen to run the stream from its prompt."""
+        self.pending = b''
+        """Received events that were not forwarded yet."""
+        self.ended = False
+        """Whether the upstream marked the stream as complete."""
+        self.is_answering = False
+        """Whether the current attempt has sent a new event."""
+        self.is_broken = False
+        """Whether the stream was interrupted and could not be resumed."""
+        self._clock = clock
+        self._first: ty.Optional[tuple[int, int]] = None
+        self._gap_start: ty.Optional[tuple[int, int]] = None
+        self._is_gap_taken = False
+        self._migration: ty.Optional[ty.Any] = None
+
+    def feed(self, data: bytes) -> None:
+        """Add received bytes; empty `data` marks the end of the stream."""
+        if data:
+            last_id = self.reader.last_id
+            self.pending += self.reader.feed(data)
+            self.is_answering |= self.reader.last_id > last_id
+            if self._first is None and self.reader.last_id >= 0:
+                self._first = self._clock.now(), self.reader.last_id
+            if self._gap_start is None and self.is_answering:
+                self._gap_start = self._clock.now(), self.reader.last_id
+            return
+        self.ended = True
+        self.pending += self.reader.buffered
+
+    def take_pending(self) -> bytes:
+        """Return the pending events and clear them."""
+        pending, self.pending = self.pending, b''
+        return pending
+
+    def take_gap_ms(self, min_events: int = 1) -> ty.Optional[float]:
+        """Return the mean time between the events of this attempt, in ms.
+
+        It is returned once for each attempt, and None before `min_events` have
+        followed the first one.
+        """
+        if self._gap_start is None or self._is_gap_taken:
+            return None
+        started_at, first_id = self._gap_start
+        event_count = self.reader.last_id - first_id
+        if event_count < min_events:
+            return None
+        self._is_gap_taken = True
+        return (self._clock.now() - started_at) / event_count
+
+    def expected_end(self, now: int) -> ty.Optional[int]:
+        """Return the estimated end of the stream, in ms; None if unknown.
+
+        It is extrapolated from the mean time per event so far.
+        """
+        if self._first is None:
+            return None
+        first_at, first_id = self._first
+        event_count = self.reader.last_id - first_id
+        if event_count <= 0:
+            return None
+        ms_per_event = (now - first_at) / event_count
+        events = self.exchange.prompt.tokens_out / self.service.event_tokens
+        return int(now + max(0.0, events - self.reader.last_id) * ms_per_event)
+
+    def may_resume(self) -> bool:
+        """Return whether the route allows a run at one more upstream."""
+        route = self.exchange.route
+        return route.resumable and len(self.tried) < route.attempts
+
+    def continue_from(self, sent: sender_.Sent) -> None:
+        """Continue the stream from another attempt."""
+        self.sent = sent
+        self.is_answering = False
+        self._gap_start = None
+        self._is_gap_taken = False
+        self.reader.restart()
+
+    @property
+    def is_migrating(self) -> bool:
+        """Whether the run is being migrated."""
+        return self._migration is not None and not self._migration.ready()
+
+    def begin_migration(self) -> None:
+        """Mark that the run is about to be stopped and migrated."""
+        self._migration = green.Event()
+
+    def end_migration(self, migrated: ty.Optional[MigratedRun]) -> None:
+        """Store the result of the migration; None if it failed."""
+        migration = self._migration
+        if migration is None:
+            # No task waits for the result any more: the stream was closed, or
+            # the wait for the migration timed out.
+            if migrated is not None:
+                migrated.reservation.release()
+            return
+        if not migration.ready():
+            migration.send(migrated)
+
+    def wait_for_migration(self) -> ty.Optional[MigratedRun]:
+        """Wait for the migration; return its result, None if there is none."""
+        migration, migrated = self._migration, None
+        if migration is None:
+            return None
+        with green.Timeout(_MIGRATION_WAIT_MS / 1000, False):
+            migrated = migration.wait()
+        self._migration = None
+        return migrated
+
+    def drop_migration(self) -> None:
+        """Abandon a migration because the stream is closed."""
+        migration, self._migration = self._migration, None
+        if migration is not None and migration.ready():
+            migrated = migration.wait()
+            if migrated is not None:
+                migrated.reservation.release()
--- a/src/peridotmast/serving/stream_migrator.py
+++ b/src/peridotmast/serving/stream_migrator.py
@@ -11,6 +11,7 @@
 from peridotmast import logs
 from peridotmast.serving import decisions as decisions_
 from peridotmast.serving import placement
+from peridotmast.serving import stream as stream_
 from peridotmast.serving import stream_relay
 from peridotmast.serving import upstream_view
 from peridotmast.serving import upstreams as upstreams_
@@ -181,7 +182,7 @@
                 self._spawn('move', self.move, stream, view)
 
     def move(
-        self, stream: stream_relay.Stream, view: upstream_view.UpstreamView
+        self, stream: stream_.Stream, view: upstream_view.UpstreamView
     ) -> None:
         """Migrate one stream to the upstream that placement selects."""
         exchange = stream.exchange
@@ -208,17 +209,15 @@
             reservation.release()
             reservation = placement.Reservation(view, exchange)
         self._note(stream, 'moved', view, reservation.view.name)
-        stream.end_migration(
-            stream_relay.MigratedRun(reservation, copy.location)
-        )
+        stream.end_migration(stream_.MigratedRun(reservation, copy.location))
 
-    def _ends_in_time(self, stream: stream_relay.Stream, gone_at: int) -> bool:
+    def _ends_in_time(self, stream: stream_.Stream, gone_at: int) -> bool:
         expected = stream.expected_end(self._clock.now())
         return expected is not None and expected <= gone_at - _END_MARGIN_MS
 
     def _note(
         self,
-        stream: stream_relay.Stream,
+        stream: stream_.Stream,
         event: str,
         view: upstream_view.UpstreamView,
         detail: str = '',
--- a/src/peridotmast/serving/stream_relay.py
+++ b/src/peridotmast/serving/stream_relay.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import typing as ty
 
 from peridotmast import clock as clock_
 from peridotmast import failures
-from peridotmast import green
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import crash_tracker as crash_tracker_
 from peridotmast.serving import decisions as decisions_
@@ -18,12 +16,9 @@
 from peridotmast.serving import reply as reply_
 from peridotmast.serving import retry_budget
 from peridotmast.serving import sender as sender_
+from peridotmast.serving import stream as stream_
 from peridotmast.serving import upstream_view
 from peridotmast.serving import version_gate
-from peridotmast.wire import event_reader
-
-_MIGRATION_WAIT_MS = 1500
-"""Time limit for a migration to finish once its stream has stopped, in ms."""
 
 _STALL_GAPS = 4
 """Multiple of the route's target gap after which a stream counts as stalled:
@@ -77,9 +72,11 @@
         self._versions = versions
         self._metrics = metrics
         self._decisions = decisions
-        self._open: list[Stream] = []
+        self._open: list[stream_.Stream] = []
 
-    def streams_at(self, view: upstream_view.UpstreamView) -> list[Stream]:
+    def streams_at(
+        self, view: upstream_view.UpstreamView
+    ) -> list[stream_.Stream]:
         """Return the open streams that one run of an upstream serves."""
         return [s for s in self._open if s.sent.reservation.view is view]
 
@@ -93,7 +90,7 @@
         service: pb.Service,
         sent: sender_.Sent,
         first_event_ms: int,
-    ) -> ty.Union[Stream, failures.Failure]:
+    ) -> ty.Union[stream_.Stream, failures.Failure]:
         """Wait for the first event of a response whose head was read.
 
         The caller must pass a returned `Stream` to `close`.
@@ -103,7 +100,7 @@
         first_event_ms : int
             Time limit for the first event, in ms.
         """
-        stream = Stream(exchange, service, sent, self._clock)
+        stream = stream_.Stream(exchange, service, sent, self._clock)
         self._open.append(stream)
         failure: ty.Optional[failures.Failure] = failures.unknown('cut_off')
         try:
@@ -113,7 +110,7 @@
                 self._open.remove(stream)
         return stream if failure is None else failure
 
-    def events(self, stream: Stream) -> ty.Iterator[bytes]:
+    def events(self, stream: stream_.Stream) -> ty.Iterator[bytes]:
         """Yield the bytes of the response, in complete events only.
 
         Raises
@@ -135,7 +132,7 @@
                 ).inc()
                 raise
 
-    def close(self, stream: Stream) -> None:
+    def close(self, stream: stream_.Stream) -> None:
         """Release the resources of a stream, complete or not."""
         if stream in self._open:
             self._open.remove(stream)
@@ -164,7 +161,7 @@
         stream.sent.conn.close()
 
     def _first_event(
-        self, stream: Stream, first_event_ms: int
+        self, stream: stream_.Stream, first_event_ms: int
     ) -> ty.Optional[failures.Failure]:
         deadline = self._clock.now() + first_event_ms
         while not stream.pending and not stream.ended:
@@ -184,7 +181,7 @@
         stream.sent.reservation.view.health.record_success()
         return None
 
-    def _read_more(self, stream: Stream) -> None:
+    def _read_more(self, stream: stream_.Stream) -> None:
         exchange = stream.exchange
         data = stream.sent.conn.read_some(self._stall_deadline(stream))
         if not isinstance(data, failures.Failure):
@@ -213,7 +210,9 @@
                 migrated if isinstance(migrated, failures.Failure) else None
             )
 
-    def _note_failure(self, stream: Stream, failure: failures.Failure) -> None:
+    def _note_failure(
+        self, stream: stream_.Stream, failure: failures.Failure
+    ) -> None:
         sent = stream.sent
         view = sent.reservation.view
         self._sender.note_failure(
@@ -223,7 +222,7 @@
             route = stream.exchange.route.name
             self._versions.note_end(route, view, sent.sent_at, failed=True)
 
-    def _note_gap(self, stream: Stream, min_events: int = 1) -> None:
+    def _note_gap(self, stream: stream_.Stream, min_events: int = 1) -> None:
         """Record the mean time between events, once for each attempt."""
         gap_ms = stream.take_gap_ms(min_events)
         if gap_ms is not None:
@@ -233,7 +232,7 @@
                 route, sent.reservation.view, sent.sent_at, gap_ms
             )
 
-    def _stall_deadline(self, stream: Stream) -> int:
+    def _stall_deadline(self, stream: stream_.Stream) -> int:
         """Return the time by which the next bytes must arrive, in ms.
 
         A stalled stream is resumed at another upstream if possible. A stream
@@ -247,7 +246,7 @@
         return min(exchange.deadline, self._clock.now() + stall_ms)
 
     def _resume_at_target(
-        self, stream: Stream
+        self, stream: stream_.Stream
     ) -> ty.Union[sender_.Sent, failures.Failure, None]:
         """Resume where the run was migrated to; None if it was not."""
         migrated = stream.wait_for_migration()
@@ -260,7 +259,7 @@
         return self._send_resume(stream, migrated.reservation, resume_point)
 
     def _resume(
-        self, stream: Stream, failure: failures.Failure
+        self, stream: stream_.Stream, failure: failures.Failure
     ) -> ty.Union[sender_.Sent, failures.Failure]:
         """Resume at another upstream, which recomputes the prefill.
 
@@ -289,7 +288,7 @@
 
     def _send_resume(
         self,
-        stream: Stream,
+        stream: stream_.Stream,
         reservation: placement.Reservation,
         resume_point: dialect_.ResumePoint,
     ) -> ty.Union[sender_.Sent, failures.Failure]:
@@ -319,145 +318,3 @@
             copy=resume_point.kv_location,
         )
         return result
-
-
-@dataclasses.dataclass(frozen=True)
-class MigratedRun:
-    """Where a migrated run continues."""
-
-    reservation: placement.Reservation
-    kv_location: str
-    """Location of the KV cache of the run."""
-
-
-class Stream:
-    """One stream and its progress."""
-
-    def __init__(
-        self,
-        exchange: exchange_.Exchange,
-        service: pb.Service,
-        sent: sender_.Sent,
-        clock: clock_.Clock,
-    ) -> None:
-        self.exchange = exchange
-        self.service = service
-        self.sent = sent
-        """The attempt that currently supplies the events."""
-        self.reader = event_reader.EventReader()
-        self.tried: set[str] = {sent.reservation.view.name}
-        """Names of the upstreams chosen to run the stream from its prompt."""
-        self.pending = b''
-        """Received events that were not forwarded yet."""
-        self.ended = False
-        """Whether the upstream marked the stream as complete."""
-        self.is_answering = False
-        """Whether the current attempt has sent a new event."""
-        self.is_broken = False
-        """Whether the stream was interrupted and could not be resumed."""
-        self._clock = clock
-        self._first: ty.Optional[tuple[int, int]] = None
-        self._gap_start: ty.Optional[tuple[int, int]] = None
-        self._is_gap_taken = False
-        self._migration: ty.Optional[ty.Any] = None
-
-    def feed(self, data: bytes) -> None:
-        """Add received bytes; empty `data` marks the end of the stream."""
-        if data:
-            last_id = self.reader.last_id
-            self.pending += self.reader.feed(data)
-            self.is_answering |= self.reader.last_id > last_id
-            if self._first is None and self.reader.last_id >= 0:
-                self._first = self._clock.now(), self.reader.last_id
-            if self._gap_start is None and self.is_answering:
-                self._gap_start = self._clock.now(), self.reader.last_id
-            return
-        self.ended = True
-        self.pending += self.reader.buffered
-
-    def take_pending(self) -> bytes:
-        """Return the pending events and clear them."""
-        pending, self.pending = self.pending, b''
-        return pending
-
-    def take_gap_ms(self, min_events: int = 1) -> ty.Optional[float]:
-        """Return the mean time between the events of this attempt, in ms.
-
-        It is returned once for each attempt, and None before `min_events` have
-        followed the first one.
-        """
-        if self._gap_start is None or self._is_gap_taken:
-            return None
-        started_at, first_id = self._gap_start
-        event_count = self.reader.last_id - first_id
-        if event_count < min_events:
-            return None
-        self._is_gap_taken = True
-        return (self._clock.now() - started_at) / event_count
-
-    def expected_end(self, now: int) -> ty.Optional[int]:
-        """Return the estimated end of the stream, in ms; None if unknown.
-
-        It is extrapolated from the mean time per event so far.
-        """
-        if self._first is None:
-            return None
-        first_at, first_id = self._first
-        event_count = self.reader.last_id - first_id
-        if event_count <= 0:
-            return None
-        ms_per_event = (now - first_at) / event_count
-        events = self.exchange.prompt.tokens_out / self.service.event_tokens
-        return int(now + max(0.0, events - self.reader.last_id) * ms_per_event)
-
-    def may_resume(self) -> bool:
-        """Return whether the route allows a run at one more upstream."""
-        route = self.exchange.route
-        return route.resumable and len(self.tried) < route.attempts
-
-    def continue_from(self, sent: sender_.Sent) -> None:
-        """Continue the stream from another attempt."""
-        self.sent = sent
-        self.is_answering = False
-        self._gap_start = None
-        self._is_gap_taken = False
-        self.reader.restart()
-
-    @property
-    def is_migrating(self) -> bool:
-        """Whether the run is being migrated."""
-        return self._migration is not None and not self._migration.ready()
-
-    def begin_migration(self) -> None:
-        """Mark that the run is about to be stopped and migrated."""
-        self._migration = green.Event()
-
-    def end_migration(self, migrated: ty.Optional[MigratedRun]) -> None:
-        """Store the result of the migration; None if it failed."""
-        migration = self._migration
-        if migration is None:
-            # No task waits for the result any more: the stream was closed, or
-            # the wait for the migration timed out.
-            if migrated is not None:
-                migrated.reservation.release()
-            return
-        if not migration.ready():
-            migration.send(migrated)
-
-    def wait_for_migration(self) -> ty.Optional[MigratedRun]:
-        """Wait for the migration; return its result, None if there is none."""
-        migration, migrated = self._migration, None
-        if migration is None:
-            return None
-        with green.Timeout(_MIGRATION_WAIT_MS / 1000, False):
-            migrated = migration.wait()
-        self._migration = None
-        return migrated
-
-    def drop_migration(self) -> None:
-        """Abandon a migration because the stream is closed."""
-        migration, self._migration = self._migration, None
-        if migration is not None and migration.ready():
-            migrated = migration.wait()
-            if migrated is not None:
-                migrated.reservation.release()
