--- a/features/planner.feature
+++ b/features/planner.feature
@@ -177,6 +177,22 @@
     When one of the ordered upstreams has started
     Then 2 upstreams are expected
 
+  Scenario: Upstreams of a version that is not in use count in orders, but serve nothing
+    # The platform counts the upstreams of both versions while a service is rolled out.
+    Given 5 upstreams are needed, and one reclaimable per failure domain and 0 firm ones are live
+    And 2 reclaimable upstreams of another version are live in each failure domain
+    When missing upstreams are ordered
+    Then each order exceeds the planned number by 2
+
+  Scenario: Nothing is given back while a service is rolled out
+    Given a starting fleet with 9 firm upstreams in 4 failure domains
+    And the service is rolled out
+    When the scaler runs once for the demand of 2 upstreams
+    Then nothing is ordered back
+    When the service is no longer rolled out
+    And the scaler runs once for the demand of 2 upstreams
+    Then an upstream is ordered back
+
   Scenario: Orders stay within the maximum number of upstreams of a failure domain
     Given a starting fleet with 9 firm upstreams in 4 failure domains
     And a maximum of 3 upstreams in each failure domain
--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -213,7 +213,7 @@
     )
 
 
-def reconcile(context, needed=5, reserve=5):
+def reconcile(context, needed=5, reserve=5, out_of_use=None):
     """Order and remove upstreams of the service once, as the scaler does."""
     service = make_service(DOMAINS)
     context.orders.accepted.clear()
@@ -227,6 +227,7 @@
         reserve=reserve,
         fencing=1,
         demand=0,
+        out_of_use=out_of_use,
     )
     reconciler.order_reclaimable()
     reconciler.order_firm()
@@ -1044,3 +1045,63 @@
 @then('the prefill rate is {speed:d} tokens per ms')
 def check_prefill_rate(context, speed):
     assert context.demand.prefill_rate('pool') == speed
+
+
+@given(
+    '{count:d} reclaimable upstreams of another version are live in each'
+    ' failure domain'
+)
+def others_out_of_use(context, count):
+    context.out_of_use = capacity_plan.Mix(dict.fromkeys(DOMAINS, count), {})
+
+
+@when('missing upstreams are ordered')
+def order_missing(context):
+    orders = []
+    for out_of_use in (None, context.out_of_use):
+        context.tracker.clear()
+        reconcile(context, context.needed, context.needed, out_of_use)
+        orders.append(list(context.orders.accepted))
+    context.planned, context.ordered = orders
+
+
+@then('each order exceeds the planned number by {count:d}')
+def orders_exceed_plan(context, count):
+    assert context.planned
+    expected = [(d, n + count, kind) for d, n, kind in context.planned]
+    assert context.ordered == expected, (context.planned, context.ordered)
+
+
+@given('the service is rolled out')
+def service_is_rolled_out(context):
+    context.scaler.is_rolled_out = lambda service: True
+
+
+@when('the service is no longer rolled out')
+def service_not_rolled_out(context):
+    context.scaler.is_rolled_out = lambda service: False
+    context.clock.advance(2000)
+
+
+def count_given_back(context):
+    """Return the orders for fewer upstreams than are live in their domain."""
+    live = collections.Counter(
+        view.failure_domain
+        for view in context.upstreams.all()
+        if not view.record.reclaimable
+    )
+    return [
+        (domain, count)
+        for domain, count, kind in context.orders.accepted
+        if not kind and count < live[domain]
+    ]
+
+
+@then('nothing is ordered back')
+def nothing_given_back(context):
+    assert not count_given_back(context), context.orders.accepted
+
+
+@then('an upstream is ordered back')
+def upstream_given_back(context):
+    assert count_given_back(context), context.orders.accepted
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -350,6 +350,7 @@
         self.table.select_versions = self.gate.select
         self.gate.on_change = self.table.update_versions
         self.run = 'router-1', 1
+        self.is_shift_unsaved = False
         for number, version in enumerate(versions):
             self.add_upstream(f'{version}-{number}', version)
         self.duty = rollout_duty.RolloutDuty(
@@ -390,8 +391,13 @@
             for report in self.gate.reports(lambda service, target: 0):
                 self.duty.receive(self.run, report)
             self.duty.tick()
-            self.duty.save(pb.DutiesLeft())
-            self.duty.on_saved()
+            if not self.is_shift_unsaved or not self.has_shifted():
+                self.duty.save(pb.DutiesLeft())
+                self.duty.on_saved()
+
+    def has_shifted(self):
+        run = self.duty.show(SERVICE)
+        return run is not None and run.phase != pb.ROLLOUT_PHASE_TRIAL
 
     def send_request(self):
         views = [
@@ -441,6 +447,18 @@
     context.closing.append(lambda: None)
 
 
+@given('nothing is stored with the lease from the shift on')
+def shift_not_stored(context):
+    context.holder.is_shift_unsaved = True
+
+
+@then('no completion is written')
+def no_completion_written(context):
+    run = context.holder.duty.show(SERVICE)
+    assert run.phase == pb.ROLLOUT_PHASE_COMMIT, run.state
+    assert context.orders.writes == [pb.ROLLOUT_PHASE_TRIAL]
+
+
 @when('the roll-out runs to its end')
 def run_to_end(context):
     real, green.sleep_ms = green.sleep_ms, lambda ms: None
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -24,6 +24,7 @@
 PLATFORM = 'peridotmast/platform/'
 DUTIES = 'peridotmast/duties/'
 ROUTER = 'peridotmast/router/'
+ROLLOUT = 'peridotmast/rollout/'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -358,7 +359,7 @@
     ),
     Mutation(
         'resume a stream that is not resumable',
-        SERVING + 'stream_relay.py',
+        SERVING + 'stream.py',
         'return route.resumable and len(self.tried) < route.attempts',
         'return True',
         'streams',
@@ -1151,7 +1152,7 @@
     ),
     Mutation(
         'do not record that an attempt has sent an event',
-        SERVING + 'stream_relay.py',
+        SERVING + 'stream.py',
         'self.is_answering |= self.reader.last_id > last_id',
         'pass',
         'crashes',
@@ -1240,6 +1241,126 @@
         'at,',
         'upstream_limits',
     ),
+    Mutation(
+        'use a version that no order has named',
+        SERVING + 'version_gate.py',
+        'if known & allowed or not allowed:',
+        'if not allowed:',
+        'rollouts',
+    ),
+    Mutation(
+        'use a version again that was rolled back',
+        SERVING + 'version_gate.py',
+        'allowed = counts.keys() - rolled_back',
+        'allowed = set(counts)',
+        'rollouts',
+    ),
+    Mutation(
+        'go on with trials without word from the holder',
+        SERVING + 'rollout_view.py',
+        'and self._silent_ms() <= TRIAL_WORD_MS',
+        '',
+        'rollouts',
+    ),
+    Mutation(
+        'go on with a shift without word from the holder',
+        SERVING + 'rollout_view.py',
+        'is_lost = self._silent_ms() > SHIFT_WORD_MS',
+        'is_lost = False',
+        'rollouts',
+    ),
+    Mutation(
+        'exceed the allowance of trial requests',
+        SERVING + 'rollout_view.py',
+        'and self.exposed < self.allowance',
+        '',
+        'rollouts',
+    ),
+    Mutation(
+        'give trial requests out before their ceiling is stored',
+        ROLLOUT + 'exposure_ledger.py',
+        'return self._stored - self._given',
+        'return self.ceiling - self._given',
+        'rollouts',
+    ),
+    Mutation(
+        'begin with a free ceiling as a new holder',
+        ROLLOUT + 'exposure_ledger.py',
+        'self._given = ceiling',
+        'self._given = 0',
+        'rollouts',
+    ),
+    Mutation(
+        'condemn a version for a single upstream',
+        ROLLOUT + 'verdict.py',
+        '        _log_mean_exp([a - b for a, b in zip(sums, logs)])\n'
+        '        for logs in by_upstream.values()',
+        '        _log_mean_exp(sums) for logs in by_upstream.values()',
+        'rollouts',
+    ),
+    Mutation(
+        'compare a version with the other one at other times',
+        ROLLOUT + 'verdict.py',
+        "paired = counts.get((window, ''), _Counts())",
+        "paired = counts.get((0, ''), _Counts())",
+        'rollouts',
+    ),
+    Mutation(
+        'complete as soon as the other versions are idle',
+        ROLLOUT + 'rollout_run.py',
+        'is_due = self.left_ms <= _COMMIT_MS',
+        'is_due = True',
+        'rollouts',
+    ),
+    Mutation(
+        'complete while the other versions have requests',
+        ROLLOUT + 'rollout_run.py',
+        'and not report.others_in_flight',
+        '',
+        'rollouts_live',
+    ),
+    Mutation(
+        'write the completion before the commit is stored',
+        ROLLOUT + 'rollout_run.py',
+        'is_stored = self._stored_version >= self.version',
+        'is_stored = True',
+        'rollouts',
+    ),
+    Mutation(
+        'order upstreams without counting those of the other version',
+        DUTIES + 'service_reconciler.py',
+        'count + unused.get(domain, 0),',
+        'count,',
+        'planner',
+    ),
+    Mutation(
+        'give upstreams back while a version is rolled out',
+        DUTIES + 'scaler.py',
+        'if self.is_rolled_out(service.name):\n            return',
+        'if False:\n            return',
+        'planner',
+    ),
+    Mutation(
+        'forget an attempt once nobody waits for it',
+        SERVING + 'sender.py',
+        'view.health.release_probe()\n        self._abandoned.add(',
+        'view.health.release_probe()\n        max(',
+        'crashes',
+    ),
+    Mutation(
+        'forget an attempt whose time limit is over',
+        SERVING + 'sender.py',
+        "elif failure.reason == 'silent':",
+        'elif False:',
+        'crashes',
+    ),
+    Mutation(
+        'count a planned stop as a crash of an abandoned attempt',
+        SERVING + 'sender.py',
+        'if view.record.state == upstream_view.LEAVING:',
+        'if False:',
+        'crashes',
+    ),
 )
 
 
