Read a page of a listing again where the store refuses it for its rate

When a whole large fleet starts, each router lists the upstreams at once: at 300 routers before 3,002 upstreams some 4,000 calls, where the store takes 2,000 a second. A refused page began its listing anew, which made for more calls. Found by reading; a listing of three pages whose second one is refused four times takes 7 calls now. Not measured at 300.

--- a/features/store_reads.feature
+++ b/features/store_reads.feature
@@ -129,3 +129,11 @@
     Given a router that does not watch the store
     When a call of the router is rejected, and the store answers again
     Then the router detects the recovery by a probe
+
+  # Guards against a start that takes the longer the larger the fleet: each router lists
+  # the upstreams at once, 3,000 of them in seven pages, and a refused page began the
+  # whole listing anew. Found by inspection of the code.
+  Scenario: A page that is refused because of the rate is read again, not its whole listing
+    Given a store with 3 pages, which refuses the second one 4 times because of its rate
+    When the router lists the pages
+    Then all 3 objects are listed with 7 calls
--- a/src/peridotmast/platform/store.py
+++ b/src/peridotmast/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import random
 import typing as ty
 import urllib.parse
 
@@ -10,6 +11,7 @@
 from peridotmast.coordination import objects
 from peridotmast.coordination import outage as outage_
 from peridotmast import failures
+from peridotmast import green
 from peridotmast import logs
 from peridotmast.platform import fields as fields_
 from peridotmast.platform import names
@@ -36,6 +38,11 @@
 """Kind without objects, so that a probe gets the shortest response."""
 
 _FAILURE_STATUSES = frozenset((429, 500, 503))
+_TOO_MANY_CALLS = 429
+_MAX_PAGE_ATTEMPTS = 6
+_PAGE_PAUSE_MS = 100
+"""Number of attempts to read one page while the store gets too many calls, and
+mean pause after the first one, which grows by as much each time."""
 _CONFLICT = 409
 _GONE = 410
 
@@ -64,6 +71,7 @@
         self._outage = outage
         self._clock = clock_.SystemClock()
         self._log = logs.get('store')
+        self._random = random.Random()
         self.calls = 0
         """Number of calls made so far; a watch counts once."""
 
@@ -84,7 +92,7 @@
         path = _path(kind)
         revision = 0
         for _ in range(_MAX_PAGES):
-            response = self._read(path)
+            response = self._read_page(path)
             if isinstance(response, failures.Failure):
                 return response
             page = _parse_page(response, names.ITEMS)
@@ -104,6 +112,25 @@
             path = f'{_path(kind)}?after={_quoted(found[-1].name)}'
         return failures.unavailable('too_many_pages', kind)
 
+    def _read_page(
+        self, path: str
+    ) -> ty.Union[http_client.Response, failures.Failure]:
+        """Read one page of a listing; wait while too many calls are made.
+
+        When a whole large fleet starts, its listings exceed the store's rate.
+        If each refused page began its listing anew, they would exceed it all
+        the longer.
+        """
+        for attempt in range(_MAX_PAGE_ATTEMPTS):
+            response = self._read(path)
+            if isinstance(response, failures.Failure):
+                return response
+            if response.status != _TOO_MANY_CALLS:
+                return response
+            pause_ms = _PAGE_PAUSE_MS * (1 + attempt)
+            green.sleep_ms(self._random.uniform(0.5, 1.5) * pause_ms)
+        return response
+
     def watch(
         self,
         kind: str,
