Fetch the state from any router after a join, not from its seed

All routers of a starting fleet have the same three seeds. After the join each fetched all upstreams from its seed, 100 kB at 1,000 upstreams: 33 routers a seed are 2.6 s of a link of 10 Mbit/s, beyond the time-out of each call. They ask one of the routers that they know now. Found by reading.

--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -237,6 +237,7 @@
             self.config,
             table,
             None,
+            None,
             pb.TlsSettings(),
         )
 
--- a/src/peridotmast/router/catch_up.py
+++ b/src/peridotmast/router/catch_up.py
@@ -75,6 +75,7 @@
             spawn,
         )
         """Fetches the configuration from peers."""
+        self._random = random.Random(fleet_state.members.me.name)
         self._peer_newer_since: dict[str, tuple[ty.Any, int]] = {}
         self._fetching: set[str] = set()
         self._log = logs.get('catch_up', router=fleet_state.members.me.name)
@@ -134,13 +135,12 @@
         # All routers of a starting fleet have the same seeds. If all called
         # the same seed first and it had a slow link, it would answer none of
         # them in time.
-        random.Random(self._members.me.name).shuffle(addresses)
+        self._random.shuffle(addresses)
         for address in addresses:
             if address == self._members.me.peer_address:
                 continue
             if self._join_via(address):
-                self.fetch_config(address)
-                self.fetch_upstreams(address)
+                self._fetch_from_any()
 
     def fetch_config(self, address: str) -> bool:
         """Fetch a peer's configuration; return whether it was newer."""
@@ -159,6 +159,18 @@
             return False
         return self._merge(reply.upstreams, reply.revision, address)
 
+    def _fetch_from_any(self) -> None:
+        """Fetch the state from some router that is known now.
+
+        If all routers of a starting fleet fetched it from the seeds, their
+        links would carry nothing else for seconds.
+        """
+        peers = self._members.peers()
+        if peers:
+            source = self._random.choice(peers).member.peer_address
+            self.fetch_config(source)
+            self.fetch_upstreams(source)
+
     def _join_via(self, address: str) -> bool:
         """Add the members that a peer knows; return whether it answered."""
         request = pb.JoinRequest(member=self._members.me, takes_packed=True)
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -971,7 +971,7 @@
     Mutation(
         'call the seeds in the same order at all routers',
         ROUTER + 'catch_up.py',
-        'random.Random(self._members.me.name).shuffle(addresses)',
+        'self._random.shuffle(addresses)',
         'pass',
         'spread',
     ),
