--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -115,6 +115,12 @@
     Then its stored outcome is "completed" with the reason "proved"
     And each outcome was written once
 
+  Scenario: A completion is stored close to the time limit
+    # Until then the target carries the whole load while its answers are still judged.
+    Given a holder of the duties and an order of "v2" within 12 s with upstreams of it
+    When the roll-out runs to its end
+    Then its outcome was stored at most 700 ms before the time limit, and not after it
+
   Scenario: A completion is not written before its commit is stored
     # The next holder would take the shift back while the old upstreams stop.
     Given a holder of the duties and an order of "v2" within 12 s with upstreams of it
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -319,6 +319,7 @@
         self.order = order
         self.writes = []
         self.is_reply_lost = False
+        self.now = lambda: 0
 
     @property
     def orders(self):
@@ -330,6 +331,7 @@
         self.order.revision += 1
         self.order.outcome = outcome
         self.writes.append(outcome)
+        self.written_at = self.now()
         return failures.unknown('silent') if self.is_reply_lost else None
 
     def read_again(self, service):
@@ -345,6 +347,8 @@
 
     def __init__(self, orders, versions):
         self.clock = clock_.ManualClock()
+        self.started_at = self.clock.now()
+        orders.now = self.clock.now
         self.gate = version_gate.VersionGate(self.clock, 'router-1', True)
         self.table = upstreams_.UpstreamTable(self.clock)
         self.table.select_versions = self.gate.select
@@ -447,6 +451,17 @@
     context.closing.append(lambda: None)
 
 
+@then(
+    'its outcome was stored at most {ms:d} ms before the time limit, and not'
+    ' after it'
+)
+def outcome_stored_near_limit(context, ms):
+    order = context.orders.order
+    limit = context.holder.started_at + order.duration_ms
+    left_ms = limit - context.orders.written_at
+    assert 0 <= left_ms <= ms, left_ms
+
+
 @given('nothing is stored with the lease from the shift on')
 def shift_not_stored(context):
     context.holder.is_shift_unsaved = True
