--- a/features/planner.feature
+++ b/features/planner.feature
@@ -187,10 +187,10 @@
   Scenario: Nothing is given back while a service is rolled out
     Given a starting fleet with 9 firm upstreams in 4 failure domains
     And the service is rolled out
-    When the scaler runs once for the demand of 2 upstreams
+    When the scaler runs 4 times, 2 s apart, for the demand of 2 upstreams
     Then nothing is ordered back
     When the service is no longer rolled out
-    And the scaler runs once for the demand of 2 upstreams
+    And the scaler runs 4 times, 2 s apart, for the demand of 2 upstreams
     Then an upstream is ordered back
 
   Scenario: Orders stay within the maximum number of upstreams of a failure domain
--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -4,6 +4,11 @@
     # The sum over all routers is bounded, whatever nobody has reported yet.
     Then in 200 random histories of 60 steps, a target never gets more requests than its bound
 
+  Scenario: A new holder counts the whole stored ceiling as given out
+    Given a holder that has stored a ceiling of 10 trial requests and given out 4
+    When a new holder begins with the stored ceiling
+    Then it can give out nothing before it has stored a higher ceiling
+
   Scenario: Simulated roll-outs of good versions complete within the time limit
     When 12 roll-outs are simulated for "good" versions with the trouble "none"
     Then all of them are completed in time
@@ -121,6 +126,16 @@
     When the roll-out runs to its end
     Then its outcome was stored at most 700 ms before the time limit, and not after it
 
+  Scenario: A completion waits until no request is in flight at the other versions
+    # The upstreams of these versions stop without a drain.
+    Given a holder of the duties and an order of "v2" within 12 s with upstreams of it
+    And a router has a request in flight at another version
+    When the roll-out runs to its end
+    Then no completion is written, and that router is waited for
+    When that request ends
+    And the roll-out runs to its end
+    Then its stored outcome is "completed" with the reason "proved"
+
   Scenario: A completion is not written before its commit is stored
     # The next holder would take the shift back while the old upstreams stop.
     Given a holder of the duties and an order of "v2" within 12 s with upstreams of it
--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -1080,7 +1080,18 @@
 @when('the service is no longer rolled out')
 def service_not_rolled_out(context):
     context.scaler.is_rolled_out = lambda service: False
-    context.clock.advance(2000)
+
+
+@when(
+    'the scaler runs {runs:d} times, {seconds:d} s apart, for the demand of'
+    ' {count:d} upstreams'
+)
+def run_scaler_repeatedly(context, runs, seconds, count):
+    context.demand.value = demand_for(count)
+    context.demand.is_measured = True
+    for _ in range(runs):
+        context.scaler.run(1)
+        context.clock.advance(1000 * seconds)
 
 
 def count_given_back(context):
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -28,6 +28,7 @@
 from peridotmast.load import rollouts
 from peridotmast.platform import names
 from peridotmast.platform import rollout_orders
+from peridotmast.rollout import exposure_ledger
 from peridotmast.rollout import report_book
 from peridotmast.rollout import rollout_duty
 from peridotmast.rollout import rollout_run
@@ -355,6 +356,7 @@
         self.gate.on_change = self.table.update_versions
         self.run = 'router-1', 1
         self.is_shift_unsaved = False
+        self.in_flight = 0
         for number, version in enumerate(versions):
             self.add_upstream(f'{version}-{number}', version)
         self.duty = rollout_duty.RolloutDuty(
@@ -392,7 +394,7 @@
             self.clock.advance(TICK_MS)
             for _ in range(10):
                 self.send_request()
-            for report in self.gate.reports(lambda service, target: 0):
+            for report in self.gate.reports(lambda s, t: self.in_flight):
                 self.duty.receive(self.run, report)
             self.duty.tick()
             if not self.is_shift_unsaved or not self.has_shifted():
@@ -462,6 +464,56 @@
     assert 0 <= left_ms <= ms, left_ms
 
 
+@given('a router has a request in flight at another version')
+def request_in_flight(context):
+    context.holder.in_flight = 1
+
+
+@then('no completion is written, and that router is waited for')
+def router_waited_for(context):
+    run = context.holder.duty.show(SERVICE)
+    assert run.phase == pb.ROLLOUT_PHASE_SHIFT, run.state
+    assert run.waiting_for == ['router-1'], run.waiting_for
+    assert context.orders.writes == [pb.ROLLOUT_PHASE_TRIAL]
+
+
+@when('that request ends')
+def request_ends(context):
+    context.holder.in_flight = 0
+
+
+@given(
+    'a holder that has stored a ceiling of {ceiling:d} trial requests and'
+    ' given out {count:d}'
+)
+def holder_with_ceiling(context, ceiling, count):
+    ledger = exposure_ledger.ExposureLedger(SHARE, SLACK)
+    ledger.raise_ceiling(ceiling, 0)
+    context.stored = ledger.write()
+    ledger.confirm()
+    ledger.report(('router-1', 1), 0)
+    assert ledger.give(('router-1', 1), count) == count
+
+
+@when('a new holder begins with the stored ceiling')
+def new_holder_begins(context):
+    context.ledger = exposure_ledger.ExposureLedger(
+        SHARE, SLACK, context.stored
+    )
+
+
+@then('it can give out nothing before it has stored a higher ceiling')
+def nothing_before_higher_ceiling(context):
+    run = 'router-2', 1
+    context.ledger.report(run, 0)
+    assert context.ledger.give(run, 5) == 0
+    assert context.ledger.raise_ceiling(5, 0)
+    assert context.ledger.give(run, 5) == 0
+    context.ledger.write()
+    context.ledger.confirm()
+    assert context.ledger.give(run, 5) == 5
+
+
 @given('nothing is stored with the lease from the shift on')
 def shift_not_stored(context):
     context.holder.is_shift_unsaved = True
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -1317,7 +1317,7 @@
         ROLLOUT + 'rollout_run.py',
         'and not report.others_in_flight',
         '',
-        'rollouts_live',
+        'rollouts',
     ),
     Mutation(
         'write the completion before the commit is stored',
