Derive the bounds of silence in a roll-out from rollback_ms

rollback_ms was read from the settings and used nowhere. Trials end a fifth of it after the holder's last message, a shift two fifths; with 5 s as before. Inputs of the decisions have a module of their own, and the platform's names in the driver of embedded roll-outs come from platform.names.

--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -31,7 +31,7 @@
 from peridotmast.rollout import exposure_ledger
 from peridotmast.rollout import report_book
 from peridotmast.rollout import rollout_duty
-from peridotmast.rollout import rollout_run
+from peridotmast.rollout import rollout_inputs
 from peridotmast.rollout import verdict as verdict_
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import upstreams as upstreams_
@@ -363,7 +363,7 @@
             orders,
             self.table,
             self.gate,
-            rollout_run.RolloutLimits(SHARE, SLACK),
+            rollout_inputs.RolloutLimits(SHARE, SLACK),
             self.clock,
             self.clock.now,
             lambda: True,
--- a/src/peridotmast/embedded/rollout_driver.py
+++ b/src/peridotmast/embedded/rollout_driver.py
@@ -51,9 +51,9 @@
             names.ROLLOUT_KIND,
             service,
             {
-                'service': service,
-                'target': target,
-                'duration-s': duration_ms / 1000,
+                names.SERVICE: service,
+                names.TARGET: target,
+                names.DURATION_S: duration_ms / 1000,
             },
         )
         present = self._fleet.running_upstreams(service)
@@ -64,7 +64,7 @@
     def state(self, service: str) -> str:
         """Return the state that is stored for an order; empty if none."""
         status = self._fleet.store.status(names.ROLLOUT_KIND, service) or {}
-        return status.get('state', '')
+        return status.get(names.STATE, '')
 
     def _add(self, beside: Instance, service: str, target: str) -> None:
         domain = beside.record.upstream.failure_domain
--- a/src/peridotmast/load/rollout_model.py
+++ b/src/peridotmast/load/rollout_model.py
@@ -14,6 +14,7 @@
 from peridotmast.load import rollout_result
 from peridotmast.load import rollout_scenario as scenario_
 from peridotmast.rollout import rollout_duty
+from peridotmast.rollout import rollout_inputs
 from peridotmast.rollout import rollout_run
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import version_gate
@@ -100,7 +101,7 @@
             model.orders,
             ty.cast(ty.Any, types.SimpleNamespace(all=model.live_views)),
             self.gate,
-            rollout_run.RolloutLimits(SHARE, SLACK, model.shift_ms),
+            rollout_inputs.RolloutLimits(SHARE, SLACK, model.shift_ms),
             model.clock,
             model.clock.now,
             lambda: model.holder is self and model.is_lease_valid(),
@@ -127,7 +128,7 @@
     def __init__(
         self,
         scenario: scenario_.Scenario,
-        shift_ms: int = rollout_run.RolloutLimits(SHARE, SLACK).shift_ms,
+        shift_ms: int = rollout_inputs.RolloutLimits(SHARE, SLACK).shift_ms,
         is_swapped: bool = False,
     ) -> None:
         self.clock = clock_.ManualClock()
--- a/src/peridotmast/platform/names.py
+++ b/src/peridotmast/platform/names.py
@@ -93,6 +93,8 @@
 CONFIG_NAME = 'main'
 UPSTREAM_KIND = 'servers'
 ROLLOUT_KIND = 'rollouts'
+DURATION_S = 'duration-s'
+STATE = 'state'
 
 
 HOLDER = 'X-Duty-Holder'
--- a/src/peridotmast/platform/rollout_orders.py
+++ b/src/peridotmast/platform/rollout_orders.py
@@ -72,7 +72,10 @@
             None if the outcome is stored. A failure of kind CONFLICT if the
             order has changed, which the watch then reports.
         """
-        status = {'state': _OUTCOME_NAMES[outcome], 'target': order.target}
+        status = {
+            names.STATE: _OUTCOME_NAMES[outcome],
+            names.TARGET: order.target,
+        }
         result = self._store.write_status(
             names.ROLLOUT_KIND, order.service, status, order.revision
         )
@@ -128,9 +131,9 @@
     """
     fields = fields_.Fields(stored.spec, f'rollout {stored.name}')
     order = pb.RolloutOrder(
-        service=fields.string('service'),
-        target=fields.string('target'),
-        duration_ms=int(1000 * fields.number('duration-s', maximum=1e6)),
+        service=fields.string(names.SERVICE),
+        target=fields.string(names.TARGET),
+        duration_ms=int(1000 * fields.number(names.DURATION_S, maximum=1e6)),
         revision=stored.revision,
     )
     if order.service != stored.name:
@@ -146,8 +149,8 @@
     status: ty.Optional[objects.Json], target: str
 ) -> pb.RolloutPhase:
     """Return the stored outcome for a target; unspecified if there is none."""
-    if status is None or status.get('target') != target:
+    if status is None or status.get(names.TARGET) != target:
         return pb.ROLLOUT_PHASE_UNSPECIFIED
     return names.ROLLOUT_OUTCOMES.get(
-        str(status.get('state')), pb.ROLLOUT_PHASE_UNSPECIFIED
+        str(status.get(names.STATE)), pb.ROLLOUT_PHASE_UNSPECIFIED
     )
--- a/src/peridotmast/rollout/rollout_duty.py
+++ b/src/peridotmast/rollout/rollout_duty.py
@@ -8,6 +8,7 @@
 from peridotmast import failures
 from peridotmast import green
 from peridotmast import logs
+from peridotmast.rollout import rollout_inputs
 from peridotmast.rollout import rollout_run
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import rollout_view
@@ -58,7 +59,7 @@
         Upstreams of all versions.
     gate : version_gate.VersionGate
         What this router knows of the roll-outs.
-    limits : rollout_run.RolloutLimits
+    limits : rollout_inputs.RolloutLimits
         Bounds of exposure and time.
     clock : clock.Clock
         Times the roll-outs.
@@ -79,7 +80,7 @@
         orders: OrderBook,
         table: upstreams_.UpstreamTable,
         gate: version_gate.VersionGate,
-        limits: rollout_run.RolloutLimits,
+        limits: rollout_inputs.RolloutLimits,
         clock: clock_.Clock,
         fleet_now: ty.Callable[[], int],
         may_act: ty.Callable[[], bool],
@@ -150,16 +151,16 @@
         return self._runs.get(service)
 
     def tick(self) -> None:
-        """Do the next step of each roll-out, and tell all routers."""
+        """Do the next step of each roll-out, and send its state."""
         if not self._fencing or not self._may_act():
             return
         self._follow_orders()
         for service, run in self._runs.items():
             self._step(service, run)
-        told = [r for s, r in self._runs.items() if self._must_tell(s, r)]
-        if told:
+        active = [r for s, r in self._runs.items() if self._must_send(s, r)]
+        if active:
             for router in self._routers():
-                self._send(router, [r.message_for(router) for r in told])
+                self._send(router, [r.message_for(router) for r in active])
 
     def _follow_orders(self) -> None:
         """Begin new roll-outs, and end those whose orders are withdrawn."""
@@ -248,14 +249,14 @@
 
     def _fleet_of(
         self, service: str, run: rollout_run.RolloutRun
-    ) -> rollout_run.Fleet:
+    ) -> rollout_inputs.Fleet:
         available = [
             view
             for view in self._table.all()
             if view.service == service and view.is_available
         ]
         target = run.order.target
-        return rollout_run.Fleet(
+        return rollout_inputs.Fleet(
             [
                 (view.failure_domain, view.name)
                 for view in available
@@ -323,8 +324,8 @@
                     )
                 )
 
-    def _must_tell(self, service: str, run: rollout_run.RolloutRun) -> bool:
-        """Return whether all routers are told of a roll-out now."""
+    def _must_send(self, service: str, run: rollout_run.RolloutRun) -> bool:
+        """Return whether a roll-out's state is sent to all routers now."""
         now = self._clock.now()
         if not run.is_final:
             self._ended_at.pop(service, None)
--- a/src/peridotmast/rollout/rollout_run.py
+++ b/src/peridotmast/rollout/rollout_run.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import typing as ty
 
 from peridotmast import clock as clock_
 from peridotmast import logs
 from peridotmast.rollout import exposure_ledger
 from peridotmast.rollout import report_book
+from peridotmast.rollout import rollout_inputs
 from peridotmast.rollout import trial_plan
 from peridotmast.rollout import verdict as verdict_
 from peridotmast.schema import peridotmast_pb2 as pb
@@ -59,30 +59,6 @@
 """Time over which the routers' traffic is averaged, in ms."""
 
 
-@dataclasses.dataclass(frozen=True)
-class RolloutLimits:
-    """What the platform demands of roll-outs."""
-
-    share: float
-    """Share of the service's requests that the target may get on trial."""
-    slack: int
-    """Requests that it may get in addition."""
-    shift_ms: int = 2600
-    """Time from the begin of a shift to the time limit, in ms."""
-
-
-@dataclasses.dataclass(frozen=True)
-class Fleet:
-    """Upstreams of one service and routers, as the holder sees them."""
-
-    targets: ty.Sequence[tuple[str, str]]
-    """Failure domain and name of each upstream of the target."""
-    others: int
-    """Number of upstreams of other versions."""
-    routers: ty.Collection[RouterRun]
-    """Runs of the routers that are alive."""
-
-
 class RolloutRun:
     """State machine of one roll-out.
 
@@ -97,7 +73,7 @@
         Times the phases.
     order : pb.RolloutOrder
         The operators' order.
-    limits : RolloutLimits
+    limits : rollout_inputs.RolloutLimits
         Bounds of exposure and time.
     fencing : int
         Fencing number of the holder.
@@ -111,7 +87,7 @@
         self,
         clock: clock_.Clock,
         order: pb.RolloutOrder,
-        limits: RolloutLimits,
+        limits: rollout_inputs.RolloutLimits,
         fencing: int,
         left: ty.Optional[pb.RolloutLeft] = None,
         elapsed_ms: int = 0,
@@ -184,7 +160,9 @@
         self.book.receive(run, report)
         self._ledger.report(run, report.allowance)
 
-    def step(self, fleet: Fleet, rolled_back: ty.Collection[str]) -> None:
+    def step(
+        self, fleet: rollout_inputs.Fleet, rolled_back: ty.Collection[str]
+    ) -> None:
         """Decide on the phase, and give out trial requests.
 
         Parameters
@@ -249,7 +227,7 @@
         self._ledger.confirm()
 
     def _step_trial(
-        self, fleet: Fleet, rolled_back: ty.Collection[str]
+        self, fleet: rollout_inputs.Fleet, rolled_back: ty.Collection[str]
     ) -> None:
         trial_ms = self.order.duration_ms - self._limits.shift_ms
         if self.order.target in rolled_back:
@@ -271,7 +249,7 @@
         is_failing = verdict.bad_answers >= _MAX_BAD_ANSWERS
         return verdict.is_bad or (verdict.is_suspect and is_failing)
 
-    def _end_trial(self, fleet: Fleet) -> None:
+    def _end_trial(self, fleet: rollout_inputs.Fleet) -> None:
         objection = self._objection(fleet)
         if not objection:
             self._set_phase(Phase.ROLLOUT_PHASE_SHIFT, 'proved')
@@ -280,7 +258,7 @@
         else:
             self._give_trials(fleet)
 
-    def _objection(self, fleet: Fleet) -> str:
+    def _objection(self, fleet: rollout_inputs.Fleet) -> str:
         """Return why the target is not accepted; empty if it is."""
         if not fleet.targets:
             return 'no_upstreams'
@@ -292,7 +270,7 @@
             return self._describe_verdict()
         return ''
 
-    def _give_trials(self, fleet: Fleet) -> None:
+    def _give_trials(self, fleet: rollout_inputs.Fleet) -> None:
         """Give out the trial requests that are due."""
         now = self._clock.now()
         elapsed_ms, self._given_at = now - self._given_at, now
@@ -318,7 +296,9 @@
             pace.per_second * elapsed_ms / 1000,
         )
 
-    def _pace(self, fleet: Fleet, rate: float) -> trial_plan.Pace:
+    def _pace(
+        self, fleet: rollout_inputs.Fleet, rate: float
+    ) -> trial_plan.Pace:
         trial_left_ms = max(0, self.left_ms - self._limits.shift_ms)
         expected = self.book.requests + rate * self.left_ms / 1000
         bound = self._ledger.bound(int(expected))
@@ -335,7 +315,7 @@
             len(fleet.targets),
         )
 
-    def _rates(self, fleet: Fleet) -> dict[RouterRun, float]:
+    def _rates(self, fleet: rollout_inputs.Fleet) -> dict[RouterRun, float]:
         """Return the recent requests per second of each router."""
         now = self._clock.now()
         counts = {
@@ -359,7 +339,7 @@
         used = report.exposed if report is not None else 0
         return self._ledger.allowance(run) - used
 
-    def _step_shift(self, fleet: Fleet) -> None:
+    def _step_shift(self, fleet: rollout_inputs.Fleet) -> None:
         if self._is_bad():
             self._roll_back(self._describe_verdict())
             return
--- a/src/peridotmast/router/load_filter.py
+++ b/src/peridotmast/router/load_filter.py
@@ -1,4 +1,4 @@
-"""Selection of the upstream loads that a router is told of."""
+"""Selection of the upstream loads that are sent to a router."""
 
 from __future__ import annotations
 
@@ -27,9 +27,9 @@
     """Selects the loads that matter for the placement of a router.
 
     A router spreads its requests over a subset of a large service's upstreams,
-    and sends requests with a cached prefix to that prefix's home. It is told
-    of the loads in its subsets, and of the highest other ones, so that the
-    size of a message does not grow with the number of upstreams.
+    and sends requests with a cached prefix to that prefix's home. It receives
+    the loads in its subsets and the highest other ones, so that the size of a
+    message does not grow with the number of upstreams.
 
     Parameters
     ----------
@@ -48,7 +48,7 @@
         """Time and names of each router's subsets."""
 
     def select(self, router: str, loads: LoadSums) -> LoadSums:
-        """Return the loads that a router is told of.
+        """Return the loads that are sent to a router.
 
         Parameters
         ----------
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -21,7 +21,7 @@
 from peridotmast import logs
 from peridotmast.platform import cloud_api
 from peridotmast.rollout import rollout_duty
-from peridotmast.rollout import rollout_run
+from peridotmast.rollout import rollout_inputs
 from peridotmast.router import catch_up as catch_up_
 from peridotmast.router import drain as drain_
 from peridotmast.router import fleet_state as fleet_state_
@@ -181,7 +181,7 @@
             orders,
             self.upstream_table,
             versions,
-            rollout_run.RolloutLimits(
+            rollout_inputs.RolloutLimits(
                 bounds.expose_share, bounds.expose_slack
             ),
             self._clock,
--- a/src/peridotmast/router/serving.py
+++ b/src/peridotmast/router/serving.py
@@ -92,7 +92,7 @@
         self.limits = upstream_limits_.UpstreamLimits(clock, cfg.name)
         """Splits the limits of upstreams between routers."""
         self.versions = version_gate.VersionGate(
-            clock, cfg.name, bounds.expose_share > 0
+            clock, cfg.name, bounds.expose_share > 0, bounds.rollback_ms
         )
         """Decides which versions of upstreams run requests."""
         table = fleet_state.upstream_table
--- a/src/peridotmast/serving/rollout_view.py
+++ b/src/peridotmast/serving/rollout_view.py
@@ -17,15 +17,13 @@
 )
 """Phases in which a roll-out has ended."""
 
-TRIAL_WORD_MS = 1000
-"""Time after the holder's last message in which trial requests are sent: a
-router that is cut off from the holder would not learn that the target has
-proved bad."""
-
-SHIFT_WORD_MS = 2000
-"""Time after the holder's last message in which a router keeps to a shift. It
-is longer than for trials, since each change between the versions moves
-streams."""
+_TRIAL_SHARE = 0.2
+_SHIFT_SHARE = 0.4
+"""Part of the time within which no request may reach a version that has proved
+bad, for which a router sends trial requests, or keeps to a shift, after the
+holder's last message. A router that is cut off from the holder would not learn
+of a roll-back. The time of a shift is longer, since each change between the
+versions moves streams."""
 
 
 _TRIALS_AHEAD = 3
@@ -41,9 +39,14 @@
         Times the holder's messages.
     state : pb.RolloutState
         The state that this router has learnt first.
+    rollback_ms : int
+        Time within which no request may reach a version that has proved bad,
+        in ms.
     """
 
-    def __init__(self, clock: clock_.Clock, state: pb.RolloutState) -> None:
+    def __init__(
+        self, clock: clock_.Clock, state: pb.RolloutState, rollback_ms: int
+    ) -> None:
         self._clock = clock
         self.state = state
         """The newest state."""
@@ -55,7 +58,9 @@
         """Number of requests that it has sent to the target."""
         self.allowance = 0
         """Number of requests that it may send to the target on trial."""
-        self._confirmed_at = -max(TRIAL_WORD_MS, SHIFT_WORD_MS)
+        self._trial_word_ms = rollback_ms * _TRIAL_SHARE
+        self._shift_word_ms = rollback_ms * _SHIFT_SHARE
+        self._confirmed_at = clock.now() - rollback_ms
         self.evidence = evidence_.Evidence(self.started_at, state.window_ms)
         """Outcomes of the requests since the order."""
 
@@ -72,7 +77,7 @@
         completion may have been stored.
         """
         phase = self.state.phase
-        is_lost = self._silent_ms() > SHIFT_WORD_MS
+        is_lost = self._silent_ms() > self._shift_word_ms
         if phase == Phase.ROLLOUT_PHASE_SHIFT and is_lost:
             return Phase.ROLLOUT_PHASE_TRIAL
         return phase
@@ -83,7 +88,7 @@
         return (
             self.state.phase == Phase.ROLLOUT_PHASE_TRIAL
             and self.exposed < self.allowance
-            and self._silent_ms() <= TRIAL_WORD_MS
+            and self._silent_ms() <= self._trial_word_ms
         )
 
     def has_enough_trials(self, route: str) -> bool:
--- a/src/peridotmast/serving/stream_relay.py
+++ b/src/peridotmast/serving/stream_relay.py
@@ -27,7 +27,7 @@
 
 _GAP_EVENTS = 6
 """Number of events after the first one from which the time between events is
-measured: a slow version is noticed long before its streams end."""
+taken: a slow version is noticed long before its streams end."""
 
 
 class StreamRelay:
--- a/src/peridotmast/serving/version_gate.py
+++ b/src/peridotmast/serving/version_gate.py
@@ -51,13 +51,21 @@
         Name of this router, for the log.
     is_enabled : bool
         Whether the platform has roll-outs; if not, all versions are used.
+    rollback_ms : int
+        Time within which no request may reach a version that has proved bad,
+        in ms.
     """
 
     def __init__(
-        self, clock: clock_.Clock, router: str, is_enabled: bool
+        self,
+        clock: clock_.Clock,
+        router: str,
+        is_enabled: bool,
+        rollback_ms: int = 5000,
     ) -> None:
         self._clock = clock
         self._is_enabled = is_enabled
+        self._rollback_ms = rollback_ms
         self._log = logs.get('versions', router=router)
         self._random = random.Random(router)
         self._rollouts: dict[str, rollout_view.RolloutView] = {}
@@ -302,7 +310,9 @@
         if known is not None and known.is_same_order(state):
             known.update(adopted)
             return self._announce(known)
-        rollout = rollout_view.RolloutView(self._clock, adopted)
+        rollout = rollout_view.RolloutView(
+            self._clock, adopted, self._rollback_ms
+        )
         self._rollouts[state.service] = rollout
         return self._announce(rollout)
 
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -1258,14 +1258,14 @@
     Mutation(
         'go on with trials without word from the holder',
         SERVING + 'rollout_view.py',
-        'and self._silent_ms() <= TRIAL_WORD_MS',
+        'and self._silent_ms() <= self._trial_word_ms',
         '',
         'rollouts',
     ),
     Mutation(
         'go on with a shift without word from the holder',
         SERVING + 'rollout_view.py',
-        'is_lost = self._silent_ms() > SHIFT_WORD_MS',
+        'is_lost = self._silent_ms() > self._shift_word_ms',
         'is_lost = False',
         'rollouts',
     ),
