--- a/features/steps/duty_steps.py
+++ b/features/steps/duty_steps.py
@@ -122,6 +122,9 @@
     def run(self, fencing):
         pass
 
+    def on_saved(self):
+        pass
+
     def save(self, state):
         state.needs['pool'] = self.required
         for _ in range(self.state_version):
