Keep a commit once the completion may be stored, whatever the verdict

Cause: a target that proved bad while the write of its completion was under way was rolled back at all routers. The write then took effect, so that the other upstreams stopped, and the target stayed forbidden: no version was in use.

Change: a commit is rolled back only until it is stored with the lease. The unused method complete() is gone.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -147,6 +147,14 @@
     When the roll-out runs to its end
     Then no completion is written
 
+  Scenario: A target is not rolled back while its completion is being stored
+    # The other upstreams stop once it is stored, and a version that was rolled back is never used.
+    Given a holder of the duties and an order of "v2" within 12 s with upstreams of it
+    And the target fails all requests while its completion is being stored
+    When the roll-out runs to its end
+    Then its stored outcome is "completed" with the reason "proved"
+    And only "v2" is in use
+
   Scenario: Malformed orders are findings
     Given stored orders of which one has no target and one has another service's name
     Then 1 order is read, and there are findings on 2 others
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -322,6 +322,7 @@
         self.writes = []
         self.is_reply_lost = False
         self.now = lambda: 0
+        self.before_completion = lambda: None
 
     @property
     def orders(self):
@@ -330,6 +331,8 @@
     def write_outcome(self, order, outcome):
         if order.revision != self.order.revision:
             return failures.conflict('changed')
+        if outcome == pb.ROLLOUT_PHASE_COMPLETED:
+            self.before_completion()
         self.order.revision += 1
         self.order.outcome = outcome
         self.writes.append(outcome)
@@ -358,6 +361,8 @@
         self.run = 'router-1', 1
         self.is_shift_unsaved = False
         self.in_flight = 0
+        self.is_failing = False
+        self.sent = 0
         for number, version in enumerate(versions):
             self.add_upstream(f'{version}-{number}', version)
         self.duty = rollout_duty.RolloutDuty(
@@ -412,11 +417,12 @@
             for name in self.gate.trial_upstreams(SERVICE, 'r')
             if (view := self.table.get(name))
         ] or self.table.live(SERVICE)
-        view = views[0]
+        self.sent += 1
+        view = views[self.sent % len(views) if self.is_failing else 0]
         now = self.clock.now()
         self.gate.note_placed(view, True)
         self.gate.note_first('r', view, now, 50, 0)
-        self.gate.note_end('r', view, now, False)
+        self.gate.note_end('r', view, now, self.is_failing)
 
 
 @given(
@@ -527,6 +533,24 @@
     assert context.orders.writes == [pb.ROLLOUT_PHASE_TRIAL]
 
 
+@given('the target fails all requests while its completion is being stored')
+def fails_during_write(context):
+    holder = context.holder
+
+    def fail():
+        holder.is_failing = True
+        holder.advance(1000)
+        assert holder.duty.show(SERVICE).verdict.is_bad
+
+    context.orders.before_completion = fail
+
+
+@then('only "{target}" is in use')
+def only_target_used(context, target):
+    live = context.holder.table.live(SERVICE)
+    assert {view.version for view in live} == {target}, live
+
+
 @when('the roll-out runs to its end')
 def run_to_end(context):
     real, green.sleep_ms = green.sleep_ms, lambda ms: None
--- a/src/peridotmast/rollout/rollout_run.py
+++ b/src/peridotmast/rollout/rollout_run.py
@@ -64,8 +64,8 @@
 
     After the trial, a target without evidence against it gets all requests.
     The completion is stored once no request is in flight at the other
-    versions, since their upstreams then stop at once. Evidence is taken until
-    then, and a target that proves bad is rolled back.
+    versions, since their upstreams then stop at once. Until the completion may
+    have been stored, a target that proves bad is rolled back.
 
     Parameters
     ----------
@@ -175,8 +175,8 @@
             self._step_trial(fleet, rolled_back)
         elif self.phase == Phase.ROLLOUT_PHASE_SHIFT:
             self._step_shift(fleet)
-        elif self.phase == Phase.ROLLOUT_PHASE_COMMIT and self._is_bad():
-            self._roll_back(self._describe_verdict())
+        elif self.phase == Phase.ROLLOUT_PHASE_COMMIT:
+            self._step_commit()
         if self.phase == Phase.ROLLOUT_PHASE_TRIAL:
             for route, count in self.verdict.answers_by_route.items():
                 self.state.trials[route] = count
@@ -197,10 +197,6 @@
         if not self.is_final:
             self._set_phase(Phase.ROLLOUT_PHASE_WITHDRAWN, reason)
 
-    def complete(self) -> None:
-        """Record that the completion is stored."""
-        self._set_phase(Phase.ROLLOUT_PHASE_COMPLETED, self.state.reason)
-
     def adopt(self, state: pb.RolloutState) -> None:
         """Adopt the end of the roll-out that another router knows of."""
         self._set_phase(state.phase, state.reason)
@@ -350,6 +346,12 @@
         if is_due and not self.waiting_for:
             self._set_phase(Phase.ROLLOUT_PHASE_COMMIT, self.state.reason)
 
+    def _step_commit(self) -> None:
+        # Once the completion may have been stored, the other upstreams stop,
+        # and only the target is left.
+        if self._is_bad() and not self.may_commit:
+            self._roll_back(self._describe_verdict())
+
     def _has_shifted(self, run: RouterRun) -> bool:
         """Return whether a router uses only the target."""
         report = self.book.latest(run)
