--- a/src/peridotmast/load/rollout_model.py
+++ b/src/peridotmast/load/rollout_model.py
@@ -177,8 +177,6 @@
             act()
         return self.result
 
-    # What the decisions read and do
-
     def live_views(self) -> list[_View]:
         """Return the upstreams that are up."""
         elapsed = self.clock.now() - self._start
@@ -225,8 +223,6 @@
             self.holder.duty.start(self._saved)
             self.holder.duty.run(self._fencing)
 
-    # Events
-
     def _tick(self) -> None:
         self._renew()
         for router in self._routers:
@@ -289,22 +285,21 @@
         failed, first_ms, gap_ms = self._draw_answer(view, route)
         sent_at = self.clock.now()
         observed = self._observed(view)
-        name = f'{route}'
 
         def first() -> None:
             router.gate.note_first(
-                name, ty.cast(ty.Any, observed), sent_at, first_ms, 0
+                route, ty.cast(ty.Any, observed), sent_at, first_ms, 0
             )
 
         def end() -> None:
             view.running -= 1
             router.in_flight -= not is_target
             router.gate.note_end(
-                name, ty.cast(ty.Any, observed), sent_at, failed
+                route, ty.cast(ty.Any, observed), sent_at, failed
             )
             if not failed:
                 router.gate.note_gap(
-                    name, ty.cast(ty.Any, observed), sent_at, gap_ms
+                    route, ty.cast(ty.Any, observed), sent_at, gap_ms
                 )
 
         if failed:
@@ -398,8 +393,6 @@
         self._fencing += 1
         self.holder_begins()
 
-    # Helpers
-
     def _deliver(
         self, sender: _Router, receiver: _Router, act: ty.Callable[[], ty.Any]
     ) -> None:
--- a/src/peridotmast/serving/version_gate.py
+++ b/src/peridotmast/serving/version_gate.py
@@ -84,8 +84,6 @@
         )
         """Called with the state when this router learns of a roll-back."""
 
-    # Versions in use
-
     def select(self, service: str, ages: VersionAges) -> ty.Container[str]:
         """Return the versions of a service that are in use.
 
@@ -161,8 +159,6 @@
             if rollout.phase in _TARGET_PHASES:
                 self.on_shift(service, state.target)
 
-    # Messages
-
     def receive(self, state: pb.RolloutState) -> None:
         """Merge the state of a roll-out, from the holder or any router."""
         if not self._is_enabled:
@@ -239,8 +235,6 @@
         """Return the latest roll-out of a service, if there is one."""
         return self._rollouts.get(service)
 
-    # Outcomes
-
     def note_placed(self, view: View, is_first: bool) -> None:
         """Count a request that is about to be sent to an upstream.
 
