Log each decision on a retry, with what it was made from

The attempts in the logs show that each run keeps to its own bound, but not among how many routers a run divides the slack. Two of the hypotheses on the retries beyond the budget differ in that number. Nothing of logic changes: 'retry' names the retries and requests in the window, the routers and the age of the run.

--- a/features/steps/group_steps.py
+++ b/features/steps/group_steps.py
@@ -32,6 +32,7 @@
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import candidates
 from peridotmast.serving import crash_tracker as crash_tracker_
+from peridotmast.serving import decisions as decisions_
 from peridotmast.serving import demand as demand_
 from peridotmast.serving import quota as quota_
 from peridotmast.serving import retry_budget
@@ -99,7 +100,13 @@
             quota=quota_.Quota(self.clock),
             demand=demand_.Demand(self.clock),
             usage=usage_.Usage(self.time.now, WINDOW_MS),
-            retry_budget=retry_budget.RetryBudget(self.clock, 0.2, 10_000, 50),
+            retry_budget=retry_budget.RetryBudget(
+                self.clock,
+                0.2,
+                10_000,
+                50,
+                decisions_.Decisions(self.clock, self.name),
+            ),
             crashes=crash_tracker_.CrashTracker(self.clock, self.name),
             limits=upstream_limits.UpstreamLimits(self.clock, self.name),
             versions=version_gate.VersionGate(self.clock, self.name, False),
@@ -1032,7 +1039,7 @@
 def check_retries(context, most):
     sent = 0
     for node in context.joined:
-        while node.serving.retry_budget.take('pool'):
+        while node.serving.retry_budget.take('pool', 'r'):
             sent += 1
     assert sent <= most, sent
 
--- a/features/steps/helpers.py
+++ b/features/steps/helpers.py
@@ -15,6 +15,7 @@
 from peridotmast import green
 from peridotmast.platform import names
 from peridotmast.serving import crash_tracker
+from peridotmast.serving import decisions as decisions_
 from peridotmast.serving import quota as quota_
 from peridotmast.serving import retry_budget
 from peridotmast.serving import upstream_limits
@@ -153,7 +154,9 @@
     """Return the limits of a router without the rest of the router."""
     return types.SimpleNamespace(
         quota=quota_.Quota(clock),
-        retry_budget=retry_budget.RetryBudget(clock, 0.2, 10_000, 50),
+        retry_budget=retry_budget.RetryBudget(
+            clock, 0.2, 10_000, 50, decisions_.Decisions(clock, 'r-1')
+        ),
         crashes=crash_tracker.CrashTracker(clock, 'router-1'),
         limits=upstream_limits.UpstreamLimits(clock, 'router-1'),
         versions=version_gate.VersionGate(clock, 'router-1', False),
--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -18,6 +18,7 @@
 from peridotmast import green
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import candidates
+from peridotmast.serving import decisions as decisions_
 from peridotmast.serving import exchange as exchange_
 from peridotmast.serving import health as health_
 from peridotmast.serving import placement
@@ -208,7 +209,11 @@
 def retry_budget_for_routers(context, ratio, slack, seconds, routers):
     context.clock = clock_.ManualClock()
     context.budget = retry_budget.RetryBudget(
-        context.clock, ratio, seconds * 1000, slack
+        context.clock,
+        ratio,
+        seconds * 1000,
+        slack,
+        decisions_.Decisions(context.clock, 'r-1'),
     )
     context.budget.routers = lambda: routers
 
@@ -225,7 +230,9 @@
     allowed = 0
     for _ in range(count):
         context.budget.count_request('pool')
-        allowed += sum(context.budget.take('pool') for _ in range(retries))
+        allowed += sum(
+            context.budget.take('pool', 'r') for _ in range(retries)
+        )
         context.clock.advance(seconds * 1000 // count)
     return allowed
 
--- a/src/peridotmast/router/serving.py
+++ b/src/peridotmast/router/serving.py
@@ -85,6 +85,7 @@
             bounds.budget_ratio,
             int(bounds.budget_window_s * 1000),
             bounds.budget_slack,
+            self.decisions,
         )
         """Limits the number of retries."""
         self.crashes = crash_tracker_.CrashTracker(clock, cfg.name)
--- a/src/peridotmast/serving/dispatcher.py
+++ b/src/peridotmast/serving/dispatcher.py
@@ -356,10 +356,12 @@
             return False
         if failure.kind is failures.FailureKind.NOT_RUN:
             not_sent = failure.reason == 'no_connection'
-            return not_sent or self._budget.take(state.service.name)
+            return not_sent or self._budget.take(
+                state.service.name, exchange.id
+            )
         if not exchange.may_repeat or state.runs >= exchange.route.attempts:
             return False
-        return self._budget.take(state.service.name)
+        return self._budget.take(state.service.name, exchange.id)
 
     def _first_bytes_ms(self, state: _RequestState) -> int:
         """Return how long the next attempt may take to respond, in ms."""
--- a/src/peridotmast/serving/retry_budget.py
+++ b/src/peridotmast/serving/retry_budget.py
@@ -6,6 +6,7 @@
 import typing as ty
 
 from peridotmast import clock as clock_
+from peridotmast.serving import decisions as decisions_
 
 _USED_SHARE = 0.8
 """Fraction of the allowed retries that is used. The rest is a margin, as the
@@ -31,15 +32,24 @@
         ms.
     slack : float
         Additional retries of the whole fleet in a window.
+    decisions : decisions.Decisions
+        Records each decision on a retry.
     """
 
     def __init__(
-        self, clock: clock_.Clock, ratio: float, window_ms: int, slack: float
+        self,
+        clock: clock_.Clock,
+        ratio: float,
+        window_ms: int,
+        slack: float,
+        decisions: decisions_.Decisions,
     ) -> None:
         self._clock = clock
         self._ratio = ratio
         self._window_ms = window_ms
         self._slack = slack
+        self._decisions = decisions
+        self._started_at = clock.now()
         self._requests: dict[str, collections.deque[int]] = {}
         self._retries: dict[str, collections.deque[int]] = {}
         self.routers: ty.Callable[[], int] = lambda: 1
@@ -57,15 +67,26 @@
             self._clock.now()
         )
 
-    def take(self, service: str) -> bool:
+    def take(self, service: str, request_id: str) -> bool:
         """Take one retry to `service`; return False if none is left."""
         requests = len(self._times_in_window(self._requests, service))
         retries = self._times_in_window(self._retries, service)
-        allowed = self._ratio * requests + self._slack / self.routers()
-        if len(retries) + 1 > allowed * _USED_SHARE:
-            return False
-        retries.append(self._clock.now())
-        return True
+        routers = self.routers()
+        allowed = self._ratio * requests + self._slack / routers
+        granted = len(retries) + 1 <= allowed * _USED_SHARE
+        self._decisions.note(
+            request_id,
+            'retry',
+            service=service,
+            granted=granted,
+            retries=len(retries),
+            requests=requests,
+            routers=routers,
+            run_ms=self._clock.now() - self._started_at,
+        )
+        if granted:
+            retries.append(self._clock.now())
+        return granted
 
     def _times_in_window(
         self, counts: dict[str, collections.deque[int]], service: str
--- a/src/peridotmast/serving/stream_relay.py
+++ b/src/peridotmast/serving/stream_relay.py
@@ -274,7 +274,7 @@
             raise reply_.BrokenAnswer(failure.reason)
         if self._crashes.retry_after_ms(exchange.fingerprint):
             raise reply_.BrokenAnswer(crash_tracker_.BLOCK_REASON)
-        if not self._budget.take(stream.service.name):
+        if not self._budget.take(stream.service.name, exchange.id):
             raise reply_.BrokenAnswer('no_budget')
         stream.sent.reservation.release()
         reservation = self._placement.choose(
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -238,8 +238,8 @@
     Mutation(
         'retry without a budget',
         SERVING + 'retry_budget.py',
-        'if len(retries) + 1 > allowed * _USED_SHARE:',
-        'if False:',
+        'granted = len(retries) + 1 <= allowed * _USED_SHARE',
+        'granted = True',
         'limits',
     ),
     Mutation(
