Grant no retry while an earlier run's retries may be in the window

Callers saw: nothing of it; their upstreams got more than the fleet may send them while they refused, 136 retries in 10 s where 109 are allowed.

Cause: what a run counts ends with its process. The next run of the same router had the whole share of the slack and all of the ratio again, so that a router that was killed every 2 s had its budget five times in a window. The inequality of the code was over a run, the platform's is over the fleet.

Evidence: the logged decisions: 4 to 16 retries a run, each within its own bound, 15 to 24 for each router that was killed; seven routers known at all ages, so the slack was divided by the right number.

Change: a run that may follow another one grants no retry for one window; what the earlier run used is known to nobody and counts as all that it was allowed. Whether one was there is read from the router's entry in the store. After that time all retries of a router in a window are of one run.

limits.feature: the router of the scenario on the fraction of retries is one that starts for the first time, as it was meant; its bounds are unchanged.

--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -40,17 +40,20 @@
     Given a store with the entries of 5 routers
     When one of the registered routers restarts at its address
     Then the router knows all other routers after 1 call to the store
+    And the router knows that an earlier run may have used its retry budget
 
   Scenario: A router that restarts at another address updates its store entry
     Given a store with the entries of 5 routers
     When one of the registered routers restarts at another address
     Then the router knows all other routers after 3 calls to the store
     And a router that starts later finds the restarted router at its new address
+    And the router knows that an earlier run may have used its retry budget
 
   Scenario: A router whose first write got no reply has one store entry
     Given a store with the entries of 5 routers
     When a new router gets no answer to the write of its entry, and retries
     Then the router knows all other routers, and a router that starts later finds it
+    And the router knows that this is its first run
 
   Scenario: If two routers start concurrently, at least one of them knows the other
     Given a store with the entries of 0 routers
--- a/features/steps/budget_model.py
+++ b/features/steps/budget_model.py
@@ -33,14 +33,14 @@
 class Router:
     """One run of a router: its members and its retry budget."""
 
-    def __init__(self, clock, number, discovered):
+    def __init__(self, clock, number, registry):
         entry = pb.Member(
             name=f'router-{number}',
             incarnation=clock.now(),
             state=members_.ALIVE,
         )
         self.members = members_.Members(entry, clock, 5 * BEACON_MS)
-        for other in discovered:
+        for other in registry.values():
             self.members.merge_entry(other)
         self.budget = retry_budget.RetryBudget(
             clock,
@@ -70,7 +70,7 @@
 
     def start(self, number):
         """Start a run of a router, which reads the names of all others."""
-        router = Router(self.clock, number, self.registry.values())
+        router = Router(self.clock, number, self.registry)
         self.running[number] = router
         entry = pb.Member()
         entry.CopyFrom(router.members.me)
--- a/features/steps/group_steps.py
+++ b/features/steps/group_steps.py
@@ -142,6 +142,7 @@
             config=types.SimpleNamespace(routes=version, product=version),
             upstream_table=self.table,
             fleet_clock=self.time,
+            is_first_run=True,
             outage=types.SimpleNamespace(is_suspected=lambda: False),
             is_watching=lambda what: False,
             restart_outdated_watches=lambda what: None,
--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -216,6 +216,7 @@
         decisions_.Decisions(context.clock, 'r-1'),
     )
     context.budget.routers = lambda: routers
+    context.budget.is_first_run = lambda: True
 
 
 @when(
--- a/features/steps/registry_steps.py
+++ b/features/steps/registry_steps.py
@@ -92,6 +92,19 @@
     assert other.registry.register() and 'new' in other.known
 
 
+@then('the router knows that an earlier run may have used its retry budget')
+def check_has_earlier_run(context):
+    assert not context.started.registry.is_first_run
+    # Its own entry may be the one that it finds when it registers again.
+    assert context.started.registry.register()
+    assert not context.started.registry.is_first_run
+
+
+@then('the router knows that this is its first run')
+def check_is_first_run(context):
+    assert context.started.registry.is_first_run
+
+
 @when('two routers start at once, with their calls interleaved')
 def start_two_interleaved(context):
     real, runs = context.store.list, []
--- a/src/peridotmast/coordination/registry.py
+++ b/src/peridotmast/coordination/registry.py
@@ -44,6 +44,15 @@
         self._store = store
         self._members = members
         self._log = logs.get('registry', router=members.me.name)
+        self._has_earlier_run: ty.Optional[bool] = None
+
+    @property
+    def is_first_run(self) -> bool:
+        """Whether no earlier run of this router was registered.
+
+        False until the entries have been read.
+        """
+        return self._has_earlier_run is False
 
     def register(self) -> bool:
         """Register this router and discover all others.
@@ -62,6 +71,9 @@
             return False
         me = self._members.me
         own = next((s for s in listing.objects if s.name == me.name), None)
+        if self._has_earlier_run is None:
+            # A later listing may have an entry that this run has written.
+            self._has_earlier_run = own is not None
         if own is not None and _is_location_current(own, me):
             return True
         spec = json_format.MessageToDict(me)
--- a/src/peridotmast/router/fleet_state.py
+++ b/src/peridotmast/router/fleet_state.py
@@ -141,6 +141,11 @@
         """Whether the configuration and any upstreams are known."""
         return bool(self.config.routes.version and self.upstream_table.all())
 
+    @property
+    def is_first_run(self) -> bool:
+        """Whether no earlier run of this router has served requests."""
+        return self._registry.is_first_run
+
     @property
     def is_synced_with_store(self) -> bool:
         """Whether this router is registered and has listed every kind."""
--- a/src/peridotmast/router/peering.py
+++ b/src/peridotmast/router/peering.py
@@ -115,6 +115,7 @@
         serving.quota.count_routers = serving.retry_budget.routers = (
             members.limit_sharer_count
         )
+        serving.retry_budget.is_first_run = lambda: fleet_state.is_first_run
         serving.quota.has_stale_peer_data = self.has_delayed_totals
         serving.crashes.relays_updates = self.has_delayed_totals
         self.receive_rollouts: ty.Callable[[pb.Beacon], None] = lambda b: None
--- a/src/peridotmast/serving/retry_budget.py
+++ b/src/peridotmast/serving/retry_budget.py
@@ -21,6 +21,10 @@
     all routers the limits add up to the requests of the fleet times the
     ratio. The additional slack of the fleet is split evenly between routers.
 
+    What an earlier run of a router has used is not known after its end, and
+    counts as all that it was allowed: a run that may follow another one
+    grants no retry until the retries of that run have left the window.
+
     Parameters
     ----------
     clock : clock.Clock
@@ -54,6 +58,9 @@
         self._retries: dict[str, collections.deque[int]] = {}
         self.routers: ty.Callable[[], int] = lambda: 1
         """Return the number of routers that share the slack."""
+        self.is_first_run: ty.Callable[[], bool] = lambda: False
+        """Return whether no earlier run of this router can have used any of
+        its budget."""
 
     def set_limits(self, ratio: float, window_ms: int, slack: float) -> None:
         """Change the limits."""
@@ -72,8 +79,11 @@
         requests = len(self._times_in_window(self._requests, service))
         retries = self._times_in_window(self._retries, service)
         routers = self.routers()
+        run_ms = self._clock.now() - self._started_at
+        is_first_run = self.is_first_run()
+        is_usable = is_first_run or run_ms >= self._window_ms
         allowed = self._ratio * requests + self._slack / routers
-        granted = len(retries) + 1 <= allowed * _USED_SHARE
+        granted = is_usable and len(retries) + 1 <= allowed * _USED_SHARE
         self._decisions.note(
             request_id,
             'retry',
@@ -82,7 +92,8 @@
             retries=len(retries),
             requests=requests,
             routers=routers,
-            run_ms=self._clock.now() - self._started_at,
+            run_ms=run_ms,
+            first_run=is_first_run,
         )
         if granted:
             retries.append(self._clock.now())
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -238,10 +238,24 @@
     Mutation(
         'retry without a budget',
         SERVING + 'retry_budget.py',
-        'granted = len(retries) + 1 <= allowed * _USED_SHARE',
-        'granted = True',
+        'granted = is_usable and len(retries) + 1 <= allowed * _USED_SHARE',
+        'granted = is_usable',
         'limits',
     ),
+    Mutation(
+        'grant retries that an earlier run may have sent',
+        SERVING + 'retry_budget.py',
+        'granted = is_usable and ',
+        'granted = ',
+        'retry_budget',
+    ),
+    Mutation(
+        'take the entry of an earlier run for one of this run',
+        COORDINATION + 'registry.py',
+        'self._has_earlier_run = own is not None',
+        'self._has_earlier_run = False',
+        'fleet',
+    ),
     Mutation(
         'forward a not-run status without confirmation',
         SERVING + 'dispatcher.py',
