Use a larger share of the slack only once its earlier use has left the window

Callers saw: nothing; upstreams may get more retries than the fleet's budget.

Cause: routers that remain divided the slack of those that leave among themselves at once, while what these had used was still in the window, and the leaving ones kept their share for the requests that they still had. A router that never received a beacon of its peers counted them for 5 s only and then took the whole slack.

Change: the share in force is the lowest of the last window; a leaving router has none; peers count as long as they are known, whether their beacons arrive or not. Mutations of both parts are caught.

--- a/features/retry_budget.feature
+++ b/features/retry_budget.feature
@@ -20,6 +20,15 @@
     And 10000 ms pass for these routers
     Then no window has more retries than the budget of the fleet allows
 
+  # Guards against a share of the slack that passes to others while its use still counts.
+  Scenario: Routers that leave together hand over no share that they have used
+    Given 6 routers that share a retry budget
+    When upstreams refuse all requests, 4 a second at each router
+    And 3000 ms pass for these routers
+    And 4 of the routers leave within 8000 ms
+    And 20000 ms pass for these routers
+    Then no window has more retries than the budget of the fleet allows
+
   # Guards against a fault in the budget that no written history shows.
   Scenario: In random histories, routers keep to the budget of the fleet
     Then the retries of routers stay within the budget in 60 histories of 20 steps
--- a/features/steps/budget_model.py
+++ b/features/steps/budget_model.py
@@ -49,7 +49,7 @@
             SLACK,
             decisions_.Decisions(clock, entry.name),
         )
-        self.budget.routers = self.members.limit_sharer_count
+        self.budget.share = self.members.slack_share
 
 
 class BudgetFleet:
@@ -137,6 +137,7 @@
                 self.running[receiver].members.receive(entry)
         for router in self.running.values():
             router.members.tick()
+            router.budget.tick()
 
     @staticmethod
     def _count(times, start):
--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -215,7 +215,7 @@
         slack,
         decisions_.Decisions(context.clock, 'r-1'),
     )
-    context.budget.routers = lambda: routers
+    context.budget.share = lambda: 1 / routers
     context.budget.is_first_run = lambda: True
 
 
--- a/src/peridotmast/coordination/members.py
+++ b/src/peridotmast/coordination/members.py
@@ -214,6 +214,19 @@
             ),
         ]
 
+    def slack_share(self) -> float:
+        """Return this router's share of the slack of the retry budget.
+
+        A peer has a share until it is removed or announces that it is
+        leaving, also one that this router knows only from its entry: it may
+        serve callers on the other side of a network partition. A leaving
+        router has none, as the others divide its share.
+        """
+        if self.me.state != ALIVE:
+            return 0.0
+        peers = self._peers.values()
+        return 1 / (1 + sum(p.member.state == ALIVE for p in peers))
+
     def is_newly_discovered(self, peer: Peer) -> bool:
         """Return whether a peer without a beacon so far may be running."""
         limit = self.clock.now() - _DISCOVERED_MS
--- a/src/peridotmast/router/peering.py
+++ b/src/peridotmast/router/peering.py
@@ -112,9 +112,8 @@
         self._gaps = report_gaps_.ReportGaps(clock, serving.quota.max_spends)
         self._role = _GroupRole(False, False, 1)
         self._group_reported_at: dict[int, int] = {}
-        serving.quota.count_routers = serving.retry_budget.routers = (
-            members.limit_sharer_count
-        )
+        serving.quota.count_routers = members.limit_sharer_count
+        serving.retry_budget.share = members.slack_share
         serving.retry_budget.is_first_run = lambda: fleet_state.is_first_run
         serving.quota.has_stale_peer_data = self.has_delayed_totals
         serving.crashes.relays_updates = self.has_delayed_totals
--- a/src/peridotmast/router/serving.py
+++ b/src/peridotmast/router/serving.py
@@ -158,6 +158,7 @@
         """Update demand, crash and limit state; close expired connections."""
         self.pool.close_expired()
         self.demand.tick()
+        self.retry_budget.tick()
         self.crashes.tick()
         self._sender.tick()
         self.limits.tick()
--- a/src/peridotmast/serving/retry_budget.py
+++ b/src/peridotmast/serving/retry_budget.py
@@ -20,6 +20,8 @@
     Each router uses only its own counts, so no coordination is needed: over
     all routers the limits add up to the requests of the fleet times the
     ratio. The additional slack of the fleet is split evenly between routers.
+    A share that has grown is used only once the retries of the routers that
+    had it before have left the window.
 
     What an earlier run of a router has used is not known after its end, and
     counts as all that it was allowed: a run that may follow another one
@@ -56,8 +58,11 @@
         self._started_at = clock.now()
         self._requests: dict[str, collections.deque[int]] = {}
         self._retries: dict[str, collections.deque[int]] = {}
-        self.routers: ty.Callable[[], int] = lambda: 1
-        """Return the number of routers that share the slack."""
+        self.share: ty.Callable[[], float] = lambda: 1.0
+        """Return this router's share of the slack, from 0 to 1."""
+        self._shares: collections.deque[tuple[int, float]] = (
+            collections.deque()
+        )
         self.is_first_run: ty.Callable[[], bool] = lambda: False
         """Return whether no earlier run of this router can have used any of
         its budget."""
@@ -78,11 +83,11 @@
         """Take one retry to `service`; return False if none is left."""
         requests = len(self._times_in_window(self._requests, service))
         retries = self._times_in_window(self._retries, service)
-        routers = self.routers()
+        share = self._usable_share()
         run_ms = self._clock.now() - self._started_at
         is_first_run = self.is_first_run()
         is_usable = is_first_run or run_ms >= self._window_ms
-        allowed = self._ratio * requests + self._slack / routers
+        allowed = self._ratio * requests + self._slack * share
         granted = is_usable and len(retries) + 1 <= allowed * _USED_SHARE
         self._decisions.note(
             request_id,
@@ -91,7 +96,7 @@
             granted=granted,
             retries=len(retries),
             requests=requests,
-            routers=routers,
+            share=round(share, 3),
             run_ms=run_ms,
             first_run=is_first_run,
         )
@@ -99,6 +104,23 @@
             retries.append(self._clock.now())
         return granted
 
+    def tick(self) -> None:
+        """Note the current share."""
+        self._usable_share()
+
+    def _usable_share(self) -> float:
+        """Return the lowest share of this router in the window."""
+        now, share = self._clock.now(), self.share()
+        if not self._shares or self._shares[-1][1] != share:
+            self._shares.append((now, share))
+        # A share counts until the next one was noted.
+        while (
+            len(self._shares) > 1
+            and self._shares[1][0] <= now - self._window_ms
+        ):
+            self._shares.popleft()
+        return min(known for _, known in self._shares)
+
     def _times_in_window(
         self, counts: dict[str, collections.deque[int]], service: str
     ) -> ty.Any:
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -249,6 +249,20 @@
         'granted = ',
         'retry_budget',
     ),
+    Mutation(
+        'use a grown share of the slack at once',
+        SERVING + 'retry_budget.py',
+        'return min(known for _, known in self._shares)',
+        'return share',
+        'retry_budget',
+    ),
+    Mutation(
+        'let a leaving router keep its share of the slack',
+        COORDINATION + 'members.py',
+        '        if self.me.state != ALIVE:\n            return 0.0\n',
+        '',
+        'retry_budget',
+    ),
     Mutation(
         'take the entry of an earlier run for one of this run',
         COORDINATION + 'registry.py',
