--- a/src/peridotmast/embedded/fleet.py
+++ b/src/peridotmast/embedded/fleet.py
@@ -250,6 +250,7 @@
     ) -> None:
         """Make an upstream announce that it is leaving; it keeps serving."""
         instance.upstream.app.draining = True
+        instance.upstream.app.states_leaving = True
         instance.record.state = pb.UPSTREAM_STATE_LEAVING
         self._write_entry(instance)
 
--- a/src/peridotmast/platform/names.py
+++ b/src/peridotmast/platform/names.py
@@ -36,6 +36,8 @@
 AUTHORIZATION = 'Authorization'
 KEY_SCHEME = 'Bearer '
 RETRY_AFTER = 'Retry-After'
+LEAVING = 'Server-Leaving'
+"""States in each answer of an upstream that it is leaving."""
 
 REQUEST_KINDS = {
     'idempotent': pb.IDEMPOTENT,
--- a/src/peridotmast/standin/upstream_app.py
+++ b/src/peridotmast/standin/upstream_app.py
@@ -36,6 +36,8 @@
         self.slots = slots
         self.draining = False
         """Whether its health check and its report say that it is leaving."""
+        self.states_leaving = False
+        """Whether each of its answers states that it is leaving."""
         self.runs: collections.Counter[str] = collections.Counter()
         """Number of runs by request id."""
         self.arrivals: list[tuple[int, str]] = []
@@ -115,8 +117,12 @@
             (names.REQUEST_ID, request_id),
             (names.SEAL, f'{self.name}.{next(self._serials)}'),
             *limit,
+            *self._leaving_header(),
         ]
 
+    def _leaving_header(self) -> list[tuple[str, str]]:
+        return [(names.LEAVING, '1')] if self.states_leaving else []
+
     def _request(
         self, environ: dict[str, ty.Any], start: ty.Callable[..., ty.Any]
     ) -> ty.Iterable[bytes]:
@@ -133,6 +139,7 @@
                 (names.NOT_RUN, '1'),
                 (names.REQUEST_ID, request_id),
                 ('Content-Length', '0'),
+                *self._leaving_header(),
             ]
             start('503 Service Unavailable', headers)
             return [b'']
