Send nothing more to an upstream whose answer states that it leaves

Cause: no router read Server-Leaving. That an upstream leaves was known from the store only, which was out for 14 s.

Change: an answer that belongs to its request and states it makes the run leave in the table of this router, as its entry in the store would. No entry revokes it; only a later run serves again.

--- a/features/incarnation.feature
+++ b/features/incarnation.feature
@@ -17,6 +17,12 @@
     When another router reports its work at the run started at 2000
     Then "a" has the reported work
 
+  Scenario: A later run serves although an answer of the earlier one stated that it leaves
+    Given an upstream "a" whose run started at 1000
+    When an answer of "a" states that it leaves
+    And the entry of "a" changes to a run started at 2000
+    Then "a" may get new work and is the run started at 2000
+
   Scenario: A peer with outdated records does not restore the earlier run
     Given an upstream "a" whose run started at 1000
     And a peer that knows the earlier run
--- a/features/steps/store_outage_steps.py
+++ b/features/steps/store_outage_steps.py
@@ -68,6 +68,11 @@
     apply_change(context, name, None, after_outage=True)
 
 
+@when('an answer of "{name}" states that it leaves')
+def state_leaving(context, name):
+    context.upstreams.note_leaving(context.upstreams.get(name))
+
+
 @when('the entry of "{name}" reappears')
 def restore_entry(context, name):
     apply_change(context, name, entry_spec(name))
--- a/features/upstreams.feature
+++ b/features/upstreams.feature
@@ -26,6 +26,18 @@
     And 1900 ms pass
     Then "a, b, c" may get new requests
 
+  # Guards against an entry that is older than the answer: an upstream that leaves while
+  # the store is out can't say so there, and its entry goes on to say that it is ready.
+  Scenario: An upstream whose answer states that it leaves stays so, whatever its entry says
+    Given upstreams "a", "b" and "c" with entries in the store
+    When an answer of "a" states that it leaves
+    Then "b, c" may get new requests
+    When the entry of "a" reappears
+    Then "b, c" may get new requests
+    When the entry of "a" is missing after an outage
+    And the entry of "a" reappears
+    Then "b, c" may get new requests
+
   Scenario: A lapsed upstream whose entry does not return is gone
     Given upstreams "a", "b" and "c" with entries in the store
     When the entry of "a" is missing after an outage
--- a/src/peridotmast/platform/dialect.py
+++ b/src/peridotmast/platform/dialect.py
@@ -83,6 +83,10 @@
             return Verdict.FAILED
         return Verdict.ANSWER
 
+    def is_leaving(self, head: connection.ResponseHead) -> bool:
+        """Return whether a response states that its upstream is leaving."""
+        return head.get(names.LEAVING).strip() == '1'
+
     def limit(
         self, head: connection.ResponseHead
     ) -> ty.Union[float, failures.Failure, None]:
--- a/src/peridotmast/router/serving.py
+++ b/src/peridotmast/router/serving.py
@@ -111,6 +111,7 @@
             self.limits,
         )
         self.crashes.on_block = self._sender.cancel_attempts
+        self._sender.on_leaving = table.note_leaving
         self.placement = placement.Placement(
             table,
             policies.POLICIES[cfg.policy](cfg.failure_domain),
--- a/src/peridotmast/serving/dialect.py
+++ b/src/peridotmast/serving/dialect.py
@@ -59,6 +59,9 @@
     ) -> Verdict:
         """Return what the head of a response states."""
 
+    def is_leaving(self, head: connection_.ResponseHead) -> bool:
+        """Return whether a response states that its upstream is leaving."""
+
     def limit(
         self, head: connection_.ResponseHead
     ) -> ty.Union[float, failures.Failure, None]:
--- a/src/peridotmast/serving/sender.py
+++ b/src/peridotmast/serving/sender.py
@@ -85,6 +85,10 @@
         self._decisions = decisions
         self._crashes = crashes
         self._limits = limits
+        self.on_leaving: ty.Callable[[upstream_view.UpstreamView], None] = (
+            lambda view: None
+        )
+        """Called with an upstream whose answer states that it is leaving."""
         self._abandoned = abandoned_attempts.AbandonedAttempts(clock)
         self._attempts: weakref.WeakKeyDictionary[
             upstream_view.UpstreamView, _AttemptMap
@@ -263,6 +267,7 @@
                 self._crashes.note_response(reservation.view, now)
                 self._abandoned.note_response(reservation.view, now)
                 self._note_limit(exchange, reservation.view, head, now)
+                self._note_leaving(exchange, reservation.view, head)
             if verdict is not Verdict.FOREIGN:
                 return Sent(reservation, conn, head, verdict, now)
             self._decisions.note(
@@ -291,6 +296,23 @@
                 attempt.was_answering,
             )
 
+    def _note_leaving(
+        self,
+        exchange: exchange_.Exchange,
+        view: upstream_view.UpstreamView,
+        head: connection_.ResponseHead,
+    ) -> None:
+        """Record that an upstream states that it is leaving."""
+        if view.is_available and self._dialect.is_leaving(head):
+            self._decisions.note(
+                exchange.id,
+                'answer_states_leaving',
+                upstream=view.name,
+                born=view.born,
+                revision=view.record.revision,
+            )
+            self.on_leaving(view)
+
     def _note_limit(
         self,
         exchange: exchange_.Exchange,
--- a/src/peridotmast/serving/upstream_view.py
+++ b/src/peridotmast/serving/upstream_view.py
@@ -71,6 +71,8 @@
         self.not_live_since = 0
         """Time since which the upstream is known to leave, or its entry to be
         missing, in ms; 0 while it is live."""
+        self.has_stated_leaving = False
+        """Whether an answer of this run has stated that it is leaving."""
         self._clock = clock
         self._busy = busy
         self._active_at = 0
--- a/src/peridotmast/serving/upstreams.py
+++ b/src/peridotmast/serving/upstreams.py
@@ -118,9 +118,22 @@
             record = _with_state(
                 view.record, state, record.revision, record.doubted_ms
             )
+        elif record.state == LIVE and view.has_stated_leaving:
+            record = _with_state(record, LEAVING, record.revision)
         self._set_record(view, record)
         return True
 
+    def note_leaving(self, view: upstream_view.UpstreamView) -> None:
+        """Record that an answer of this run states that it is leaving.
+
+        Its entry in the store may be older, and can't revoke the statement:
+        only a later run serves again.
+        """
+        view.has_stated_leaving = True
+        if view.is_available:
+            leaving = _with_state(view.record, LEAVING, view.record.revision)
+            self._set_record(view, leaving)
+
     def tick(self) -> list[upstream_view.UpstreamView]:
         """Mark upstreams as gone whose entry did not return; return them."""
         cutoff = self._clock.now() - self._lapse_ms
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -270,6 +270,20 @@
         'unspent = bucket.burst',
         'groups',
     ),
+    Mutation(
+        'ignore an answer that states that its upstream leaves',
+        SERVING + 'sender.py',
+        'if view.is_available and self._dialect.is_leaving(head):',
+        'if False:',
+        'upstream_statements',
+    ),
+    Mutation(
+        'let an entry revoke that an upstream leaves',
+        SERVING + 'upstreams.py',
+        'elif record.state == LIVE and view.has_stated_leaving:',
+        'elif False:',
+        'upstreams',
+    ),
     Mutation(
         'take the entry of an earlier run for one of this run',
         COORDINATION + 'registry.py',
