A scenario for requests in a time of rest fails

The stand-in of an upstream refuses with 503 and asks for a rest. It gets over 60 requests between half a second after its first refusal and the end of the 3 s, where two are allowed.

--- a/features/steps/statement_steps.py
+++ b/features/steps/statement_steps.py
@@ -2,11 +2,19 @@
 
 from __future__ import annotations
 
+from behave import given
 from behave import then
 from behave import when
 import helpers
 
 from peridotmast.embedded import shape as shape_
+from peridotmast import green
+
+
+@given('a fleet of 1 routers with a single engine')
+def start_with_one_engine(context):
+    helpers.start_fleet(context, routers=1, domains=1)
+    assert len(helpers.guests(context, shape_.ENGINE_SERVICE)) == 1
 
 
 def pick_engine(context):
@@ -35,3 +43,35 @@
 def check_all_answered(context):
     failed = [a for a in context.answers if a.status != 200]
     assert not failed, failed[:3]
+
+
+@when(
+    'one engine refuses requests for {ms:d} ms and asks for a rest of'
+    ' {seconds} s each time'
+)
+def engine_asks_for_rest(context, ms, seconds):
+    app = pick_engine(context)
+    app.rest_s, app.faults = seconds, {'refuse': 1.0}
+    green.spawn_after_ms(ms, app.faults.clear)
+
+
+def ms_after_refusal(context):
+    """Return when requests arrived, in ms after the first refusal."""
+    app = context.stating.upstream.app
+    assert app.refusals, 'the engine refused nothing'
+    return [at - app.refusals[0] for at, _ in app.arrivals]
+
+
+@then(
+    'that engine receives at most {most:d} requests from {first_ms:d} ms to'
+    ' {last_ms:d} ms after its first refusal'
+)
+def check_rest_is_kept(context, most, first_ms, last_ms):
+    arrivals = ms_after_refusal(context)
+    in_rest = [ms for ms in arrivals if first_ms <= ms < last_ms]
+    assert len(in_rest) <= most, in_rest
+
+
+@then('it receives requests again after its rest')
+def check_serves_again(context):
+    assert ms_after_refusal(context)[-1] >= 3000
--- a/features/upstream_statements.feature
+++ b/features/upstream_statements.feature
@@ -8,3 +8,13 @@
     And 25 requests a second are sent for 4 s, to each router in turn
     Then that engine receives no request later than 2000 ms after its first answer
     And all requests are answered with 200
+
+  # Guards against requests to an upstream that has asked for a rest: it refused a router
+  # with 503 and a time, and got four requests from that router within this time.
+  Scenario: An upstream that asks for a rest gets it
+    Given a fleet of 1 routers with a single engine
+    When one engine refuses requests for 300 ms and asks for a rest of 3 s each time
+    And 25 requests a second are sent for 5 s, to each router in turn
+    Then that engine receives at most 2 requests from 500 ms to 3000 ms after its first refusal
+    And it receives requests again after its rest
+    And some requests are refused with 503 and a retry time, in a median of at most 100 ms
--- a/src/peridotmast/standin/upstream_app.py
+++ b/src/peridotmast/standin/upstream_app.py
@@ -38,6 +38,10 @@
         """Whether its health check and its report say that it is leaving."""
         self.states_leaving = False
         """Whether each of its answers states that it is leaving."""
+        self.rest_s = ''
+        """Time in s for which its refusals ask for a rest; empty for none."""
+        self.refusals: list[int] = []
+        """Time of each refusal."""
         self.runs: collections.Counter[str] = collections.Counter()
         """Number of runs by request id."""
         self.arrivals: list[tuple[int, str]] = []
@@ -135,11 +139,13 @@
             return [b'']
         self.arrivals.append((self._clock.now(), request_id))
         if self.in_progress >= self.slots or self.fault_occurs('refuse'):
+            self.refusals.append(self._clock.now())
             headers = [
                 (names.NOT_RUN, '1'),
                 (names.REQUEST_ID, request_id),
                 ('Content-Length', '0'),
                 *self._leaving_header(),
+                *([(names.RETRY_AFTER, self.rest_s)] if self.rest_s else []),
             ]
             start('503 Service Unavailable', headers)
             return [b'']
