Give an upstream the rest that it asks for with a 503

Cause: no router read Retry-After of upstreams. A refusal only lowered the upstream in placement, and one answer lifted it again.

Change: a 503 with Retry-After that belongs to its request makes that run rest for this router, whatever is left. With nothing left, requests are refused at once with the time until the first rest is over.

--- a/features/steps/statement_steps.py
+++ b/features/steps/statement_steps.py
@@ -75,3 +75,27 @@
 @then('it receives requests again after its rest')
 def check_serves_again(context):
     assert ms_after_refusal(context)[-1] >= 3000
+
+
+@then(
+    'the engine receives requests from {first_ms:d} ms to {last_ms:d} ms after'
+    ' its first refusal'
+)
+def check_no_rest(context, first_ms, last_ms):
+    arrivals = ms_after_refusal(context)
+    assert [ms for ms in arrivals if first_ms <= ms < last_ms], arrivals
+
+
+@when(
+    '"{name}" asks for a rest of {first:d} ms, and then for one of {later:d}'
+    ' ms'
+)
+def ask_for_two_rests(context, name, first, later):
+    view = context.upstreams.get(name)
+    view.note_rest(first)
+    view.note_rest(later)
+
+
+@then('"{name}" still rests for {ms:d} ms')
+def check_rests(context, name, ms):
+    assert context.upstreams.get(name).rest_ms() == ms
--- a/features/upstream_statements.feature
+++ b/features/upstream_statements.feature
@@ -18,3 +18,21 @@
     Then that engine receives at most 2 requests from 500 ms to 3000 ms after its first refusal
     And it receives requests again after its rest
     And some requests are refused with 503 and a retry time, in a median of at most 100 ms
+
+  Scenario Outline: A malformed time of rest is ignored
+    Given a fleet of 1 routers with a single engine
+    When one engine refuses requests for 300 ms and asks for a rest of <text> s each time
+    And 25 requests a second are sent for 2 s, to each router in turn
+    Then the engine receives requests from 500 ms to 1500 ms after its first refusal
+
+    Examples:
+      | text  |
+      | soon  |
+      | -3    |
+      | 3e300 |
+
+  Scenario: A shorter rest does not end a longer one
+    Given upstreams "a", "b" and "c" with entries in the store
+    When "a" asks for a rest of 3000 ms, and then for one of 100 ms
+    And 2500 ms pass
+    Then "a" still rests for 500 ms
--- a/src/peridotmast/platform/dialect.py
+++ b/src/peridotmast/platform/dialect.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 import typing as ty
 
@@ -13,6 +14,7 @@
 from peridotmast.wire import connection
 
 _MISDIRECTED_REQUEST = 421
+_UNAVAILABLE = 503
 _SUCCESS_STATUSES = range(200, 300)
 _SERVER_ERRORS = range(500, 600)
 _DECIMAL = re.compile(r'[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}')
@@ -87,6 +89,17 @@
         """Return whether a response states that its upstream is leaving."""
         return head.get(names.LEAVING).strip() == '1'
 
+    def rest_ms(
+        self, head: connection.ResponseHead
+    ) -> ty.Union[int, failures.Failure]:
+        """Return the time for which a refusal asks for no requests, in ms."""
+        text = head.get(names.RETRY_AFTER).strip()
+        if head.status != _UNAVAILABLE or not text:
+            return 0
+        if not _DECIMAL.fullmatch(text):
+            return failures.invalid('malformed_rest', text[:_MAX_LOGGED_CHARS])
+        return math.ceil(float(text) * 1000)
+
     def limit(
         self, head: connection.ResponseHead
     ) -> ty.Union[float, failures.Failure, None]:
--- a/src/peridotmast/serving/dialect.py
+++ b/src/peridotmast/serving/dialect.py
@@ -62,6 +62,18 @@
     def is_leaving(self, head: connection_.ResponseHead) -> bool:
         """Return whether a response states that its upstream is leaving."""
 
+    def rest_ms(
+        self, head: connection_.ResponseHead
+    ) -> ty.Union[int, failures.Failure]:
+        """Return for how long an upstream wants nothing from this router.
+
+        Returns
+        -------
+        int or Failure
+            Time in ms, 0 if the head of the response states none; a failure
+            if the time is malformed.
+        """
+
     def limit(
         self, head: connection_.ResponseHead
     ) -> ty.Union[float, failures.Failure, None]:
--- a/src/peridotmast/serving/placement.py
+++ b/src/peridotmast/serving/placement.py
@@ -172,19 +172,19 @@
             views = self._filter_usable(candidates.views, avoid) or [
                 view
                 for view in candidates.views
-                if view.name not in avoid and not self._limits.wait_ms(view)
+                if view.name not in avoid and not self._wait_ms(view)
             ]
         return self._reserve(exchange, service, views, home, not avoid)
 
     def wait_ms(self, service: str, avoid: ty.Collection[str] = ()) -> int:
-        """Return the time until the limit of an upstream permits a request.
+        """Return the time until an upstream accepts a request, in ms.
 
-        In ms; 0 if a live upstream has no limit, if a limit permits a request
-        now, or if there is no upstream.
+        0 if a live upstream neither rests nor has a limit, if its limit
+        permits a request now, or if there is no upstream.
         """
         return min(
             (
-                self._limits.wait_ms(view)
+                self._wait_ms(view)
                 for view in self._table.live(service)
                 if view.name not in avoid
             ),
@@ -259,11 +259,15 @@
     def _filter_usable(
         self, views: Views, avoid: ty.Collection[str]
     ) -> list[upstream_view.UpstreamView]:
-        """Return the healthy upstreams whose limits permit a request."""
+        """Return the healthy upstreams that accept a request now."""
         return [
             view
             for view in views
             if view.name not in avoid
             and view.health.allows_request()
-            and not self._limits.wait_ms(view)
+            and not self._wait_ms(view)
         ]
+
+    def _wait_ms(self, view: upstream_view.UpstreamView) -> int:
+        """Return how long this router must not send to an upstream, in ms."""
+        return max(view.rest_ms(), self._limits.wait_ms(view))
--- a/src/peridotmast/serving/sender.py
+++ b/src/peridotmast/serving/sender.py
@@ -268,6 +268,7 @@
                 self._abandoned.note_response(reservation.view, now)
                 self._note_limit(exchange, reservation.view, head, now)
                 self._note_leaving(exchange, reservation.view, head)
+                self._note_rest(exchange, reservation.view, head)
             if verdict is not Verdict.FOREIGN:
                 return Sent(reservation, conn, head, verdict, now)
             self._decisions.note(
@@ -313,6 +314,31 @@
             )
             self.on_leaving(view)
 
+    def _note_rest(
+        self,
+        exchange: exchange_.Exchange,
+        view: upstream_view.UpstreamView,
+        head: connection_.ResponseHead,
+    ) -> None:
+        """Record for how long an upstream asks for no more requests."""
+        rest_ms = self._dialect.rest_ms(head)
+        if isinstance(rest_ms, failures.Failure):
+            self._decisions.note(
+                exchange.id,
+                rest_ms.reason,
+                upstream=view.name,
+                rest=rest_ms.detail,
+            )
+        elif rest_ms:
+            view.note_rest(rest_ms)
+            self._decisions.note(
+                exchange.id,
+                'upstream_rests',
+                upstream=view.name,
+                born=view.born,
+                ms=view.rest_ms(),
+            )
+
     def _note_limit(
         self,
         exchange: exchange_.Exchange,
--- a/src/peridotmast/serving/upstream_view.py
+++ b/src/peridotmast/serving/upstream_view.py
@@ -73,6 +73,7 @@
         missing, in ms; 0 while it is live."""
         self.has_stated_leaving = False
         """Whether an answer of this run has stated that it is leaving."""
+        self._rests_until = 0
         self._clock = clock
         self._busy = busy
         self._active_at = 0
@@ -144,6 +145,19 @@
             self._peer_loads[router] = load
             self._total_load.add(load)
 
+    def note_rest(self, ms: int) -> None:
+        """Record that the upstream wants no requests of this router for `ms`.
+
+        A later request for a shorter rest does not end one before its time.
+        """
+        self._rests_until = max(self._rests_until, self._clock.now() + ms)
+
+    def rest_ms(self) -> int:
+        """Return how long the upstream wants no more requests, in ms."""
+        if not self._rests_until:
+            return 0
+        return max(0, self._rests_until - self._clock.now())
+
     def note_activity(self) -> None:
         """Record that data was received from the upstream."""
         self._active_at = self._clock.now()
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -284,6 +284,27 @@
         'elif False:',
         'upstreams',
     ),
+    Mutation(
+        'ignore the rest that an upstream asks for',
+        SERVING + 'sender.py',
+        '        elif rest_ms:\n',
+        '        elif False:\n',
+        'upstream_statements',
+    ),
+    Mutation(
+        'use a resting upstream if there is no other',
+        SERVING + 'placement.py',
+        'if view.name not in avoid and not self._wait_ms(view)',
+        'if view.name not in avoid',
+        'upstream_statements',
+    ),
+    Mutation(
+        'end a rest by a shorter one',
+        SERVING + 'upstream_view.py',
+        'max(self._rests_until, self._clock.now() + ms)',
+        'self._clock.now() + ms',
+        'upstream_statements',
+    ),
     Mutation(
         'take the entry of an earlier run for one of this run',
         COORDINATION + 'registry.py',
