--- a/src/peridotmast/router/fleet_state.py
+++ b/src/peridotmast/router/fleet_state.py
@@ -143,7 +143,7 @@
 
     @property
     def is_first_run(self) -> bool:
-        """Whether no earlier run of this router has served requests."""
+        """Whether no earlier run of this router was registered."""
         return self._registry.is_first_run
 
     @property
--- a/src/peridotmast/serving/quota.py
+++ b/src/peridotmast/serving/quota.py
@@ -103,11 +103,10 @@
 
     A starting router spends no more than its own part of a limit until a peer
     reports the levels; if no peer does, the router continues with the
-    remainder of its part. A run that may follow another one takes the burst
-    for spent until then, as nobody may know what the earlier run has spent.
-    When routers started with full buckets instead, a
-    third of 58 routers that were started at once admitted a fifth more than a
-    team's limit in 8 s.
+    remainder of its part. A run that may follow another one counts the burst
+    as spent until then, as the spending of the earlier run may be unknown.
+    When routers started with full buckets instead, a third of 58 routers that
+    were started at once admitted a fifth more than a team's limit in 8 s.
 
     Parameters
     ----------
--- a/src/peridotmast/serving/upstreams.py
+++ b/src/peridotmast/serving/upstreams.py
@@ -126,8 +126,7 @@
     def note_leaving(self, view: upstream_view.UpstreamView) -> None:
         """Record that an answer of this run states that it is leaving.
 
-        Its entry in the store may be older, and can't revoke the statement:
-        only a later run serves again.
+        No entry in the store revokes this; only a later run serves again.
         """
         view.has_stated_leaving = True
         if view.is_available:
