--- a/src/peridotmast/wire/pool.py
+++ b/src/peridotmast/wire/pool.py
@@ -41,6 +41,8 @@
         self._idle: dict[str, collections.deque[connection_.Connection]] = {}
         self.opened = 0
         """Number of connections opened so far."""
+        self.connect_address: ty.Callable[[str], str] = lambda address: address
+        """Returns the address to connect to: that of a proxy in a test."""
 
     def acquire(
         self, address: str
@@ -58,7 +60,9 @@
             if self._is_fresh(conn) and conn.is_clean():
                 return conn
             conn.close()
-        conn = connection_.Connection(address, self._clock)
+        conn = connection_.Connection(
+            self.connect_address(address), self._clock
+        )
         self.opened += 1
         failure = conn.connect(self.connect_ms)
         return conn if failure is None else failure
