Forward requests through a peer where a router reaches no upstream

Callers of routers that were cut from all upstreams got 503 or 504 while the peers of these routers were answered by the same upstreams: 0 of 15 and 4 of 43 first tries, 142 of 144 and 112 of 112 at the others.

Cause: placement knows upstreams only, and takes a router that can't connect for an upstream that can't be reached.

Now one failure to connect marks an upstream as unreachable for this router; trials in the background find out when it is back, connections that still work are used. A request that reaches no upstream, or has waited for two connections, is offered to a peer, once, with its route, service and deadline. The peer places it like its own; the entry router has counted it for team, demand, usage and as a request of the retry budget, and each of the two pays for the repeats that it sends. A peer that sends it nowhere says so, and another one is asked. One attempt remains with the entry router in case the peer is lost.

--- a/src/peridotmast/coordination/beacon_check.py
+++ b/src/peridotmast/coordination/beacon_check.py
@@ -10,7 +10,12 @@
 from peridotmast import findings as findings_
 from peridotmast.schema import peridotmast_pb2 as pb
 
-_ADDRESS_FIELDS = ('address', 'peer_address', 'beacon_address')
+_ADDRESS_FIELDS = (
+    'address',
+    'peer_address',
+    'beacon_address',
+    'forward_address',
+)
 
 _MAX_NAME_LENGTH = 200
 """Maximum length of a name: names appear in logs and answers."""
--- a/src/peridotmast/coordination/beacons.py
+++ b/src/peridotmast/coordination/beacons.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
-import hmac
 import socket
 import typing as ty
 
@@ -15,12 +13,12 @@
 from peridotmast import green
 from peridotmast import logs
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast import signing
 
 _MAX_LOGGED = 200
 """Maximum number of characters of an invalid beacon that are logged."""
 
 _DATAGRAM_BYTES = 65_000
-_TAG_BYTES = 16
 
 _MAX_BEACON_BYTES = 1 << 20
 """Maximum size of an unpacked datagram, in bytes: ten times the state of 330
@@ -163,12 +161,12 @@
         # Compression halves a beacon of 1.8 kB, and traffic between failure
         # domains is billed. It costs 46 us a round and 15 us at each peer.
         data = compression.compress(beacon.SerializeToString())
-        return self._tag(data) + data
+        return signing.sign(self._secret, data) + data
 
     def _unpack(self, data: bytes) -> ty.Optional[pb.Beacon]:
-        size = _TAG_BYTES if self._secret else 0
+        size = signing.TAG_BYTES if self._secret else 0
         tag, body = data[:size], data[size:]
-        if not hmac.compare_digest(tag, self._tag(body)):
+        if not signing.is_valid(self._secret, body, tag):
             self._log.warning('beacon_signature_invalid', size=len(data))
             return None
         try:
@@ -187,8 +185,3 @@
             )
             return None
         return beacon
-
-    def _tag(self, body: bytes) -> bytes:
-        if not self._secret:
-            return b''
-        return hmac.digest(self._secret, body, hashlib.sha256)[:_TAG_BYTES]
--- a/src/peridotmast/embedded/link_proxy.py
+++ b/src/peridotmast/embedded/link_proxy.py
@@ -93,7 +93,12 @@
         if self._server is not None:
             self._server.close()
             self._server = None
-        for tunnel in list(self._open) if reset else ():
+        if reset:
+            self.reset_open()
+
+    def reset_open(self) -> None:
+        """Reset the open connections; new ones are still accepted."""
+        for tunnel in list(self._open):
             tunnel.reset()
 
     def begin_fault(self, fault: LinkFault, rng: random.Random) -> None:
--- a/src/peridotmast/embedded/upstream_cut.py
+++ b/src/peridotmast/embedded/upstream_cut.py
@@ -36,8 +36,9 @@
     def __init__(self, router: router_.Router) -> None:
         self._proxies: dict[str, link_proxy.LinkProxy] = {}
         self._faults: dict[str, link_proxy.LinkFault] = {}
-        self._closed: set[str] = set()
+        self._refused: set[str] = set()
         self._unanswering = _UnansweringListener()
+        self._refusing = _RefusingPort()
         router.serving.pool.connect_address = self._connect_address
 
     def begin(
@@ -50,23 +51,23 @@
                 fault = link_proxy.LinkFault(link_proxy.FaultMode.SILENT)
                 proxy.begin_fault(fault, random.Random(0))
                 self._faults[address] = fault
-            else:
-                proxy.close(reset=mode is CutMode.RESET)
-                self._closed.add(address)
+                continue
+            self._refused.add(address)
+            if mode is CutMode.RESET:
+                proxy.reset_open()
 
     def end(self) -> None:
         """Restore all links."""
         for address, fault in self._faults.items():
             self._proxies[address].end_fault(fault)
         self._faults.clear()
-        for address in self._closed:
-            self._proxies[address].open()
-        self._closed.clear()
+        self._refused.clear()
 
     def close(self) -> None:
         """Close all proxies."""
         self.end()
         self._unanswering.close()
+        self._refusing.close()
         for proxy in self._proxies.values():
             proxy.close()
 
@@ -74,6 +75,8 @@
         proxy = self._proxy_of(address)
         if address in self._faults:
             return self._unanswering.address
+        if address in self._refused:
+            return self._refusing.address
         return proxy.address
 
     def _proxy_of(self, address: str) -> link_proxy.LinkProxy:
@@ -99,3 +102,16 @@
     def close(self) -> None:
         for sock in (self._sock, *self._filling):
             sock.close()
+
+
+class _RefusingPort:
+    """A port that is taken, and at which nothing listens."""
+
+    def __init__(self) -> None:
+        self._sock = socket.socket()
+        self._sock.bind(('127.0.0.1', 0))
+        host, port = self._sock.getsockname()
+        self.address = f'{host}:{port}'
+
+    def close(self) -> None:
+        self._sock.close()
--- a/src/peridotmast/platform/caller_app.py
+++ b/src/peridotmast/platform/caller_app.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import http.client
 import typing as ty
 
 from peridotmast import clock as clock_
@@ -11,20 +10,13 @@
 from peridotmast.serving import decisions as decisions_
 from peridotmast.serving import exchange as exchange_
 from peridotmast.serving import gateway as gateway_
-from peridotmast.serving import reply as reply_
+from peridotmast.serving import response_body
 from peridotmast.wire import caller_connection
 from peridotmast.wire import connection
 from peridotmast.wire import request_body
 from peridotmast.wire import server as server_
 from peridotmast.wire import strict_protocol
 
-_HOP_BY_HOP = frozenset((
-    'connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate',
-    'proxy-authorization', 'te', 'trailer', 'transfer-encoding', 'upgrade',
-    'content-length', 'expect',
-))  # fmt: skip
-"""Headers that apply to one connection only and are not forwarded."""
-
 _ROUTER_HEADERS = frozenset(
     name.lower()
     for name in (
@@ -124,7 +116,9 @@
         if isinstance(result, failures.Failure):
             conn.stop_watching()
             return self._refuse(start, result, request_id)
-        return _ResponseBody(result, conn, start, self._decisions, request_id)
+        return response_body.ResponseBody(
+            result, conn, start, self._decisions, request_id
+        )
 
     def _refuse_body(
         self,
@@ -160,59 +154,6 @@
         )
 
 
-class _ResponseBody:
-    """Response body for the WSGI server.
-
-    If the body breaks off, the connection is reset, so that the caller can't
-    take the response for complete.
-    """
-
-    def __init__(
-        self,
-        reply: reply_.Reply,
-        conn: caller_connection.CallerConnection,
-        start: ty.Callable[..., ty.Any],
-        decisions: decisions_.Decisions,
-        request_id: str,
-    ) -> None:
-        self._reply = reply
-        self._conn = conn
-        self._decisions = decisions
-        self._request_id = request_id
-        self._done = False
-        body = reply.body
-        self._parts = iter((body,)) if isinstance(body, bytes) else body
-        headers = [
-            (name, value)
-            for name, value in reply.head.headers
-            if name.lower() not in _HOP_BY_HOP
-        ]
-        if isinstance(body, bytes):
-            headers.append(('Content-Length', str(len(body))))
-        start(_status_line(reply.head.status), headers)
-
-    def __iter__(self) -> ty.Iterator[bytes]:
-        return self
-
-    def __next__(self) -> bytes:
-        try:
-            return next(self._parts)
-        except StopIteration:
-            self._done = True
-            raise
-        except reply_.BrokenAnswer as exc:
-            self._conn.reset()
-            self._decisions.note(
-                self._request_id, 'answer_broken', reason=str(exc)
-            )
-            raise
-
-    def close(self) -> None:
-        """Release the resources of the response; called by the server."""
-        self._conn.stop_watching()
-        self._reply.close()
-
-
 def _send_refusal(
     start: ty.Callable[..., ty.Any],
     status: int,
@@ -229,14 +170,10 @@
         headers.append((names.REQUEST_ID, request_id))
     if retry_after_ms:
         headers.append((names.RETRY_AFTER, f'{retry_after_ms / 1000:g}'))
-    start(_status_line(status), headers)
+    start(response_body.status_line(status), headers)
     return [body]
 
 
-def _status_line(status: int) -> str:
-    return f'{status} {http.client.responses.get(status, "Status")}'
-
-
 def _get_header(headers: ty.Iterable[tuple[str, str]], name: str) -> str:
     wanted = name.lower()
     return next((v for n, v in headers if n.lower() == wanted), '')
@@ -260,7 +197,7 @@
         for word in value.split(',')
     }
     excluded = (
-        _HOP_BY_HOP
+        response_body.HOP_BY_HOP
         | _ROUTER_HEADERS
         | connection_headers
         | {names.AUTHORIZATION.lower()}
--- a/src/peridotmast/router/http_servers.py
+++ b/src/peridotmast/router/http_servers.py
@@ -12,6 +12,7 @@
 from peridotmast.platform import directory as directory_
 from peridotmast.router import chat_api
 from peridotmast.router import fleet_state as fleet_state_
+from peridotmast.router import forward_app
 from peridotmast.router import serving as serving_
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast import web
@@ -37,6 +38,10 @@
         Answers requests.
     registry : prometheus_client.CollectorRegistry
         Metrics that are served.
+    forward_listen : str
+        Address for requests that peers forward.
+    secret : bytes
+        Key shared by all routers, by which peers are recognized.
     """
 
     def __init__(
@@ -46,6 +51,8 @@
         fleet_state: fleet_state_.FleetState,
         serving: serving_.Serving,
         registry: prometheus_client.CollectorRegistry,
+        forward_listen: str,
+        secret: bytes,
     ) -> None:
         cfg = file.router
         self._fleet_state = fleet_state
@@ -59,6 +66,19 @@
         )
         """Server for callers of the platform."""
         self.platform.retry_after_ms = serving.gateway.retry_ms
+        self.forward = server_.HttpServer(
+            forward_listen,
+            forward_app.ForwardApp(
+                clock,
+                serving.gateway,
+                fleet_state.upstream_table,
+                self._limits,
+                serving.decisions,
+                secret,
+            ),
+            server_.ServerLimits(write_timeout_ms=cfg.write_ms),
+        )
+        """Server for requests that peers forward."""
         self.chat: ty.Optional[server_.HttpServer] = None
         """Server of the chat API, if it is configured."""
         if cfg.chat_listen:
@@ -112,7 +132,8 @@
 
     def _servers(self) -> list[server_.HttpServer]:
         chat = [self.chat] if self.chat else []
-        return [self.platform, *chat, *self.auxiliary.values()]
+        servers = [self.platform, self.forward, *chat]
+        return [*servers, *self.auxiliary.values()]
 
     def _base_app(self) -> web.WebApp:
         app = web.WebApp('http')
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -102,6 +102,7 @@
         """The upstreams."""
         self.config = self.fleet_state.config
         """The configuration in force."""
+        secret = _read_secret(file.tls)
         self.serving = serving_.Serving(
             file,
             self._clock,
@@ -110,18 +111,30 @@
             self.invariants,
             self._tracer,
             self._tasks.spawn,
+            secret,
         )
         """Components that serve requests."""
-        self._create_peering()
+        self._create_peering(secret)
         self._create_rollouts()
         self._create_duties()
         self._http_servers = http_servers_.HttpServers(
-            file, self._clock, self.fleet_state, self.serving, self.registry
+            file,
+            self._clock,
+            self.fleet_state,
+            self.serving,
+            self.registry,
+            self._peers_listen(),
+            secret,
         )
         self.config.subscribe(self._configure)
         self.upstream_table.listen(lambda view: self._update_readiness())
 
-    def _create_peering(self) -> None:
+    def _peers_listen(self) -> str:
+        """Return the address for beacons (UDP) and requests of peers (TCP)."""
+        host = self.cfg.peer_listen.rpartition(':')[0]
+        return f'{host}:{self.cfg.ports[0] if self.cfg.ports else 0}'
+
+    def _create_peering(self, secret: bytes) -> None:
         cfg, tls = self.cfg, self._file.tls
         self._rpc = rpc.RpcServer(cfg.peer_listen, tls)
         self._peers = rpc.RpcClient(pb_grpc.PeerStub, tls)
@@ -150,15 +163,13 @@
             self.lease,
             self._catch_up,
         )
-        host = cfg.peer_listen.rpartition(':')[0]
-        port = cfg.ports[0] if cfg.ports else 0
         self.beacons = beacons_.Beacons(
-            f'{host}:{port}',
+            self._peers_listen(),
             self.members,
             self._peering.rounds.next_round,
             self._peering.update_beacons.build,
             self._peering.receive,
-            _read_secret(tls),
+            secret,
         )
         """Sends and receives the beacons between routers."""
         self._peering.borrowing.send = self.beacons.send
@@ -281,6 +292,7 @@
             chat_address=self.chat_address,
             peer_address=self.peer_address,
             beacon_address=self.beacons.address,
+            forward_address=self._http_servers.forward.address,
         )
         self.beacons.start()
         self.lease.set_endpoint(
@@ -320,7 +332,7 @@
         self._rpc.stop()
         self._peers.close()
         self._operators.close()
-        self.serving.pool.close()
+        self.serving.close()
         self._tracer.close()
         self._log.info('stopped')
 
--- a/src/peridotmast/router/serving.py
+++ b/src/peridotmast/router/serving.py
@@ -18,9 +18,11 @@
 from peridotmast.serving import dispatcher as dispatcher_
 from peridotmast.serving import gateway as gateway_
 from peridotmast.serving import metrics as metrics_
+from peridotmast.serving import peer_sender
 from peridotmast.serving import placement
 from peridotmast.serving import policies
 from peridotmast.serving import quota as quota_
+from peridotmast.serving import reachability
 from peridotmast.serving import retry_budget
 from peridotmast.serving import sender as sender_
 from peridotmast.serving import stream_migrator as migrator_
@@ -54,6 +56,8 @@
         Opens spans.
     spawn : callable
         Runs a function in a task.
+    secret : bytes
+        Key shared by all routers, which signs requests forwarded to peers.
     """
 
     def __init__(
@@ -65,6 +69,7 @@
         checks: invariants_.Invariants,
         tracer: tracing.Tracing,
         spawn: ty.Callable[..., None],
+        secret: bytes,
     ) -> None:
         cfg, bounds = file.router, file.bounds
         self._clock = clock
@@ -101,6 +106,19 @@
         self.versions.on_change = table.update_versions
         self.pool = pool_.ConnectionPool(clock, cfg.connect_ms)
         """Connections to upstreams."""
+        self._reach = reachability.Reachability(
+            clock, self.pool, table, cfg.name, spawn
+        )
+        self.peers = peer_sender.PeerSender(
+            clock,
+            pool_.ConnectionPool(clock, cfg.connect_ms),
+            cfg.name,
+            self.crashes,
+            table,
+            secret,
+        )
+        """Forwards requests to peers."""
+        self.peers.members = fleet_state.members.serving
         self._metrics = metrics_.ServingMetrics(registry)
         self._sender = sender_.Sender(
             clock,
@@ -109,6 +127,8 @@
             self.decisions,
             self.crashes,
             self.limits,
+            self._reach,
+            self.peers,
         )
         self.crashes.on_block = self._sender.cancel_attempts
         self._sender.on_leaving = table.note_leaving
@@ -120,10 +140,12 @@
             self.versions,
         )
         """Chooses an upstream for each request."""
+        self.placement.has_idle_connection = self.pool.has_idle
         self._relay = stream_relay.StreamRelay(
             clock,
             self._sender,
             self.placement,
+            self.peers,
             self.retry_budget,
             self.crashes,
             self.versions,
@@ -158,12 +180,19 @@
     def tick(self) -> None:
         """Update demand, crash and limit state; close expired connections."""
         self.pool.close_expired()
+        self.peers.tick()
+        self._reach.tick()
         self.demand.tick()
         self.retry_budget.tick()
         self.crashes.tick()
         self._sender.tick()
         self.limits.tick()
 
+    def close(self) -> None:
+        """Close the idle connections to upstreams and peers."""
+        self.pool.close()
+        self.peers.close()
+
     def apply_settings(self, file: pb.RouterFile) -> None:
         """Apply changed settings."""
         bounds = file.bounds
@@ -179,6 +208,8 @@
             self._clock,
             self._sender,
             self.placement,
+            self._reach,
+            self.peers,
             self._relay,
             self.retry_budget,
             self.crashes,
--- a/src/peridotmast/serving/dispatcher.py
+++ b/src/peridotmast/serving/dispatcher.py
@@ -14,7 +14,9 @@
 from peridotmast.serving import dialect as dialect_
 from peridotmast.serving import exchange as exchange_
 from peridotmast.serving import metrics as metrics_
+from peridotmast.serving import peer_sender as peer_sender_
 from peridotmast.serving import placement
+from peridotmast.serving import reachability
 from peridotmast.serving import reply as reply_
 from peridotmast.serving import retry_budget
 from peridotmast.serving import sender as sender_
@@ -40,9 +42,13 @@
 If an upstream sends one of them without stating that it did not run the
 request, the response is not forwarded."""
 
+_MAX_CONNECT_FAILURES = 2
+"""Number of upstreams that a request fails to connect to before it is offered
+to a peer: a connection that hangs takes a large part of a short time limit."""
+
 _FINAL_REASONS = frozenset(
     (
-        'no_upstream',
+        peer_sender_.NO_UPSTREAM,
         'upstream_limit',
         'deadline',
         crash_tracker_.BLOCK_REASON,
@@ -67,6 +73,10 @@
         Sends single attempts.
     places : placement.Placement
         Selects upstreams.
+    reach : reachability.Reachability
+        Knows which upstreams can't be connected to.
+    peers : peer_sender.PeerSender
+        Selects the peer of a request whose upstreams can't be reached.
     relay : stream_relay.StreamRelay
         Forwards streams.
     budget : retry_budget.RetryBudget
@@ -94,6 +104,8 @@
         clock: clock_.Clock,
         sender: sender_.Sender,
         places: placement.Placement,
+        reach: reachability.Reachability,
+        peers: peer_sender_.PeerSender,
         relay: stream_relay.StreamRelay,
         budget: retry_budget.RetryBudget,
         crashes: crash_tracker_.CrashTracker,
@@ -108,6 +120,8 @@
         self._clock = clock
         self._sender = sender
         self._placement = places
+        self._reach = reach
+        self._peers = peers
         self._relay = relay
         self._budget = budget
         self._crashes = crashes
@@ -130,7 +144,8 @@
             A failure of kind NOT_RUN guarantees that no upstream ran the
             request or will run it; any other kind guarantees nothing.
         """
-        self._budget.count_request(service.name)
+        if not exchange.forwarded_by:
+            self._budget.count_request(service.name)
         state = _RequestState(exchange, service)
         while True:
             result = self._attempt(state)
@@ -148,9 +163,7 @@
             return failures.not_run(
                 crash_tracker_.BLOCK_REASON, '', retry_after_ms
             )
-        reservation = self._placement.choose(
-            exchange, state.service, state.tried
-        )
+        reservation = self._reserve(state)
         if reservation is None:
             return self._placement_failure(state)
         state.tried.add(reservation.view.name)
@@ -173,12 +186,49 @@
             self._log_attempt(state, reservation, result)
         return result
 
+    def _reserve(
+        self, state: _RequestState
+    ) -> ty.Optional[placement.Reservation]:
+        """Reserve an upstream, or a peer if this router can't reach one."""
+        exchange, service = state.exchange, state.service
+        if self._must_ask_peer(state):
+            peer = self._choose_peer(state)
+            if peer is not None:
+                return peer
+        reservation = self._placement.choose(exchange, service, state.tried)
+        if reservation is None and self._reach.has_unreachable(service.name):
+            return self._choose_peer(state)
+        return reservation
+
+    def _choose_peer(
+        self, state: _RequestState
+    ) -> ty.Optional[placement.Reservation]:
+        # One attempt remains for this router, in case the peer is lost.
+        is_last = state.runs + 1 >= state.exchange.route.attempts
+        runs = state.runs if is_last else state.runs + 1
+        return self._peers.choose(
+            state.exchange, state.service, state.tried, runs
+        )
+
+    def _must_ask_peer(self, state: _RequestState) -> bool:
+        """Return whether a request has waited enough for connections."""
+        if not state.connect_failures:
+            return False
+        return (
+            state.connect_failures >= _MAX_CONNECT_FAILURES
+            or self._reach.is_mostly_unreachable(state.service.name)
+        )
+
     def _placement_failure(self, state: _RequestState) -> failures.Failure:
         """Return why no upstream was selected, with a retry time."""
         wait_ms = self._placement.wait_ms(state.service.name, state.tried)
         if wait_ms:
             return failures.not_run('upstream_limit', '', wait_ms)
-        return failures.not_run('no_upstream', '', _RETRY_MS)
+        reason = peer_sender_.NO_UPSTREAM
+        if state.exchange.forwarded_by and state.was_sent:
+            # The peer must not offer the request to another router.
+            reason = 'upstream_refused'
+        return failures.not_run(reason, '', _RETRY_MS)
 
     def _check_invariants(
         self, state: _RequestState, reservation: placement.Reservation
@@ -202,18 +252,24 @@
         first_bytes_ms = self._first_bytes_ms(state)
         sent_at = self._clock.now()
         try:
-            sent = self._sender.send(exchange, reservation, first_bytes_ms)
+            sent = self._sender.send(
+                exchange, reservation, first_bytes_ms, state.resume_point
+            )
         except BaseException:
             # The upstream may run a request that its caller no longer awaits.
             if not exchange.is_stream:
                 self._count_started(state, sent_at)
             raise
         if isinstance(sent, failures.Failure):
+            self._note_unsent(state, reservation, sent)
             if sent.kind is failures.FailureKind.OUTCOME_UNKNOWN:
                 state.runs += 1
                 self._count_unanswered(state, sent, sent_at)
                 self._note_end(state, reservation, sent_at, failed=True)
             return sent
+        state.was_sent = True
+        if reservation.view.is_peer:
+            state.note_peer_runs()
         if sent.verdict in (Verdict.NOT_RUN, Verdict.ELSEWHERE):
             return self._handle_not_run(exchange, sent)
         state.runs += 1
@@ -235,9 +291,26 @@
             sent.conn.close()
             raise
 
+    def _note_unsent(
+        self,
+        state: _RequestState,
+        reservation: placement.Reservation,
+        failure: failures.Failure,
+    ) -> None:
+        """Record what a failure to send leaves for further attempts."""
+        if failure.reason == peer_sender_.NO_CONNECTION:
+            state.connect_failures += not reservation.view.is_peer
+            return
+        state.was_sent = True
+        if not reservation.view.is_peer:
+            return
+        is_unknown = failure.kind is failures.FailureKind.OUTCOME_UNKNOWN
+        state.is_final = not is_unknown
+        state.note_peer_runs()
+
     def _count_started(self, state: _RequestState, started_at: int) -> None:
         """Count a request as started, at most once over all attempts."""
-        if not state.counted:
+        if not state.counted and not state.exchange.forwarded_by:
             state.counted = True
             ago_ms = self._clock.now() - started_at
             self._usage.count_started(state.exchange.team, ago_ms)
@@ -292,6 +365,8 @@
     def _note_prefill(self, state: _RequestState, sent: sender_.Sent) -> None:
         """Record the prefill time of an engine that had no other prefill."""
         reservation, prompt = sent.reservation, state.exchange.prompt
+        if reservation.view.is_peer:
+            return
         tokens = prompt.tokens_in
         if reservation.selection.is_home:
             tokens -= sum(part.tokens for part in prompt.shared)
@@ -350,12 +425,12 @@
         self, state: _RequestState, failure: failures.Failure
     ) -> bool:
         exchange = state.exchange
-        if self._clock.now() >= exchange.deadline:
+        if state.is_final or self._clock.now() >= exchange.deadline:
             return False
         if failure.reason in _FINAL_REASONS:
             return False
         if failure.kind is failures.FailureKind.NOT_RUN:
-            not_sent = failure.reason == 'no_connection'
+            not_sent = failure.reason == peer_sender_.NO_CONNECTION
             return not_sent or self._budget.take(
                 state.service.name, exchange.id
             )
@@ -382,7 +457,8 @@
         If an earlier attempt may have run, the outcome is unknown even if the
         last attempt did not run. The retry time is kept.
         """
-        if state.runs and failure.kind is failures.FailureKind.NOT_RUN:
+        has_run = state.runs > state.earlier_runs
+        if has_run and failure.kind is failures.FailureKind.NOT_RUN:
             return failures.unknown(
                 failure.reason, failure.detail, failure.retry_after_ms
             )
@@ -398,6 +474,9 @@
         outcome = 'caller_left'
         if result is not None:
             outcome = result.reason if failed else str(result.head.status)
+        if reservation.view.is_peer:
+            self._log_forward(state, reservation, outcome, result)
+            return
         self._metrics.attempts.labels(state.service.name, outcome).inc()
         self._decisions.note(
             state.exchange.id,
@@ -419,6 +498,28 @@
             detail=result.detail if failed else '',
         )
 
+    def _log_forward(
+        self,
+        state: _RequestState,
+        reservation: placement.Reservation,
+        outcome: str,
+        result: ty.Any,
+    ) -> None:
+        failed = isinstance(result, failures.Failure)
+        self._metrics.forwarded.labels(state.service.name, outcome).inc()
+        self._decisions.note(
+            state.exchange.id,
+            'forwarded',
+            route=state.exchange.route.name,
+            service=state.service.name,
+            peer=reservation.view.name,
+            number=len(state.tried),
+            among=reservation.selection.compared,
+            connect_failures=state.connect_failures,
+            outcome=outcome,
+            detail=result.detail if failed else '',
+        )
+
 
 class _RequestState:
     """Progress of one request over its attempts."""
@@ -431,9 +532,30 @@
         self.tried: set[str] = set()
         self.accepted_by: set[str] = set()
         """Upstreams that accepted the request."""
-        self.runs = 0
+        self.earlier_runs = exchange.earlier_runs
+        """Number of attempts that ran or may have run at other routers."""
+        self.runs = self.earlier_runs
         """Number of attempts that ran or may have run."""
+        self.was_sent = False
+        """Whether an attempt was sent to an upstream."""
+        self.connect_failures = 0
+        """Number of upstreams that could not be connected to."""
+        self.is_final = False
+        """Whether a peer has refused the request for all routers."""
+        self.resume_point = (
+            None
+            if exchange.last_event is None
+            else dialect_.ResumePoint(exchange.last_event)
+        )
+        """Where a stream that was interrupted at another router goes on."""
         self.counted = False
         """Whether the request was counted in `Usage`."""
         self.fallback: ty.Optional[reply_.Reply] = None
         """Error response of an upstream, returned if all retries fail."""
+
+    def note_peer_runs(self) -> None:
+        """Record that a peer may have made all attempts left to it.
+
+        The current one is counted by the caller.
+        """
+        self.runs = max(self.runs, self.exchange.route.attempts - 2)
--- a/src/peridotmast/serving/exchange.py
+++ b/src/peridotmast/serving/exchange.py
@@ -80,9 +80,14 @@
     cost: int = 0
     """Cost under the limit of the team, in tokens, or 1 if that limit is in
     requests."""
-    last_event: int = 0
-    """Id of the last event that the caller has received of a stream it
-    resumes."""
+    last_event: ty.Optional[int] = None
+    """Id of the last event that the caller has received of a stream that a
+    peer resumes; None for a request from its beginning."""
+    earlier_runs: int = 0
+    """Number of attempts that ran or may have run at other routers."""
+    forwarded_by: str = ''
+    """Name of the peer that forwarded the request and counts it; empty if a
+    caller sent it to this router."""
     traceparent: str = ''
 
     @property
--- a/src/peridotmast/serving/gateway.py
+++ b/src/peridotmast/serving/gateway.py
@@ -13,6 +13,7 @@
 from peridotmast.serving import dispatcher as dispatcher_
 from peridotmast.serving import exchange as exchange_
 from peridotmast.serving import metrics as metrics_
+from peridotmast.serving import peer_sender as peer_sender_
 from peridotmast.serving import quota as quota_
 from peridotmast.serving import reply as reply_
 from peridotmast.serving import route_table
@@ -32,6 +33,10 @@
 _OTHER_ROUTER_RETRY_MS = 50
 """Retry time if the caller only has to use another router, in ms."""
 
+_MAX_FORWARDED = 512
+"""Maximum number of requests of peers in progress. Each takes two connections,
+and small VMs have some 4,000 descriptors."""
+
 
 @dataclasses.dataclass
 class IncomingRequest:
@@ -107,6 +112,7 @@
         self.take_quota: ty.Callable[[str, int], int] = quota.take
         """Deduct tokens from a team's limit and return 0, or return the time
         after which to retry, in ms."""
+        self._forwarded = 0
         self.in_flight = 0
         """Number of requests in progress, until their responses have ended."""
 
@@ -155,6 +161,51 @@
                 span.end()
         return result
 
+    def handle_forwarded(
+        self, exchange: exchange_.Exchange, service: pb.Service
+    ) -> ty.Union[reply_.Reply, failures.Failure]:
+        """Return the response to a request that a peer has forwarded.
+
+        The peer counts the request for the limits of its team, the demand and
+        the usage. The caller must call ``close`` of a `reply.Reply`.
+        """
+        if self._stops_at is not None:
+            return failures.not_run(
+                peer_sender_.LEAVING, '', _OTHER_ROUTER_RETRY_MS
+            )
+        if self._forwarded >= _MAX_FORWARDED:
+            return failures.not_run(
+                peer_sender_.FULL, '', _OTHER_ROUTER_RETRY_MS
+            )
+        self._begin_forwarded(1)
+        span = self._tracer.start(
+            'router.forwarded', exchange.traceparent, request=exchange.id
+        )
+        exchange.traceparent = self._tracer.traceparent_of(span)
+        result: ty.Union[reply_.Reply, failures.Failure, None] = None
+        try:
+            result = self._dispatcher.answer(exchange, service)
+        finally:
+            if not isinstance(result, reply_.Reply):
+                self._begin_forwarded(-1)
+                span.end()
+        if isinstance(result, failures.Failure):
+            return result
+        close = result.close
+
+        def close_and_count() -> None:
+            close()
+            span.end()
+            self._begin_forwarded(-1)
+
+        result.close = close_and_count
+        return result
+
+    def _begin_forwarded(self, change: int) -> None:
+        """Count a forwarded request that begins, or that ends if -1."""
+        self._forwarded += change
+        self.in_flight += change
+
     def retryable_if_stale(
         self, failure: failures.Failure
     ) -> failures.Failure:
--- a/src/peridotmast/serving/metrics.py
+++ b/src/peridotmast/serving/metrics.py
@@ -32,6 +32,12 @@
             ['service', 'outcome'],
             registry=registry,
         )
+        self.forwarded = prometheus_client.Counter(
+            'peridotmast_forwarded',
+            'Requests forwarded to peers, by service and outcome.',
+            ['service', 'outcome'],
+            registry=registry,
+        )
         self.first_byte = prometheus_client.Histogram(
             'peridotmast_first_byte_seconds',
             'Time from a request to the first bytes of its answer.',
--- a/src/peridotmast/serving/placement.py
+++ b/src/peridotmast/serving/placement.py
@@ -141,6 +141,8 @@
         self.on_load_change: LoadListener = lambda view: None
         """Called with an upstream when this router's load there has changed
         enough to affect the selection of other routers."""
+        self.has_idle_connection: ty.Callable[[str], bool] = lambda a: False
+        """Returns whether there is an open connection to an address."""
 
     def choose(
         self,
@@ -172,7 +174,9 @@
             views = self._filter_usable(candidates.views, avoid) or [
                 view
                 for view in candidates.views
-                if view.name not in avoid and not self._wait_ms(view)
+                if view.name not in avoid
+                and self._has_way(view)
+                and not self._wait_ms(view)
             ]
         return self._reserve(exchange, service, views, home, not avoid)
 
@@ -265,9 +269,18 @@
             for view in views
             if view.name not in avoid
             and view.health.allows_request()
+            and self._has_way(view)
             and not self._wait_ms(view)
         ]
 
+    def _has_way(self, view: upstream_view.UpstreamView) -> bool:
+        """Return whether this router can send to an upstream."""
+        if not view.is_unreachable:
+            return True
+        return not view.is_link_silent and self.has_idle_connection(
+            view.address
+        )
+
     def _wait_ms(self, view: upstream_view.UpstreamView) -> int:
         """Return how long this router must not send to an upstream, in ms."""
         return max(view.rest_ms(), self._limits.wait_ms(view))
--- /dev/null
+++ b/src/peridotmast/serving/response_body.py
@@ -0,0 +1,88 @@
+"""Body of a response for the WSGI server."""
+
+from __future__ import annotations
+
+import http.client
+import typing as ty
+
+from peridotmast.serving import decisions as decisions_
+from peridotmast.serving import reply as reply_
+from peridotmast.wire import caller_connection
+
+HOP_BY_HOP = frozenset((
+    'connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate',
+    'proxy-authorization', 'te', 'trailer', 'transfer-encoding', 'upgrade',
+    'content-length', 'expect',
+))  # fmt: skip
+"""Headers that apply to one connection only and are not forwarded."""
+
+
+class ResponseBody:
+    """Response body for the WSGI server.
+
+    If the body breaks off, the connection is reset, so that the caller can't
+    take the response for complete.
+
+    Parameters
+    ----------
+    reply : reply.Reply
+        The response.
+    conn : caller_connection.CallerConnection
+        Connection of the caller.
+    start : callable
+        Sends status and headers.
+    decisions : decisions.Decisions
+        Records a response that breaks off.
+    request_id : str
+        Id of the request.
+    """
+
+    def __init__(
+        self,
+        reply: reply_.Reply,
+        conn: caller_connection.CallerConnection,
+        start: ty.Callable[..., ty.Any],
+        decisions: decisions_.Decisions,
+        request_id: str,
+    ) -> None:
+        self._reply = reply
+        self._conn = conn
+        self._decisions = decisions
+        self._request_id = request_id
+        self._done = False
+        body = reply.body
+        self._parts = iter((body,)) if isinstance(body, bytes) else body
+        headers = [
+            (name, value)
+            for name, value in reply.head.headers
+            if name.lower() not in HOP_BY_HOP
+        ]
+        if isinstance(body, bytes):
+            headers.append(('Content-Length', str(len(body))))
+        start(status_line(reply.head.status), headers)
+
+    def __iter__(self) -> ty.Iterator[bytes]:
+        return self
+
+    def __next__(self) -> bytes:
+        try:
+            return next(self._parts)
+        except StopIteration:
+            self._done = True
+            raise
+        except reply_.BrokenAnswer as exc:
+            self._conn.reset()
+            self._decisions.note(
+                self._request_id, 'answer_broken', reason=str(exc)
+            )
+            raise
+
+    def close(self) -> None:
+        """Release the resources of the response; called by the server."""
+        self._conn.stop_watching()
+        self._reply.close()
+
+
+def status_line(status: int) -> str:
+    """Return a status with its text."""
+    return f'{status} {http.client.responses.get(status, "Status")}'
--- a/src/peridotmast/serving/sender.py
+++ b/src/peridotmast/serving/sender.py
@@ -14,7 +14,9 @@
 from peridotmast.serving import decisions as decisions_
 from peridotmast.serving import dialect as dialect_
 from peridotmast.serving import exchange as exchange_
+from peridotmast.serving import peer_sender as peer_sender_
 from peridotmast.serving import placement
+from peridotmast.serving import reachability
 from peridotmast.serving import upstream_limits as upstream_limits_
 from peridotmast.serving import upstream_view
 from peridotmast.wire import connection as connection_
@@ -68,6 +70,10 @@
         Records failed attempts and responses of upstreams.
     limits : upstream_limits.UpstreamLimits
         Records the limits that upstreams state.
+    reach : reachability.Reachability
+        Records which upstreams could be connected to.
+    peers : peer_sender.PeerSender
+        Forwards requests to peers.
     """
 
     def __init__(
@@ -78,6 +84,8 @@
         decisions: decisions_.Decisions,
         crashes: crash_tracker_.CrashTracker,
         limits: upstream_limits_.UpstreamLimits,
+        reach: reachability.Reachability,
+        peers: peer_sender_.PeerSender,
     ) -> None:
         self._clock = clock
         self._pool = pool
@@ -85,6 +93,8 @@
         self._decisions = decisions
         self._crashes = crashes
         self._limits = limits
+        self._reach = reach
+        self._peers = peers
         self.on_leaving: ty.Callable[[upstream_view.UpstreamView], None] = (
             lambda view: None
         )
@@ -115,10 +125,14 @@
             run.
         """
         view = reservation.view
+        if view.is_peer:
+            return self._forward(exchange, reservation, resume)
         conn = self._pool.acquire(view.address)
         if isinstance(conn, failures.Failure):
-            view.health.record_failure()
+            self._reach.note_failure(view, conn)
             return conn
+        if view.is_unreachable and not conn.requests:
+            self._reach.note_connected(view)
         attempts = self._attempts.setdefault(view, weakref.WeakKeyDictionary())
         attempts[conn] = exchange.fingerprint
         sent: ty.Union[Sent, failures.Failure, None] = None
@@ -158,6 +172,8 @@
             # Cancelled by this router, so the upstream did not fail.
             return
         view.health.record_failure()
+        if view.is_peer:
+            return
         self._crashes.note_failure(
             exchange.fingerprint, view, failure, sent_at, was_answering
         )
@@ -185,6 +201,8 @@
             Whether the upstream had sent an event of the response.
         """
         view.health.release_probe()
+        if view.is_peer:
+            return
         self._abandoned.add(exchange.fingerprint, view, sent_at, was_answering)
 
     def on_upstream_change(self, view: upstream_view.UpstreamView) -> None:
@@ -205,6 +223,9 @@
 
     def finish(self, sent: Sent) -> None:
         """Return the connection of a complete response to the pool."""
+        if sent.reservation.view.is_peer:
+            self._peers.finish(sent.reservation.view, sent.conn)
+            return
         attempts = self._attempts.get(sent.reservation.view)
         if attempts is not None:
             attempts.pop(sent.conn, None)
@@ -233,6 +254,20 @@
                 if conn_fingerprint == fingerprint:
                     conn.cancel(crash_tracker_.BLOCK_REASON)
 
+    def _forward(
+        self,
+        exchange: exchange_.Exchange,
+        reservation: placement.Reservation,
+        resume: ty.Optional[dialect_.ResumePoint],
+    ) -> ty.Union[Sent, failures.Failure]:
+        """Send the request through a peer."""
+        sent = self._peers.send(exchange, reservation, resume)
+        if isinstance(sent, failures.Failure):
+            return sent
+        return Sent(
+            reservation, sent.conn, sent.head, sent.verdict, sent.sent_at
+        )
+
     def _attempt(
         self,
         exchange: exchange_.Exchange,
--- a/src/peridotmast/serving/stream_relay.py
+++ b/src/peridotmast/serving/stream_relay.py
@@ -12,6 +12,7 @@
 from peridotmast.serving import dialect as dialect_
 from peridotmast.serving import exchange as exchange_
 from peridotmast.serving import metrics as metrics_
+from peridotmast.serving import peer_sender as peer_sender_
 from peridotmast.serving import placement
 from peridotmast.serving import reply as reply_
 from peridotmast.serving import retry_budget
@@ -25,6 +26,10 @@
 the prefill of a long prompt between two tokens can exceed one target gap."""
 
 
+_PEER_STALL_FACTOR = 3
+"""Factor by which a stream through a peer may stall longer: the peer resumes
+it first, at another upstream."""
+
 _GAP_EVENTS = 6
 """Number of events after the first one from which the time between events is
 taken: a slow version is noticed long before its streams end."""
@@ -41,6 +46,8 @@
         Sends the resume request to another upstream.
     places : placement.Placement
         Selects the upstream at which a stream is resumed.
+    peers : peer_sender.PeerSender
+        Selects the peer through which a stream is resumed.
     budget : retry_budget.RetryBudget
         Limits how often streams are resumed.
     crashes : crash_tracker.CrashTracker
@@ -58,6 +65,7 @@
         clock: clock_.Clock,
         sender: sender_.Sender,
         places: placement.Placement,
+        peers: peer_sender_.PeerSender,
         budget: retry_budget.RetryBudget,
         crashes: crash_tracker_.CrashTracker,
         versions: version_gate.VersionGate,
@@ -67,6 +75,7 @@
         self._clock = clock
         self._sender = sender
         self._placement = places
+        self._peers = peers
         self._budget = budget
         self._crashes = crashes
         self._versions = versions
@@ -243,6 +252,8 @@
         if not stream.may_resume():
             return exchange.deadline
         stall_ms = _STALL_GAPS * exchange.route.target_gap_ms
+        if stream.sent.reservation.view.is_peer:
+            stall_ms *= _PEER_STALL_FACTOR
         return min(exchange.deadline, self._clock.now() + stall_ms)
 
     def _resume_at_target(
@@ -274,17 +285,29 @@
             raise reply_.BrokenAnswer(failure.reason)
         if self._crashes.retry_after_ms(exchange.fingerprint):
             raise reply_.BrokenAnswer(crash_tracker_.BLOCK_REASON)
-        if not self._budget.take(stream.service.name, exchange.id):
+        was_unsent = failure.reason == peer_sender_.NO_CONNECTION
+        if not was_unsent and not self._budget.take(
+            stream.service.name, exchange.id
+        ):
             raise reply_.BrokenAnswer('no_budget')
         stream.sent.reservation.release()
+        avoid = stream.tried | stream.unreached
         reservation = self._placement.choose(
-            exchange, stream.service, stream.tried
+            exchange, stream.service, avoid
+        ) or self._peers.choose(
+            exchange, stream.service, avoid, exchange.route.attempts - 1
         )
         if reservation is None:
-            raise reply_.BrokenAnswer('no_upstream')
-        stream.tried.add(reservation.view.name)
+            raise reply_.BrokenAnswer(peer_sender_.NO_UPSTREAM)
         resume_point = dialect_.ResumePoint(max(0, stream.reader.last_id))
-        return self._send_resume(stream, reservation, resume_point)
+        result = self._send_resume(stream, reservation, resume_point)
+        is_unsent = (
+            isinstance(result, failures.Failure)
+            and result.reason == peer_sender_.NO_CONNECTION
+        )
+        known = stream.unreached if is_unsent else stream.tried
+        known.add(reservation.view.name)
+        return result
 
     def _send_resume(
         self,
--- a/src/peridotmast/serving/upstream_view.py
+++ b/src/peridotmast/serving/upstream_view.py
@@ -56,6 +56,9 @@
         removes itself.
     """
 
+    is_peer = False
+    """Whether requests reach upstreams through another router."""
+
     def __init__(
         self,
         record: pb.UpstreamRecord,
@@ -73,6 +76,11 @@
         missing, in ms; 0 while it is live."""
         self.has_stated_leaving = False
         """Whether an answer of this run has stated that it is leaving."""
+        self.is_unreachable = False
+        """Whether the last attempt to connect to it has failed."""
+        self.is_link_silent = False
+        """Whether that attempt had no answer. Open connections are then not
+        used, as requests on them would have none either."""
         self._rests_until = 0
         self._clock = clock
         self._busy = busy
--- a/src/peridotmast/wire/connection.py
+++ b/src/peridotmast/wire/connection.py
@@ -16,6 +16,9 @@
 Headers = list[tuple[str, str]]
 """Header fields in their order, with names in their original case."""
 
+TIMED_OUT = 'timed out'
+"""Detail of a failure to connect without an answer."""
+
 T = ty.TypeVar('T')
 
 _READ_BYTES = 65536
@@ -96,7 +99,7 @@
         error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if not ready or error:
             self.close()
-            detail = f'error {error}' if ready else 'timed out'
+            detail = f'error {error}' if ready else TIMED_OUT
             return failures.not_run('no_connection', detail)
         self._reader = socket_reader.SocketReader(sock, self._clock)
         self._http_socket = _HttpSocket(sock, self._reader, self._clock)
--- a/src/peridotmast/wire/event_reader.py
+++ b/src/peridotmast/wire/event_reader.py
@@ -16,10 +16,10 @@
     continue the stream.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, last_id: int = -1) -> None:
         self._buffer = b''
-        self._skipping_seen = False
-        self.last_id = -1
+        self._skipping_seen = last_id >= 0
+        self.last_id = last_id
         """Id of the last event that was returned; -1 before the first."""
 
     @property
--- a/src/peridotmast/wire/pool.py
+++ b/src/peridotmast/wire/pool.py
@@ -67,6 +67,26 @@
         failure = conn.connect(self.connect_ms)
         return conn if failure is None else failure
 
+    def has_idle(self, address: str) -> bool:
+        """Return whether an idle connection to `address` can be reused."""
+        return any(
+            self._is_fresh(conn) and conn.is_clean()
+            for conn in self._idle.get(address, ())
+        )
+
+    def open_idle(self, address: str) -> ty.Optional[failures.Failure]:
+        """Open a connection and keep it for reuse, or return a failure."""
+        conn = connection_.Connection(
+            self.connect_address(address), self._clock
+        )
+        failure = conn.connect(self.connect_ms)
+        if failure is None:
+            self.opened += 1
+            conn.idle_since = self._clock.now()
+            idle = self._idle.setdefault(address, collections.deque())
+            idle.append(conn)
+        return failure
+
     def release(self, address: str, conn: connection_.Connection) -> None:
         """Keep a connection for reuse if its response left it reusable."""
         idle = self._idle.setdefault(address, collections.deque())
