Ask a peer that could not help with one request at a time

With all routers cut, each request asked two peers once the marks of a second had ended, all at the same moment. Now the first one renews the mark.

Scenarios for what a way through a peer must keep: refusal where nobody reaches an upstream, the way back, spread, counts, a peer that is killed or drains with a stream or a request that may run once, a caller that leaves, unsigned and malformed input, few trials.

--- a/features/peer_ways.feature
+++ b/features/peer_ways.feature
@@ -36,3 +36,90 @@
   # or is answered with "not run" after a run, when calls between routers break.
   Scenario: Requests keep their promises when calls between routers fail at random
     Then 400 random histories of forwarded requests keep all promises
+
+  # Guards against a router of which all peers are cut off too, and that holds requests or
+  # passes them on from one to the next.
+  Scenario: If no router reaches an upstream, requests are refused at once
+    Given a fleet of 3 routers whose links to the upstreams can be cut
+    When 3 routers are cut from all upstreams, silent
+    And 4 requests of each kind are sent to each router, 4 at a time, none of them again
+    And 1500 ms pass at the fleet
+    And 8 requests of each kind are sent to each router, 4 at a time, none of them again
+    Then all of them are refused with 503 and a retry time, in a median of at most 100 ms
+    And no request was forwarded by more than one router
+
+  # Guards against a router that keeps passing requests on after its links are back.
+  Scenario: A router whose links are back uses them
+    Given a fleet of 3 routers whose links to the upstreams can be cut
+    When 1 routers are cut from all upstreams, reset
+    And 4 requests of each kind are sent to each router, 4 at a time, none of them again
+    And the links are back, and 1500 ms pass
+    And 4 requests of each kind are sent to each router, 4 at a time, none of them again
+    Then all requests are answered, and none of them was forwarded
+
+  # Guards against a cut router whose requests all go to one peer.
+  Scenario: Forwarded requests are spread over the peers
+    Given a fleet of 5 routers whose links to the upstreams can be cut
+    When 1 routers are cut from all upstreams, reset
+    And 40 requests of each kind are sent to each router, 4 at a time, none of them again
+    Then each peer has received between 10 and 60 of its 120 requests
+
+  # Guards against a request that two routers count, or neither of them.
+  Scenario: A forwarded request counts once for usage, demand and retries
+    Given a fleet of 3 routers whose links to the upstreams can be cut
+    When 2 routers are cut from all upstreams, reset
+    And 5200 ms pass at the fleet
+    And 30 requests are sent to all routers within a usage window
+    Then the report of that usage window has 30 requests of "noor"
+    And the routers have counted 30 requests for the retry budget
+
+  # Guards against a run that ends with the peer that it went through.
+  Scenario: A stream goes on through another peer if its peer stops
+    Given a fleet of 4 routers whose links to the upstreams can be cut
+    When 1 routers are cut from all upstreams, reset
+    And a stream of 300 tokens passes through a peer, and that peer is killed
+    Then the stream is whole, and was forwarded to two peers
+
+  # Guards against a second run of a request whose peer is lost while it runs.
+  Scenario: A request that may run once does not run again if its peer is lost
+    Given a fleet of 4 routers whose links to the upstreams can be cut
+    When 1 routers are cut from all upstreams, reset
+    And a request that may run once runs through a peer, and that peer is killed
+    Then its caller gets 502, and it has run once
+
+  # Guards against a planned stop that cuts off what peers have forwarded.
+  Scenario: A planned stop of a peer lets forwarded streams end
+    Given a fleet of 3 routers whose links to the upstreams can be cut
+    When 1 routers are cut from all upstreams, reset
+    And a stream of 300 tokens passes through a peer, and that peer drains
+    Then the stream is whole, and was forwarded to one peer
+    And the peer that drained accepts no other forwarded request
+
+  # Guards against work at an upstream for a caller that has left another router.
+  Scenario: A caller that leaves ends its forwarded request
+    Given a fleet of 3 routers whose links to the upstreams can be cut
+    When 1 routers are cut from all upstreams, reset
+    And a stream of 2000 tokens passes through a peer, and its caller leaves
+    Then no upstream and no router has work within 1000 ms
+
+  # Guards against callers of the forwarding address that are not routers, and against
+  # input that is none.
+  Scenario Outline: What is not a signed request of a router is refused
+    Given a router with a secret that accepts forwarded requests
+    When <input> arrives at its forwarding address
+    Then it is refused as <reason>, and nothing runs
+
+    Examples:
+      | input                          | reason            |
+      | a request without a signature  | forward_signature |
+      | a request signed by others     | forward_signature |
+      | a signed text                  | malformed_forward |
+      | a signed request without times | malformed_forward |
+      | a request for another path     | forward_path      |
+
+  # Guards against links that lose packets and keep a router from its upstreams, and against
+  # trials that follow each other without a pause.
+  Scenario: Trials of an upstream are few, and one success ends them
+    Given an upstream that a router cannot connect to
+    Then it is tried 10 to 14 times in 10 s
+    And after one trial that connects it is used again
--- a/features/steps/peer_model.py
+++ b/features/steps/peer_model.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import base64
 import itertools
 import types
 
@@ -283,8 +284,14 @@
             return failures.unknown('broke_off')
         message = pb.ForwardedRequest.FromString(body)
         self.world.forwarded.append((message.id, message.router))
+        signature = dict(headers)[peer_sender.SIGNATURE_HEADER]
+        self.ask(self.peer, target, body, signature)
+        self.parts = self.pass_parts()
+
+    def ask(self, router, target, data, signature):
+        """Make the call, and keep what the router answers."""
         caller = types.SimpleNamespace(
-            read_body=lambda *args: body,
+            read_body=lambda *args: data,
             watch_for_close=lambda: None,
             stop_watching=lambda: None,
             reset=lambda: None,
@@ -292,12 +299,16 @@
         environ = {
             strict_protocol.CONNECTION: caller,
             strict_protocol.TARGET: target,
-            'HTTP_FORWARD_SIGNATURE': dict(headers)[
-                peer_sender.SIGNATURE_HEADER
-            ],
+            'HTTP_FORWARD_SIGNATURE': signature,
         }
-        self.body = self.peer.app(environ, self.start)
-        self.parts = self.pass_parts()
+        self.body = router.app(environ, self.start)
+
+    def call(self, router, target, data, signature):
+        """Return status and result of a call."""
+        self.ask(router, target, data, signature)
+        text = self.head.get(peer_sender.RESULT_HEADER)
+        result = pb.ForwardResult.FromString(base64.b64decode(text))
+        return self.head.status, result
 
     def start(self, status, headers):
         self.head = connection_.ResponseHead(int(status[:3]), headers)
--- a/features/steps/peer_way_steps.py
+++ b/features/steps/peer_way_steps.py
@@ -4,6 +4,8 @@
 
 import collections
 import itertools
+import statistics
+import types
 
 from behave import given
 from behave import then
@@ -11,9 +13,16 @@
 import helpers
 import peer_model
 
+from peridotmast.embedded import shape as shape_
 from peridotmast.embedded import upstream_cut
+from peridotmast import failures
 from peridotmast import green
 from peridotmast.platform import names
+from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import peer_sender
+from peridotmast.serving import reachability
+from peridotmast import signing
+from peridotmast.wire import connection as connection_
 
 TOKENS = [(names.TOKEN_COUNTS, '20,8')]
 KINDS = (('/chat/a', TOKENS), ('/holds/a', ()), ('/pages/a', ()))
@@ -131,3 +140,279 @@
 @then('{count:d} random histories of forwarded requests keep all promises')
 def check_histories(context, count):
     peer_model.run(count)
+
+
+@then(
+    'all of them are refused with {status:d} and a retry time, in a median of'
+    ' at most {ms:d} ms'
+)
+def check_refused_at_once(context, status, ms):
+    answers = list(itertools.chain(*context.answers.values()))
+    assert {answer.status for answer in answers} == {status}, answers[:3]
+    untimed = [a for a in answers if not a.header(names.RETRY_AFTER)]
+    assert not untimed, untimed[:3]
+    median_ms = statistics.median(answer.ms for answer in answers)
+    assert median_ms <= ms, median_ms
+
+
+def steps_of(context, request_id, event):
+    """Return the decisions of one kind on a request, by router."""
+    return [
+        (router.cfg.name, text)
+        for router in context.fleet.routers
+        for _, text in router.serving.decisions.history(request_id)
+        if text.split()[0] == event
+    ]
+
+
+@then('no request was forwarded by more than one router')
+def check_one_hop(context):
+    for answer in itertools.chain(*context.answers.values()):
+        found = steps_of(context, answer.request_id, 'forwarded')
+        assert len({router for router, _ in found}) <= 1, found
+
+
+@when('the links are back, and {ms:d} ms pass')
+def restore_links(context, ms):
+    for router in context.cut_routers:
+        context.cuts[router.cfg.name].end()
+    green.sleep_ms(ms)
+
+
+@then('all requests are answered, and none of them was forwarded')
+def check_not_forwarded(context):
+    for answer in itertools.chain(*context.answers.values()):
+        assert answer.status == 200, answer
+        assert not steps_of(context, answer.request_id, 'forwarded')
+
+
+@then(
+    'each peer has received between {least:d} and {most:d} of its {count:d}'
+    ' requests'
+)
+def check_spread(context, least, most, count):
+    answers = context.answers[context.cut_routers[0].cfg.name]
+    found = collections.Counter(
+        router
+        for answer in answers
+        for router, _ in steps_of(
+            context, answer.request_id, 'forward_received'
+        )
+    )
+    assert len(answers) == count and len(found) == 4, found
+    assert least <= min(found.values()) <= max(found.values()) <= most, found
+
+
+@then('the routers have counted {count:d} requests for the retry budget')
+def check_counted(context, count):
+    counted = sum(
+        len(router.serving.retry_budget._requests[shape_.PLAIN_SERVICE])
+        for router in context.fleet.routers
+    )
+    # Two requests at each router before the cut went to this service.
+    assert counted == count + 2 * 3, counted
+
+
+def start_through_peer(context, path, headers):
+    """Send a request to a cut router; wait until a peer has it."""
+    router = context.cut_routers[0]
+    context.request_id = 'through-peer'
+    context.conn = connection_.Connection(router.address, context.fleet.clock)
+    assert context.conn.connect(1000) is None
+    context.closing.append(context.conn.close)
+    context.task = green.spawn(
+        send,
+        context,
+        router,
+        path,
+        headers,
+        request_id=context.request_id,
+        conn=context.conn,
+        deadline_ms=helpers.LONG_MS,
+    )
+
+    def received():
+        return steps_of(context, context.request_id, 'forward_received')
+
+    helpers.wait_until(received, 'a forwarded request')
+    context.peer = helpers.routers(context)[received()[0][0]]
+
+
+def wait_for_work(context):
+    def is_running():
+        return any(
+            guest.upstream.app.runs[context.request_id]
+            for guest in helpers.guests(context)
+        )
+
+    helpers.wait_until(is_running, 'a run at an upstream')
+
+
+@when(
+    'a stream of {tokens:d} tokens passes through a peer, and that peer is'
+    ' killed'
+)
+def kill_peer_of_stream(context, tokens):
+    headers = [(names.TOKEN_COUNTS, f'64,{tokens}')]
+    start_through_peer(context, '/chat/a', headers)
+    wait_for_work(context)
+    green.sleep_ms(200)
+    context.peer.stop()
+    context.last = context.task.wait()
+
+
+@then('the stream is whole, and was forwarded to {count} peers')
+@then('the stream is whole, and was forwarded to {count} peer')
+def check_stream_whole(context, count):
+    answer = context.last
+    assert answer.status == 200 and answer.complete, answer
+    ids = helpers.event_ids(answer.body)
+    assert ids == list(range(1, 151)), ids
+    found = steps_of(context, context.request_id, 'forward_received')
+    assert len(found) == {'one': 1, 'two': 2}[count], found
+
+
+@when(
+    'a request that may run once runs through a peer, and that peer is killed'
+)
+def kill_peer_of_request(context):
+    for guest in helpers.guests(context, shape_.PLAIN_SERVICE):
+        guest.upstream.app.delay_factor = lambda environ: 25
+    start_through_peer(context, '/holds/a', ())
+    wait_for_work(context)
+    context.peer.stop()
+    context.last = context.task.wait()
+
+
+@then('its caller gets {status:d}, and it has run once')
+def check_ran_once(context, status):
+    green.sleep_ms(500)
+    assert context.last.status == status, context.last
+    assert helpers.run_count(context, context.request_id) == 1
+
+
+@when(
+    'a stream of {tokens:d} tokens passes through a peer, and that peer drains'
+)
+def drain_peer_of_stream(context, tokens):
+    headers = [(names.TOKEN_COUNTS, f'64,{tokens}')]
+    start_through_peer(context, '/chat/a', headers)
+    wait_for_work(context)
+    context.peer.drain()
+    context.last = context.task.wait()
+
+
+@then('the peer that drained accepts no other forwarded request')
+def check_drained_refuses(context):
+    for _ in range(4):
+        answer = send(context, context.cut_routers[0], '/pages/a', ())
+        assert answer.status == 200, answer
+        found = steps_of(context, answer.request_id, 'forward_answered')
+        served_by = {router for router, text in found if '=200' in text}
+        assert served_by - {context.peer.cfg.name} == served_by, found
+
+
+@when(
+    'a stream of {tokens:d} tokens passes through a peer, and its caller'
+    ' leaves'
+)
+def leave_stream(context, tokens):
+    headers = [(names.TOKEN_COUNTS, f'64,{tokens}')]
+    start_through_peer(context, '/chat/a', headers)
+    wait_for_work(context)
+    context.task.kill()
+    context.conn.close()
+
+
+@then('no upstream and no router has work within {ms:d} ms')
+def check_no_work(context, ms):
+    def is_idle():
+        engines = helpers.guests(context, shape_.ENGINE_SERVICE)
+        return not any(g.upstream.app._running for g in engines) and all(
+            not router.serving.gateway.in_flight
+            for router in context.fleet.routers
+        )
+
+    helpers.wait_until(is_idle, 'work for a caller that has left', ms)
+
+
+@given('a router with a secret that accepts forwarded requests')
+def start_signed(context):
+    context.world = peer_model.World({'r-0': set()}, (), ())
+
+
+def signed(data, secret=peer_model.SECRET):
+    return data, signing.sign(secret, data).hex()
+
+
+@when('{what} arrives at its forwarding address')
+def send_to_forwarding(context, what):
+    whole = pb.ForwardedRequest(
+        id='x',
+        router='r-1',
+        method='POST',
+        target='/',
+        route=peer_model.ROUTES['once'],
+        service=peer_model.SERVICE,
+    )
+    timed = pb.ForwardedRequest()
+    timed.CopyFrom(whole)
+    timed.left_ms = 1000
+    data, signature = {
+        'a request without a signature': (timed.SerializeToString(), ''),
+        'a request signed by others': signed(
+            timed.SerializeToString(), b'other'
+        ),
+        'a signed text': signed(b'GET / HTTP/1.1'),
+        'a signed request without times': signed(whole.SerializeToString()),
+        'a request for another path': signed(timed.SerializeToString()),
+    }[what]
+    path = '/admin' if 'path' in what else peer_sender.PATH
+    router = context.world.routers['r-0']
+    conn = peer_model.PeerConn(context.world, 'r-0', 'pass')
+    context.refusal = conn.call(router, path, data, signature)
+
+
+@then('it is refused as {reason}, and nothing runs')
+def check_forward_refused(context, reason):
+    status, result = context.refusal
+    assert status == 503 and result.reason == reason, result
+    assert result.kind == failures.FailureKind.INVALID.value, result
+    assert not context.world.arrived
+
+
+@given('an upstream that a router cannot connect to')
+def start_reachability(context):
+    world = context.world = peer_model.World({'r-0': set()}, (), ())
+    router = world.routers['r-0']
+    context.view = router.table.get('u-1')
+    context.trials = []
+    context.failure = failures.not_run('no_connection', connection_.TIMED_OUT)
+
+    def open_idle(address):
+        context.trials.append(world.clock.now())
+        return context.failure
+
+    pool = types.SimpleNamespace(open_idle=open_idle)
+    context.reach = reachability.Reachability(
+        world.clock, pool, router.table, 'r-0', lambda name, f, *args: f(*args)
+    )
+    context.reach.note_failure(context.view, context.failure)
+
+
+@then('it is tried {least:d} to {most:d} times in {seconds:d} s')
+def check_trials(context, least, most, seconds):
+    for _ in range(seconds * 10):
+        context.world.clock.advance(100)
+        context.reach.tick()
+    assert least <= len(context.trials) <= most, len(context.trials)
+    assert context.view.is_unreachable
+
+
+@then('after one trial that connects it is used again')
+def check_reachable(context):
+    context.failure = None
+    context.world.clock.advance(1000)
+    context.reach.tick()
+    assert not context.view.is_unreachable
+    assert not context.reach.has_unreachable(peer_model.SERVICE.name)
--- a/src/peridotmast/serving/peer_sender.py
+++ b/src/peridotmast/serving/peer_sender.py
@@ -51,6 +51,10 @@
 """Time for which a peer that reaches no upstream of a service is not asked
 again for this service, in ms."""
 
+_UNABLE_RETENTION_MS = 10_000
+"""Time after that in which one request in each `_UNABLE_MS` asks such a peer,
+and not all of them, in ms."""
+
 _MAX_PEERS = 4
 """Maximum number of peers that one request is offered to."""
 
@@ -182,6 +186,9 @@
             return None
         compared = self._random.sample(usable, min(_COMPARED, len(usable)))
         best = min(compared, key=lambda view: view.local_load.running)
+        if (best.name, service.name) in self._unable_until:
+            # One request finds out whether the peer is able again.
+            self._mark_unable(best, service)
         return PeerReservation(best, exchange, service, len(usable), runs)
 
     def send(
@@ -226,11 +233,11 @@
     def tick(self) -> None:
         """Close expired connections; forget what no longer counts."""
         self._pool.close_expired()
-        now = self._clock.now()
+        oldest = self._clock.now() - _UNABLE_RETENTION_MS
         self._unable_until = {
             key: until
             for key, until in self._unable_until.items()
-            if until > now
+            if until > oldest
         }
 
     def close(self) -> None:
@@ -280,6 +287,7 @@
         view.health.record_success()
         if result.kind:
             return self._read_failure(exchange, reservation, conn, result)
+        self._unable_until.pop((view.name, reservation.service.name), None)
         self._note_upstream(result, now)
         return PeerSent(conn, _answer_head(head), _verdict(head), now)
 
@@ -320,12 +328,18 @@
         if failure.kind is not failures.FailureKind.NOT_RUN or not is_unsent:
             return failure
         if failure.reason == NO_UPSTREAM:
-            key = reservation.view.name, reservation.service.name
-            self._unable_until[key] = self._clock.now() + _UNABLE_MS
+            self._mark_unable(reservation.view, reservation.service)
         return failures.not_run(
             NO_CONNECTION, f'peer {failure.reason}', failure.retry_after_ms
         )
 
+    def _mark_unable(
+        self, view: upstream_view.UpstreamView, service: pb.Service
+    ) -> None:
+        """Record that a peer reaches no upstream of a service."""
+        until = self._clock.now() + _UNABLE_MS
+        self._unable_until[view.name, service.name] = until
+
     def _note_upstream(self, result: pb.ForwardResult, sent_at: int) -> None:
         """Record that an upstream answers: it has not crashed before."""
         view = self._table.get(result.upstream)
