Keep connections to upstreams that are silent for a second or two

TCP_USER_TIMEOUT of 1.5 s also ended keep-alive probes, so that an answer was cut 2 s after the last packet of a sound upstream. Red before: the option was 1500 where silence of 2500 ms must be borne.

--- a/features/odd_upstreams.feature
+++ b/features/odd_upstreams.feature
@@ -69,3 +69,9 @@
     Given the upstream answers once on each connection, and closes it after a delay
     When 5 requests are sent one after the other
     Then each request is answered with its own answer
+
+  # Guards against answers that are cut while a sound upstream is silent for a second or so:
+  # TCP_USER_TIMEOUT also decides when keep-alive probes give up.
+  Scenario: A connection outlives an upstream that is silent for two seconds
+    Given a connection to an upstream
+    Then it is kept for 2500 to 4000 ms without any packet of the upstream
--- a/features/steps/statement_steps.py
+++ b/features/steps/statement_steps.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+import socket
+
 from behave import given
 from behave import then
 from behave import when
 import helpers
 
+from peridotmast import clock as clock_
 from peridotmast.embedded import shape as shape_
 from peridotmast import green
+from peridotmast.standin import plain_service
+from peridotmast.wire import connection as connection_
 
 
 @given('a fleet of 1 routers with a single engine')
@@ -99,3 +104,33 @@
 @then('"{name}" still rests for {ms:d} ms')
 def check_rests(context, name, ms):
     assert context.upstreams.get(name).rest_ms() == ms
+
+
+@given('a connection to an upstream')
+def open_connection(context):
+    upstream = plain_service.PlainService('s')
+    context.conn = connection_.Connection(
+        upstream.address, clock_.SystemClock()
+    )
+    assert context.conn.connect(1000) is None
+    context.closing += [upstream.stop, context.conn.close]
+
+
+@then(
+    'it is kept for {least:d} to {most:d} ms without any packet of the'
+    ' upstream'
+)
+def check_silence_borne(context, least, most):
+    sock, tcp = context.conn._sock, socket.IPPROTO_TCP
+    idle_s, interval_s, probes = (
+        sock.getsockopt(tcp, option)
+        for option in (
+            socket.TCP_KEEPIDLE,
+            socket.TCP_KEEPINTVL,
+            socket.TCP_KEEPCNT,
+        )
+    )
+    # With a user timeout, probes give up at it whatever their number.
+    assert 1000 * (idle_s + probes * interval_s) >= least
+    user_ms = sock.getsockopt(tcp, socket.TCP_USER_TIMEOUT)
+    assert least <= user_ms <= most, user_ms
--- a/src/peridotmast/wire/connection.py
+++ b/src/peridotmast/wire/connection.py
@@ -23,12 +23,14 @@
 
 _READ_BYTES = 65536
 _SEND_BYTES = 16384
-_USER_TIMEOUT_MS = 1500
+_USER_TIMEOUT_MS = 3000
 """Time for which sent bytes may stay unacknowledged. A VM that lost its power
-acknowledges nothing, and by default the kernel retransmits for minutes."""
+acknowledges nothing, and by default the kernel retransmits for minutes. A
+sound upstream may be silent for a second or two, and keep-alive probes give
+up after this time too."""
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_INTERVAL_S = 1
-_KEEPALIVE_PROBES = 2
+_KEEPALIVE_PROBES = 3
 """With these settings a dead connection is detected in about three seconds,
 even if its upstream sends nothing for longer."""
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
