--- a/features/peer_ways.feature
+++ b/features/peer_ways.feature
@@ -123,3 +123,9 @@
     Given an upstream that a router cannot connect to
     Then it is tried 10 to 14 times in 10 s
     And after one trial that connects it is used again
+
+  # Guards against requests that all routers refuse, because the links of one router were
+  # reset and it took this for crashes of upstreams.
+  Scenario: Upstreams that answer at a peer have not crashed
+    Given a router that lost a request at three upstreams when its links were reset
+    Then it blocks the request until peers have answered others at these upstreams
--- a/features/steps/peer_way_steps.py
+++ b/features/steps/peer_way_steps.py
@@ -416,3 +416,32 @@
     context.reach.tick()
     assert not context.view.is_unreachable
     assert not context.reach.has_unreachable(peer_model.SERVICE.name)
+
+
+@given(
+    'a router that lost a request at three upstreams when its links were reset'
+)
+def lose_request(context):
+    cuts = {'r-0': set(peer_model.UPSTREAMS), 'r-1': set()}
+    context.world = peer_model.World(cuts, (), ())
+    router = context.world.routers['r-0']
+    for upstream in peer_model.UPSTREAMS:
+        context.world.clock.advance(1000)
+        router.serving.crashes.note_failure(
+            'lost',
+            router.table.get(upstream),
+            failures.unknown('broke_off'),
+            context.world.clock.now(),
+        )
+
+
+@then(
+    'it blocks the request until peers have answered others at these upstreams'
+)
+def check_unblocked(context):
+    router = context.world.routers['r-0']
+    assert router.serving.crashes.retry_after_ms('lost')
+    context.world.clock.advance(1000)
+    for number in range(20):
+        assert router.ask('again', f'other-{number}')[0] == 200
+    assert not router.serving.crashes.retry_after_ms('lost')
