Spare upstreams that state that they are brittle

Nothing read Server-Brittle: with 2 and 6 routers each of four upstreams refused more than the 3 requests a second that it bears, twice in 6 s (8 falls where 2 are allowed; seen with the new rules switched off). While an upstream states it, each router uses its even share of the slots, and rests after a refusal for as long as the routers together may cause one each.

--- a/features/steps/peer_model.py
+++ b/features/steps/peer_model.py
@@ -110,7 +110,9 @@
             clock,
             types.SimpleNamespace(
                 upstream_table=self.table,
-                members=types.SimpleNamespace(serving=self.members),
+                members=types.SimpleNamespace(
+                    serving=self.members, limit_sharer_count=lambda: 4
+                ),
                 fleet_clock=types.SimpleNamespace(now=clock.now),
             ),
             registry,
--- a/features/steps/statement_steps.py
+++ b/features/steps/statement_steps.py
@@ -134,3 +134,89 @@
     assert 1000 * (idle_s + probes * interval_s) >= least
     user_ms = sock.getsockopt(tcp, socket.TCP_USER_TIMEOUT)
     assert least <= user_ms <= most, user_ms
+
+
+@given(
+    'a fleet of {count:d} routers, with {upstreams:d} upstreams of {slots:d}'
+    ' slots that bear {limit:d} refusals a second'
+)
+def start_brittle(context, count, upstreams, slots, limit):
+    helpers.start_fleet(context, routers=count, services=upstreams)
+    context.brittle = helpers.guests(context, shape_.PLAIN_SERVICE)
+    for guest in context.brittle:
+        guest.upstream.app.slots = guest.record.upstream.slots = slots
+        guest.upstream.app.brittle = str(limit)
+        guest.upstream.app.delay_factor = lambda environ: 5
+        context.fleet._write_entry(guest)
+
+    def is_known(router):
+        views = router.upstream_table.live(shape_.PLAIN_SERVICE)
+        return {view.slots for view in views} == {slots}
+
+    for router in context.fleet.routers:
+        helpers.wait_until(lambda r=router: is_known(r), 'slots')
+
+
+@when('each router has had an answer of each upstream')
+def hear_all(context):
+    def has_heard(router):
+        views = router.upstream_table.live(shape_.PLAIN_SERVICE)
+        return all(view.brittle_limit for view in views)
+
+    for router in context.fleet.routers:
+        tasks = [
+            green.spawn(helpers.send_request, router.address, '/pages/a')
+            for _ in range(2 * len(context.brittle))
+        ]
+        for task in tasks:
+            task.wait()
+        assert has_heard(router)
+
+
+@when(
+    '{count:d} requests come at once to each router every {pause_ms:d} ms, for'
+    ' {seconds:d} s'
+)
+def send_in_bursts(context, count, pause_ms, seconds):
+    tasks = []
+    for _ in range(1000 * seconds // pause_ms):
+        for router in context.fleet.running_routers():
+            tasks += [
+                green.spawn(helpers.send_request, router.address, '/pages/a')
+                for _ in range(count)
+            ]
+        green.sleep_ms(pause_ms)
+    context.answers = [task.wait() for task in tasks]
+
+
+def count_falls(refusals, limit):
+    """Return how often there were more than `limit` refusals in a second.
+
+    An upstream that has fallen is back after the next three seconds.
+    """
+    falls, fallen_until = 0, 0
+    for number, at in enumerate(refusals):
+        if at < fallen_until:
+            continue
+        start = refusals[max(0, number - limit)]
+        if number >= limit and at - start < 1000:
+            falls, fallen_until = falls + 1, at + 3000
+    return falls
+
+
+@then(
+    'at most {most:d} times an upstream refused more than {limit:d} requests'
+    ' in a second'
+)
+def check_falls(context, most, limit):
+    falls = [
+        count_falls(guest.upstream.app.refusals, limit)
+        for guest in context.brittle
+    ]
+    assert sum(falls) <= most, falls
+
+
+@then('the upstreams together ran at least {count:d} requests')
+def check_brittle_runs(context, count):
+    ran = sum(sum(g.upstream.app.runs.values()) for g in context.brittle)
+    assert ran >= count, ran
--- a/features/upstream_statements.feature
+++ b/features/upstream_statements.feature
@@ -36,3 +36,17 @@
     When "a" asks for a rest of 3000 ms, and then for one of 100 ms
     And 2500 ms pass
     Then "a" still rests for 500 ms
+
+  # Guards against upstreams that state that they are brittle, and fall over because the
+  # routers together have too many requests refused at them.
+  Scenario Outline: Upstreams that state that they are brittle do not fall over
+    Given a fleet of <routers> routers, with 4 upstreams of 3 slots that bear 3 refusals a second
+    When each router has had an answer of each upstream
+    And 4 requests come at once to each router every 100 ms, for 6 s
+    Then at most 2 times an upstream refused more than 3 requests in a second
+    And the upstreams together ran at least <run> requests
+
+    Examples:
+      | routers | run |
+      | 2       | 200 |
+      | 6       | 200 |
--- a/src/peridotmast/platform/dialect.py
+++ b/src/peridotmast/platform/dialect.py
@@ -18,6 +18,8 @@
 _SUCCESS_STATUSES = range(200, 300)
 _SERVER_ERRORS = range(500, 600)
 _DECIMAL = re.compile(r'[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}')
+_MIN_BRITTLE = 0.1
+"""Refusals a second that an upstream counts as bearing if it states less."""
 _MAX_LOGGED_CHARS = 40
 """Maximum number of characters of a malformed header that are logged."""
 _REFUSAL_STATUSES = frozenset((408, 421, 429, 503))
@@ -100,6 +102,19 @@
             return failures.invalid('malformed_rest', text[:_MAX_LOGGED_CHARS])
         return math.ceil(float(text) * 1000)
 
+    def brittle_limit(
+        self, head: connection.ResponseHead
+    ) -> ty.Union[float, failures.Failure]:
+        """Return the refusals a second that a response head states."""
+        text = head.get(names.BRITTLE).strip()
+        if not text:
+            return 0.0
+        if not _DECIMAL.fullmatch(text):
+            return failures.invalid(
+                'malformed_brittle', text[:_MAX_LOGGED_CHARS]
+            )
+        return max(_MIN_BRITTLE, float(text))
+
     def limit(
         self, head: connection.ResponseHead
     ) -> ty.Union[float, failures.Failure, None]:
--- a/src/peridotmast/platform/names.py
+++ b/src/peridotmast/platform/names.py
@@ -24,6 +24,7 @@
 UPSTREAM = 'X-Instance-Id'
 NOT_RUN = 'X-Not-Executed'
 LIMIT = 'Server-Limit'
+BRITTLE = 'Server-Brittle'
 """Requests per second that an upstream accepts from all routers combined."""
 PRIORITY = 'X-Request-Urgency'
 EXPECT_VERSION = 'X-Expect-Version'
--- a/src/peridotmast/router/serving.py
+++ b/src/peridotmast/router/serving.py
@@ -12,6 +12,7 @@
 from peridotmast.platform import engine_control
 from peridotmast.router import fleet_state as fleet_state_
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import brittleness
 from peridotmast.serving import crash_tracker as crash_tracker_
 from peridotmast.serving import decisions as decisions_
 from peridotmast.serving import demand as demand_
@@ -97,6 +98,9 @@
         """Tracks requests that crash upstreams."""
         self.limits = upstream_limits_.UpstreamLimits(clock, cfg.name)
         """Splits the limits of upstreams between routers."""
+        self.brittleness = brittleness.Brittleness(clock)
+        """Spares upstreams that state that they are brittle."""
+        self.brittleness.count_routers = fleet_state.members.limit_sharer_count
         self.versions = version_gate.VersionGate(
             clock, cfg.name, bounds.expose_share > 0, bounds.rollback_ms
         )
@@ -127,6 +131,7 @@
             self.decisions,
             self.crashes,
             self.limits,
+            self.brittleness,
             self._reach,
             self.peers,
         )
@@ -140,6 +145,7 @@
             self.versions,
         )
         """Chooses an upstream for each request."""
+        self.placement.brittle_wait_ms = self.brittleness.wait_ms
         self.placement.has_idle_connection = self.pool.has_idle
         self._relay = stream_relay.StreamRelay(
             clock,
--- a/src/peridotmast/serving/dialect.py
+++ b/src/peridotmast/serving/dialect.py
@@ -74,6 +74,18 @@
             if the time is malformed.
         """
 
+    def brittle_limit(
+        self, head: connection_.ResponseHead
+    ) -> ty.Union[float, failures.Failure]:
+        """Return how many refusals a second an upstream states that it bears.
+
+        Returns
+        -------
+        float or Failure
+            0 if the head of the response states none; a failure if the number
+            is malformed.
+        """
+
     def limit(
         self, head: connection_.ResponseHead
     ) -> ty.Union[float, failures.Failure, None]:
--- a/src/peridotmast/serving/placement.py
+++ b/src/peridotmast/serving/placement.py
@@ -143,6 +143,11 @@
         enough to affect the selection of other routers."""
         self.has_idle_connection: ty.Callable[[str], bool] = lambda a: False
         """Returns whether there is an open connection to an address."""
+        self.brittle_wait_ms: ty.Callable[
+            [upstream_view.UpstreamView], int
+        ] = lambda view: 0
+        """Returns how long this router must not send to an upstream that may
+        fall over, in ms."""
 
     def choose(
         self,
@@ -283,4 +288,8 @@
 
     def _wait_ms(self, view: upstream_view.UpstreamView) -> int:
         """Return how long this router must not send to an upstream, in ms."""
-        return max(view.rest_ms(), self._limits.wait_ms(view))
+        return max(
+            view.rest_ms(),
+            self._limits.wait_ms(view),
+            self.brittle_wait_ms(view),
+        )
--- a/src/peridotmast/serving/sender.py
+++ b/src/peridotmast/serving/sender.py
@@ -10,6 +10,7 @@
 from peridotmast import failures
 from peridotmast import ids
 from peridotmast.serving import abandoned_attempts
+from peridotmast.serving import brittleness as brittleness_
 from peridotmast.serving import crash_tracker as crash_tracker_
 from peridotmast.serving import decisions as decisions_
 from peridotmast.serving import dialect as dialect_
@@ -70,6 +71,8 @@
         Records failed attempts and responses of upstreams.
     limits : upstream_limits.UpstreamLimits
         Records the limits that upstreams state.
+    brittleness : brittleness.Brittleness
+        Records how many refusals upstreams bear.
     reach : reachability.Reachability
         Records which upstreams could be connected to.
     peers : peer_sender.PeerSender
@@ -84,6 +87,7 @@
         decisions: decisions_.Decisions,
         crashes: crash_tracker_.CrashTracker,
         limits: upstream_limits_.UpstreamLimits,
+        brittleness: brittleness_.Brittleness,
         reach: reachability.Reachability,
         peers: peer_sender_.PeerSender,
     ) -> None:
@@ -93,6 +97,7 @@
         self._decisions = decisions
         self._crashes = crashes
         self._limits = limits
+        self._brittleness = brittleness
         self._reach = reach
         self._peers = peers
         self.on_leaving: ty.Callable[[upstream_view.UpstreamView], None] = (
@@ -304,6 +309,7 @@
                 self._note_limit(exchange, reservation.view, head, now)
                 self._note_leaving(exchange, reservation.view, head)
                 self._note_rest(exchange, reservation.view, head)
+                self._note_brittle(exchange, reservation.view, head, verdict)
             if verdict is not Verdict.FOREIGN:
                 return Sent(reservation, conn, head, verdict, now)
             self._decisions.note(
@@ -374,6 +380,35 @@
                 ms=view.rest_ms(),
             )
 
+    def _note_brittle(
+        self,
+        exchange: exchange_.Exchange,
+        view: upstream_view.UpstreamView,
+        head: connection_.ResponseHead,
+        verdict: Verdict,
+    ) -> None:
+        """Record how many refusals a second an upstream bears."""
+        limit = self._dialect.brittle_limit(head)
+        refused = verdict is Verdict.NOT_RUN
+        if isinstance(limit, failures.Failure):
+            self._decisions.note(
+                exchange.id,
+                limit.reason,
+                upstream=view.name,
+                limit=limit.detail,
+            )
+            return
+        if limit != view.brittle_limit or (limit and refused):
+            self._decisions.note(
+                exchange.id,
+                'upstream_brittle',
+                upstream=view.name,
+                born=view.born,
+                limit=limit,
+                refused=refused,
+            )
+        self._brittleness.note_answer(view, limit, refused)
+
     def _note_limit(
         self,
         exchange: exchange_.Exchange,
--- a/src/peridotmast/serving/upstream_view.py
+++ b/src/peridotmast/serving/upstream_view.py
@@ -81,6 +81,9 @@
         self.is_link_silent = False
         """Whether that attempt had no answer. Open connections are then not
         used, as requests on them would have none either."""
+        self.brittle_limit = 0.0
+        """Refusals a second that it bears, as its last answer states; 0 for
+        any number."""
         self._rests_until = 0
         self._clock = clock
         self._busy = busy
--- a/src/peridotmast/standin/upstream_app.py
+++ b/src/peridotmast/standin/upstream_app.py
@@ -59,6 +59,9 @@
         ``lose``, ``cut``, ``hang``, ``garble``, ``extra``."""
         self.limit = ''
         """Value of the rate limit header of its answers; empty for none."""
+        self.brittle = ''
+        """Refusals a second that it bears, as its answers state; empty for any
+        number."""
         self.crash_body = b''
         """Requests whose body contains this crash it; empty for none."""
         self.crash_delay_ms = 0
@@ -116,16 +119,20 @@
 
     def answer_headers(self, request_id: str) -> list[tuple[str, str]]:
         """Return the headers that the answer to every request run has."""
-        limit = [(names.LIMIT, self.limit)] if self.limit else []
         return [
             (names.REQUEST_ID, request_id),
             (names.SEAL, f'{self.name}.{next(self._serials)}'),
-            *limit,
-            *self._leaving_header(),
+            *([(names.LIMIT, self.limit)] if self.limit else []),
+            *self._state_headers(),
         ]
 
-    def _leaving_header(self) -> list[tuple[str, str]]:
-        return [(names.LEAVING, '1')] if self.states_leaving else []
+    def _state_headers(self) -> list[tuple[str, str]]:
+        """Return the headers that refusals have too."""
+        leaving = [(names.LEAVING, '1')] if self.states_leaving else []
+        return [
+            *leaving,
+            *([(names.BRITTLE, self.brittle)] if self.brittle else []),
+        ]
 
     def _request(
         self, environ: dict[str, ty.Any], start: ty.Callable[..., ty.Any]
@@ -144,7 +151,7 @@
                 (names.NOT_RUN, '1'),
                 (names.REQUEST_ID, request_id),
                 ('Content-Length', '0'),
-                *self._leaving_header(),
+                *self._state_headers(),
                 *([(names.RETRY_AFTER, self.rest_s)] if self.rest_s else []),
             ]
             start('503 Service Unavailable', headers)
