Treat an upstream whose entry returns as reachable

Found by reading: trials end when the entry of an upstream is gone, and the mark stayed, so that one that returned under its id was never used again by this router. The scenario fails without the change. A trial that raises an error no longer ends the trials.

--- a/features/peer_ways.feature
+++ b/features/peer_ways.feature
@@ -129,3 +129,10 @@
   Scenario: Upstreams that answer at a peer have not crashed
     Given a router that lost a request at three upstreams when its links were reset
     Then it blocks the request until peers have answered others at these upstreams
+
+  # Guards against an upstream whose entry returns and that stays unreachable for good, as
+  # its trials had ended with the entry.
+  Scenario: An upstream that returns is not unreachable any more
+    Given an upstream that a router cannot connect to
+    When its entry is lost, and returns 3000 ms later
+    Then it is used again without a trial
--- a/features/steps/peer_way_steps.py
+++ b/features/steps/peer_way_steps.py
@@ -445,3 +445,21 @@
     for number in range(20):
         assert router.ask('again', f'other-{number}')[0] == 200
     assert not router.serving.crashes.retry_after_ms('lost')
+
+
+@when('its entry is lost, and returns {ms:d} ms later')
+def return_entry(context, ms):
+    table = context.world.routers['r-0'].table
+    for state, wait_ms in ((pb.UPSTREAM_STATE_GONE, ms), (1, 0)):
+        record = pb.UpstreamRecord()
+        record.CopyFrom(context.view.record)
+        record.state, record.revision = state, record.revision + 1
+        table.merge(record)
+        context.world.clock.advance(wait_ms)
+        context.reach.tick()
+
+
+@then('it is used again without a trial')
+def check_used_again(context):
+    assert context.view.is_available and not context.view.is_unreachable
+    assert not context.trials
--- a/src/peridotmast/serving/peer_sender.py
+++ b/src/peridotmast/serving/peer_sender.py
@@ -409,9 +409,10 @@
 
 def _answer_head(head: connection_.ResponseHead) -> connection_.ResponseHead:
     """Return the head that the upstream has sent."""
+    excluded = RESULT_HEADER.lower()
     return connection_.ResponseHead(
         head.status,
-        [(n, v) for n, v in head.headers if n.lower() != 'forward-result'],
+        [(n, v) for n, v in head.headers if n.lower() != excluded],
     )
 
 
--- a/src/peridotmast/serving/reachability.py
+++ b/src/peridotmast/serving/reachability.py
@@ -92,9 +92,8 @@
 
     def note_connected(self, view: upstream_view.UpstreamView) -> None:
         """Record that a connection to an upstream was opened."""
-        cut = self._cuts.pop(view, None)
+        cut = self._forget(view)
         if cut is not None:
-            view.is_unreachable = view.is_link_silent = False
             self._log.info(
                 'upstream_reachable',
                 upstream=view.name,
@@ -120,22 +119,28 @@
         now = self._clock.now()
         for view, cut in list(self._cuts.items()):
             if not self._is_current(view):
-                del self._cuts[view]
+                self._forget(view)
             elif now >= cut.trial_at and not cut.is_on_trial:
                 running = sum(c.is_on_trial for c in self._cuts.values())
                 if running >= _MAX_TRIALS:
                     return
                 cut.is_on_trial = True
+                cut.interval_ms = min(_MAX_TRIAL_MS, cut.interval_ms * 2)
+                cut.trial_at = now + cut.interval_ms
                 self._spawn('reach_trial', self._try, view, cut)
 
+    def _forget(self, view: upstream_view.UpstreamView) -> ty.Optional[_Cut]:
+        """Treat an upstream as reachable, and return its cut, if any."""
+        view.is_unreachable = view.is_link_silent = False
+        return self._cuts.pop(view, None)
+
     def _is_current(self, view: upstream_view.UpstreamView) -> bool:
         return view.is_available and self._table.get(view.name) is view
 
     def _try(self, view: upstream_view.UpstreamView, cut: _Cut) -> None:
-        failure = self._pool.open_idle(view.address)
-        cut.is_on_trial = False
+        try:
+            failure = self._pool.open_idle(view.address)
+        finally:
+            cut.is_on_trial = False
         if failure is None:
             self.note_connected(view)
-            return
-        cut.interval_ms = min(_MAX_TRIAL_MS, cut.interval_ms * 2)
-        cut.trial_at = self._clock.now() + cut.interval_ms
