A pause of the router is no failure to connect

One failure to connect makes an upstream unreachable. A router that stands still for longer than the time limit notices the limit before the opened connection; it now looks once more. The scenario fails without it.

--- a/features/odd_upstreams.feature
+++ b/features/odd_upstreams.feature
@@ -75,3 +75,9 @@
   Scenario: A connection outlives an upstream that is silent for two seconds
     Given a connection to an upstream
     Then it is kept for 2500 to 4000 ms without any packet of the upstream
+
+  # Guards against upstreams that a router takes for unreachable, because it stood still itself
+  # while a connection was opened.
+  Scenario: A pause of the router is no failure to connect
+    Given an upstream that a router connects to
+    Then the connection is open if its time limit of 250 ms is noticed first
--- a/features/steps/statement_steps.py
+++ b/features/steps/statement_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from unittest import mock
 
 from behave import given
 from behave import then
@@ -220,3 +221,24 @@
 def check_brittle_runs(context, count):
     ran = sum(sum(g.upstream.app.runs.values()) for g in context.brittle)
     assert ran >= count, ran
+
+
+@given('an upstream that a router connects to')
+def start_upstream(context):
+    upstream = plain_service.PlainService('s')
+    context.conn = connection_.Connection(
+        upstream.address, clock_.SystemClock()
+    )
+    context.closing += [upstream.stop, context.conn.close]
+
+
+@then('the connection is open if its time limit of {ms:d} ms is noticed first')
+def check_open(context, ms):
+    with mock.patch.object(green.poller, 'wait', _wait_past_limit):
+        assert context.conn.connect(ms) is None
+
+
+def _wait_past_limit(fd, timeout_ms, events):
+    """Notice the time limit first, as after a pause of the process."""
+    green.sleep_ms(timeout_ms)
+    return green.Ready.NOTHING
--- a/src/peridotmast/wire/connection.py
+++ b/src/peridotmast/wire/connection.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import http.client
+import select
 import socket
 import struct
 import typing as ty
@@ -98,10 +99,12 @@
         except BaseException:
             self.close()
             raise
+        # After a pause of this process, the time limit is noticed first.
+        is_done = bool(ready) or _is_writable(sock)
         error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if not ready or error:
+        if not is_done or error:
             self.close()
-            detail = f'error {error}' if ready else TIMED_OUT
+            detail = f'error {error}' if is_done else TIMED_OUT
             return failures.not_run('no_connection', detail)
         self._reader = socket_reader.SocketReader(sock, self._clock)
         self._http_socket = _HttpSocket(sock, self._reader, self._clock)
@@ -339,6 +342,13 @@
         return remaining_ms
 
 
+def _is_writable(sock: socket.socket) -> bool:
+    """Return whether a connection is open or has failed, without waiting."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLOUT)
+    return bool(poll.poll(0))
+
+
 def _set_options(sock: socket.socket) -> None:
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
