Send requests again that a slow machine spreads over two usage windows

The step now sends them again in a later window that has none; the check of the report, 30 requests and no other, is the same. The requests that routers count for the retry budget are compared with all that were sent.

--- a/features/peer_ways.feature
+++ b/features/peer_ways.feature
@@ -78,9 +78,10 @@
     Given a fleet of 3 routers whose links to the upstreams can be cut
     When 2 routers are cut from all upstreams, reset
     And 5200 ms pass at the fleet
+    And the routers count what they take for requests of their own
     And 30 requests are sent to all routers within a usage window
     Then the report of that usage window has 30 requests of "noor"
-    And the routers have counted 30 requests for the retry budget
+    And the routers have counted each request once for the retry budget
 
   # Guards against a run that ends with the peer that it went through.
   Scenario: A stream goes on through another peer if its peer stops
--- a/features/steps/duty_steps.py
+++ b/features/steps/duty_steps.py
@@ -32,19 +32,33 @@
 
 @when('{count:d} requests are sent to all routers within a usage window')
 def send_within_window(context, count):
+    context.window, context.sent_count = None, 0
+    # Requests that a slow machine spreads over two windows are left to the
+    # reports of these windows, and sent again in a later one.
+    for _ in range(5):
+        if sends_within_window(context, count):
+            return
+    raise AssertionError('too slow')
+
+
+def sends_within_window(context, count):
+    """Send requests in a window that has none; return whether they fit."""
     fleet = context.fleet
+    usage = fleet.routers[0].serving.usage
     clock = fleet.routers[0].fleet_state.fleet_clock
+    if context.window is not None:
+        last = usage.window_now()
+        helpers.wait_until(lambda: usage.window_now() > last, 'a new window')
     green.sleep_ms(1000 - clock.now() % 1000 + 20)
-    context.window = fleet.routers[0].serving.usage.window_now()
+    context.window = usage.window_now()
     tasks = [
         green.spawn(helpers.send_request, fleet.routers[n % 3].address)
         for n in range(count)
     ]
+    context.sent_count += count
     for task in tasks:
         assert task.wait().status == 200
-    assert fleet.routers[0].serving.usage.window_now() == context.window, (
-        'too slow'
-    )
+    return usage.window_now() == context.window
 
 
 @then('the report of that usage window has {count:d} requests of "{team}"')
--- a/features/steps/peer_way_steps.py
+++ b/features/steps/peer_way_steps.py
@@ -243,14 +243,17 @@
     assert least <= min(found.values()) <= max(found.values()) <= most, found
 
 
-@then('the routers have counted {count:d} requests for the retry budget')
-def check_counted(context, count):
-    counted = sum(
-        len(router.serving.retry_budget._requests[shape_.PLAIN_SERVICE])
-        for router in context.fleet.routers
-    )
-    # Two requests at each router before the cut went to this service.
-    assert counted == count + 2 * 3, counted
+@when('the routers count what they take for requests of their own')
+def count_requests(context):
+    context.counted = []
+    for router in context.fleet.routers:
+        budget = router.serving.retry_budget
+        budget.count_request = context.counted.append
+
+
+@then('the routers have counted each request once for the retry budget')
+def check_counted(context):
+    assert len(context.counted) == context.sent_count, context.counted
 
 
 def start_through_peer(context, path, headers):
