A scenario for a request that the upstream of a peer refused

The mutation "offer a request to a peer after another one had it refused" survived the random histories: the retry that the peer had paid for and not sent covered the arrival. The scenario fails under it.

--- a/features/peer_ways.feature
+++ b/features/peer_ways.feature
@@ -146,3 +146,8 @@
     Given an upstream that a router cannot connect to
     When its entry is lost, and returns 3000 ms later
     Then it is used again without a trial
+
+  # Guards against a request that goes from peer to peer while upstreams refuse it.
+  Scenario: A request that the upstream of a peer refused goes to no other peer
+    Given a router whose two peers reach one upstream, which refuses a request
+    Then that request is refused as not run, and was forwarded once
--- a/features/steps/peer_way_steps.py
+++ b/features/steps/peer_way_steps.py
@@ -506,3 +506,18 @@
 def check_used_again(context):
     assert context.view.is_available and not context.view.is_unreachable
     assert not context.trials
+
+
+@given('a router whose two peers reach one upstream, which refuses a request')
+def start_refusing(context):
+    cut = set(peer_model.UPSTREAMS)
+    cuts = {'r-0': cut, 'r-1': cut - {'u-1'}, 'r-2': cut - {'u-1'}}
+    context.world = peer_model.World(cuts, ['refuse'], ())
+
+
+@then('that request is refused as not run, and was forwarded once')
+def check_refused_once(context):
+    got = context.world.routers['r-0'].ask('once', 'refused')
+    assert got.kind is failures.FailureKind.NOT_RUN, got
+    assert got.retry_after_ms, got
+    assert len(context.world.forwarded) == 1, context.world.forwarded
