Scenarios for two checks that no test needed

Two mutations survived, "accept forwarded requests while draining" and "use no open connection if new ones are refused": callers were served by another way. The first is caught now; the second is by its scenario.

--- a/features/peer_ways.feature
+++ b/features/peer_ways.feature
@@ -151,3 +151,20 @@
   Scenario: A request that the upstream of a peer refused goes to no other peer
     Given a router whose two peers reach one upstream, which refuses a request
     Then that request is refused as not run, and was forwarded once
+
+  # Guards against a planned stop that cuts off requests forwarded to a router whose leaving
+  # its peers do not know yet.
+  Scenario: A peer that has begun to drain leaves forwarded requests to another one
+    Given a router that reaches no upstream, and two peers, of which one drains
+    Then 20 requests are answered, and the peer that drains has sent none of them
+
+  # Guards against open connections that are left unused while new ones are refused, and
+  # against requests on connections to which nothing answers any more.
+  Scenario Outline: Open connections are used unless connecting had no answer
+    Given a router with open connections to upstreams, and new ones that <end>
+    Then its next request is forwarded to <count> peers
+
+    Examples:
+      | end            | count |
+      | are refused    | 0     |
+      | have no answer | 1     |
--- a/features/steps/peer_way_steps.py
+++ b/features/steps/peer_way_steps.py
@@ -521,3 +521,41 @@
     assert got.kind is failures.FailureKind.NOT_RUN, got
     assert got.retry_after_ms, got
     assert len(context.world.forwarded) == 1, context.world.forwarded
+
+
+@given('a router that reaches no upstream, and two peers, of which one drains')
+def start_draining(context):
+    cuts = {'r-0': set(peer_model.UPSTREAMS), 'r-1': set(), 'r-2': set()}
+    context.world = peer_model.World(cuts, (), ())
+    now = context.world.clock.now()
+    context.world.routers['r-1'].serving.gateway.drain(now + 2000, now + 8000)
+
+
+@then(
+    '{count:d} requests are answered, and the peer that drains has sent none'
+    ' of them'
+)
+def check_left_to_other(context, count):
+    routers = context.world.routers
+    for number in range(count):
+        assert routers['r-0'].ask('once', f'r-{number}')[0] == 200
+        steps = routers['r-1'].serving.decisions.history(f'r-{number}')
+        assert not [text for _, text in steps if text.startswith('attempt')]
+
+
+@given('a router with open connections to upstreams, and new ones that {end}')
+def start_with_open_connections(context, end):
+    context.world = peer_model.World({'r-0': set(), 'r-1': set()}, (), ())
+    router = context.world.routers['r-0']
+    router.serving.placement.has_idle_connection = lambda address: True
+    detail = 'error 111' if end == 'are refused' else connection_.TIMED_OUT
+    for view in router.table.all():
+        router.serving._reach.note_failure(
+            view, failures.not_run('no_connection', detail)
+        )
+
+
+@then('its next request is forwarded to {count:d} peers')
+def check_forwards(context, count):
+    assert context.world.routers['r-0'].ask('once', 'next')[0] == 200
+    assert len(context.world.forwarded) == count, context.world.forwarded
