--- /dev/null
+++ b/features/steps/answer_end_steps.py
@@ -0,0 +1,248 @@
+"""Steps for answers that end in each way, whole or broken off."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import itertools
+import re
+import socket
+
+from behave import given
+from behave import then
+import fleet_steps
+import helpers
+import raw_upstream
+import upstream_steps
+
+from peridotmast import clock as clock_
+from peridotmast.embedded import shape as shape_
+from peridotmast import failures
+from peridotmast import green
+from peridotmast.platform import names
+from peridotmast.wire import http_client
+from peridotmast.wire import socket_reader
+
+EVENTS = [b'id: %d\ndata: {"text": "w%d "}\n\n' % (n, n) for n in (1, 2, 3)]
+SILENCE_MS = 400
+"""Time limit of requests whose engine goes silent, in ms."""
+
+STREAM_ENDS = {
+    'before the first event': b'',
+    'inside the first event': EVENTS[0][:9],
+    'after an event': EVENTS[0],
+    'inside an event': EVENTS[0] + EVENTS[1][:9],
+    'before the last line': b''.join(EVENTS)[:-1],
+    'the last event': b''.join(EVENTS),
+}
+"""Bytes of the stream that are sent until it ends."""
+
+HEAD = 'HTTP/1.1 404 Not Found\r\n{id}: {value}\r\n'.format(
+    id=names.REQUEST_ID, value='{}'
+)
+CHUNKED = HEAD + 'Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n'
+CUTS = {
+    'inside the status line': 'HTTP/1.1 404 Not',
+    'inside the headers': HEAD + 'Content-Le',
+    'inside an interim response': 'HTTP/1.1 100 Continue\r\nDate: now\r\n',
+    'before the blank line': HEAD + 'Content-Length: 0\r\n',
+    'inside the size of a chunk': CHUNKED + '0',
+    'inside the trailer': CHUNKED + '0\r\nExp',
+    'before the end of the trailer': CHUNKED + '0\r\n',
+}
+"""Beginnings of answers, after which their connection is closed."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Ending:
+    """How a scripted engine ends a stream."""
+
+    framing: str
+    until: str
+    end: str
+
+    def play(self, sock, request_id, last_event=0):
+        """Send the part of a stream that follows an event; then end it."""
+        skipped = sum(map(len, EVENTS[:last_event]))
+        body = STREAM_ENDS[self.until][skipped:]
+        lines = {
+            'length': [f'Content-Length: {sum(map(len, EVENTS)) - skipped}'],
+            'chunks': ['Transfer-Encoding: chunked'],
+            'connection': [],
+        }[self.framing]
+        lines += ['Content-Type: text/event-stream', 'Connection: close']
+        sock.sendall(upstream_steps.make_head(request_id, *lines))
+        is_chunked = self.framing == 'chunks'
+        if body:
+            size = b'%x\r\n' % len(body) if is_chunked else b''
+            sock.sendall(size + body + (b'\r\n' if is_chunked else b''))
+        if self.end == 'orderly' and is_chunked:
+            sock.sendall(b'0\r\n\r\n')
+        if self.end in ('reset', 'silence'):
+            # What was sent must arrive first.
+            green.sleep_ms(60 if self.end == 'reset' else 3 * SILENCE_MS)
+        if self.end == 'reset':
+            upstream_steps.set_reset_on_close(sock)
+
+
+@dataclasses.dataclass(frozen=True)
+class Received:
+    """What a caller received until its connection ended."""
+
+    status: int
+    body: bytes
+    result: str
+
+
+def ask(context, path, version='1.1', body=b'letter', deadline_ms=4000):
+    """Send a request; tell a reset from an orderly close."""
+    host, _, port = fleet_steps.router_address(context).rpartition(':')
+    sock = socket.create_connection((host, int(port)))
+    text = (
+        f'POST {path} HTTP/{version}\r\nHost: {shape_.HOST}\r\n'
+        f'{names.REQUEST_ID}: end-{next(_numbers)}\r\n'
+        f'{names.AUTHORIZATION}: {helpers.KEY}\r\nConnection: close\r\n'
+        f'{names.DEADLINE_MS}: {deadline_ms}\r\n'
+        f'{names.TOKEN_COUNTS}: 10,10\r\nContent-Length: {len(body)}\r\n\r\n'
+    )
+    sock.sendall(text.encode() + body)
+    sock.setblocking(False)
+    clock = clock_.SystemClock()
+    reader = socket_reader.SocketReader(sock, clock)
+    reader.deadline = clock.now() + helpers.LONG_MS
+    data, was_reset = b'', False
+    try:
+        while part := reader.read1(65536):
+            data += part
+    except ConnectionResetError:
+        was_reset = True
+    green.poller.unregister(sock.fileno())
+    sock.close()
+    return received(data, was_reset)
+
+
+_numbers = itertools.count(1)
+
+
+def received(data, was_reset):
+    head, _, body = data.partition(b'\r\n\r\n')
+    status = int(head.split(b' ')[1]) if head else 0
+    if status != 200:
+        return Received(status, body, str(status) if status else 'broken')
+    length = re.search(rb'(?i)\r\ncontent-length: (\d+)', head)
+    if length:
+        is_whole = len(body) == int(length[1])
+        return Received(200, body, 'complete' if is_whole else 'broken')
+    if re.search(rb'(?i)\r\ntransfer-encoding: chunked', head):
+        is_whole = body.endswith(b'\r\n0\r\n\r\n') and not was_reset
+        body = re.sub(rb'(^|\r\n)[0-9a-f]+\r\n', b'', body)
+        return Received(200, body, 'complete' if is_whole else 'broken')
+    return Received(200, body, 'broken' if was_reset else 'until close')
+
+
+@then(
+    'streams that may not be resumed end as follows at callers of HTTP/1.1'
+    ' and HTTP/1.0'
+)
+def streams_end(context):
+    context.results = []
+    wrong = []
+    for number, row in enumerate(context.table):
+        ending = Ending(row['framing'], row['until'], row['end'])
+        context.script = lambda sock, request_id, _: ending.play(
+            sock, request_id
+        )
+        for version in ('1.1', '1.0'):
+            answer = ask(
+                context,
+                '/once/x',
+                version,
+                f'letter {number} {version}'.encode(),
+                SILENCE_MS if ending.end == 'silence' else 4000,
+            )
+            context.results.append((ending, answer))
+            if answer.result != row[version]:
+                wrong.append((ending, version, answer.result))
+    assert not wrong, '\n'.join(map(str, wrong))
+
+
+@then('what was not broken off is passed on byte by byte')
+def passed_on_whole(context):
+    for ending, answer in context.results:
+        if answer.result in ('complete', 'until close'):
+            assert answer.body == b''.join(EVENTS), (ending, answer)
+
+
+@given('a fleet of {count:d} routers with {engines:d} scripted engines')
+def scripted_engine_fleet(context, count, engines):
+    fleet = helpers.start_fleet(context, routers=count, engines=0)
+    context.endings = collections.deque()
+    for number in range(engines):
+        engine = _EndingEngine(context.endings)
+        context.closing.append(engine.upstream.stop)
+        engine.upstream.register(fleet, shape_.ENGINE_SERVICE, f'raw-{number}')
+    fleet_steps.wait_until_known(context, engines, shape_.ENGINE_SERVICE)
+
+
+class _EndingEngine:
+    """An engine that ends each stream in the next of the given ways."""
+
+    def __init__(self, endings):
+        self._endings = endings
+        self.upstream = raw_upstream.RawUpstream(self._answer)
+
+    def _answer(self, sock, request_id, number):
+        head = self.upstream.requests[-1].decode()
+        found = re.search(rf'(?i)\r\n{names.LAST_EVENT}: (\d+)', head)
+        if self._endings:
+            ending = self._endings.popleft()
+            ending.play(sock, request_id, int(found[1]) if found else 0)
+        return False
+
+
+@then('streams that may be resumed end as follows')
+def resumed_streams_end(context):
+    context.results, wrong = [], []
+    for number, row in enumerate(context.table):
+        endings = [
+            Ending(*cell.split(', ')) for cell in row.cells[:-1] if cell
+        ]
+        context.endings.extend(endings)
+        answer = ask(context, '/chat/x', body=f'letter {number}'.encode())
+        context.results.append((endings, answer))
+        if answer.result != row['result'] or context.endings:
+            wrong.append((number, answer.result, list(context.endings)))
+        context.endings.clear()
+    assert not wrong, '\n'.join(map(str, wrong))
+
+
+@then('each of them holds each event once')
+def holds_each_event_once(context):
+    for endings, answer in context.results:
+        assert answer.body == b''.join(EVENTS), (endings, answer)
+
+
+@then('answers that are cut as follows are no answers')
+def cut_answers(context):
+    statuses = {}
+    for row in context.table:
+        cut = row['cut']
+
+        def script(sock, request_id, number):
+            sock.sendall(CUTS[cut].format(request_id).encode())
+            return False
+
+        context.script = script
+        statuses[cut] = ask(context, '/holds/seat').status
+    assert set(statuses.values()) == {502}, statuses
+
+
+@then('a call whose answer has neither a length nor a body has failed')
+def call_without_body(context):
+    context.script = lambda sock, request_id, number: sock.sendall(
+        upstream_steps.make_head('call-1')
+    )
+    client = http_client.HttpClient()
+    found = client.request('GET', context.raw_upstream.address, '/x')
+    client.close()
+    assert isinstance(found, failures.Failure), found
