Take a stream for complete only where its last event and its framing show it

Callers got streams that had been broken off inside an event as complete: `Stream.feed` took an empty read for the end, passed on the half event, and the server added a last chunk. An answer without a length and without chunks ends with its connection, so any orderly close looked like its end.

A stream that ends inside an event, or with its connection before its first event, has failed now: it counts so (crashes, health, versions on trial) and goes on elsewhere where its route allows it. What ends with its connection after a whole event claims no more at the caller: no length, no chunks, and a connection that is reset unless the answer ended, also by the kernel if the router is killed; HTTP/1.0 callers the same. If such a stream was resumed after a part with chunks, its end is asked of one more upstream, or it ends broken. Answers of streaming routes that are no success are read whole.

The random model of forwarded requests draws unframed and half answers too.

--- a/features/steps/answer_end_steps.py
+++ b/features/steps/answer_end_steps.py
@@ -134,12 +134,24 @@
         is_whole = len(body) == int(length[1])
         return Received(200, body, 'complete' if is_whole else 'broken')
     if re.search(rb'(?i)\r\ntransfer-encoding: chunked', head):
-        is_whole = body.endswith(b'\r\n0\r\n\r\n') and not was_reset
-        body = re.sub(rb'(^|\r\n)[0-9a-f]+\r\n', b'', body)
+        body, is_whole = read_chunks(body)
+        is_whole = is_whole and not was_reset
         return Received(200, body, 'complete' if is_whole else 'broken')
     return Received(200, body, 'broken' if was_reset else 'until close')
 
 
+def read_chunks(body):
+    """Return the content of chunks, and whether the last chunk is there."""
+    content = b''
+    while match := re.match(rb'([0-9a-f]+)\r\n', body):
+        size, start = int(match[1], 16), match.end()
+        if not size:
+            return content, body[start:] == b'\r\n'
+        content += body[start : start + size]
+        body = body[start + size + 2 :]
+    return content, False
+
+
 @then(
     'streams that may not be resumed end as follows at callers of HTTP/1.1'
     ' and HTTP/1.0'
--- a/features/steps/peer_model.py
+++ b/features/steps/peer_model.py
@@ -29,6 +29,7 @@
 from peridotmast.serving import upstreams as upstreams_
 from peridotmast import tracing
 from peridotmast.wire import connection as connection_
+from peridotmast.wire import framing as framing_
 from peridotmast.wire import server as server_
 from peridotmast.wire import strict_protocol
 
@@ -47,9 +48,11 @@
     _route.timeout_ms, _route.target_ms, _route.target_gap_ms = 9000, 400, 800
 
 ARRIVALS = ('answer', 'answer', 'answer', 'refuse', 'error', 'lost', 'part')
+ARRIVALS += ('unframed', 'inside', 'unframed_inside')
 """What an upstream does with a request that arrives: it answers, states that
-it did not run it, fails it, runs it without an answer, or ends a stream after
-two events."""
+it did not run it, fails it, runs it without an answer, ends a stream after two
+events; answers without a length; or ends a stream inside an event, with or
+without a length."""
 
 HOPS = ('pass', 'pass', 'pass', 'refuse', 'lose_call', 'lose_answer', 'part')
 """What becomes of a call between routers: it passes, is not connected, is lost
@@ -67,6 +70,8 @@
         self.runs, self.arrived, self.forwarded = [], [], []
         self.granted, self.requests, self.usage = [], [], []
         self.hops_broken = 0
+        self.framing = framing_.Framing.LENGTH
+        """Framing of the last answer of an upstream."""
         self.routers = {
             f'r-{n}': Router(self, f'r-{n}') for n in range(len(cuts))
         }
@@ -197,7 +202,7 @@
             parts = [result.body]
             if not isinstance(result.body, bytes):
                 parts = list(result.body)
-            return result.head.status, b''.join(parts)
+            return result.head.status, b''.join(parts), result.head.framing
         except reply_.BrokenAnswer as exc:
             return failures.unknown(str(exc))
         finally:
@@ -256,19 +261,31 @@
         if self.outcome == 'refuse':
             headers.append((names.NOT_RUN, '1'))
         self.parts = iter((b'x', b''))
-        if self.outcome in ('answer', 'part'):
+        if self.outcome in ('answer', 'part', 'inside') or self.is_unframed:
             headers.append((names.SEAL, self.upstream))
             if self.is_stream:
                 self.parts = self.events()
+        self.world.framing = (
+            framing_.Framing.CONNECTION
+            if self.is_unframed
+            else framing_.Framing.CHUNKS
+        )
         return connection_.ResponseHead(
-            statuses.get(self.outcome, 200), headers
+            statuses.get(self.outcome, 200), headers, self.world.framing
         )
 
+    @property
+    def is_unframed(self):
+        return self.outcome.startswith('unframed')
+
     def events(self):
         events = EVENTS[self.resumed :]
         if self.outcome == 'part':
             yield from events[:2]
             yield failures.unknown('broke_off')
+        if self.outcome.endswith('inside') and events:
+            yield events[0][:-1]
+            yield b''
         yield from events
         yield b''
 
@@ -297,7 +314,13 @@
             watch_for_close=lambda: None,
             stop_watching=lambda: None,
             reset=lambda: None,
+            accepts_chunks=True,
+            end_with_connection=lambda: self.note_framing(
+                framing_.Framing.CONNECTION
+            ),
+            close_orderly=lambda: None,
         )
+        self.framing = framing_.Framing.CHUNKS
         environ = {
             strict_protocol.CONNECTION: caller,
             strict_protocol.TARGET: target,
@@ -312,8 +335,13 @@
         result = pb.ForwardResult.FromString(base64.b64decode(text))
         return self.head.status, result
 
+    def note_framing(self, framing):
+        self.framing = framing
+
     def start(self, status, headers):
-        self.head = connection_.ResponseHead(int(status[:3]), headers)
+        self.head = connection_.ResponseHead(
+            int(status[:3]), headers, self.framing
+        )
 
     def read_head(self, method, deadline):
         if self.hop == 'lose_answer':
@@ -355,6 +383,8 @@
     elif got[0] == 200:
         whole = b''.join(EVENTS) if kind == 'stream' else b'x'
         assert got[1] == whole, got
+        is_unframed = world.framing is framing_.Framing.CONNECTION
+        assert not is_unframed or got[2] is world.framing, 'claims an end'
         assert len(world.usage) == 1, world.usage
     assert len(world.usage) <= 1, world.usage
     assert len(world.requests) == 1, world.requests
--- a/src/peridotmast/serving/dispatcher.py
+++ b/src/peridotmast/serving/dispatcher.py
@@ -274,7 +274,11 @@
             return self._handle_not_run(exchange, sent)
         state.runs += 1
         state.accepted_by.add(reservation.view.name)
-        is_streaming = exchange.is_stream and sent.verdict is Verdict.ANSWER
+        is_streaming = (
+            exchange.is_stream
+            and sent.verdict is Verdict.ANSWER
+            and sent.head.is_success
+        )
         if not is_streaming:
             self._count_started(state, sent.sent_at)
         if sent.verdict is Verdict.GARBLED:
--- a/src/peridotmast/serving/response_body.py
+++ b/src/peridotmast/serving/response_body.py
@@ -8,6 +8,7 @@
 from peridotmast.serving import decisions as decisions_
 from peridotmast.serving import reply as reply_
 from peridotmast.wire import caller_connection
+from peridotmast.wire import framing
 
 HOP_BY_HOP = frozenset((
     'connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate',
@@ -21,7 +22,8 @@
     """Response body for the WSGI server.
 
     If the body breaks off, the connection is reset, so that the caller can't
-    take the response for complete.
+    take the response for complete. A body of which only the end of the
+    upstream's connection marks the end is sent to the caller in the same way.
 
     Parameters
     ----------
@@ -49,15 +51,22 @@
         self._conn = conn
         self._decisions = decisions
         self._request_id = request_id
-        self._done = False
+        self._is_done = False
         body = reply.body
+        is_whole = isinstance(body, bytes)
         self._parts = iter((body,)) if isinstance(body, bytes) else body
+        self._ends_with_connection = (
+            reply.head.framing is framing.Framing.CONNECTION
+            or not (is_whole or conn.accepts_chunks)
+        )
         headers = [
             (name, value)
             for name, value in reply.head.headers
             if name.lower() not in HOP_BY_HOP
         ]
-        if isinstance(body, bytes):
+        if self._ends_with_connection:
+            conn.end_with_connection()
+        elif isinstance(body, bytes):
             headers.append(('Content-Length', str(len(body))))
         start(status_line(reply.head.status), headers)
 
@@ -68,7 +77,9 @@
         try:
             return next(self._parts)
         except StopIteration:
-            self._done = True
+            self._is_done = True
+            if self._ends_with_connection:
+                self._conn.close_orderly()
             raise
         except reply_.BrokenAnswer as exc:
             self._conn.reset()
@@ -80,6 +91,8 @@
     def close(self) -> None:
         """Release the resources of the response; called by the server."""
         self._conn.stop_watching()
+        if self._ends_with_connection and not self._is_done:
+            self._conn.reset()
         self._reply.close()
 
 
--- a/src/peridotmast/serving/stream.py
+++ b/src/peridotmast/serving/stream.py
@@ -6,12 +6,17 @@
 import typing as ty
 
 from peridotmast import clock as clock_
+from peridotmast import failures
 from peridotmast import green
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import exchange as exchange_
 from peridotmast.serving import placement
 from peridotmast.serving import sender as sender_
 from peridotmast.wire import event_reader
+from peridotmast.wire import framing
+
+END_UNKNOWN = 'end_unknown'
+"""Reason of a failure of a stream that may be complete or not."""
 
 _MIGRATION_WAIT_MS = 1500
 """Time limit for a migration to finish once its stream has stopped, in ms."""
@@ -53,7 +58,9 @@
         self.pending = b''
         """Received events that were not forwarded yet."""
         self.ended = False
-        """Whether the upstream marked the stream as complete."""
+        """Whether the stream has ended, as far as the caller can see."""
+        self.framing = sent.head.framing
+        """What marks the end of the body for the caller."""
         self.is_answering = False
         """Whether the current attempt has sent a new event."""
         self.is_broken = False
@@ -64,19 +71,46 @@
         self._is_gap_taken = False
         self._migration: ty.Optional[ty.Any] = None
 
-    def feed(self, data: bytes) -> None:
-        """Add received bytes; empty `data` marks the end of the stream."""
-        if data:
-            last_id = self.reader.last_id
-            self.pending += self.reader.feed(data)
-            self.is_answering |= self.reader.last_id > last_id
-            if self._first is None and self.reader.last_id >= 0:
-                self._first = self._clock.now(), self.reader.last_id
-            if self._gap_start is None and self.is_answering:
-                self._gap_start = self._clock.now(), self.reader.last_id
-            return
+    def feed(self, data: bytes) -> ty.Optional[failures.Failure]:
+        """Add received bytes; empty `data` marks the end of the body.
+
+        Returns
+        -------
+        Failure or None
+            Why the stream is not complete although the body has ended.
+        """
+        if not data:
+            return self._end()
+        last_id = self.reader.last_id
+        self.pending += self.reader.feed(data)
+        self.is_answering |= self.reader.last_id > last_id
+        if self._first is None and self.reader.last_id >= 0:
+            self._first = self._clock.now(), self.reader.last_id
+        if self._gap_start is None and self.is_answering:
+            self._gap_start = self._clock.now(), self.reader.last_id
+        return None
+
+    def _end(self) -> ty.Optional[failures.Failure]:
+        """End the stream, unless its last event shows that it broke off.
+
+        A body that ends with its connection may lack further events. The
+        caller is not to take it for complete with more certainty than this
+        router can.
+        """
+        if self.reader.is_inside_event:
+            return failures.unknown('cut_short', 'inside an event')
+        by_connection = framing.Framing.CONNECTION
+        if self.sent.head.framing is by_connection:
+            if self.reader.last_id < 0:
+                return failures.unknown('cut_short', 'before the first event')
+            if (
+                self._migration is not None
+                or self.framing is not by_connection
+            ):
+                return failures.unknown(END_UNKNOWN)
         self.ended = True
         self.pending += self.reader.buffered
+        return None
 
     def take_pending(self) -> bytes:
         """Return the pending events and clear them."""
--- a/src/peridotmast/serving/stream_relay.py
+++ b/src/peridotmast/serving/stream_relay.py
@@ -174,31 +174,42 @@
     ) -> ty.Optional[failures.Failure]:
         deadline = self._clock.now() + first_event_ms
         while not stream.pending and not stream.ended:
-            read_until = min(stream.exchange.deadline, deadline)
-            data = stream.sent.conn.read_some(read_until)
-            if isinstance(data, failures.Failure):
-                migrated = self._resume_at_target(stream)
-                if migrated is None:
-                    self._note_failure(stream, data)
-                    return data
-                if isinstance(migrated, failures.Failure):
-                    return migrated
+            failure = self._read(
+                stream, min(stream.exchange.deadline, deadline)
+            )
+            if failure is None:
                 continue
-            stream.sent.reservation.view.note_activity()
-            stream.feed(data)
+            migrated = self._resume_at_target(stream)
+            if migrated is None:
+                self._note_failure(stream, failure)
+                return failure
+            if isinstance(migrated, failures.Failure):
+                return migrated
         stream.sent.reservation.mark_prefill_ended()
         stream.sent.reservation.view.health.record_success()
         return None
 
+    def _read(
+        self, stream: stream_.Stream, deadline: int
+    ) -> ty.Optional[failures.Failure]:
+        """Read the next bytes; return why the stream is interrupted."""
+        conn = stream.sent.conn
+        data = conn.read_some(deadline)
+        if isinstance(data, failures.Failure):
+            return data
+        stream.sent.reservation.view.note_activity()
+        failure = stream.feed(data)
+        if failure is not None:
+            conn.close()
+        return failure
+
     def _read_more(self, stream: stream_.Stream) -> None:
         exchange = stream.exchange
-        data = stream.sent.conn.read_some(self._stall_deadline(stream))
-        if not isinstance(data, failures.Failure):
-            stream.sent.reservation.view.note_activity()
-            stream.feed(data)
+        failure = first_failure = self._read(
+            stream, self._stall_deadline(stream)
+        )
+        if failure is None:
             self._note_gap(stream, _GAP_EVENTS)
-            return
-        failure: ty.Optional[failures.Failure] = data
         while failure is not None:
             self._decisions.note(
                 exchange.id,
@@ -210,7 +221,7 @@
             )
             migrated = self._resume_at_target(stream)
             if migrated is None:
-                if failure is data:
+                if failure is first_failure:
                     # Later failures belong to attempts to resume at other
                     # upstreams, not to the previous one.
                     self._note_failure(stream, failure)
@@ -222,6 +233,9 @@
     def _note_failure(
         self, stream: stream_.Stream, failure: failures.Failure
     ) -> None:
+        if failure.reason == stream_.END_UNKNOWN:
+            # The upstream may have sent all.
+            return
         sent = stream.sent
         view = sent.reservation.view
         self._sender.note_failure(
--- a/src/peridotmast/wire/caller_connection.py
+++ b/src/peridotmast/wire/caller_connection.py
@@ -10,6 +10,13 @@
 from peridotmast import green
 from peridotmast.wire import request_body
 
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+_NO_LINGER = struct.pack('ii', 0, 0)
+"""SO_LINGER values with which closing a socket resets its connection, or ends
+it orderly."""
+
+_CHUNKED_VERSION = 'HTTP/1.1'
+
 
 class CallerDisconnected(Exception):
     """Raised in the task of a request whose caller has disconnected."""
@@ -97,6 +104,28 @@
             self._read_watch.cancel()
             self._read_watch = None
 
+    @property
+    def accepts_chunks(self) -> bool:
+        """Whether the caller's version of HTTP has chunks."""
+        return self._protocol.request_version == _CHUNKED_VERSION
+
+    def end_with_connection(self) -> None:
+        """Send the current response without a length and without chunks.
+
+        Until `close_orderly` the connection is reset when it is closed, by
+        this router or by the kernel if this process is killed.
+        """
+        # The server sends chunks to all callers of a later version.
+        self._protocol.request_version = 'HTTP/1.0'
+        self._protocol.close_connection = 1
+        self._sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+        )
+
+    def close_orderly(self) -> None:
+        """Close a connection that marks the end of its response."""
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+
     def close_after(self) -> None:
         """Close the connection after the current response."""
         self._protocol.close_connection = 1
@@ -113,7 +142,7 @@
             return
         self.stop_watching()
         self._sock.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+            socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
         )
         os.close(self._sock.fd.detach())
 
--- a/src/peridotmast/wire/connection.py
+++ b/src/peridotmast/wire/connection.py
@@ -49,6 +49,11 @@
     framing: framing_.Framing = framing_.Framing.LENGTH
     """What marks the end of the body."""
 
+    @property
+    def is_success(self) -> bool:
+        """Whether the status is 2xx."""
+        return 200 <= self.status < 300
+
     def get(self, name: str) -> str:
         """Return the first header called `name`, or an empty string."""
         wanted = name.lower()
--- a/src/peridotmast/wire/event_reader.py
+++ b/src/peridotmast/wire/event_reader.py
@@ -27,6 +27,12 @@
         """Bytes of an incomplete event."""
         return self._buffer
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether a part of an event was received, not only a comment."""
+        lines = self._buffer.splitlines()
+        return any(line and not line.startswith(b':') for line in lines)
+
     def feed(self, data: bytes) -> bytes:
         """Return the bytes of the events that `data` completes."""
         self._buffer += data
