Take the close of a connection for the end of no head, no chunks and no empty answer

A status line, some headers or the beginning of a last chunk passed for a whole answer, so a caller got a 404 that nobody had sent. A call to the store whose answer ended with its connection before its body had succeeded with an empty object.

Each is a failure now.

--- a/src/peridotmast/wire/connection.py
+++ b/src/peridotmast/wire/connection.py
@@ -217,6 +217,10 @@
             return self._close_with_failure(
                 'cut_short', f'{resp.length} bytes'
             )
+        if not data and resp.chunked and self._reader.ended:
+            # The library takes the end of the connection for that of the
+            # trailer, and a part of the last chunk's size for the whole.
+            return self._close_with_failure('cut_short', 'trailer')
         return self._unless_cancelled(data)
 
     def read_all(
@@ -290,6 +294,10 @@
         while True:
             resp = http.client.HTTPResponse(self._http_socket, method=method)
             resp.begin()
+            if self._reader.ended:
+                # The library takes the end of the connection for that of the
+                # head.
+                raise http.client.HTTPException('head cut short')
             if resp.status >= 200:
                 break
         self._resp = resp
--- a/src/peridotmast/wire/http_client.py
+++ b/src/peridotmast/wire/http_client.py
@@ -9,6 +9,7 @@
 from peridotmast import clock as clock_
 from peridotmast import failures
 from peridotmast.wire import connection as connection_
+from peridotmast.wire import framing
 from peridotmast.wire import pool as pool_
 
 _MAX_BODY_BYTES = 64 << 20
@@ -154,6 +155,9 @@
         )
         if isinstance(body, failures.Failure):
             return body
+        if not body and head.framing is framing.Framing.CONNECTION:
+            # An empty body would pass for an empty object.
+            return failures.unknown('cut_short', 'neither length nor body')
         return Response(head.status, head.headers, body)
 
 
--- a/src/peridotmast/wire/socket_reader.py
+++ b/src/peridotmast/wire/socket_reader.py
@@ -30,7 +30,8 @@
         self._sock = sock
         self._clock = clock
         self._buffer = bytearray()
-        self._ended = False
+        self.ended = False
+        """Whether the end of the connection was read."""
         self.deadline = 0
         """Time by which bytes must arrive, in ms of the clock."""
         self.bytes_received = 0
@@ -90,13 +91,13 @@
         OSError
             If the connection was reset.
         """
-        while not self._ended:
+        while not self.ended:
             try:
                 data = self._sock.recv(_READ_BYTES)
             except BlockingIOError:
                 self._wait()
                 continue
-            self._ended = not data
+            self.ended = not data
             self.bytes_received += len(data)
             self._buffer += data
             return bool(data)
