State no end in the chat API that no upstream has stated

Same class: a chat ended with [DONE], and an answer of a service got a length, where only the end of a connection had marked the end. A chat is resumed at another engine then or ends with an error; the answer of a service ends with its connection. Before: one of three chats was stated as done that must not be (features/answer_ends.feature); now none.

--- a/features/answer_ends.feature
+++ b/features/answer_ends.feature
@@ -59,3 +59,14 @@
       | inside the trailer             |
       | before the end of the trailer  |
     And a call whose answer has neither a length nor a body has failed
+
+  # Guards against chat answers that end with [DONE] or with a length although no engine or service
+  # has stated their end.
+  Scenario: The chat API states no end that it does not know
+    Given a fleet of 1 routers with 4 scripted engines
+    Then chats end as follows
+      | first attempt                       | second attempt                      | result |
+      | connection, the last event, orderly | chunks, the last event, orderly     | done   |
+      | connection, the last event, orderly | connection, the last event, orderly | error  |
+      | connection, inside an event, close  | chunks, the last event, orderly     | done   |
+    And an answer of a service that ends with its connection has no length
--- a/features/steps/answer_end_steps.py
+++ b/features/steps/answer_end_steps.py
@@ -15,10 +15,12 @@
 import raw_upstream
 import upstream_steps
 
+from peridotmast.client import caller
 from peridotmast import clock as clock_
 from peridotmast.embedded import shape as shape_
 from peridotmast import failures
 from peridotmast import green
+from peridotmast.load import oracle
 from peridotmast.platform import names
 from peridotmast.wire import http_client
 from peridotmast.wire import socket_reader
@@ -258,3 +260,49 @@
     found = client.request('GET', context.raw_upstream.address, '/x')
     client.close()
     assert isinstance(found, failures.Failure), found
+
+
+@then('chats end as follows')
+def chats_end(context):
+    (router,) = context.fleet.routers
+    results = []
+    for row in context.table:
+        context.endings.clear()
+        context.endings.extend(
+            Ending(*cell.split(', ')) for cell in row.cells[:-1]
+        )
+        answer = caller.Caller([router.chat_address], 'key-noor').chat(
+            oracle.MODEL, row['first attempt'], 3, deadline_ms=3000
+        )
+        first = answer.attempts[0]
+        results.append('error' if first.error_reported else 'done')
+        assert answer.text == 'w1 w2 w3 ' or not answer.complete, answer
+    assert results == [row['result'] for row in context.table], results
+
+
+@then('an answer of a service that ends with its connection has no length')
+def service_without_length(context):
+    upstream = raw_upstream.RawUpstream(upstream_steps.body_until_close)
+    context.closing.append(upstream.stop)
+    upstream.register(context.fleet, shape_.PLAIN_SERVICE, 'raw-9')
+    fleet_steps.wait_until_known(context, 3, shape_.PLAIN_SERVICE)
+    answer = next(
+        answer
+        for answer in iter(lambda: call_hold(context), None)
+        if upstream.requests
+    )
+    assert (answer.status, answer.body) == (200, b'all of it'), answer
+    names_sent = {name.lower() for name, _ in answer.headers}
+    framed_by = {'content-length', 'transfer-encoding'} & names_sent
+    assert not framed_by, answer.headers
+
+
+def call_hold(context):
+    (router,) = context.fleet.routers
+    return http_client.HttpClient().request(
+        'POST',
+        router.chat_address,
+        '/v1/services/booking/hold',
+        {'payload': 'x', 'idempotent': False},
+        {names.AUTHORIZATION: helpers.KEY},
+    )
--- a/src/peridotmast/router/chat_api.py
+++ b/src/peridotmast/router/chat_api.py
@@ -23,6 +23,7 @@
 from peridotmast import tracing
 from peridotmast import web
 from peridotmast.wire import caller_connection
+from peridotmast.wire import framing
 
 MAX_REQUEST_ID_LENGTH = 120
 """Maximum length of a caller's request id, in characters."""
@@ -124,6 +125,8 @@
         if isinstance(body, failures.Failure):
             return web.failure_response(body, incoming.id)
         response = web.Response(reply.head.status, body, 'text/plain')
+        if reply.head.framing is framing.Framing.CONNECTION:
+            response.ends_with_connection = True
         response.headers.append(('X-Request-Id', incoming.id))
         return response
 
@@ -180,6 +183,7 @@
             'max_tokens': max_tokens,
         }
         incoming.body = json.dumps(content).encode()
+        incoming.needs_known_end = True
         incoming.prompt = _prompt(body, max_tokens)
         return incoming, body
 
--- a/src/peridotmast/serving/exchange.py
+++ b/src/peridotmast/serving/exchange.py
@@ -88,6 +88,9 @@
     forwarded_by: str = ''
     """Name of the peer that forwarded the request and counts it; empty if a
     caller sent it to this router."""
+    needs_known_end: bool = False
+    """Whether the response to the caller states its end, so that a stream
+    whose end is not known can't be passed on as it is."""
     traceparent: str = ''
 
     @property
--- a/src/peridotmast/serving/gateway.py
+++ b/src/peridotmast/serving/gateway.py
@@ -62,6 +62,8 @@
     """Route selected by the API; if None, it is found by host and target."""
     priority: ty.Optional[int] = None
     """Priority set by the API; if None, that of the team or route applies."""
+    needs_known_end: bool = False
+    """Whether the API states the end of a stream to the caller."""
     traceparent: str = ''
     """Trace context of the request, as a W3C ``traceparent`` value."""
 
@@ -347,6 +349,7 @@
             caller=request.caller,
             prompt=request.prompt,
             cost=_cost(request.prompt, team),
+            needs_known_end=request.needs_known_end,
             traceparent=request.traceparent,
         )
         return exchange, service
--- a/src/peridotmast/serving/stream.py
+++ b/src/peridotmast/serving/stream.py
@@ -99,19 +99,20 @@
         """
         if self.reader.is_inside_event:
             return failures.unknown('cut_short', 'inside an event')
-        by_connection = framing.Framing.CONNECTION
-        if self.sent.head.framing is by_connection:
+        if self.sent.head.framing is framing.Framing.CONNECTION:
             if self.reader.last_id < 0:
                 return failures.unknown('cut_short', 'before the first event')
-            if (
-                self._migration is not None
-                or self.framing is not by_connection
-            ):
+            if self._migration is not None or not self._may_end_unknown():
                 return failures.unknown(END_UNKNOWN)
         self.ended = True
         self.pending += self.reader.buffered
         return None
 
+    def _may_end_unknown(self) -> bool:
+        """Return whether the caller is not told that the end is known."""
+        is_by_connection = self.framing is framing.Framing.CONNECTION
+        return is_by_connection and not self.exchange.needs_known_end
+
     def take_pending(self) -> bytes:
         """Return the pending events and clear them."""
         pending, self.pending = self.pending, b''
--- a/src/peridotmast/web.py
+++ b/src/peridotmast/web.py
@@ -75,6 +75,8 @@
     headers: list[tuple[str, str]] = dataclasses.field(default_factory=list)
     close: ty.Callable[[], None] = lambda: None
     """Called once the response is sent or abandoned."""
+    ends_with_connection: bool = False
+    """Whether only the end of the connection marks the end of the body."""
 
 
 Handler = ty.Callable[..., Response]
@@ -148,8 +150,12 @@
             raise
         status = f'{response.status} {_STATUS.get(response.status, "Status")}'
         headers = [('Content-Type', response.content_type), *response.headers]
+        if response.ends_with_connection:
+            conn.end_with_connection()
         start(status, headers)
-        if isinstance(response.body, bytes):
+        if isinstance(response.body, bytes) and not (
+            response.ends_with_connection
+        ):
             conn.stop_watching()
             response.close()
             return [response.body]
@@ -205,13 +211,19 @@
     ) -> None:
         self._response = response
         self._conn = conn
-        self._chunks = iter(response.body)
+        body = response.body
+        self._chunks = iter([body] if isinstance(body, bytes) else body)
 
     def __iter__(self) -> ty.Iterator[bytes]:
         return self
 
     def __next__(self) -> bytes:
-        return ty.cast(bytes, next(self._chunks))
+        try:
+            return ty.cast(bytes, next(self._chunks))
+        except StopIteration:
+            if self._response.ends_with_connection:
+                self._conn.close_orderly()
+            raise
 
     def close(self) -> None:
         """Release the resources of the response; called by the server."""
