--- a/features/answer_ends.feature
+++ b/features/answer_ends.feature
@@ -29,6 +29,26 @@
       | connection | before the first event   | reset   | 502         | 502         |
     And what was not broken off is passed on byte by byte
 
+  # Guards against streams that are counted as successes though their end shows that they broke off:
+  # requests that crash engines were sent again without a limit.
+  Scenario: A stream that is broken off inside an event counts as a crash of its engine
+    Given a fleet of 1 routers with one scripted engine
+    When a stream ends inside an event
+    Then its request is suspected of a crash
+
+  # Guards against answers that look complete because the router that sent them was killed.
+  Scenario Outline: An answer without a frame is reset where its router stops
+    Given a fleet of 1 routers with one scripted engine
+    When a router stops in the middle of a "<framing>" stream to a caller of HTTP/<version>
+    Then the answer is broken
+
+    Examples:
+      | framing    | version |
+      | connection | 1.1     |
+      | connection | 1.0     |
+      | chunks     | 1.1     |
+      | chunks     | 1.0     |
+
   # Guards against a stream whose end no upstream has stated and that still looks complete,
   # because it was resumed there after a part with chunks.
   Scenario: A stream that is broken off inside an event goes on at another engine
--- a/features/steps/answer_end_steps.py
+++ b/features/steps/answer_end_steps.py
@@ -10,6 +10,7 @@
 
 from behave import given
 from behave import then
+from behave import when
 import fleet_steps
 import helpers
 import raw_upstream
@@ -306,3 +307,35 @@
         {'payload': 'x', 'idempotent': False},
         {names.AUTHORIZATION: helpers.KEY},
     )
+
+
+@when('a stream ends inside an event')
+def stream_ends_inside_event(context):
+    ending = Ending('connection', 'inside an event', 'close')
+    context.script = lambda sock, request_id, _: ending.play(sock, request_id)
+    ask(context, '/once/x')
+
+
+@then('its request is suspected of a crash')
+def request_is_suspected(context):
+    (router,) = context.fleet.routers
+    (suspect,) = router.serving.crashes.updates_for_peers()
+    assert len(suspect.crashes) == 1, suspect
+
+
+@when(
+    'a router stops in the middle of a "{framing}" stream to a caller of'
+    ' HTTP/{version}'
+)
+def stop_in_stream(context, framing, version):
+    (router,) = context.fleet.routers
+    ending = Ending(framing, 'after an event', 'silence')
+    context.script = lambda sock, request_id, _: ending.play(sock, request_id)
+    green.spawn_after_ms(SILENCE_MS, router.stop)
+    context.received = ask(context, '/once/x', version)
+
+
+@then('the answer is broken')
+def answer_is_broken(context):
+    assert context.received.status == 200, context.received
+    assert context.received.result == 'broken', context.received
