--- a/src/peridotmast/serving/dispatcher.py
+++ b/src/peridotmast/serving/dispatcher.py
@@ -490,6 +490,7 @@
             fingerprint=state.exchange.fingerprint,
             upstream=reservation.view.name,
             born=reservation.view.born,
+            version=reservation.view.version,
             number=len(state.tried),
             revision=reservation.view.record.revision,
             among=reservation.selection.compared,
--- a/src/peridotmast/serving/stream_relay.py
+++ b/src/peridotmast/serving/stream_relay.py
@@ -352,6 +352,7 @@
             exchange.id,
             'stream_goes_on',
             upstream=reservation.view.name,
+            version=reservation.view.version,
             last_event=stream.reader.last_id,
             copy=resume_point.kv_location,
         )
