--- a/features/steps/raw_upstream.py
+++ b/features/steps/raw_upstream.py
@@ -44,8 +44,15 @@
         self._task.kill()
         self._sock.close()
 
-    def register(self, fleet, service, name='raw-1'):
-        """Write a live entry of this upstream to the store."""
+    def register(
+        self,
+        fleet,
+        service,
+        name='raw-1',
+        version='',
+        state=pb.UPSTREAM_STATE_LIVE,
+    ):
+        """Write an entry of this upstream to the store."""
         from peridotmast.platform import upstream_codec
 
         record = pb.UpstreamRecord(
@@ -55,8 +62,9 @@
                 failure_domain=fleet.domains[0],
                 service=service,
                 slots=64,
+                version=version,
             ),
-            state=pb.UPSTREAM_STATE_LIVE,
+            state=state,
         )
         fleet.store.put(
             names.UPSTREAM_KIND, name, upstream_codec.write_upstream(record)
