Let a stream go on only at the software version that began it

Callers got answers with events of two versions: placement, resuming and moving chose among all upstreams of a service, and nobody read `Resumes`.

The first event pins a stream to the version of its upstream. Resumes, moves with the memory and peers (which are told the version, and state theirs) choose among upstreams of that version only; none left, the stream ends broken at once. A roll-out no longer moves streams to its target: it waits for them. An entry that states another version under a known id is another run.

A caller's new try names the attempt that began the stream. Its version is kept by the router and, where versions serve side by side, by two or three others that follow from the id, told before the first event leaves the router. A router that has no record asks six of them. Where one version alone has served for as long as a stream may last, it is that one; otherwise a stream of unknown version is refused, with 50 ms to come back.

--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -22,3 +22,9 @@
     Given a fleet of 2 routers with scripted engines of versions "v1 v1 v2 v2"
     When a caller takes up a stream that no router knows
     Then it is refused at once with a retry time, and no engine was asked
+
+  # Guards against moves between versions: the memory of a stream was copied to any engine.
+  Scenario: A stream is moved only to an engine of its version
+    Given a fleet of 1 routers with scripted engines of versions "v1 v2 v2 v2"
+    When the engine of a stream of "v1" leaves
+    Then the stream is moved nowhere
--- a/src/peridotmast/coordination/beacon_check.py
+++ b/src/peridotmast/coordination/beacon_check.py
@@ -21,6 +21,10 @@
 """Maximum length of a name: names appear in logs and answers."""
 
 
+_MAX_WINDOW_MS = 24 * 3600 * 1000
+"""Longest time for which a stream may be taken up, in ms."""
+
+
 def check(beacon: pb.Beacon) -> findings_.Findings:
     """Return the findings on a beacon; none if it is valid.
 
@@ -39,6 +43,14 @@
         return found
     if beacon.HasField('limit_answer'):
         return found
+    if beacon.stream_versions or beacon.HasField('version_ask'):
+        _check_versions(found, beacon)
+        return found
+    if beacon.HasField('version_answer'):
+        answer = beacon.version_answer
+        _check_names(found, 'version_answer', answer.router, *answer.served)
+        _check_names(found, 'version_answer', *answer.versions)
+        return found
     _check_member(found, 'member', beacon.member)
     if beacon.HasField('other'):
         _check_member(found, 'other', beacon.other)
@@ -64,6 +76,23 @@
             found.add(f'{place} {name}', 'must be IP:port')
 
 
+def _check_versions(found: findings_.Findings, beacon: pb.Beacon) -> None:
+    ask = beacon.version_ask
+    if beacon.HasField('version_ask'):
+        _check_names(found, 'version_ask', ask.router)
+        if not 0 <= ask.window_ms <= _MAX_WINDOW_MS:
+            found.add('version_ask', 'the window is negative or too long')
+    for copy in beacon.stream_versions:
+        _check_names(found, 'stream_versions', *copy.versions)
+        if not 0 <= copy.left_ms <= _MAX_WINDOW_MS or not copy.versions:
+            found.add('stream_versions', 'no version, or invalid time')
+
+
+def _check_names(found: findings_.Findings, place: str, *names: str) -> None:
+    if not all(0 < len(name) <= _MAX_NAME_LENGTH for name in names):
+        found.add(place, 'a name is missing or too long')
+
+
 def _check_limit(found: findings_.Findings, limit: pb.UpstreamLimit) -> None:
     if not 0 < len(limit.upstream) <= _MAX_NAME_LENGTH:
         found.add('upstream_limits', 'a name is missing or too long')
--- a/src/peridotmast/platform/caller_app.py
+++ b/src/peridotmast/platform/caller_app.py
@@ -104,6 +104,7 @@
                 _get_header(headers, names.DEADLINE_MS)
             ),
             prompt=_parse_prompt(headers),
+            resumes=_resumed_id(headers),
             caller=conn,
         )
         conn.watch_for_close()
@@ -208,6 +209,14 @@
     return [(n, v) for n, v in headers if n.lower() not in excluded]
 
 
+def _resumed_id(headers: ty.Iterable[tuple[str, str]]) -> ty.Optional[str]:
+    """Return the id of the stream that is taken up; None for a new one."""
+    present = {name.lower() for name, _ in headers}
+    if not present & {names.RESUMES.lower(), names.LAST_EVENT.lower()}:
+        return None
+    return _get_header(headers, names.RESUMES).strip()
+
+
 def _parse_integer(text: str) -> int:
     return int(text) if text.isascii() and text.isdigit() else 0
 
--- a/src/peridotmast/platform/names.py
+++ b/src/peridotmast/platform/names.py
@@ -24,8 +24,9 @@
 UPSTREAM = 'X-Instance-Id'
 NOT_RUN = 'X-Not-Executed'
 LIMIT = 'Server-Limit'
-BRITTLE = 'Server-Brittle'
 """Requests per second that an upstream accepts from all routers combined."""
+BRITTLE = 'Server-Brittle'
+"""Refusals per second that an upstream bears."""
 PRIORITY = 'X-Request-Urgency'
 EXPECT_VERSION = 'X-Expect-Version'
 PIN_MS = 'X-Pin-Ms'
@@ -34,6 +35,9 @@
 COPY_FROM = 'Kv-From'
 FETCH_FROM = 'Kv-Fetch'
 LAST_EVENT = 'Last-Event-Id'
+RESUMES = 'Resumes'
+"""Id of the attempt that brought the first event of a stream that a caller
+takes up."""
 AUTHORIZATION = 'Authorization'
 KEY_SCHEME = 'Bearer '
 RETRY_AFTER = 'Retry-After'
--- a/src/peridotmast/router/forward_app.py
+++ b/src/peridotmast/router/forward_app.py
@@ -8,6 +8,7 @@
 
 from peridotmast import clock as clock_
 from peridotmast import failures
+from peridotmast import ids
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import decisions as decisions_
 from peridotmast.serving import exchange as exchange_
@@ -136,7 +137,7 @@
         if isinstance(result, failures.Failure):
             conn.stop_watching()
             return self._refuse(start, result)
-        self._add_result(result)
+        self._add_result(exchange, result)
         return response_body.ResponseBody(
             result, conn, start, self._decisions, message.id
         )
@@ -173,6 +174,11 @@
                 message.last_event if message.HasField('last_event') else None
             ),
             earlier_runs=message.earlier_runs,
+            version=(
+                ids.SoftwareVersion(message.version)
+                if message.HasField('version')
+                else None
+            ),
             forwarded_by=message.router,
             traceparent=message.traceparent,
         )
@@ -196,11 +202,15 @@
             ms=self._clock.now() - exchange.arrived_at,
         )
 
-    def _add_result(self, reply: reply_.Reply) -> None:
+    def _add_result(
+        self, exchange: exchange_.Exchange, reply: reply_.Reply
+    ) -> None:
         """Add the header that names the upstream of an answer."""
         view = self._table.get(reply.upstream)
         result = pb.ForwardResult(
-            upstream=reply.upstream, born=view.born if view else 0
+            upstream=reply.upstream,
+            born=view.born if view else 0,
+            version=exchange.version or '',
         )
         reply.head.headers.append(peer_sender.encode_result(result))
 
--- a/src/peridotmast/router/peering.py
+++ b/src/peridotmast/router/peering.py
@@ -121,6 +121,9 @@
         serving.crashes.relays_updates = self.has_delayed_totals
         self.receive_rollouts: ty.Callable[[pb.Beacon], None] = lambda b: None
         """Called with each beacon, which may concern roll-outs."""
+        self.receive_versions: ty.Callable[[pb.Beacon], bool] = lambda b: False
+        """Called with each beacon; returns whether it concerned the versions
+        of streams."""
         self._accepted_head = '', -_GROUP_TIMEOUT_MS
         self._cached_groups: tuple[ty.Optional[groups_.GroupSnapshot], int] = (
             None,
@@ -163,6 +166,8 @@
         if beacon.HasField('limit_answer'):
             self.borrowing.handle_answer(beacon.limit_answer)
             return
+        if self.receive_versions(beacon):
+            return
         member = beacon.member
         if not self._members.receive(member):
             return
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -33,6 +33,7 @@
 from peridotmast.router import rollout_views
 from peridotmast.router import serving as serving_
 from peridotmast.router import shared_totals as shared_totals_
+from peridotmast.router import version_exchange
 from peridotmast import rpc
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.schema import peridotmast_pb2_grpc as pb_grpc
@@ -173,6 +174,15 @@
         )
         """Sends and receives the beacons between routers."""
         self._peering.borrowing.send = self.beacons.send
+        streams = self.serving.stream_versions
+        self._version_exchange = version_exchange.VersionExchange(
+            self.members, streams
+        )
+        self._version_exchange.send = self.beacons.send
+        self._peering.receive_versions = self._version_exchange.receive
+        streams.share = self._version_exchange.share
+        streams.ask = self._version_exchange.ask
+        streams.is_store_lost = self._peering.is_outage_suspected
         self.serving.gateway.take_quota = self._peering.borrowing.acquire
         self.serving.gateway.config_is_stale = (
             self._catch_up.config_fetcher.is_outdated
@@ -436,6 +446,7 @@
         self._peering.tick()
         self._catch_up.tick()
         self.serving.tick()
+        self._version_exchange.tick()
         self._update_readiness()
 
     def _run_rollouts(self) -> None:
--- a/src/peridotmast/router/serving.py
+++ b/src/peridotmast/router/serving.py
@@ -28,9 +28,11 @@
 from peridotmast.serving import sender as sender_
 from peridotmast.serving import stream_migrator as migrator_
 from peridotmast.serving import stream_relay
+from peridotmast.serving import stream_versions
 from peridotmast.serving import upstream_limits as upstream_limits_
 from peridotmast.serving import usage as usage_
 from peridotmast.serving import version_gate
+from peridotmast.serving import version_history
 from peridotmast import tracing
 from peridotmast.wire import pool as pool_
 
@@ -124,6 +126,13 @@
         """Forwards requests to peers."""
         self.peers.members = fleet_state.members.serving
         self._metrics = metrics_.ServingMetrics(registry)
+        history = version_history.VersionHistory(clock)
+        table.listen(history.note)
+        table.listen_replacements(history.note_replaced)
+        self.stream_versions = stream_versions.StreamVersions(
+            clock, history, self._metrics, self.decisions
+        )
+        """Knows at which versions streams began."""
         self._sender = sender_.Sender(
             clock,
             self.pool,
@@ -167,8 +176,6 @@
             spawn,
             bounds.drain_ms,
         )
-        migrator.is_in_use = self.versions.is_in_use
-        self.versions.on_shift = migrator.vacate
         table.listen(migrator.on_change)
         table.listen(self._sender.on_upstream_change)
         table.listen_replacements(self._sender.abort_run)
@@ -193,6 +200,7 @@
         self.crashes.tick()
         self._sender.tick()
         self.limits.tick()
+        self.stream_versions.tick()
 
     def close(self) -> None:
         """Close the idle connections to upstreams and peers."""
@@ -222,6 +230,7 @@
             self.usage,
             self.demand,
             self.versions,
+            self.stream_versions,
             self._metrics,
             self.decisions,
             self._tracer,
--- a/src/peridotmast/serving/dispatcher.py
+++ b/src/peridotmast/serving/dispatcher.py
@@ -6,6 +6,7 @@
 
 from peridotmast import clock as clock_
 from peridotmast import failures
+from peridotmast import ids
 from peridotmast import invariants as invariants_
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import crash_tracker as crash_tracker_
@@ -21,6 +22,7 @@
 from peridotmast.serving import retry_budget
 from peridotmast.serving import sender as sender_
 from peridotmast.serving import stream_relay
+from peridotmast.serving import stream_versions as stream_versions_
 from peridotmast.serving import usage as usage_
 from peridotmast.serving import version_gate
 from peridotmast import tracing
@@ -49,6 +51,7 @@
 _FINAL_REASONS = frozenset(
     (
         peer_sender_.NO_UPSTREAM,
+        peer_sender_.NO_VERSION,
         'upstream_limit',
         'deadline',
         crash_tracker_.BLOCK_REASON,
@@ -89,6 +92,8 @@
         Receives measured prefill times.
     versions : version_gate.VersionGate
         Receives the outcomes of attempts.
+    stream_versions : stream_versions.StreamVersions
+        Knows at which versions streams began.
     metrics : metrics.ServingMetrics
         Counts attempts.
     decisions : decisions.Decisions
@@ -112,6 +117,7 @@
         usage: usage_.Usage,
         demand: demand_.Demand,
         versions: version_gate.VersionGate,
+        stream_versions: stream_versions_.StreamVersions,
         metrics: metrics_.ServingMetrics,
         decisions: decisions_.Decisions,
         tracer: tracing.Tracing,
@@ -128,6 +134,7 @@
         self._usage = usage
         self._demand = demand
         self._versions = versions
+        self._stream_versions = stream_versions
         self._metrics = metrics
         self._decisions = decisions
         self._tracer = tracer
@@ -146,6 +153,11 @@
         """
         if not exchange.forwarded_by:
             self._budget.count_request(service.name)
+        if exchange.is_stream and exchange.resumes is not None:
+            version = self._stream_versions.find(exchange, service.name)
+            if isinstance(version, failures.Failure):
+                return version
+            exchange.version = version
         state = _RequestState(exchange, service)
         while True:
             result = self._attempt(state)
@@ -221,11 +233,14 @@
 
     def _placement_failure(self, state: _RequestState) -> failures.Failure:
         """Return why no upstream was selected, with a retry time."""
-        wait_ms = self._placement.wait_ms(state.service.name, state.tried)
+        exchange, name = state.exchange, state.service.name
+        wait_ms = self._placement.wait_ms(name, state.tried, exchange.version)
         if wait_ms:
             return failures.not_run('upstream_limit', '', wait_ms)
         reason = peer_sender_.NO_UPSTREAM
-        if state.exchange.forwarded_by and state.was_sent:
+        if self._placement.lacks_version(exchange, name):
+            reason = peer_sender_.NO_VERSION
+        if exchange.forwarded_by and state.was_sent:
             # The peer must not offer the request to another router.
             reason = 'upstream_refused'
         return failures.not_run(reason, '', _RETRY_MS)
@@ -358,6 +373,7 @@
         self._note_prefill(state, sent)
         # A request starts at an engine when its first token is generated.
         self._count_started(state, self._clock.now())
+        self._note_version(state, stream.sent.version)
         stream.tried |= state.accepted_by
         stream.runs = state.runs
         return reply_.Reply(
@@ -367,6 +383,18 @@
             lambda: self._relay.close(stream),
         )
 
+    def _note_version(
+        self, state: _RequestState, version: ids.SoftwareVersion
+    ) -> None:
+        """Pin a stream to the version of its first event."""
+        exchange = state.exchange
+        if exchange.version is None:
+            exchange.version = version
+        if not exchange.forwarded_by:
+            self._stream_versions.begin(
+                exchange, state.service.name, exchange.version
+            )
+
     def _note_prefill(self, state: _RequestState, sent: sender_.Sent) -> None:
         """Record the prefill time of an engine that had no other prefill."""
         reservation, prompt = sent.reservation, state.exchange.prompt
--- a/src/peridotmast/serving/exchange.py
+++ b/src/peridotmast/serving/exchange.py
@@ -83,6 +83,13 @@
     last_event: ty.Optional[int] = None
     """Id of the last event that the caller has received of a stream that a
     peer resumes; None for a request from its beginning."""
+    version: ty.Optional[ids.SoftwareVersion] = None
+    """Software version at which the stream began: only upstreams of this
+    version may go on with it. None before its first event, and for a response
+    that is no stream."""
+    resumes: ty.Optional[str] = None
+    """Id of the attempt that brought the first event of the stream that the
+    caller takes up, as far as it states it; None for a new request."""
     earlier_runs: int = 0
     """Number of attempts that ran or may have run at other routers."""
     forwarded_by: str = ''
--- a/src/peridotmast/serving/gateway.py
+++ b/src/peridotmast/serving/gateway.py
@@ -62,6 +62,9 @@
     """Route selected by the API; if None, it is found by host and target."""
     priority: ty.Optional[int] = None
     """Priority set by the API; if None, that of the team or route applies."""
+    resumes: ty.Optional[str] = None
+    """Id of the attempt that brought the first event of the stream that the
+    caller takes up; empty if it does not state it, None for a new request."""
     needs_known_end: bool = False
     """Whether the API states the end of a stream to the caller."""
     traceparent: str = ''
@@ -349,6 +352,7 @@
             caller=request.caller,
             prompt=request.prompt,
             cost=_cost(request.prompt, team),
+            resumes=request.resumes,
             needs_known_end=request.needs_known_end,
             traceparent=request.traceparent,
         )
--- a/src/peridotmast/serving/metrics.py
+++ b/src/peridotmast/serving/metrics.py
@@ -58,6 +58,12 @@
             ['service', 'reason'],
             registry=registry,
         )
+        self.taken_up = prometheus_client.Counter(
+            'peridotmast_streams_taken_up',
+            'Streams that callers took up, by who knew their version.',
+            ['service', 'source'],
+            registry=registry,
+        )
         self.resumed_streams = prometheus_client.Counter(
             'peridotmast_resumed_streams',
             'Streams that went on at another upstream.',
--- a/src/peridotmast/serving/peer_sender.py
+++ b/src/peridotmast/serving/peer_sender.py
@@ -16,6 +16,7 @@
 
 from peridotmast import clock as clock_
 from peridotmast import failures
+from peridotmast import ids
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import crash_tracker as crash_tracker_
 from peridotmast.serving import dialect as dialect_
@@ -44,7 +45,10 @@
 LEAVING = 'leaving'
 FULL = 'forwards_full'
 NO_UPSTREAM = 'no_upstream'
-_UNSENT_REASONS = frozenset((LEAVING, FULL, NO_UPSTREAM))
+NO_VERSION = 'no_version'
+"""Reason for which a stream has ended: only upstreams of other versions than
+the one that began it are left."""
+_UNSENT_REASONS = frozenset((LEAVING, FULL, NO_UPSTREAM, NO_VERSION))
 """Reasons of a peer that has sent a request to no upstream."""
 
 _UNABLE_MS = 1000
@@ -111,6 +115,8 @@
     verdict: dialect_.Verdict
     sent_at: int
     """Time at which the request was sent, in ms."""
+    version: ids.SoftwareVersion
+    """Software version of the upstream that answers."""
 
 
 class PeerSender:
@@ -287,9 +293,15 @@
         view.health.record_success()
         if result.kind:
             return self._read_failure(exchange, reservation, conn, result)
+        if exchange.version not in (None, result.version):
+            # The peer's own software ignores the version.
+            return self._lose(
+                view, conn, failures.unknown('other_version', result.version)
+            )
         self._unable_until.pop((view.name, reservation.service.name), None)
         self._note_upstream(result, now)
-        return PeerSent(conn, _answer_head(head), _verdict(head), now)
+        version = ids.SoftwareVersion(result.version)
+        return PeerSent(conn, _answer_head(head), _verdict(head), now, version)
 
     def _lose(
         self,
@@ -381,6 +393,7 @@
             last_event=resume.last_event if resume is not None else None,
             earlier_runs=reservation.runs,
             traceparent=exchange.traceparent,
+            version=exchange.version,
         ).SerializeToString()
 
 
--- a/src/peridotmast/serving/placement.py
+++ b/src/peridotmast/serving/placement.py
@@ -6,6 +6,7 @@
 import random
 import typing as ty
 
+from peridotmast import ids
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import candidates as candidates_
 from peridotmast.serving import exchange as exchange_
@@ -133,7 +134,9 @@
         self._router = router
         self._limits = limits
         self._versions = versions
-        self._candidates: dict[str, candidates_.Candidates] = {}
+        self._candidates: dict[
+            tuple[str, ty.Optional[str]], candidates_.Candidates
+        ] = {}
         self._random = random.Random(router)
         self.has_stale_peer_data: ty.Callable[[], bool] = lambda: False
         """Returns whether the load data of other routers is stale: older than
@@ -157,16 +160,24 @@
     ) -> ty.Optional[Reservation]:
         """Reserve an upstream for a request, or return None if there is none.
 
+        A stream that has begun gets only an upstream of the version that
+        began it.
+
         Parameters
         ----------
         avoid : collection of str
             Names of upstreams that must not be selected.
         """
-        if not avoid:
+        version = exchange.version
+        if version is not None and not self._versions.may_go_on(
+            service.name, version
+        ):
+            return None
+        if not avoid and version is None:
             views = self._find_trial(service.name, exchange.route.name)
             if views:
                 return self._reserve(exchange, service, views, None)
-        candidates = self._candidates_of(service.name)
+        candidates = self._candidates_of(service.name, version)
         home = self._find_home(candidates, exchange.prompt, avoid)
         views = self._select_compared(
             self._filter_usable(candidates.subset, avoid)
@@ -185,7 +196,21 @@
             ]
         return self._reserve(exchange, service, views, home, not avoid)
 
-    def wait_ms(self, service: str, avoid: ty.Collection[str] = ()) -> int:
+    def lacks_version(self, exchange: exchange_.Exchange, name: str) -> bool:
+        """Return whether only other versions of a service could go on."""
+        if exchange.version is None or not self._table.live(name):
+            return False
+        return not (
+            self._table.at_version(name, exchange.version)
+            and self._versions.may_go_on(name, exchange.version)
+        )
+
+    def wait_ms(
+        self,
+        service: str,
+        avoid: ty.Collection[str] = (),
+        version: ty.Optional[ids.SoftwareVersion] = None,
+    ) -> int:
         """Return the time until an upstream accepts a request, in ms.
 
         0 if a live upstream neither rests nor has a limit, if its limit
@@ -194,7 +219,7 @@
         return min(
             (
                 self._wait_ms(view)
-                for view in self._table.live(service)
+                for view in self._live(service, version)
                 if view.name not in avoid
             ),
             default=0,
@@ -245,12 +270,26 @@
             return views
         return self._random.sample(views, _COMPARED_WHEN_STALE)
 
-    def _candidates_of(self, service: str) -> candidates_.Candidates:
-        live = self._table.live(service)
-        known = self._candidates.get(service)
+    def _live(
+        self, service: str, version: ty.Optional[ids.SoftwareVersion]
+    ) -> Views:
+        """Return the live upstreams, of one version if it is given."""
+        if version is None:
+            return self._table.live(service)
+        return self._table.at_version(service, version)
+
+    def _candidates_of(
+        self, service: str, version: ty.Optional[ids.SoftwareVersion]
+    ) -> candidates_.Candidates:
+        live = self._live(service, version)
+        key = service, version
+        known = self._candidates.get(key)
         if known is None or known.views is not live:
             known = candidates_.Candidates(self._router, live)
-            self._candidates[service] = known
+            self._candidates[key] = known
+            if not live:
+                # Versions come and go.
+                del self._candidates[key]
         return known
 
     def _find_home(
--- a/src/peridotmast/serving/sender.py
+++ b/src/peridotmast/serving/sender.py
@@ -52,6 +52,8 @@
     verdict: Verdict
     sent_at: int
     """Time at which the request was sent, in ms."""
+    version: ids.SoftwareVersion
+    """Software version of the upstream that answers."""
 
 
 class Sender:
@@ -270,7 +272,12 @@
         if isinstance(sent, failures.Failure):
             return sent
         return Sent(
-            reservation, sent.conn, sent.head, sent.verdict, sent.sent_at
+            reservation,
+            sent.conn,
+            sent.head,
+            sent.verdict,
+            sent.sent_at,
+            sent.version,
         )
 
     def _attempt(
@@ -311,7 +318,8 @@
                 self._note_rest(exchange, reservation.view, head)
                 self._note_brittle(exchange, reservation.view, head, verdict)
             if verdict is not Verdict.FOREIGN:
-                return Sent(reservation, conn, head, verdict, now)
+                version = ids.SoftwareVersion(reservation.view.version)
+                return Sent(reservation, conn, head, verdict, now, version)
             self._decisions.note(
                 exchange.id,
                 'foreign_answer',
--- a/src/peridotmast/serving/stream_migrator.py
+++ b/src/peridotmast/serving/stream_migrator.py
@@ -25,10 +25,6 @@
 """Time until the status report of a leaving engine shows that it leaves, in
 ms: an engine's report is a few hundred ms old when it is read."""
 
-_VACATE_MS = 1600
-"""Time after which the streams of a version that is replaced are to have ended
-or moved, in ms."""
-
 _END_MARGIN_MS = 250
 """A stream is not migrated if it is expected to end at least this long before
 its upstream disappears, in ms."""
@@ -109,11 +105,6 @@
         self._spawn = spawn
         self._drain_ms = drain_ms
         self._leaving: set[str] = set()
-        self._vacated: set[str] = set()
-        self.is_in_use: ty.Callable[[upstream_view.UpstreamView], bool] = (
-            lambda view: True
-        )
-        """Returns whether the version of an upstream is in use."""
         self._log = logs.get('mover')
 
     def on_change(self, view: upstream_view.UpstreamView) -> None:
@@ -125,31 +116,6 @@
             self._leaving.add(view.run)
             self._spawn('move_off', self._migrate_streams, view)
 
-    def vacate(self, service: str, target: str) -> None:
-        """Move the streams of a service to upstreams of one version.
-
-        The upstreams of the other versions stop without a notice once no
-        router has a request there.
-        """
-        views = {
-            view.run: view
-            for view in self._relay.busy_views()
-            if view.service == service and view.version != target
-        }
-        for run in views.keys() - self._vacated:
-            self._vacated.add(run)
-            self._spawn('vacate', self._vacate, views[run])
-
-    def _vacate(self, view: upstream_view.UpstreamView) -> None:
-        gone_at = self._clock.now() + _VACATE_MS
-        try:
-            green.sleep_ms(_VACATE_MS - _MIGRATE_BEFORE_MS)
-            while not self.is_in_use(view) and self._relay.streams_at(view):
-                self._move_streams(view, gone_at)
-                green.sleep_ms(_MIGRATE_BEFORE_MS)
-        finally:
-            self._vacated.discard(view.run)
-
     def _migrate_streams(self, view: upstream_view.UpstreamView) -> None:
         noticed_at = self._clock.now()
         green.sleep_ms(_REPORT_LAG_MS)
--- a/src/peridotmast/serving/stream_relay.py
+++ b/src/peridotmast/serving/stream_relay.py
@@ -312,7 +312,14 @@
             exchange, stream.service, avoid, exchange.route.attempts - 1
         )
         if reservation is None:
-            raise reply_.BrokenAnswer(peer_sender_.NO_UPSTREAM)
+            lacks_version = self._placement.lacks_version(
+                exchange, stream.service.name
+            )
+            raise reply_.BrokenAnswer(
+                peer_sender_.NO_VERSION
+                if lacks_version
+                else peer_sender_.NO_UPSTREAM
+            )
         resume_point = dialect_.ResumePoint(max(0, stream.reader.last_id))
         result = self._send_resume(stream, reservation, resume_point)
         is_unsent = (
--- a/src/peridotmast/serving/upstreams.py
+++ b/src/peridotmast/serving/upstreams.py
@@ -6,6 +6,7 @@
 
 from peridotmast import addresses
 from peridotmast import clock as clock_
+from peridotmast import ids
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import upstream_view
 
@@ -80,6 +81,9 @@
         self._live_by_service: ty.Optional[
             dict[str, list[upstream_view.UpstreamView]]
         ] = None
+        self._live_at_version: dict[
+            tuple[str, str], list[upstream_view.UpstreamView]
+        ] = {}
         self._valid_until = 0
         self._listeners: list[Listener] = []
         self._replacement_listeners: list[Listener] = []
@@ -111,6 +115,8 @@
             return born > view.born and self._replace(view, record)
         if record.revision <= view.record.revision:
             return False
+        if _is_upgraded(view, record):
+            return self._replace(view, record)
         if record.state in _NAME_ONLY_STATES:
             state = record.state
             if state != UNREADABLE and view.record.state in (LEAVING, GONE):
@@ -184,18 +190,27 @@
         sequence of upstream_view.UpstreamView
             The same object until the set of live upstreams may have changed.
         """
-        if (
-            self._live_by_service is None
-            or self._clock.now() >= self._valid_until
-        ):
-            self._live_by_service = self._group_live()
-        return self._live_by_service.get(service, ())
+        return self._refresh_live().get(service, ())
+
+    def at_version(
+        self, service: str, version: ids.SoftwareVersion
+    ) -> ty.Sequence[upstream_view.UpstreamView]:
+        """Return the upstreams of one software version, in use or not.
+
+        They are selected like those that `live` returns, which start with the
+        versions in use.
+
+        Returns
+        -------
+        sequence of upstream_view.UpstreamView
+            The same object until the set of live upstreams may have changed.
+        """
+        self._refresh_live()
+        return self._live_at_version.get((service, version), ())
 
     def services(self) -> ty.Collection[str]:
         """Return the names of the services with live upstreams."""
-        if self._live_by_service is None:
-            self._live_by_service = self._group_live()
-        return self._live_by_service.keys()
+        return self._refresh_live().keys()
 
     def out_of_use(self, service: str) -> list[upstream_view.UpstreamView]:
         """Return the available upstreams whose version is not in use."""
@@ -337,17 +352,29 @@
     def _lapsed(self) -> list[upstream_view.UpstreamView]:
         return [v for v in self._not_live.values() if v.record.state == LAPSED]
 
+    def _refresh_live(self) -> dict[str, list[upstream_view.UpstreamView]]:
+        """Return the live upstreams by service, grouped again if needed."""
+        is_valid = self._clock.now() < self._valid_until
+        if self._live_by_service is None or not is_valid:
+            self._live_by_service = self._group_live()
+        return self._live_by_service
+
     def _group_live(self) -> dict[str, list[upstream_view.UpstreamView]]:
         """Group the live upstreams, and set until when the result is valid."""
         cutoff = self._clock.now() - self._grace_ms
         confirmed: dict[str, list[upstream_view.UpstreamView]] = {}
         fallback: dict[str, list[upstream_view.UpstreamView]] = {}
         available = [v for v in self._views.values() if v.is_available]
+        at_version: tuple[_ByVersion, _ByVersion] = {}, {}
         in_use = self._versions_in_use(available)
         for view in available:
+            is_confirmed = view.was_live_at(cutoff)
             if view.version in in_use[view.service]:
-                group = confirmed if view.was_live_at(cutoff) else fallback
+                group = confirmed if is_confirmed else fallback
                 group.setdefault(view.service, []).append(view)
+            key = view.service, view.version
+            at_version[is_confirmed].setdefault(key, []).append(view)
+        self._live_at_version = {**at_version[False], **at_version[True]}
         lapsed_at = (
             v.not_live_since for v in self._lapsed() if v.was_live_at(cutoff)
         )
@@ -370,6 +397,8 @@
         }
 
 
+_ByVersion = dict[tuple[str, str], list[upstream_view.UpstreamView]]
+
 _NAME_ONLY_STATES = frozenset((GONE, LAPSED, UNREADABLE))
 """States whose records contain only the name of the upstream."""
 
@@ -381,6 +410,19 @@
     return _with_state(record, UNREADABLE, record.revision)
 
 
+def _is_upgraded(
+    view: upstream_view.UpstreamView, record: pb.UpstreamRecord
+) -> bool:
+    """Return whether a record states another software version of a run.
+
+    A process has one version for its life, so this is another run, although
+    the platform does not say when it started.
+    """
+    if record.state in _NAME_ONLY_STATES:
+        return False
+    return record.upstream.version != view.version
+
+
 def _is_usable(record: pb.UpstreamRecord) -> bool:
     upstream = record.upstream
     is_complete = upstream.service and upstream.slots > 0
--- a/src/peridotmast/serving/version_gate.py
+++ b/src/peridotmast/serving/version_gate.py
@@ -7,6 +7,7 @@
 import typing as ty
 
 from peridotmast import clock as clock_
+from peridotmast import ids
 from peridotmast import logs
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import evidence
@@ -77,8 +78,6 @@
         """Whether the stored orders are needed to decide."""
         self.on_change: ty.Callable[[], None] = lambda: None
         """Called when other versions may be in use than before."""
-        self.on_shift: ty.Callable[[str, str], None] = lambda s, v: None
-        """Called with a service and the target that all requests go to."""
         self.on_rolled_back: ty.Callable[[pb.RolloutState], None] = (
             lambda state: None
         )
@@ -116,6 +115,19 @@
         is_target = view.version == rollout.state.target
         return is_target == (rollout.phase in _TARGET_PHASES)
 
+    def may_go_on(self, service: str, version: ids.SoftwareVersion) -> bool:
+        """Return whether streams that a version began may go on at it.
+
+        A version that is replaced takes up its streams until its upstreams
+        have stopped; one on trial does so while it may be tried.
+        """
+        if version in self._rolled_back.get(service, ()):
+            return False
+        rollout = self._rollouts.get(service)
+        if rollout is None or version != rollout.state.target:
+            return True
+        return rollout.phase in _TARGET_PHASES or rollout.may_try
+
     def trial_upstreams(self, service: str, route: str) -> ty.Collection[str]:
         """Return the upstreams that may get the next request on trial.
 
@@ -156,8 +168,6 @@
                 exposed=rollout.exposed,
             )
             self.on_change()
-            if rollout.phase in _TARGET_PHASES:
-                self.on_shift(service, state.target)
 
     def receive(self, state: pb.RolloutState) -> None:
         """Merge the state of a roll-out, from the holder or any router."""
