Wait for no silent router where two confirm that one version alone has served

Two answers that agree with what this router knows suffice now; a record still ends the wait at once.

--- a/src/peridotmast/router/version_exchange.py
+++ b/src/peridotmast/router/version_exchange.py
@@ -74,7 +74,9 @@
         record.copied_to.update(map(_owner_of, peers))
         self.send(pb.Beacon(stream_versions=[copy]), peers)
 
-    def ask(self, ask: pb.VersionAsk) -> ty.Optional[list[pb.VersionAnswer]]:
+    def ask(
+        self, ask: pb.VersionAsk, is_enough: stream_versions.Enough
+    ) -> ty.Optional[stream_versions.Answers]:
         """Return the answers of other routers on a stream.
 
         Returns
@@ -88,7 +90,7 @@
         ask.number = next(self._numbers)
         ask.router = self._members.me.name
         ask.incarnation = self._members.me.incarnation
-        question = self._pending[ask.number] = _Question(peers)
+        question = self._pending[ask.number] = _Question(peers, is_enough)
         try:
             for _ in range(_TRIES):
                 self.send(pb.Beacon(version_ask=ask), question.silent())
@@ -174,11 +176,14 @@
 class _Question:
     """A question to several routers, and their answers."""
 
-    def __init__(self, peers: list[members_.Peer]) -> None:
+    def __init__(
+        self, peers: list[members_.Peer], is_enough: stream_versions.Enough
+    ) -> None:
+        self._is_enough = is_enough
         self._peers = {peer.member.name: peer for peer in peers}
         self.answers: dict[str, pb.VersionAnswer] = {}
         self.done = green.Event()
-        """Sent when a record was found or all have answered."""
+        """Sent when the answers suffice or all have answered."""
 
     def silent(self) -> list[members_.Peer]:
         """Return the routers that have not answered."""
@@ -188,7 +193,9 @@
         """Take an answer."""
         if answer.router in self._peers:
             self.answers[answer.router] = answer
-        is_done = bool(answer.versions) or not self.silent()
+        is_done = not self.silent() or self._is_enough(
+            list(self.answers.values())
+        )
         if is_done and not self.done.ready():
             self.done.send(True)
 
--- a/src/peridotmast/serving/stream_versions.py
+++ b/src/peridotmast/serving/stream_versions.py
@@ -31,7 +31,14 @@
 
 _KEY_BYTES = 8
 
+_CONFIRMATIONS = 2
+"""Number of routers that confirm that one version alone has served, so that
+those that are silent need not be waited for."""
+
 Versions = frozenset[ids.SoftwareVersion]
+Answers = list[pb.VersionAnswer]
+Enough = ty.Callable[[Answers], bool]
+"""Returns whether the answers so far suffice."""
 
 
 @dataclasses.dataclass
@@ -84,8 +91,8 @@
         self.share: ty.Callable[[int, Record], None] = lambda key, rec: None
         """Sends copies of a record to other routers."""
         self.ask: ty.Callable[
-            [pb.VersionAsk], ty.Optional[list[pb.VersionAnswer]]
-        ] = lambda ask: []
+            [pb.VersionAsk, Enough], ty.Optional[Answers]
+        ] = lambda ask, is_enough: []
         """Asks other routers; returns None if there are some and none of them
         has answered."""
         self.is_store_lost: ty.Callable[[], bool] = lambda: False
@@ -206,24 +213,37 @@
         if record is not None:
             return record.versions, 'own', 0
         window_ms = _window_ms(exchange.route)
+
+        def is_enough(answers: Answers) -> bool:
+            if any(answer.versions for answer in answers):
+                return True
+            versions, _ = self._served(service, window_ms, answers)
+            return len(versions) == 1 and len(answers) >= _CONFIRMATIONS
+
         answers = self.ask(
-            pb.VersionAsk(key=key, service=service, window_ms=window_ms)
+            pb.VersionAsk(key=key, service=service, window_ms=window_ms),
+            is_enough,
         )
         if answers is None:
             return frozenset(), 'no_answer', 0
         found = _union(answer.versions for answer in answers)
         if found and exchange.resumes:
             return found, 'peer', len(answers)
+        return *self._served(service, window_ms, answers), len(answers)
+
+    def _served(
+        self, service: str, window_ms: int, answers: Answers
+    ) -> tuple[Versions, str]:
+        """Return the versions that have served, and what that rests on."""
         observed_ms = self._history.observed_ms(service)
         observed_ms = max([observed_ms, *(a.observed_ms for a in answers)])
         if observed_ms < window_ms:
-            return frozenset(), 'started', len(answers)
+            return frozenset(), 'started'
         if self.is_store_lost() and all(a.store_lost for a in answers):
-            return frozenset(), 'store_lost', len(answers)
+            return frozenset(), 'store_lost'
         served = self._history.within(service, window_ms)
         served |= _union(answer.served for answer in answers)
-        source = 'alone' if len(served) == 1 else 'several'
-        return served, source, len(answers)
+        return served, 'alone' if len(served) == 1 else 'several'
 
     def _may_differ(self, service: str, window_ms: int) -> bool:
         """Return whether a stream may have begun at several versions."""
