--- a/src/peridotmast/serving/upstreams.py
+++ b/src/peridotmast/serving/upstreams.py
@@ -8,6 +8,7 @@
 from peridotmast import clock as clock_
 from peridotmast import ids
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import live_upstreams
 from peridotmast.serving import upstream_view
 
 LIVE = upstream_view.LIVE
@@ -35,10 +36,6 @@
 
 Listener = ty.Callable[[upstream_view.UpstreamView], None]
 
-VersionSelector = ty.Callable[[str, ty.Mapping[str, int]], ty.Container[str]]
-"""Returns the versions in use of a service. The available ones are given, with
-the lowest revision of an upstream of each."""
-
 
 class UpstreamTable:
     """Upstreams by name; for each, the record with the highest revision wins.
@@ -78,18 +75,15 @@
         self._busy: set[upstream_view.UpstreamView] = set()
         self._not_live: dict[str, upstream_view.UpstreamView] = {}
         self._upstreams_of: dict[str, set[str]] = {}
-        self._live_by_service: ty.Optional[
-            dict[str, list[upstream_view.UpstreamView]]
-        ] = None
-        self._live_at_version: dict[
-            tuple[str, str], list[upstream_view.UpstreamView]
-        ] = {}
+        self._live: ty.Optional[live_upstreams.LiveUpstreams] = None
         self._valid_until = 0
         self._listeners: list[Listener] = []
         self._replacement_listeners: list[Listener] = []
         self.revision = 0
         """The highest revision of all merged records."""
-        self.select_versions: VersionSelector = lambda service, ages: ages
+        self.select_versions: live_upstreams.VersionSelector = (
+            lambda service, ages: ages
+        )
         """Selects the versions whose upstreams are live."""
 
     def listen(self, listener: Listener) -> None:
@@ -190,7 +184,7 @@
         sequence of upstream_view.UpstreamView
             The same object until the set of live upstreams may have changed.
         """
-        return self._refresh_live().get(service, ())
+        return self._current().by_service.get(service, ())
 
     def at_version(
         self, service: str, version: ids.SoftwareVersion
@@ -205,12 +199,11 @@
         sequence of upstream_view.UpstreamView
             The same object until the set of live upstreams may have changed.
         """
-        self._refresh_live()
-        return self._live_at_version.get((service, version), ())
+        return self._current().at_version.get((service, version), ())
 
     def services(self) -> ty.Collection[str]:
         """Return the names of the services with live upstreams."""
-        return self._refresh_live().keys()
+        return self._current().by_service.keys()
 
     def out_of_use(self, service: str) -> list[upstream_view.UpstreamView]:
         """Return the available upstreams whose version is not in use."""
@@ -225,7 +218,7 @@
 
     def update_versions(self) -> None:
         """Select the versions in use again."""
-        self._live_by_service = None
+        self._live = None
 
     def busy(self) -> list[upstream_view.UpstreamView]:
         """Return the runs at which this router has requests."""
@@ -345,59 +338,30 @@
             noticed_at = self._clock.now() - max(0, record.doubted_ms)
             view.not_live_since = view.not_live_since or noticed_at
             self._not_live[view.name] = view
-        self._live_by_service = None
+        self._live = None
         for listener in self._listeners:
             listener(view)
 
     def _lapsed(self) -> list[upstream_view.UpstreamView]:
         return [v for v in self._not_live.values() if v.record.state == LAPSED]
 
-    def _refresh_live(self) -> dict[str, list[upstream_view.UpstreamView]]:
-        """Return the live upstreams by service, grouped again if needed."""
-        is_valid = self._clock.now() < self._valid_until
-        if self._live_by_service is None or not is_valid:
-            self._live_by_service = self._group_live()
-        return self._live_by_service
-
-    def _group_live(self) -> dict[str, list[upstream_view.UpstreamView]]:
-        """Group the live upstreams, and set until when the result is valid."""
-        cutoff = self._clock.now() - self._grace_ms
-        confirmed: dict[str, list[upstream_view.UpstreamView]] = {}
-        fallback: dict[str, list[upstream_view.UpstreamView]] = {}
-        available = [v for v in self._views.values() if v.is_available]
-        at_version: tuple[_ByVersion, _ByVersion] = {}, {}
-        in_use = self._versions_in_use(available)
-        for view in available:
-            is_confirmed = view.was_live_at(cutoff)
-            if view.version in in_use[view.service]:
-                group = confirmed if is_confirmed else fallback
-                group.setdefault(view.service, []).append(view)
-            key = view.service, view.version
-            at_version[is_confirmed].setdefault(key, []).append(view)
-        self._live_at_version = {**at_version[False], **at_version[True]}
-        lapsed_at = (
-            v.not_live_since for v in self._lapsed() if v.was_live_at(cutoff)
-        )
-        self._valid_until = min(lapsed_at, default=_NEVER) + self._grace_ms
-        return {**fallback, **confirmed}
-
-    def _versions_in_use(
-        self, available: ty.Iterable[upstream_view.UpstreamView]
-    ) -> dict[str, ty.Container[str]]:
-        """Return the versions in use by service."""
-        ages: dict[str, dict[str, int]] = {}
-        for view in available:
-            lowest = ages.setdefault(view.service, {})
-            revision = view.record.revision
-            known = lowest.get(view.version, revision)
-            lowest[view.version] = min(known, revision)
-        return {
-            service: self.select_versions(service, lowest)
-            for service, lowest in ages.items()
-        }
-
+    def _current(self) -> live_upstreams.LiveUpstreams:
+        """Return the live upstreams, grouped again if needed."""
+        now = self._clock.now()
+        if self._live is None or now >= self._valid_until:
+            cutoff = now - self._grace_ms
+            available = [v for v in self._views.values() if v.is_available]
+            self._live = live_upstreams.LiveUpstreams(
+                available, cutoff, self.select_versions
+            )
+            lapsed_at = (
+                view.not_live_since
+                for view in self._lapsed()
+                if view.was_live_at(cutoff)
+            )
+            self._valid_until = min(lapsed_at, default=_NEVER) + self._grace_ms
+        return self._live
 
-_ByVersion = dict[tuple[str, str], list[upstream_view.UpstreamView]]
 
 _NAME_ONLY_STATES = frozenset((GONE, LAPSED, UNREADABLE))
 """States whose records contain only the name of the upstream."""
