--- a/features/explain.feature
+++ b/features/explain.feature
@@ -9,6 +9,8 @@
       | event                                                               | cause                                 |
       | a refusal                                                           | refused by the router                 |
       | a broken stream                                                     | cut off by its upstream               |
+      | a stream whose version is gone                                      | none of the version that began its stream |
+      | a stream of unknown version                                         | none of the version that began its stream |
       | a response with status 500                                          | failed at its upstream                |
       | two attempts and a first event after 900 ms                         | tried more than once                  |
       | 64 of 64 slots in use and a first event after 900 ms                | its engine had all places taken       |
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -70,6 +70,14 @@
         add_attempt(c, 'last'),
         add_line(c, 'stream_broke', 'last', upstream='u-1'),
     ),
+    'a stream whose version is gone': lambda c: (
+        add_attempt(c, 'last'),
+        add_line(c, 'stream_broke', 'last', reason='broke_off'),
+        add_line(c, 'answer_broken', 'last', reason='no_version'),
+    ),
+    'a stream of unknown version': lambda c: add_line(
+        c, 'refused', 'last', reason='version_unknown'
+    ),
     'a response with status 500': lambda c: (
         add_attempt(c, 'last', outcome=500),
         add_answer(c, 'last', 50, status=500),
--- a/src/peridotmast/load/explain.py
+++ b/src/peridotmast/load/explain.py
@@ -12,6 +12,8 @@
 import typing as ty
 
 from peridotmast.load import plots
+from peridotmast.serving import peer_sender
+from peridotmast.serving import stream_versions
 
 _KEY_VALUE = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
 
@@ -32,14 +34,18 @@
 _MIN_TOKENS = 1000
 """Minimum number of uncached prompt tokens of a request from which speed is
 estimated."""
-_BROKEN_STREAM_EVENTS = frozenset(('stream_broke', 'not_moved'))
+_BROKEN_STREAM_EVENTS = frozenset(
+    ('stream_broke', 'not_moved', 'answer_broken')
+)
 _EVENTS = frozenset(('attempt', 'answered', 'refused', *_BROKEN_STREAM_EVENTS))
+_VERSION_REASONS = frozenset((peer_sender.NO_VERSION, stream_versions.UNKNOWN))
 
 
 class Cause(enum.Enum):
     """Causes of late and failed requests."""
 
     REFUSED = 'refused by the router'
+    VERSION = 'none of the version that began its stream'
     CUT = 'cut off by its upstream'
     FAILED = 'failed at its upstream'
     RETRIED = 'tried more than once'
@@ -61,6 +67,8 @@
     answered: dict[str, str] = dataclasses.field(default_factory=dict)
     refused: dict[str, str] = dataclasses.field(default_factory=dict)
     is_broken: bool = False
+    reason: str = ''
+    """Last reason for which the request was refused or its stream broke."""
 
     @property
     def first_ms(self) -> int:
@@ -116,6 +124,8 @@
 
 def cause_of(request: RequestLog, speeds: _EngineSpeeds) -> ty.Optional[Cause]:
     """Return the cause if a request was late or failed, else None."""
+    if request.reason in _VERSION_REASONS:
+        return Cause.VERSION
     if request.refused:
         return Cause.REFUSED
     if request.is_broken:
@@ -187,6 +197,7 @@
     request = requests[request_id]
     request.at = _parse_timestamp(values.get('timestamp', '')) or request.at
     request.route = values.get('route', request.route)
+    request.reason = values.get('reason', request.reason)
     if event == 'attempt':
         request.attempts.append(values)
     elif event == 'answered':
--- a/src/peridotmast/serving/metrics.py
+++ b/src/peridotmast/serving/metrics.py
@@ -58,6 +58,12 @@
             ['service', 'reason'],
             registry=registry,
         )
+        self.versions = prometheus_client.Gauge(
+            'peridotmast_upstream_versions',
+            'Software versions at which streams of a service may have begun.',
+            ['service'],
+            registry=registry,
+        )
         self.taken_up = prometheus_client.Counter(
             'peridotmast_streams_taken_up',
             'Streams that callers took up, by who knew their version.',
--- a/src/peridotmast/serving/stream_versions.py
+++ b/src/peridotmast/serving/stream_versions.py
@@ -197,6 +197,9 @@
 
     def tick(self) -> None:
         """Drop the records of streams that nobody can take up any more."""
+        for service in self._history.services():
+            served = self._history.within(service, self._longest_window_ms)
+            self._metrics.versions.labels(service).set(len(served))
         now = self._clock.now()
         self._records = {
             key: record
--- a/src/peridotmast/serving/version_history.py
+++ b/src/peridotmast/serving/version_history.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import typing as ty
 
 from peridotmast import clock as clock_
 from peridotmast import ids
@@ -71,6 +72,10 @@
             if past.runs or past.ended_at >= oldest
         )
 
+    def services(self) -> ty.Collection[str]:
+        """Return the names of all services that have had upstreams."""
+        return self._services.keys()
+
     def observed_ms(self, service: str) -> int:
         """Return for how long the upstreams of a service are known, in ms."""
         since = self._since.get(service)
