--- a/features/peer_ways.feature
+++ b/features/peer_ways.feature
@@ -40,6 +40,11 @@
   Scenario: Requests keep their promises when calls between routers fail at random
     Then 400 random histories of forwarded requests keep all promises
 
+  # Guards against streams of two versions while routers themselves run two versions: the software of
+  # a peer may know nothing of the versions of streams.
+  Scenario: A peer that ignores the version of a stream does not go on with it
+    Then 30 streams that break off and go on through such a peer keep all promises
+
   # Guards against a router of which all peers are cut off too, and that holds requests or
   # passes them on from one to the next.
   Scenario: If no router reaches an upstream, requests are refused at once
--- a/features/steps/peer_model.py
+++ b/features/steps/peer_model.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import base64
+import dataclasses
 import itertools
 import types
 
@@ -27,6 +28,7 @@
 from peridotmast.serving import peer_sender
 from peridotmast.serving import reply as reply_
 from peridotmast.serving import upstreams as upstreams_
+from peridotmast import signing
 from peridotmast import tracing
 from peridotmast.wire import connection as connection_
 from peridotmast.wire import framing as framing_
@@ -61,8 +63,10 @@
 without a length."""
 
 HOPS = ('pass', 'pass', 'pass', 'refuse', 'lose_call', 'lose_answer', 'part')
+HOPS += ('old',)
 """What becomes of a call between routers: it passes, is not connected, is lost
-before or after the peer has answered it, or breaks off in the answer."""
+before or after the peer has answered it, breaks off in the answer, or reaches
+a peer whose software knows no versions of streams."""
 
 
 class World:
@@ -311,7 +315,13 @@
         message = pb.ForwardedRequest.FromString(body)
         self.world.forwarded.append((message.id, message.router))
         signature = dict(headers)[peer_sender.SIGNATURE_HEADER]
+        if self.hop == 'old':
+            message.ClearField('version')
+            body = message.SerializeToString()
+            signature = signing.sign(SECRET, body).hex()
         self.ask(self.peer, target, body, signature)
+        if self.hop == 'old':
+            self.forget_version()
         self.parts = self.pass_parts()
 
     def ask(self, router, target, data, signature):
@@ -335,6 +345,15 @@
         }
         self.body = router.app(environ, self.start)
 
+    def forget_version(self):
+        """Answer as a peer does that knows no versions of streams."""
+        headers = dict(self.head.headers)
+        text = headers.pop(peer_sender.RESULT_HEADER)
+        result = pb.ForwardResult.FromString(base64.b64decode(text))
+        result.ClearField('version')
+        headers = [*headers.items(), peer_sender.encode_result(result)]
+        self.head = dataclasses.replace(self.head, headers=headers)
+
     def call(self, router, target, data, signature):
         """Return status and result of a call."""
         self.ask(router, target, data, signature)
@@ -440,3 +459,16 @@
             check(world, kind, request_id, got)
 
     test()
+
+
+def run_old_peers(count):
+    """Check streams that go on through a peer that knows no versions."""
+    for number in range(count):
+        cuts = {
+            'r-0': set(UPSTREAMS),
+            'r-1': {'u-2', 'u-3'},
+            'r-2': {'u-1'},
+        }
+        world = World(cuts, (), ('part', 'old'))
+        got = world.routers['r-0'].ask('stream', f'stream-{number}')
+        check(world, 'stream', f'stream-{number}', got)
--- a/features/steps/peer_way_steps.py
+++ b/features/steps/peer_way_steps.py
@@ -153,6 +153,14 @@
             assert answer.body == b'done:' + answer.sent_body, answer
 
 
+@then(
+    '{count:d} streams that break off and go on through such a peer keep all'
+    ' promises'
+)
+def check_old_peers(context, count):
+    peer_model.run_old_peers(count)
+
+
 @then('{count:d} random histories of forwarded requests keep all promises')
 def check_histories(context, count):
     peer_model.run(count)
