Let upstreams that count as gone take up no stream of their version

Found by reading the diff: where the entries of a version did not return after an outage, while those of another version did, its streams still went on there, though such upstreams are treated as gone. They are used only where the whole service has no others, as for new requests. The scenario fails without it.

--- a/features/steps/stream_version_steps.py
+++ b/features/steps/stream_version_steps.py
@@ -15,10 +15,12 @@
 import upstream_steps
 import version_model
 
+from peridotmast import clock as clock_
 from peridotmast.embedded import shape as shape_
 from peridotmast import green
 from peridotmast.platform import names
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import upstreams as upstreams_
 
 LAST = 5
 """Id of the last event of each stream."""
@@ -274,3 +276,54 @@
     assert not context.last.complete, context.last
     assert versions_in(context.last) == {version.encode()}, context.last
     assert context.last.ms < 2 * SLOW_MS, context.last.ms
+
+
+@given(
+    'upstreams of "{missing}" whose entries are missing after an outage, and'
+    ' one of "{live}"'
+)
+def missing_entries(context, missing, live):
+    context.clock = clock_.ManualClock(1_000_000)
+    context.known = upstreams_.UpstreamTable(context.clock, 2000, 60_000)
+    context.revision = 0
+    for name, version in (('u-1', missing), ('u-2', missing), ('u-3', live)):
+        merge(context, name, version, pb.UPSTREAM_STATE_LIVE)
+    for name in ('u-1', 'u-2'):
+        merge(context, name, missing, pb.UPSTREAM_STATE_LAPSED)
+    context.clock.advance(3000)
+
+
+def merge(context, name, version, state):
+    context.revision += 1
+    context.known.merge(
+        pb.UpstreamRecord(
+            upstream=pb.Upstream(
+                name=name,
+                address='127.0.0.1:9',
+                service='pool',
+                slots=4,
+                version=version,
+            ),
+            state=state,
+            revision=context.revision,
+        )
+    )
+
+
+@then('streams of "{missing}" go on nowhere, and those of "{live}" there')
+def go_on_nowhere(context, missing, live):
+    assert not context.known.at_version('pool', missing)
+    (view,) = context.known.at_version('pool', live)
+    assert view.name == 'u-3'
+
+
+@when('the entry of "{version}" is missing too')
+def all_missing(context, version):
+    merge(context, 'u-3', version, pb.UPSTREAM_STATE_LAPSED)
+    context.clock.advance(3000)
+
+
+@then('streams of "{version}" go on at theirs')
+def go_on_at_theirs(context, version):
+    found = {view.name for view in context.known.at_version('pool', version)}
+    assert found == {'u-1', 'u-2'}, found
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -39,3 +39,11 @@
     Given a fleet of 1 routers with scripted engines of versions "v1"
     When the engine of a stream is upgraded to "v2" under its id
     Then the stream is broken at once, with events of "v1" only
+
+  # Guards against streams that are taken up by upstreams that count as gone: the entries of their
+  # version did not return after an outage of the store, but those of another version did.
+  Scenario: An upstream whose entry is missing takes up no stream while others are there
+    Given upstreams of "v1" whose entries are missing after an outage, and one of "v2"
+    Then streams of "v1" go on nowhere, and those of "v2" there
+    When the entry of "v2" is missing too
+    Then streams of "v1" go on at theirs
--- a/src/peridotmast/serving/live_upstreams.py
+++ b/src/peridotmast/serving/live_upstreams.py
@@ -16,8 +16,8 @@
 class LiveUpstreams:
     """The available upstreams by service, and by service and version.
 
-    Upstreams whose entry has been missing for too long are in a group only if
-    no other upstreams are.
+    Upstreams whose entry has been missing for too long are included only if
+    their service has no others, of any version.
 
     Parameters
     ----------
@@ -47,9 +47,15 @@
             if view.version in in_use[view.service]:
                 group = by_service[is_confirmed]
                 group.setdefault(view.service, []).append(view)
+        confirmed = {service for service, _ in at_version[True]}
+        missing = {
+            key: views
+            for key, views in at_version[False].items()
+            if key[0] not in confirmed
+        }
         self.by_service = {**by_service[False], **by_service[True]}
         """Upstreams whose version is in use, by service."""
-        self.at_version = {**at_version[False], **at_version[True]}
+        self.at_version = {**missing, **at_version[True]}
         """Upstreams by service and version, in use or not."""
 
 
