--- a/src/peridotmast/serving/stream.py
+++ b/src/peridotmast/serving/stream.py
@@ -109,7 +109,7 @@
         return None
 
     def _may_end_unknown(self) -> bool:
-        """Return whether the caller is not told that the end is known."""
+        """Return whether the response to the caller states no end."""
         is_by_connection = self.framing is framing.Framing.CONNECTION
         return is_by_connection and not self.exchange.needs_known_end
 
--- a/src/peridotmast/serving/stream_versions.py
+++ b/src/peridotmast/serving/stream_versions.py
@@ -57,7 +57,7 @@
 
 
 class StreamVersions:
-    """Keeps the version of each stream until nobody can take it up any more.
+    """Keeps the version of each stream for as long as it may be taken up.
 
     A stream is known by its service, its team and the request id of the
     attempt that brought its first event. Copies are sent to other routers
@@ -196,7 +196,7 @@
         )
 
     def tick(self) -> None:
-        """Drop the records of streams that nobody can take up any more."""
+        """Drop the records of streams that may not be taken up any more."""
         for service in self._history.services():
             served = self._history.within(service, self._longest_window_ms)
             self._metrics.versions.labels(service).set(len(served))
