Two scenarios for a team over its limit while routers leave fail

Seen, without a network, with the real parts of eight routers: three have announced that they leave and serve on; a team that asks for eight times its limit gets 3,018,000 tokens in 8 s, one that asks for 1.55 times 2,486,000 with hardly a refusal; 2,381,510 are allowed. Without leaving routers 0.95 to 0.97 of what is allowed run.

The model counts what upstreams run, by time, with beacons that are late, and the bound is that of the users.

--- /dev/null
+++ b/features/team_limit.feature
@@ -0,0 +1,20 @@
+Feature: The limit of a team over all routers
+
+  # Guards against buckets that fill faster than the limit: routers that had announced that
+  # they leave were still heard, but no longer shared the limit. With three of eight, all
+  # buckets filled at 8 / 5 of the rate, and 1.27 times of what is allowed ran in 8 s.
+  Scenario: A team gets no more than its limit while routers leave
+    Given 8 routers before a team with 199592 tokens a second and a burst of 441000
+    When 3 of them announce that they leave
+    And the team asks for 8 times its limit for 10 s
+    Then no more tokens run in any 8 s than are allowed
+    And at least 0.95 of its limit runs
+
+  # The same fault, where nothing shows it: a team that asks for less than the buckets gained
+  # was refused nothing, and got all that it asked for.
+  Scenario: A team that asks for half as much again gets its limit while routers leave
+    Given 8 routers before a team with 199592 tokens a second and a burst of 441000
+    When 3 of them announce that they leave
+    And the team asks for 1.55 times its limit for 10 s
+    Then no more tokens run in any 8 s than are allowed
+    And at least 0.95 of its limit runs
