Count what upstreams run for a team in the soak, and restart routers in series

The soak had no team over its limit. Now one asks for eight times its limit; the stand-ins record team and tokens of each run, and the oracle compares the worst 8 s with what the users allow. A fault restarts all routers but one in series, so that several drain at once.

--- a/src/peridotmast/load/faults.py
+++ b/src/peridotmast/load/faults.py
@@ -34,6 +34,7 @@
     FOREIGN_ENTRY = 'foreign_entry'
     KILL_ROUTER = 'kill_router'
     DRAIN_ROUTER = 'drain_router'
+    ROLL_ROUTERS = 'roll_routers'
     MUTE_CONNECTIONS = 'mute_connections'
     HANG_ENGINE = 'hang_engine'
     CUT_ANSWERS = 'cut_answers'
@@ -69,6 +70,9 @@
 LINK_MODES = {FaultKind(f'link_{m.value}'): m for m in link_proxy.FaultMode}
 """Kinds that need link proxies. A fault's target, modulo 3, selects the
 `LinkKind`."""
+_ROLL_INTERVAL_MS = 500
+"""Time between the signals to two routers that are restarted in series."""
+
 _FLAP_RESTARTS = 3
 """Number of times that one fault stops an upstream; two stops could be
 unrelated, three count as flapping."""
@@ -373,17 +377,35 @@
     def _drain_router(self, fault: pb.Fault) -> None:
         router = self._pick_router(fault.target)
         if router is not None:
-            began = self._fleet.clock.now()
-            self.drain_spans[router.chat_address] = began, _NO_END
-            router.drain()
-            router.stop()
-            ended: int = self._fleet.clock.now()
-            killed = self._kill_times.get(router.chat_address, 0)
-            if killed >= began:
-                # Connections that the kill closed were not cut by the stop.
-                ended = killed - 1 - oracle_.DISCONNECT_WINDOW_MS
-            self.drain_spans[router.chat_address] = began, ended
-            self._replace_router(router.cfg.failure_domain)
+            self._restart(router)
+
+    def _roll_routers(self, fault: pb.Fault) -> None:
+        """Restart all routers but one in series, while others still drain."""
+        tasks = []
+        for _ in self._fleet.running_routers()[1:]:
+            router = self._pick_router(fault.target)
+            if router is not None:
+                tasks.append(green.spawn(self._restart, router))
+                green.sleep_ms(_ROLL_INTERVAL_MS)
+        for task in tasks:
+            task.wait()
+
+    def _restart(self, router: ty.Any) -> None:
+        self._drain(router)
+        self._replace_router(router.cfg.failure_domain)
+
+    def _drain(self, router: ty.Any) -> None:
+        """Stop a router as planned, and record the period of its stop."""
+        began = self._fleet.clock.now()
+        self.drain_spans[router.chat_address] = began, _NO_END
+        router.drain()
+        router.stop()
+        ended: int = self._fleet.clock.now()
+        killed = self._kill_times.get(router.chat_address, 0)
+        if killed >= began:
+            # Connections that the kill closed were not cut by the stop.
+            ended = killed - 1 - oracle_.DISCONNECT_WINDOW_MS
+        self.drain_spans[router.chat_address] = began, ended
 
     def _freeze_router(self, fault: pb.Fault) -> None:
         router = self._pick_router(fault.target)
--- a/src/peridotmast/load/oracle.py
+++ b/src/peridotmast/load/oracle.py
@@ -12,7 +12,10 @@
 from peridotmast.embedded import links as links_
 from peridotmast.embedded import upstream_instance
 from peridotmast import failures
+from peridotmast import ini
 from peridotmast.load import arrivals as arrivals_
+from peridotmast.load import team_runs as team_runs_
+from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.standin import answers
 
 MODEL = 'draft-7b'
@@ -27,6 +30,7 @@
     'duties_out_of_turn',
     'sent_though_blocked',
     'sent_over_limit',
+    'teams_over_limit',
     'overexposed_versions',
     'invariant_violations',
 )
@@ -104,6 +108,8 @@
     """Crashes by a blocked request above the number that is tolerated."""
     sent_over_limit: int = 0
     """Engines that received more requests than their rate limit allows."""
+    teams_over_limit: int = 0
+    """Teams of which upstreams ran more than their limits allow."""
     overexposed_versions: int = 0
     """Bad versions that got more requests than their bound, or any after
     their roll-back."""
@@ -129,6 +135,10 @@
         """Outcomes in the order in which the requests ended."""
         self.problems: list[str] = []
         """One line for each request that failed or violated a guarantee."""
+        self.team_runs: dict[str, team_runs_.TeamRuns] = {}
+        """What upstreams ran for each team that has a limit; empty before
+        the verdict."""
+        self._began_ms = fleet.clock.now()
 
     def add(self, outcome: Outcome) -> None:
         """Record the outcome of one request."""
@@ -198,6 +208,10 @@
             )
             for engine in limited_engines
         )
+        self._summarize_team_runs()
+        verdict.teams_over_limit = sum(
+            found.worst > found.allowed for found in self.team_runs.values()
+        )
         verdict.invariant_violations = self._fleet.invariant_violations()
         for guest in self._fleet.instances:
             totals = getattr(guest.upstream, 'totals', {})
@@ -206,6 +220,19 @@
             verdict.generated_tokens += totals.get('generated', 0)
         return verdict
 
+    def _summarize_team_runs(self) -> None:
+        config, _ = ini.load_text(self._fleet.shape.config, pb.Config)
+        runs = [
+            run
+            for guest in self._fleet.instances
+            for run in guest.upstream.app.team_runs
+        ]
+        self.team_runs = {
+            team.name: team_runs_.summarize(team, runs, self._began_ms)
+            for team in config.teams
+            if team.rate
+        }
+
     def _check_outcome(
         self, outcome: Outcome, verdict: Verdict, drain_spans: dict[str, Span]
     ) -> None:
--- a/src/peridotmast/load/soak.py
+++ b/src/peridotmast/load/soak.py
@@ -21,6 +21,16 @@
 
 _DRAFT_DEADLINE_MS = 25_000
 
+_CONFIG = f"""\
+{shape_.CONFIG}
+[team crowd]
+keys = key-crowd
+rate = 2000
+burst = 600
+default_tokens = 200
+"""
+"""Configuration with a team that asks for eight times its limit."""
+
 WORKLOADS = (
     pb.Workload(
         name='counter', team='kalnins', work='interactive', rate=11,
@@ -45,6 +55,12 @@
         prompt_words=4, shared_words=0, groups=1, tokens_min=1,
         tokens_max=1, deadline_ms=10_000, closes_at=3600,
     ),
+    pb.Workload(
+        name='pages', team='crowd', work='interactive', rate=80,
+        service='booking', idempotent=True,
+        prompt_words=4, shared_words=0, groups=1, tokens_min=1,
+        tokens_max=1, deadline_ms=500, opens_at=2, closes_at=3600,
+    ),
 )  # fmt: skip
 
 
@@ -55,6 +71,7 @@
         domains=4,
         engines=2,
         engine_profile=engine.EngineProfile(step_ms=10, batch_size=24),
+        config=_CONFIG,
         router={'policy': policy},
         bounds={
             'usage_window_s': 2.0,
--- a/src/peridotmast/load/trial.py
+++ b/src/peridotmast/load/trial.py
@@ -93,6 +93,10 @@
             'operator_conflicts': faults.operator_conflicts,
             'cost': round(fleet.cost(), 6),
             'store_calls': fleet.store_calls(),
+            'team_runs': {
+                team: dataclasses.asdict(found)
+                for team, found in oracle.team_runs.items()
+            },
             'digest': arrivals_.digest(self.arrivals, self.fault_schedule),
             'late_ms': driver.late_ms,
             'lost': oracle.problems[:50],
--- a/src/peridotmast/standin/upstream_app.py
+++ b/src/peridotmast/standin/upstream_app.py
@@ -10,6 +10,7 @@
 from peridotmast import clock as clock_
 from peridotmast import green
 from peridotmast.platform import names
+from peridotmast.standin import team_run
 from peridotmast.standin import version_faults
 from peridotmast import web
 from peridotmast.wire import strict_protocol
@@ -48,6 +49,8 @@
         """Time and id of each request received, whether it ran or not."""
         self.teams: dict[str, str] = {}
         """Team of each request that ran, by request id."""
+        self.team_runs: list[team_run.TeamRun] = []
+        """Team and stated tokens of each run, in the order of their start."""
         self.bodies: dict[str, bytes] = {}
         """Body of each request that ran, by request id."""
         self.in_progress = 0
@@ -167,7 +170,15 @@
     ) -> ty.Iterable[bytes]:
         self.runs[request_id] += 1
         self.bodies[request_id] = body
-        self.teams[request_id] = _header(environ, names.TEAM)
+        team = self.teams[request_id] = _header(environ, names.TEAM)
+        counts = _header(environ, names.TOKEN_COUNTS).split(',')
+        self.team_runs.append(
+            team_run.TeamRun(
+                self._clock.now(),
+                team,
+                sum(int(count) for count in counts if count.strip()),
+            )
+        )
         conn = environ[strict_protocol.CONNECTION]
         if self.crash_body and self.crash_body in body:
             green.spawn_after_ms(self.crash_delay_ms, self.on_crash)
