Say how old the reports are by which a team is refused, and what it spends

Each report now states when it was sent and the newest one of each peer that has arrived, so a router knows up to when all live peers know of its counts, whatever was late, with no two clocks compared. The refusal names that age and the peer; team_spending logs what was admitted for a team that is low, once a second; three metrics show tokens begun and left by team, and the age.

--- a/features/steps/quota_model.py
+++ b/features/steps/quota_model.py
@@ -75,6 +75,8 @@
         """Numbers of the routers that the callers use; None for all."""
         self.delay_ms = lambda sender, receiver: 5
         """Time from the sending of a beacon to its processing."""
+        self.pause_ms = lambda router: 0
+        """Time by which a router's next round of beacons is late."""
         self.runs = []
         """Time and tokens of each request that ran."""
         self.refused = 0
@@ -176,7 +178,7 @@
             router.tick_at = now + TICK_MS
             router.node.peering.tick()
         if now >= router.beacon_at:
-            router.beacon_at = now + BEACON_MS
+            router.beacon_at = now + BEACON_MS + self.pause_ms(router)
             self._send_round(router)
 
     def _send_round(self, router):
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import types
 
 from behave import given
@@ -78,3 +79,36 @@
         for start in context.sends
     )
     assert 0 < worst <= most, worst
+
+
+@when('beacons to and from router {number:d} take {ms:d} ms')
+def delay_beacons(context, number, ms):
+    context.team_fleet.delay_ms = lambda sender, receiver: (
+        ms if number in (sender.number, receiver.number) else 5
+    )
+
+
+@when('router {number:d} is killed')
+def kill_router(context, number):
+    context.team_fleet.kill(number)
+
+
+@then(
+    'router {number:d} says that its reports are {least:d} to {most:d} ms old'
+    ' at router {other:d}'
+)
+def check_named_peer(context, number, least, most, other):
+    router = context.team_fleet.routers[number]
+    text = router.quota.describe(quota_model.TEAM)
+    found = re.search(r'reports (\d+) ms old \((\S+)\)', text)
+    assert found and found[2].endswith(f'{other:03}'), text
+    assert least <= int(found[1]) <= most, text
+
+
+@then(
+    'router {number:d} says that its reports are {least:d} to {most:d} ms old'
+)
+def check_report_age(context, number, least, most):
+    text = context.team_fleet.routers[number].quota.describe(quota_model.TEAM)
+    found = re.search(r'reports (\d+) ms old', text)
+    assert found and least <= int(found[1]) <= most, text
--- a/features/team_limit.feature
+++ b/features/team_limit.feature
@@ -27,3 +27,15 @@
     When 3 of them announce that they leave
     And the upstream gets no request for 4 s, and then all that the routers allow
     Then at most 65 requests reach it in any 4 s
+
+  # Guards against refusals that cannot be explained: they said what was left, but not how old
+  # the reports were that this was based on.
+  Scenario: A refusal says how old the reports are that it goes by
+    Given 3 routers before a team with 1000 tokens a second and a burst of 12000
+    When beacons to and from router 1 take 700 ms
+    And the team asks for 8 times its limit for 3 s
+    Then router 0 says that its reports are 1400 to 2000 ms old at router 1
+    And router 1 says that its reports are 1400 to 2000 ms old
+    When router 1 is killed
+    And the team asks for 8 times its limit for 2 s
+    Then router 0 says that its reports are 10 to 600 ms old at router 2
--- a/src/peridotmast/coordination/beacon_check.py
+++ b/src/peridotmast/coordination/beacon_check.py
@@ -119,7 +119,8 @@
     """Yield the numbers in a beacon that must not be negative."""
     yield from (beacon.config_version, beacon.document_version)
     yield from (beacon.upstreams_revision, beacon.upstreams_since)
-    yield beacon.wall_ms
+    yield from (beacon.wall_ms, beacon.sent_ms)
+    yield from (report.sent_ms for report in beacon.heard)
     yield from (record.revision for record in beacon.upstreams)
     for totals in (beacon.own, beacon.group, beacon.others):
         yield from _numbers_in_totals(totals)
--- /dev/null
+++ b/src/peridotmast/coordination/report_confirmations.py
@@ -0,0 +1,113 @@
+"""Confirmations of peers that they have received this router's reports."""
+
+from __future__ import annotations
+
+import typing as ty
+
+from peridotmast import clock as clock_
+from peridotmast.coordination import members as members_
+from peridotmast.coordination import rank
+from peridotmast import ids
+from peridotmast.schema import peridotmast_pb2 as pb
+
+_RUN_BITS = 32
+
+
+class Confirmation(ty.NamedTuple):
+    """The oldest report of this router that some live peer goes by."""
+
+    at: int
+    """Time at which it was sent, in ms on this router's clock."""
+    peer: str
+    """Name of the peer; empty if there is no live peer."""
+
+
+class ReportConfirmations:
+    """Knows which counts of this router all live peers have received.
+
+    Each report states when it was sent, on its sender's clock, and the newest
+    report of each peer that its sender had received by then. The time since
+    the oldest confirmed report therefore covers the delays in both directions,
+    whatever caused them, and no two clocks are compared.
+
+    A peer is not waited for before its first report, as it learns what is
+    left of the limits from another peer, nor once it has fallen silent.
+
+    Parameters
+    ----------
+    members : members.Members
+        This router and its peers.
+    clock : clock.Clock
+        Times the reports.
+    """
+
+    def __init__(self, members: members_.Members, clock: clock_.Clock) -> None:
+        self._members = members
+        self._clock = clock
+        self._started_at = clock.now()
+        self._own_run = _digest(members.me.name, members.me.incarnation)
+        self._heard: dict[str, tuple[int, int]] = {}
+        """Digest of the run and `sent_ms` of each peer's newest report."""
+        self._confirmed: dict[str, tuple[int, int]] = {}
+        """Digest of the run of each peer, and the time up to which it has
+        received this router's reports."""
+
+    def stamp(self, beacon: pb.Beacon) -> None:
+        """State in a report when it is sent and which ones have arrived."""
+        beacon.sent_ms = max(1, self._clock.now() - self._started_at)
+        beacon.heard.extend(
+            pb.HeardReport(run=run, sent_ms=sent_ms)
+            for run, sent_ms in self._heard.values()
+        )
+
+    def receive(self, member: pb.Member, beacon: pb.Beacon) -> bool:
+        """Process a peer's report.
+
+        Returns
+        -------
+        bool
+            Whether it is newer than all others of that peer's run.
+        """
+        if not beacon.sent_ms:
+            return True
+        name, run = member.name, _digest(member.name, member.incarnation)
+        known_run, sent_ms = self._heard.get(name, (run, 0))
+        if known_run == run and beacon.sent_ms < sent_ms:
+            return False
+        self._heard[name] = run, beacon.sent_ms
+        confirmed_run, confirmed_at = self._confirmed.get(name, (0, 0))
+        if confirmed_run != run:
+            confirmed_at = self._clock.now()
+        confirmed_at = max(
+            confirmed_at,
+            *(
+                self._started_at + heard.sent_ms
+                for heard in beacon.heard
+                if heard.run == self._own_run
+            ),
+            0,
+        )
+        self._confirmed[name] = run, confirmed_at
+        return True
+
+    def oldest(self) -> Confirmation:
+        """Return the confirmation of the live peer that lags most."""
+        found = Confirmation(self._clock.now(), '')
+        for peer in self._members.live_peers():
+            name = peer.member.name
+            if name in self._confirmed:
+                at = self._confirmed[name][1]
+                found = min(found, Confirmation(at, name))
+        return found
+
+    def tick(self) -> None:
+        """Drop the state of peers that are no longer known."""
+        known = set(self._members.peer_names())
+        for state in (self._heard, self._confirmed):
+            for name in state.keys() - known:
+                del state[name]
+
+
+def _digest(name: str, incarnation: int) -> int:
+    owner = ids.owner_of(name, incarnation)
+    return rank.of('run', owner) % (1 << _RUN_BITS)
--- a/src/peridotmast/router/beacon_rounds.py
+++ b/src/peridotmast/router/beacon_rounds.py
@@ -12,6 +12,7 @@
 from peridotmast.coordination import lease as lease_
 from peridotmast.coordination import members as members_
 from peridotmast.coordination import outage_reports
+from peridotmast.coordination import report_confirmations
 from peridotmast.router import fleet_state as fleet_state_
 from peridotmast.router import shared_totals as shared_totals_
 from peridotmast.router import update_beacons
@@ -64,6 +65,8 @@
         The lease on the fleet-wide duties, such as scaling.
     outages : outage_reports.OutageReports
         Store outages that peers report.
+    confirmations : report_confirmations.ReportConfirmations
+        Which reports the peers have received.
     groups : groups.Groups
         The groups of a large fleet.
     current_groups : callable
@@ -81,6 +84,7 @@
         totals: shared_totals_.SharedTotals,
         lease: lease_.Lease,
         outages: outage_reports.OutageReports,
+        confirmations: report_confirmations.ReportConfirmations,
         groups: groups_.Groups,
         current_groups: ty.Callable[[], groups_.GroupSnapshot],
     ) -> None:
@@ -94,6 +98,7 @@
         self._totals = totals
         self._lease = lease
         self._outages = outages
+        self._confirmations = confirmations
         self._groups = groups
         self._current_groups = current_groups
         self._random = random.Random(fleet_state.members.me.name)
@@ -154,6 +159,8 @@
         """Yield beacons to `peers` with this router's own counts."""
         beacon = self._base_beacon()
         beacon.own.CopyFrom(self._totals.own())
+        if not self._groups.is_grouped():
+            self._confirmations.stamp(beacon)
         yield from self._with_levels(beacon, peers)
 
     def _with_levels(
--- a/src/peridotmast/router/peering.py
+++ b/src/peridotmast/router/peering.py
@@ -9,6 +9,7 @@
 from peridotmast.coordination import groups as groups_
 from peridotmast.coordination import lease as lease_
 from peridotmast.coordination import outage_reports
+from peridotmast.coordination import report_confirmations
 from peridotmast.coordination import report_gaps as report_gaps_
 from peridotmast import logs
 from peridotmast.router import beacon_rounds as beacon_rounds_
@@ -91,6 +92,9 @@
         )
         self._totals = totals
         self._groups = groups_.Groups(members)
+        self._confirmations = report_confirmations.ReportConfirmations(
+            members, clock
+        )
         self.borrowing = quota_borrowing_.QuotaBorrowing(
             members, serving.quota, self._current_groups_if_split
         )
@@ -105,6 +109,7 @@
             totals,
             lease,
             self._outages,
+            self._confirmations,
             self._groups,
             self._current_groups,
         )
@@ -118,6 +123,7 @@
             lambda: fleet_state.is_first_run
         )
         serving.quota.has_stale_peer_data = self.has_delayed_totals
+        serving.quota.oldest_confirmation = self._confirmations.oldest
         serving.crashes.relays_updates = self.has_delayed_totals
         self.receive_rollouts: ty.Callable[[pb.Beacon], None] = lambda b: None
         """Called with each beacon, which may concern roll-outs."""
@@ -196,6 +202,7 @@
     def tick(self) -> None:
         """Expire the state of routers and groups that have fallen silent."""
         self._members.tick()
+        self._confirmations.tick()
         live = self._members.live_peers()
         quota = self._serving.quota
         self._serving.limits.set_routers(self._members.limit_sharer_names())
@@ -254,7 +261,8 @@
         if beacon.HasField('own'):
             clock.record_peer(name, beacon.wall_ms)
             counted = not split or (groups.is_head and groups.is_member(name))
-            self._totals.update_peer(name, run, beacon.own, counted)
+            if self._confirmations.receive(beacon.member, beacon):
+                self._totals.update_peer(name, run, beacon.own, counted)
         if beacon.HasField('group'):
             clock.record_peer(name, beacon.wall_ms)
             group = groups.group_of(name)
--- a/src/peridotmast/router/serving.py
+++ b/src/peridotmast/router/serving.py
@@ -29,6 +29,7 @@
 from peridotmast.serving import stream_migrator as migrator_
 from peridotmast.serving import stream_relay
 from peridotmast.serving import stream_versions
+from peridotmast.serving import team_limit_log
 from peridotmast.serving import upstream_limits as upstream_limits_
 from peridotmast.serving import usage as usage_
 from peridotmast.serving import version_gate
@@ -126,6 +127,9 @@
         """Forwards requests to peers."""
         self.peers.members = fleet_state.members.serving
         self._metrics = metrics_.ServingMetrics(registry)
+        self._team_log = team_limit_log.TeamLimitLog(
+            clock, self.quota, self._metrics, cfg.name
+        )
         history = version_history.VersionHistory(clock)
         table.listen(history.note)
         table.listen_replacements(history.note_replaced)
@@ -200,6 +204,7 @@
         self.crashes.tick()
         self._sender.tick()
         self.limits.tick()
+        self._team_log.tick()
         self.stream_versions.tick()
 
     def close(self) -> None:
--- a/src/peridotmast/serving/dispatcher.py
+++ b/src/peridotmast/serving/dispatcher.py
@@ -332,7 +332,10 @@
         if not state.counted and not state.exchange.forwarded_by:
             state.counted = True
             ago_ms = self._clock.now() - started_at
-            self._usage.count_started(state.exchange.team, ago_ms)
+            team, cost = state.exchange.team, state.exchange.cost
+            self._usage.count_started(team, ago_ms)
+            if team:
+                self._metrics.team_tokens.labels(team).inc(cost)
 
     def _count_unanswered(
         self, state: _RequestState, failure: failures.Failure, sent_at: int
--- a/src/peridotmast/serving/metrics.py
+++ b/src/peridotmast/serving/metrics.py
@@ -58,6 +58,23 @@
             ['service', 'reason'],
             registry=registry,
         )
+        self.team_tokens = prometheus_client.Counter(
+            'peridotmast_team_tokens',
+            'Tokens of the requests that upstreams started, by team.',
+            ['team'],
+            registry=registry,
+        )
+        self.team_level = prometheus_client.Gauge(
+            'peridotmast_team_level',
+            'Tokens left of the limit of a team over all routers.',
+            ['team'],
+            registry=registry,
+        )
+        self.report_age = prometheus_client.Gauge(
+            'peridotmast_report_age_seconds',
+            "Age of this router's oldest report that a live peer goes by.",
+            registry=registry,
+        )
         self.versions = prometheus_client.Gauge(
             'peridotmast_upstream_versions',
             'Software versions at which streams of a service may have begun.',
--- a/src/peridotmast/serving/quota.py
+++ b/src/peridotmast/serving/quota.py
@@ -136,6 +136,14 @@
         after a long delay. If so, they pace requests while the level of a
         team is low, and heads of groups lend tokens."""
 
+        self.oldest_confirmation: ty.Callable[[], tuple[int, str]] = lambda: (
+            self._clock.now(),
+            '',
+        )
+        """Returns up to which time all live peers have received this router's
+        counts, in ms, and the name of the peer that lags most; empty if
+        there is none."""
+
     def configure(self, teams: ty.Iterable[pb.Team]) -> None:
         """Apply the limits of the teams."""
         now = self._clock.now()
@@ -233,9 +241,12 @@
         bucket = self._buckets.get(team)
         if bucket is None:
             return f'{team}: no limit'
+        at, peer = self.oldest_confirmation()
+        reports = f', reports {self._clock.now() - at} ms old ({peer})'
         return (
-            f'{team}: level {bucket.level:.0f}, rate {bucket.rate:g},'
-            f' burst {bucket.burst:g}, known share {self.known_share:.2f}'
+            f'{team}: level {bucket.level:.0f}, share {self.known_share:.2f}'
+            f'{reports if peer else ""}, rate {bucket.rate:g},'
+            f' burst {bucket.burst:g}'
             f'{"" if bucket.is_known else ", level unconfirmed"}'
         )
 
@@ -300,6 +311,13 @@
             bucket.fill(now, self.known_share, self.count_routers())
         return {team: round(b.level) for team, b in known_buckets.items()}
 
+    def level_and_burst(self) -> dict[str, tuple[float, float]]:
+        """Return the level and the burst of each team with a limit."""
+        now = self._clock.now()
+        for bucket in self._buckets.values():
+            bucket.fill(now, self.known_share, self.count_routers())
+        return {t: (b.level, b.burst) for t, b in self._buckets.items()}
+
     def adopt_levels(self, levels: dict[str, int]) -> None:
         """Set unknown levels to those that a peer reports.
 
