Take no part of a burst that routers under other names may have spent

Cause: a run without an earlier one of its own name took its part of the burst for unspent until it was told the level, though the fleet was old.

Now the burst is a part only of runs that know of none that began well before them.

--- a/features/groups.feature
+++ b/features/groups.feature
@@ -177,11 +177,10 @@
   Scenario: Tokens admitted before the level is received are deducted once
     Given 8 routers that know each other's names
     When 5000 ms pass in the fleet
-    And the limit is set to 2000 tokens a second with a burst of 40000
-    And 1000 ms pass in the fleet
-    And a router is restarted and admits 4000 tokens before it receives the level of the limit
+    And a team uses up its burst of 40000 tokens at a limit of 2000 a second
+    And a router is restarted and admits 400 tokens before it receives the level of the limit
     And 1000 ms pass in the fleet
-    Then the restarted router's level of the limit is at most 1000 below another router's
+    Then the restarted router's level of the limit is at most 100 below another router's
 
   Scenario: A router also receives the levels of limits that are configured later
     Given 8 routers that know each other's names
--- a/features/steps/group_steps.py
+++ b/features/steps/group_steps.py
@@ -817,9 +817,10 @@
     ' the level of the limit'
 )
 def restart_and_spend(context, tokens):
-    # Only a run without an earlier one may spend of the burst so soon.
     restart_router(context, is_first_run=True)
     context.restarted.set_limit(*context.limit)
+    # By then its part of the rate suffices for half of the request.
+    context.simulated.clock.advance(900)
     assert not context.restarted.serving.quota.take('noor', tokens)
 
 
--- a/features/steps/quota_model.py
+++ b/features/steps/quota_model.py
@@ -95,6 +95,8 @@
         self.runs = []
         """Time and tokens of each request that ran."""
         self.refused = 0
+        self._entries = {}
+        """Entries in the store, which stay when a router ends."""
         self._due = 0.0
         self._datagrams = []
         self._serials = itertools.count()
@@ -112,13 +114,13 @@
         """Start a run of a router that knows the others by their entries."""
         router = Router(self, number, is_first_run)
         self.routers[number] = router
+        self._entries[number] = router.node.members.me
         for other in self.routers.values():
             other.node.members.merge_entry(
                 group_steps.copy_of(router.node.members.me)
             )
-            router.node.members.merge_entry(
-                group_steps.copy_of(other.node.members.me)
-            )
+        for entry in self._entries.values():
+            router.node.members.merge_entry(group_steps.copy_of(entry))
         self.configure(router)
 
     def configure(self, router):
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -41,6 +41,28 @@
     context.team_fleet.run(ms)
 
 
+@when('{count:d} of them are replaced under new names, and no beacon arrives')
+def replace_routers(context, count):
+    fleet = context.team_fleet
+    for number in sorted(fleet.routers)[:count]:
+        fleet.kill(number)
+    context.added = [100 + number for number in range(count)]
+    for number in context.added:
+        fleet.start(number, is_first_run=True)
+    fleet.delay_ms = lambda sender, receiver: None
+    fleet.homes = context.added
+    fleet.runs.clear()
+
+
+@then('the new routers ran at most their part of 0.8 s and a request each')
+def check_new_routers(context):
+    fleet = context.team_fleet
+    count = len(context.added)
+    part = 0.8 * fleet.rate * count / len(fleet.routers)
+    most = part + count * max(quota_model.PROMPTS)
+    assert 0 < fleet.total() <= most, (fleet.total(), most)
+
+
 @when('all its callers use router {number:d}')
 def callers_use_router(context, number):
     context.team_fleet.homes = [number]
--- a/features/team_limit.feature
+++ b/features/team_limit.feature
@@ -51,6 +51,15 @@
   Scenario: In random histories no more runs for a team than is allowed
     Then in 40 random histories of 25 steps no more runs in any 8 s than is allowed
 
+  # Guards against a burst for each new name: a router that replaces another one under a new name
+  # has no earlier run, so it took its part of the burst for unspent before it was told the level.
+  Scenario: Routers under new names take no part of a burst that others may have spent
+    Given 8 routers before a team with 199592 tokens a second and a burst of 441000
+    When the team asks for 20 times its limit for 2 s
+    And 6 of them are replaced under new names, and no beacon arrives
+    And the team asks for 20 times its limit for 800 ms
+    Then the new routers ran at most their part of 0.8 s and a request each
+
   # The same fault in the limits that upstreams name: routers that remain took over the shares
   # of leaving ones at once, while these still used them.
   Scenario: An upstream gets no more than its limit while routers leave
--- a/src/peridotmast/coordination/members.py
+++ b/src/peridotmast/coordination/members.py
@@ -28,6 +28,9 @@
 _DISCOVERED_MS = 5000
 """Time for which a peer without a beacon so far counts as running."""
 
+_FLEET_START_MS = 3000
+"""Time within which all routers start if the fleet starts as a whole."""
+
 _SILENT_RETENTION_MS = 60_000
 """How long a silent member is kept: longer than the network partitions that
 heal, since no other router would report the member after a partition."""
@@ -218,6 +221,17 @@
         peers = self._peers.values()
         return 1 / (1 + sum(p.member.state == ALIVE for p in peers))
 
+    def knows_earlier_runs(self) -> bool:
+        """Return whether some peer's run began well before this one.
+
+        The routers of a fleet that starts as a whole begin at about the same
+        time, by their clocks.
+        """
+        limit = self.me.incarnation - _FLEET_START_MS
+        return any(
+            peer.member.incarnation < limit for peer in self._peers.values()
+        )
+
     def is_newly_discovered(self, peer: Peer) -> bool:
         """Return whether a peer without a beacon so far may be running."""
         limit = self.clock.now() - _DISCOVERED_MS
--- a/src/peridotmast/router/peering.py
+++ b/src/peridotmast/router/peering.py
@@ -129,8 +129,9 @@
         self._group_reported_at: dict[int, int] = {}
         serving.quota.count_routers = members.limit_sharer_count
         serving.retry_budget.share = members.slack_share
-        serving.quota.is_first_run = serving.retry_budget.is_first_run = (
-            lambda: fleet_state.is_first_run
+        serving.retry_budget.is_first_run = lambda: fleet_state.is_first_run
+        serving.quota.is_first_run = lambda: (
+            fleet_state.is_first_run and not members.knows_earlier_runs()
         )
         serving.quota.has_stale_peer_data = self.has_delayed_totals
         serving.quota.oldest_confirmation = self._confirmations.oldest
--- a/src/peridotmast/serving/quota.py
+++ b/src/peridotmast/serving/quota.py
@@ -136,7 +136,7 @@
         self._is_started = False
         self._started_at = 0
         self.is_first_run: ty.Callable[[], bool] = lambda: False
-        """Returns whether no earlier run of this router can have spent
+        """Returns whether no earlier run of any router can have spent
         anything."""
         self.known_share = 1.0
         """Fraction of the routers in the fleet whose beacons this router
