Count what a new router admitted before its peers first heard of it

Cause: the first report of a router was taken for the baseline, so what it had admitted before was never taken off a limit. Reports state since when their run counts; one that has just begun, and after the receiver, counts from 0.

--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -63,6 +63,22 @@
     assert 0 < fleet.total() <= most, (fleet.total(), most)
 
 
+@when('router {number:d} starts, whose beacons take {ms:d} ms')
+def start_router(context, number, ms):
+    fleet = context.team_fleet
+    fleet.start(number, is_first_run=True)
+    fleet.delay_ms = lambda sender, receiver: (
+        ms if sender.number == number else 5
+    )
+
+
+@then('router {number:d} has counted all that ran')
+def check_all_counted(context, number):
+    fleet = context.team_fleet
+    (counted,) = fleet.routers[number].node.peering._totals.group().spends
+    assert counted.tokens == fleet.total(), (counted.tokens, fleet.total())
+
+
 @when('all its callers use router {number:d}')
 def callers_use_router(context, number):
     context.team_fleet.homes = [number]
--- a/features/team_limit.feature
+++ b/features/team_limit.feature
@@ -60,6 +60,17 @@
     And the team asks for 20 times its limit for 800 ms
     Then the new routers ran at most their part of 0.8 s and a request each
 
+  # Guards against spending that nobody ever counts: the first report of a router was taken for
+  # the baseline, so what it had admitted before its peers first heard of it was ignored.
+  Scenario: What a new router admits before its peers hear of it counts
+    Given 8 routers before a team with 199592 tokens a second and a burst of 441000
+    When the team asks for 2 times its limit for 3 s
+    And router 100 starts, whose beacons take 900 ms
+    And all its callers use router 100
+    And the team asks for 8 times its limit for 700 ms
+    And the team asks for nothing for 2 s
+    Then router 1 has counted all that ran
+
   # The same fault in the limits that upstreams name: routers that remain took over the shares
   # of leaving ones at once, while these still used them.
   Scenario: An upstream gets no more than its limit while routers leave
--- a/src/peridotmast/coordination/fleet_counts.py
+++ b/src/peridotmast/coordination/fleet_counts.py
@@ -21,19 +21,27 @@
     def __init__(self) -> None:
         self._reported: dict[str, tuple[int, Counts]] = {}
 
-    def update(self, reporter: str, run: int, counts: Counts) -> Counts:
+    def update(
+        self, reporter: str, run: int, counts: Counts, is_new: bool = False
+    ) -> Counts:
         """Return the increments since the reporter's last report.
 
         The first report of a reporter is the baseline, so counts from before
         it are ignored. A new run of a known reporter counts from 0. A report
         may leave counts out.
+
+        Parameters
+        ----------
+        is_new : bool
+            Whether the run has just begun, so that it counts from 0 also if
+            the reporter is not known.
         """
         known = self._reported.get(reporter)
         if known is not None and known[0] > run:
             return {}
         before = known[1] if known and known[0] == run else {}
         self._reported[reporter] = run, {**before, **counts}
-        if known is None:
+        if known is None and not is_new:
             return {}
         return {
             name: count - before.get(name, 0)
@@ -83,7 +91,12 @@
         self._outside_group: collections.Counter[str] = collections.Counter()
 
     def receive(
-        self, router: str, run: int, counts: Counts, counted: bool
+        self,
+        router: str,
+        run: int,
+        counts: Counts,
+        counted: bool,
+        is_new: bool = False,
     ) -> None:
         """Process the counts of another router.
 
@@ -92,8 +105,10 @@
         counted : bool
             Whether this router takes the other router's counts from this path,
             so that the increments are passed to `apply`.
+        is_new : bool
+            Whether the other router's run has just begun.
         """
-        increments = self._routers.update(router, run, counts)
+        increments = self._routers.update(router, run, counts, is_new)
         _add(
             self._by_router.setdefault(router, collections.Counter()),
             increments,
--- a/src/peridotmast/coordination/report_confirmations.py
+++ b/src/peridotmast/coordination/report_confirmations.py
@@ -12,6 +12,10 @@
 
 _RUN_BITS = 32
 
+_NEW_RUN_MS = 5000
+"""Age up to which a run is new: less than the time for which the counts of
+a silent peer are kept."""
+
 
 class Confirmation(ty.NamedTuple):
     """The oldest report of this router that some live peer goes by."""
@@ -92,6 +96,14 @@
         self._confirmed[name] = run, min(now, confirmed_at)
         return True
 
+    def is_new(self, stamp: pb.ReportStamp) -> bool:
+        """Return whether a report's run has just begun, and after this one.
+
+        Any older run may have been known before, and counted.
+        """
+        age_ms = self._clock.now() - self._started_at
+        return 0 < stamp.sent_ms < min(age_ms, _NEW_RUN_MS)
+
     def oldest(self) -> Confirmation:
         """Return the confirmation of the live peer that lags most."""
         found = Confirmation(self._clock.now(), '')
--- a/src/peridotmast/router/peering.py
+++ b/src/peridotmast/router/peering.py
@@ -276,7 +276,10 @@
             clock.record_peer(name, beacon.wall_ms)
             counted = not split or (groups.is_head and groups.is_member(name))
             if self._confirmations.receive(name, run, beacon.stamp):
-                self._totals.update_peer(name, run, beacon.own, counted)
+                is_new = self._confirmations.is_new(beacon.stamp)
+                self._totals.update_peer(
+                    name, run, beacon.own, counted, is_new
+                )
                 self.spend_reports.notify()
         if beacon.HasField('group'):
             clock.record_peer(name, beacon.wall_ms)
--- a/src/peridotmast/router/shared_totals.py
+++ b/src/peridotmast/router/shared_totals.py
@@ -117,7 +117,12 @@
             )
 
     def update_peer(
-        self, router: str, run: int, totals: pb.Totals, counted: bool
+        self,
+        router: str,
+        run: int,
+        totals: pb.Totals,
+        counted: bool,
+        is_new: bool = False,
     ) -> None:
         """Update the counts and the load of another router.
 
@@ -126,8 +131,12 @@
         counted : bool
             Whether this router takes the peer's counts from this message.
             Otherwise they are only kept in case this router becomes the head.
+        is_new : bool
+            Whether the peer's run has just begun.
         """
-        self._spends.receive(router, run, _tokens_by_team(totals), counted)
+        self._spends.receive(
+            router, run, _tokens_by_team(totals), counted, is_new
+        )
         self._demand_tokens.receive(
             router, run, _tokens_by_service(totals), counted
         )
