--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -79,6 +79,21 @@
     assert counted.tokens == fleet.total(), (counted.tokens, fleet.total())
 
 
+@when('beacons from router {number:d} to router {other:d} are lost')
+def lose_beacons(context, number, other):
+    context.team_fleet.delay_ms = lambda sender, receiver: (
+        None if (sender.number, receiver.number) == (number, other) else 5
+    )
+
+
+@then('router {number:d} keeps at most {most:d} of over {runs:d} admissions')
+def check_admissions_kept(context, number, most, runs):
+    bucket = context.team_fleet.routers[number].quota._buckets['noor']
+    kept = len(bucket.spending._admitted)
+    assert kept <= most, kept
+    assert len(context.team_fleet.runs) > runs
+
+
 @when('all its callers use router {number:d}')
 def callers_use_router(context, number):
     context.team_fleet.homes = [number]
--- a/features/team_limit.feature
+++ b/features/team_limit.feature
@@ -53,6 +53,20 @@
     And the team asks for 0.9 times its limit for 10 s
     Then no request is refused to the team
 
+  # Guards against a router that waits for confirmations for good: a peer that no longer hears it
+  # is still heard, and confirms nothing.
+  Scenario: A router that one peer no longer hears serves a team within its limit
+    Given 8 routers before a team with 199592 tokens a second and a burst of 441000
+    When beacons from router 0 to router 1 are lost
+    And the team asks for 0.55 times its limit for 20 s
+    Then no request is refused to the team
+
+  Scenario: What is admitted is forgotten once peers know of it, at any size of the fleet
+    Given 20 routers before a team with 199592 tokens a second and a burst of 441000
+    When all its callers use router 0
+    And the team asks for 0.55 times its limit for 5 s
+    Then router 0 keeps at most 20 of over 100 admissions
+
   # Holds the inequality: what runs in 8 s is at most what is allowed, whatever is late, however
   # much is asked, while routers freeze, thaw, leave, are killed and start.
   Scenario: In random histories no more runs for a team than is allowed
--- a/src/peridotmast/coordination/report_confirmations.py
+++ b/src/peridotmast/coordination/report_confirmations.py
@@ -17,6 +17,22 @@
 a silent peer are kept."""
 
 
+_DEAF_MS = 2000
+"""Time without a further confirmation after which a live peer counts as deaf:
+it no longer hears this router, and counts it as silent by then."""
+
+
+class _PeerState(ty.NamedTuple):
+    """What a peer has confirmed."""
+
+    run: int
+    """Digest of the peer's run."""
+    confirmed_at: int
+    """Time up to which it has received this router's reports, in ms."""
+    advanced_at: int
+    """Time at which it last confirmed a further report, in ms."""
+
+
 class Confirmation(ty.NamedTuple):
     """The oldest report of this router that some live peer goes by."""
 
@@ -35,7 +51,8 @@
     whatever caused them, and no two clocks are compared.
 
     A peer is not waited for before its first report, as it learns what is
-    left of the limits from another peer, nor once it has fallen silent.
+    left of the limits from another peer, nor once one of the two no longer
+    hears the other: it then counts the other as spending its part.
 
     Parameters
     ----------
@@ -52,9 +69,7 @@
         self._own_run = _digest(members.me.name, members.me.incarnation)
         self._heard: dict[str, tuple[int, int]] = {}
         """Digest of the run and `sent_ms` of each peer's newest report."""
-        self._confirmed: dict[str, tuple[int, int]] = {}
-        """Digest of the run of each peer, and the time up to which it has
-        received this router's reports."""
+        self._confirmed: dict[str, _PeerState] = {}
 
     def stamp(self) -> pb.ReportStamp:
         """Return when a report is sent now and which ones have arrived."""
@@ -84,16 +99,18 @@
         if heard_run == run and stamp.sent_ms < sent_ms:
             return False
         self._heard[name] = run, stamp.sent_ms
-        known_run, confirmed_at = self._confirmed.get(name, (run, now))
-        if known_run != run:
-            confirmed_at = now
-        received = (
+        known = self._confirmed.get(name)
+        if known is None or known.run != run:
+            known = _PeerState(run, now, now)
+        received = [
             self._started_at + report.sent_ms
             for report in stamp.heard
             if report.run == self._own_run
-        )
-        confirmed_at = max(confirmed_at, *received, confirmed_at)
-        self._confirmed[name] = run, min(now, confirmed_at)
+        ]
+        confirmed_at = min(now, max([known.confirmed_at, *received]))
+        if confirmed_at > known.confirmed_at:
+            known = _PeerState(run, confirmed_at, now)
+        self._confirmed[name] = known
         return True
 
     def is_new(self, stamp: pb.ReportStamp) -> bool:
@@ -106,20 +123,22 @@
 
     def oldest(self) -> Confirmation:
         """Return the confirmation of the live peer that lags most."""
-        found = Confirmation(self._clock.now(), '')
+        now = self._clock.now()
+        found = Confirmation(now, '')
         for peer in self._members.live_peers():
             name = peer.member.name
-            if name in self._confirmed:
-                at = self._confirmed[name][1]
-                found = min(found, Confirmation(at, name))
+            known = self._confirmed.get(name)
+            if known is not None and now - known.advanced_at <= _DEAF_MS:
+                found = min(found, Confirmation(known.confirmed_at, name))
         return found
 
     def tick(self) -> None:
         """Drop the state of peers that are no longer known."""
         known = set(self._members.peer_names())
-        for state in (self._heard, self._confirmed):
-            for name in state.keys() - known:
-                del state[name]
+        self._heard = {n: v for n, v in self._heard.items() if n in known}
+        self._confirmed = {
+            n: v for n, v in self._confirmed.items() if n in known
+        }
 
 
 def _digest(name: str, incarnation: int) -> int:
--- a/src/peridotmast/router/peering.py
+++ b/src/peridotmast/router/peering.py
@@ -134,7 +134,7 @@
             fleet_state.is_first_run and not members.knows_earlier_runs()
         )
         serving.quota.has_stale_peer_data = self.has_delayed_totals
-        serving.quota.oldest_confirmation = self._confirmations.oldest
+        serving.quota.oldest_confirmation = self._oldest_confirmation
         serving.crashes.relays_updates = self.has_delayed_totals
         self.receive_rollouts: ty.Callable[[pb.Beacon], None] = lambda b: None
         """Called with each beacon, which may concern roll-outs."""
@@ -259,6 +259,12 @@
         is_reported = self._outages.has_recent()
         return is_reported or self._fleet_state.outage.is_suspected()
 
+    def _oldest_confirmation(self) -> report_confirmations.Confirmation:
+        """Return the oldest confirmation; in groups there are none."""
+        if self._groups.is_grouped():
+            return report_confirmations.Confirmation(self._clock.now(), '')
+        return self._confirmations.oldest()
+
     def _apply_load(self, news: pb.LoadNews) -> None:
         peer = self._members.get(news.router)
         if peer is None or not peer.last_beacon_at:
--- a/src/peridotmast/serving/quota.py
+++ b/src/peridotmast/serving/quota.py
@@ -430,12 +430,10 @@
         The parts of all routers add up to what is left and the tolerance. A
         router of which its peers know all may admit any request.
         """
-        if self.has_stale_peer_data():
-            return False
         confirmed_at, _ = self.oldest_confirmation()
         spending = bucket.spending
         spending.confirm(self._clock.now(), confirmed_at)
-        if spending.tokens <= 0:
+        if spending.tokens <= 0 or self.has_stale_peer_data():
             return False
         usable = max(0.0, bucket.level + spending.tokens)
         usable += self.tolerance.usable(bucket.rate, bucket.burst)
