--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -60,6 +60,13 @@
         'pass',
         'team_limit',
     ),
+    Mutation(
+        'wait for no peer that no longer hears this router',
+        COORDINATION + 'report_confirmations.py',
+        'now - known.advanced_at <= _DEAF_MS',
+        'True',
+        'team_limit',
+    ),
     Mutation(
         'let peers confirm only what they received',
         COORDINATION + 'report_confirmations.py',
