--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -94,6 +94,24 @@
     assert len(context.team_fleet.runs) > runs
 
 
+@when(
+    'router {number:d} admits {tokens:d} tokens, and router {other:d} gets its'
+    ' last two reports in reverse order'
+)
+def reverse_reports(context, number, tokens, other):
+    fleet = context.team_fleet
+    sender, receiver = (fleet.routers[n] for n in (number, other))
+    beacons = []
+    for part in (tokens // 2, tokens - tokens // 2):
+        fleet.clock.advance(quota_model.STEP_MS)
+        assert not sender.quota.take(quota_model.TEAM, part)
+        fleet.runs.append((fleet.clock.now(), part))
+        round_ = iter(sender.node.peering.rounds.next_round())
+        beacons.append(next(round_)[0])
+    for beacon in reversed(beacons):
+        receiver.node.peering.receive(beacon)
+
+
 @when('all its callers use router {number:d}')
 def callers_use_router(context, number):
     context.team_fleet.homes = [number]
--- a/features/team_limit.feature
+++ b/features/team_limit.feature
@@ -67,6 +67,11 @@
     And the team asks for 0.55 times its limit for 5 s
     Then router 0 keeps at most 20 of over 100 admissions
 
+  Scenario: A report that arrives after a newer one changes nothing
+    Given 8 routers before a team with 199592 tokens a second and a burst of 441000
+    When router 0 admits 2000 tokens, and router 1 gets its last two reports in reverse order
+    Then router 1 has counted all that ran
+
   # Holds the inequality: what runs in 8 s is at most what is allowed, whatever is late, however
   # much is asked, while routers freeze, thaw, leave, are killed and start.
   Scenario: In random histories no more runs for a team than is allowed
