--- a/src/peridotmast/client/caller.py
+++ b/src/peridotmast/client/caller.py
@@ -26,6 +26,8 @@
 
     request_id: str
     address: str
+    started_at: int = 0
+    """Time at which the attempt began, in ms."""
     status: int = 0
     """Status of the response; 0 if there was none."""
     ended_at: int = 0
@@ -186,6 +188,7 @@
         attempt = Attempt(
             uuid.UUID(int=self._random.getrandbits(128)).hex,
             self._random.choice(self.resolve()),
+            self._clock.now(),
         )
         answer.attempts.append(attempt)
         conn = connection_.Connection(attempt.address, self._clock)
--- a/src/peridotmast/load/team_runs.py
+++ b/src/peridotmast/load/team_runs.py
@@ -32,14 +32,31 @@
 
 
 def summarize(
-    team: pb.Team, runs: ty.Iterable[team_run.TeamRun], began_ms: int
+    team: pb.Team,
+    runs: ty.Iterable[team_run.TeamRun],
+    sent_times: ty.Mapping[str, int],
+    began_ms: int,
 ) -> TeamRuns:
-    """Return what ran for a team, over all upstreams and all attempts."""
-    own = sorted(
-        (run.at_ms, _cost(team, run)) for run in runs if run.team == team.name
-    )
+    """Return what ran for a team, over all upstreams and all attempts.
+
+    Parameters
+    ----------
+    sent_times : dict
+        Time at which the caller sent each request, by request id, in ms.
+    began_ms : int
+        Start of the run, in ms.
+    """
+    own = [
+        (
+            sent_times.get(run.request_id, run.at_ms),
+            run.at_ms,
+            _cost(team, run),
+        )
+        for run in runs
+        if run.team == team.name
+    ]
     by_second: collections.Counter[int] = collections.Counter()
-    for at, tokens in own:
+    for _, at, tokens in own:
         by_second[(at - began_ms) // 1000] += tokens
     worst, start = _worst_window(own)
     most = team.rate * WINDOW_MS / 1000 + team.burst
@@ -47,17 +64,24 @@
     return TeamRuns(worst, start, allowed, dict(sorted(by_second.items())))
 
 
-def _worst_window(own: list[tuple[int, int]]) -> tuple[int, int]:
-    """Return the most tokens in any window, and its start in ms."""
-    worst = start = total = first = 0
-    for at, tokens in own:
-        total += tokens
-        while own[first][0] <= at - WINDOW_MS:
-            total -= own[first][1]
-            first += 1
-        if total > worst:
-            worst, start = total, own[first][0]
-    return worst, start
+def _worst_window(own: list[tuple[int, int, int]]) -> tuple[int, int]:
+    """Return the most tokens in any window, and its start in ms.
+
+    As on the users' platform, those count that are both sent and run in it.
+    """
+    starts = {sent for sent, _, _ in own}
+    sums = (
+        (
+            sum(
+                tokens
+                for sent, at, tokens in own
+                if sent >= start and at < start + WINDOW_MS
+            ),
+            start,
+        )
+        for start in sorted(starts)
+    )
+    return max(sums, default=(0, 0))
 
 
 def _cost(team: pb.Team, run: team_run.TeamRun) -> int:
--- a/src/peridotmast/standin/upstream_app.py
+++ b/src/peridotmast/standin/upstream_app.py
@@ -175,6 +175,7 @@
         self.team_runs.append(
             team_run.TeamRun(
                 self._clock.now(),
+                request_id,
                 team,
                 sum(int(count) for count in counts if count.strip()),
             )
