--- a/features/environment.py
+++ b/features/environment.py
@@ -75,4 +75,7 @@
         }
         context.fleet.stop()
         assert not violations, f'invariants violated: {violations}'
-    shutil.rmtree(context.folder)
+    if scenario.status.has_failed():
+        print(f'kept: {context.folder}')
+    else:
+        shutil.rmtree(context.folder)
--- a/features/links.feature
+++ b/features/links.feature
@@ -26,5 +26,8 @@
   Scenario: A cut answer is excused if the proxy recorded a link fault of its request
     Then an answer cut by a planned stop counts as such unless the proxy has recorded a fault of its request
 
+  Scenario: A caller whose own time is over while its router stops was not cut by the stop
+    Then an answer that ends with the time of its caller does not count as cut by a planned stop
+
   Scenario: A planned stop that ends with a kill of the router counts as planned until the kill
     Then an answer cut before the kill counts as cut by the planned stop, and one cut by the kill does not
--- a/features/steps/experiment_steps.py
+++ b/features/steps/experiment_steps.py
@@ -86,6 +86,8 @@
     assert not context.violations, (
         context.command,
         context.violations,
+        context.report['team_runs'],
+        context.report['late_ms'],
         problems,
     )
     kinds = {kind.value for kind in faults.FaultKind}
--- a/features/steps/link_steps.py
+++ b/features/steps/link_steps.py
@@ -134,10 +134,15 @@
         assert count_cuts(context.fleet, 50, {ADDRESS: (0, 100)}) == count
 
 
-def count_cuts(fleet, ended, drained):
-    """Judge one broken answer; return how many cuts by planned stops count."""
+def count_cuts(fleet, ended, drained, ms=1):
+    """Judge one broken answer; return how many cuts by planned stops count.
+
+    Its caller has waited for `ms`.
+    """
     attempt = caller_.Attempt('its', ADDRESS, ended_at=ended)
-    answer = caller_.Answer(failure=failures.unknown('broke_off'))
+    answer = caller_.Answer(
+        failure=failures.unknown('broke_off'), started_at=ended - ms
+    )
     answer.attempts.append(attempt)
     arrival = arrivals.draw(soak.WORKLOADS[-1:], 9, 1)[0]
     judge = oracle.Oracle(fleet)
@@ -145,6 +150,17 @@
     return judge.judge({}, drained, []).cut_by_planned_stop
 
 
+@then(
+    'an answer that ends with the time of its caller does not count as cut by'
+    ' a planned stop'
+)
+def check_ended_caller_excused(context):
+    context.fleet = fleet_.Fleet()
+    (arrival,) = arrivals.draw(soak.WORKLOADS[-1:], 9, 1)[:1]
+    for ms, count in ((arrival.deadline_ms, 0), (arrival.deadline_ms - 1, 1)):
+        assert count_cuts(context.fleet, 50, {ADDRESS: (0, 100)}, ms) == count
+
+
 @then(
     'an answer cut before the kill counts as cut by the planned stop, and one'
     ' cut by the kill does not'
