--- a/src/peridotmast/load/faults.py
+++ b/src/peridotmast/load/faults.py
@@ -71,7 +71,7 @@
 """Kinds that need link proxies. A fault's target, modulo 3, selects the
 `LinkKind`."""
 _ROLL_INTERVAL_MS = 500
-"""Time between the signals to two routers that are restarted in series."""
+"""Time between the signals to two routers that are stopped in series."""
 
 _FLAP_RESTARTS = 3
 """Number of times that one fault stops an upstream; two stops could be
@@ -377,20 +377,20 @@
     def _drain_router(self, fault: pb.Fault) -> None:
         router = self._pick_router(fault.target)
         if router is not None:
-            self._restart(router)
+            self._drain_and_replace(router)
 
     def _roll_routers(self, fault: pb.Fault) -> None:
-        """Restart all routers but one in series, while others still drain."""
+        """Drain and replace routers in series, until two of them are left."""
         tasks = []
         for _ in self._fleet.running_routers()[1:]:
             router = self._pick_router(fault.target)
             if router is not None:
-                tasks.append(green.spawn(self._restart, router))
+                tasks.append(green.spawn(self._drain_and_replace, router))
                 green.sleep_ms(_ROLL_INTERVAL_MS)
         for task in tasks:
             task.wait()
 
-    def _restart(self, router: ty.Any) -> None:
+    def _drain_and_replace(self, router: ty.Any) -> None:
         self._drain(router)
         self._replace_router(router.cfg.failure_domain)
 
