--- /dev/null
+++ b/features/config_ways.feature
@@ -0,0 +1,20 @@
+Feature: The ways by which a change of the configuration reaches a router
+
+  Each router watches the store, is told of newer versions by its peers' beacons, copies
+  them from a peer, and reads the store if no peer gives it one. A change is in force at
+  each router in touch two seconds after its ack.
+
+  Background:
+    Given a fleet without a network, with simulated time
+
+  # Guards against watches that stay deaf after a silence of the store: all routers of a
+  # fleet served a route that had been dropped seconds before. The watches had been asked
+  # again while the store was silent, and not once more when it answered.
+  Scenario: A change is in force in time after the store was silent twice
+    When changes are made at the given intervals beside these silences of the store
+      | routers | change | first | for  | second | for  |
+      | 7       | 4000   | 5736  | 4999 | 13936  | 4162 |
+      | 6       | 1000   | 6179  | 3384 | 10077  | 4698 |
+      | 7       | 2000   | 7832  | 3766 | 12205  | 1375 |
+      | 3       | 4000   | 4572  | 3291 | 9594   | 4393 |
+    Then each router in touch has had each change in time
