--- a/features/steps/config_model.py
+++ b/features/steps/config_model.py
@@ -21,7 +21,6 @@
 from peridotmast import green
 from peridotmast import ini
 from peridotmast import invariants
-from peridotmast import rpc
 from peridotmast.platform import config_codec
 from peridotmast.platform import names
 from peridotmast.router import catch_up as catch_up_
@@ -29,6 +28,7 @@
 from peridotmast.router import peer_service
 from peridotmast.router import peering as peering_
 from peridotmast.router import update_beacons
+from peridotmast import rpc
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.wire import http_client
 
--- a/src/peridotmast/coordination/kind_watch.py
+++ b/src/peridotmast/coordination/kind_watch.py
@@ -163,9 +163,19 @@
             Whether the wait was ended.
         """
         since = self._silent_since
-        if since is None or self._clock.now() - since < silent_ms:
+        if since is None:
             return False
-        self._log.info(event, revision=self._revision)
+        waited_ms = self._clock.now() - since
+        if waited_ms < silent_ms:
+            self._log.info(
+                'watch_kept',
+                cause=event,
+                revision=self._revision,
+                silent_ms=waited_ms,
+                min_silent_ms=silent_ms,
+            )
+            return False
+        self._log.info(event, revision=self._revision, silent_ms=waited_ms)
         self._silent_since = None
         self._watch_interrupt.fire()
         return True
