Restart a watch that a recovery of the store found too young, once it is old enough

Cause: at a recovery a watch was restarted only if it had been silent for a minimum, doubled at each restart; otherwise the recovery was forgotten. A watch that was asked while the store was silent then waited out its 25 s, and as all routers restart at the same moments, all could be deaf at once. Change: the restart is put off until the minimum, which is 2 s at most (4 s before), below the 3 s in which a change may be late after an outage.

--- a/src/peridotmast/coordination/kind_watch.py
+++ b/src/peridotmast/coordination/kind_watch.py
@@ -31,11 +31,12 @@
 the store sends the received part of an answer again."""
 
 _OUTAGE_SILENT_MS = 500
-_MAX_OUTAGE_SILENT_MS = 4000
+_MAX_OUTAGE_SILENT_MS = 2000
 """Minimum silence of a watch before an outage restarts it: the watch may have
 been started while the store did not answer. The minimum is doubled at each
 restart until bytes arrive, so that an answer that takes long is received even
-while other calls fail and succeed in turn."""
+while other calls fail and succeed in turn. The maximum is below the time after
+an outage in which a change may be late."""
 
 _ROLE_CHECK_MS = 500
 """Interval at which a router that does not watch checks if it should."""
@@ -101,6 +102,9 @@
         self._backoff_ms = _FIRST_BACKOFF_MS
         self._watch_interrupt = green.Interrupt()
         self._silent_since: ty.Optional[int] = None
+        self._doubted_since: ty.Optional[int] = None
+        """Start of the silence at whose minimum the watch is restarted, in
+        ms; None if no restart is due."""
         self._outage_silent_ms = _OUTAGE_SILENT_MS
         self._log = logs.get('watch', kind=kind)
 
@@ -148,11 +152,32 @@
         self._restart_watch('watch_overtaken', _PEER_AHEAD_SILENT_MS)
 
     def on_outage(self) -> None:
-        """Restart the watch: the store may have dropped it in an outage."""
+        """Restart the watch: the store may have dropped it in an outage.
+
+        A watch whose silence is too short is restarted when it has reached the
+        minimum. No other event may follow: if the watch was started while the
+        store did not answer, it stays silent for its whole wait.
+        """
         if self._restart_watch('watch_doubted', self._outage_silent_ms):
             self._outage_silent_ms = min(
                 _MAX_OUTAGE_SILENT_MS, 2 * self._outage_silent_ms
             )
+            return
+        since = self._silent_since
+        if since is None or since == self._doubted_since:
+            return
+        self._doubted_since = since
+        remaining_ms = since + self._outage_silent_ms - self._clock.now()
+        green.call_after_ms(
+            remaining_ms, lambda: self._restart_if_silent(since)
+        )
+
+    def _restart_if_silent(self, since: int) -> None:
+        """Restart the watch if no byte has arrived since `since`, in ms."""
+        if self._doubted_since == since:
+            self._doubted_since = None
+        if self._silent_since == since:
+            self.on_outage()
 
     def _restart_watch(self, event: str, silent_ms: int) -> bool:
         """End the watch's wait if it has been silent for `silent_ms`.
