--- a/features/config_ways.feature
+++ b/features/config_ways.feature
@@ -33,3 +33,13 @@
       | 6       | 500    | 6064   | 5707 | 1 4 | 7233 | 13144 |
       | 8       | 500    | 5144   | 4222 | 6   | 6477 | 13740 |
     Then each router in touch has had each change in time
+
+  # Guards against a router that all its ways leave: cut from its peers, it lost the answer
+  # to its watch while the store did not serve it, and made no call that would show it.
+  Scenario: A router cut from its peers has a change in time that the store did not bring it
+    When changes are made while the store is silent for a router that is cut from its peers
+      | routers | change | silent | for  | cut  | from | for   |
+      | 7       | 2000   | 7500   | 1100 | 1    | 4000 | 14000 |
+      | 7       | 1000   | 9700   | 1500 | 1 4  | 6000 | 9000  |
+      | 20      | 2000   | 9100   | 2000 | 3 15 | 5000 | 12000 |
+    Then each router in touch has had each change in time
--- a/features/steps/config_way_steps.py
+++ b/features/steps/config_way_steps.py
@@ -74,12 +74,25 @@
 
 @when('changes are made beside a silence of the store and a cut of routers')
 def make_changes_beside_cut(context):
+    play_cuts(context, is_store_silent_for_all=True)
+
+
+@when(
+    'changes are made while the store is silent for a router that is cut from'
+    ' its peers'
+)
+def make_changes_at_cut_routers(context):
+    play_cuts(context, is_store_silent_for_all=False)
+
+
+def play_cuts(context, is_store_silent_for_all):
     for row in context.table:
         count, change_ms, silent_at, silent_ms = map(int, row.cells[:4])
         cut_at, cut_ms = map(int, row.cells[5:])
         cut = {int(number) for number in row['cut'].split()}
+        unserved = None if is_store_silent_for_all else cut
         events = [
-            (silent_at, 'trouble', 'silent', None, silent_ms),
+            (silent_at, 'trouble', 'silent', unserved, silent_ms),
             (cut_at, 'cut', cut, cut_ms),
         ]
         play_row(context, row, count, change_ms, events)
