Probe the store regularly at one router, and at each that receives no beacons

Cause: a silence in which no call falls loses answers to watches that have waited since before it, and their connections stay open. Peers make up for a router that the store alone fails, but not for one that is cut from them. Change: the first of the live routers by rank probes the store once a second unless it makes other calls; a router that receives no beacons is the first.

--- a/features/steps/store_outage_steps.py
+++ b/features/steps/store_outage_steps.py
@@ -183,7 +183,9 @@
 def check_probe_count(context, count, checks):
     store = CountingStore()
     store.calls = getattr(context, 'calls_before', 0)
-    check = store_prober.StoreProber(store, context.outage)
+    check = store_prober.StoreProber(
+        store, context.outage, is_regular=lambda: False
+    )
     for _ in range(checks):
         store.calls += getattr(context, 'other_calls', 0)
         check.tick()
--- a/src/peridotmast/coordination/store_prober.py
+++ b/src/peridotmast/coordination/store_prober.py
@@ -1,4 +1,4 @@
-"""Probes the store after a failed call until the store answers."""
+"""Probes the store while it is out, and regularly at one router."""
 
 from __future__ import annotations
 
@@ -26,24 +26,34 @@
     and send requests to upstreams that have left, as to upstreams whose
     entries are missing because of an outage.
 
+    One router of the fleet, and each that receives no beacons, also probes a
+    store that is not known to be out: a silence in which no call falls loses
+    answers to watches, and nothing else shows it.
+
     Parameters
     ----------
     store : ProbedStore
         The platform's store.
     outage : outage.OutageTracker
         Records the outcomes of the store's calls.
+    is_regular : callable
+        Returns whether this router probes the store regularly.
     """
 
     def __init__(
-        self, store: ProbedStore, outage: outage_.OutageTracker
+        self,
+        store: ProbedStore,
+        outage: outage_.OutageTracker,
+        is_regular: ty.Callable[[], bool],
     ) -> None:
         self._store = store
         self._outage = outage
+        self._is_regular = is_regular
         self._calls = 0
 
     def tick(self) -> None:
-        """Probe a store that is out and was not called since the last tick."""
+        """Probe the store, unless it was called since the last tick."""
         is_quiet = self._store.calls == self._calls
-        if self._outage.is_out and is_quiet:
+        if is_quiet and (self._outage.is_out or self._is_regular()):
             self._store.probe()
         self._calls = self._store.calls
--- a/src/peridotmast/coordination/watchers.py
+++ b/src/peridotmast/coordination/watchers.py
@@ -56,6 +56,14 @@
         factor = _OUTAGE_FACTOR if self.is_outage_suspected() else 1
         return before < factor * _WATCHERS
 
+    def is_prober(self) -> bool:
+        """Return whether this router probes the store for the others."""
+        own_rank = rank.of('probe', self._members.me.name)
+        return all(
+            rank.of('probe', name) > own_rank
+            for name in self._candidate_names()
+        )
+
     def _candidate_names(self) -> set[str]:
         """Return the names of the peers that are live or starting."""
         live = {peer.member.name for peer in self._members.live_peers()}
--- a/src/peridotmast/router/fleet_state.py
+++ b/src/peridotmast/router/fleet_state.py
@@ -53,11 +53,11 @@
 watchers among itself and the peers from which it has received beacons."""
 
 _STORE_CHECK_MS = 500
-"""Interval at which a store that has failed is checked. A check probes the
-store if there was no other call since the last check, so the probe follows the
-failed call after 0.5 s to 1 s. Together with the 2 s in which entries
-reappear, an outage is over within the 3 s in which a leaving upstream may
-still get requests."""
+"""Interval at which the store is checked if it has failed, or if this router
+probes it for the others. A check probes the store if there was no other call
+since the last check, so the probe follows the failed call after 0.5 s to 1 s.
+Together with the 2 s in which entries reappear, an outage is over within the
+3 s in which a leaving upstream may still get requests."""
 
 _SHARED_PROBE_MS = 20
 """Time after a probe in which further watches are started without another one:
@@ -197,7 +197,9 @@
         # watch waiting on one of them would receive nothing for 25 s.
         self.outage.on_recovery = self._restart_watches
         tasks.spawn('register', self._register)
-        check = store_prober.StoreProber(self.store, self.outage)
+        check = store_prober.StoreProber(
+            self.store, self.outage, self.watchers.is_prober
+        )
         tasks.run_every('check_store', _STORE_CHECK_MS, check.tick)
 
     def is_watching(self, part: str) -> bool:
