--- a/features/config_ways.feature
+++ b/features/config_ways.feature
@@ -43,3 +43,9 @@
       | 7       | 1000   | 9700   | 1500 | 1 4  | 6000 | 9000  |
       | 20      | 2000   | 9100   | 2000 | 3 15 | 5000 | 12000 |
     Then each router in touch has had each change in time
+
+  # Stores that are silent, busy, slow or reset for all or for some routers, dropped
+  # histories, cuts between routers and kills, one to six at a time, in fleets of 3 to 20.
+  Scenario: A change is in force in time in random histories
+    When 25 drawn histories of changes and troubles are played
+    Then each router in touch has had each change in time
--- a/features/steps/config_model.py
+++ b/features/steps/config_model.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import heapq
 import itertools
 import json
@@ -46,6 +47,10 @@
 ANSWER_MS = 4
 TIMEOUT_MS = 1500
 RETRY_MS = 500
+SLOW_ANSWER_MS = 900
+
+
+_STATUSES = {'busy': 503, 'gone': 410}
 
 
 class Timeline:
@@ -88,7 +93,7 @@
     """A time in which the store does not serve some or all routers."""
 
     how: str
-    """``silent``, ``busy`` or ``reset``."""
+    """``silent``, ``busy``, ``reset`` or ``slow``."""
     routers: ty.Optional[set[int]]
     """Numbers of the routers; None for all of them and the operator."""
     until: int
@@ -123,19 +128,32 @@
         self.acked = []
         """Time of the ack and version of each change of the configuration."""
         self._unsent = []
+        self._oldest = 0
+        """Revision from which on changes can be watched."""
 
     def begin(self, trouble):
         """Begin a trouble; watches that wait stay open in a silent one."""
         self._troubles.append(trouble)
         if trouble.routers is None:
             self.disturbed_until = max(self.disturbed_until, trouble.until)
-        if trouble.how == 'silent':
+        if trouble.how in ('silent', 'slow'):
             return
         for watch in self._watches:
             if trouble.routers is None or watch.router in trouble.routers:
                 if not watch.is_dead:
                     watch.end(trouble.how)
 
+    def forget_history(self):
+        """Drop the history, so that all watches end and list anew."""
+        self._oldest = self.revision + 1
+        self.revision += 1
+        self.disturbed_until = max(
+            self.disturbed_until, self._timeline.clock.now()
+        )
+        for watch in self._watches:
+            if not watch.is_dead:
+                watch.end('gone')
+
     def trouble_of(self, router):
         """Return how the store fails a router now; empty if it does not."""
         now = self._timeline.clock.now()
@@ -156,7 +174,7 @@
             self._send_changes()
 
     def _send_changes(self):
-        if self.trouble_of(None):
+        if self.trouble_of(None) not in ('', 'slow'):
             self._timeline.call_after_ms(RETRY_MS, self._send_changes)
             return
         for version in self._unsent:
@@ -174,7 +192,7 @@
         for watch in self._watches:
             if watch.kind == kind and not watch.is_dead:
                 # An answer that falls into a silence is lost for good.
-                watch.is_dead = bool(self.trouble_of(watch.router))
+                watch.is_dead = self.trouble_of(watch.router) == 'silent'
                 if not watch.is_dead:
                     watch.end('')
         return stored
@@ -183,7 +201,9 @@
         """Answer a call of a router, or return a failure."""
         self._timeline.sleep_ms(ANSWER_MS)
         trouble = self.trouble_of(router)
-        if trouble:
+        if trouble == 'slow':
+            self._timeline.sleep_ms(SLOW_ANSWER_MS)
+        elif trouble:
             return self._fail(trouble, timeout_ms)
         path, _, query = path.partition('?')
         kind, _, name = path[len(names.OBJECTS_PATH) + 1 :].partition('/')
@@ -204,27 +224,25 @@
         if trouble == 'silent':
             self._timeline.sleep_ms(timeout_ms)
             return failures.unknown('silent')
-        if trouble == 'busy':
-            return _answer(503, {})
+        if trouble in _STATUSES:
+            return _answer(_STATUSES[trouble], {})
         return failures.unknown('broke_off')
 
     def _wait(self, router, kind, since, timeout_ms):
+        if since < self._oldest:
+            return _answer(_STATUSES['gone'], {})
         watch = Watch(router, kind, since)
         if not self._changes(kind, since):
             self._watches.append(watch)
             self._timeline.call_after_ms(
-                timeout_ms, lambda: watch.end('silent')
+                timeout_ms, lambda: watch.end('ended')
             )
             try:
                 trouble = watch.ended.wait()
             finally:
                 self._watches.remove(watch)
             if trouble:
-                return (
-                    failures.unknown(trouble)
-                    if trouble != 'busy'
-                    else _answer(503, {})
-                )
+                return self._fail(trouble, timeout_ms)
         events = [
             {names.OBJECT: stored, names.DELETED: False}
             for stored in self._changes(kind, since)
@@ -397,18 +415,23 @@
         until = self.timeline.clock.now() + ms
         self.store.begin(Trouble(how, routers, until))
 
+    def forget_history(self):
+        self.store.forget_history()
+
     def cut(self, routers, ms):
         """Cut routers from all other routers for `ms`."""
         until = self.timeline.clock.now() + ms
         self._cuts.update(dict.fromkeys(routers, until))
 
-    def kill(self, router):
-        """Kill a router, which is started again."""
-        if self.routers[router] is None:
-            return
-        self.routers[router].stop()
-        self.routers[router] = None
-        self.timeline.call_after_ms(RESTART_MS, lambda: self._start(router))
+    def kill(self, routers):
+        """Kill routers, which are started again."""
+        for number in routers:
+            if self.routers[number] is not None:
+                self.routers[number].stop()
+                self.routers[number] = None
+                self.timeline.call_after_ms(
+                    RESTART_MS, functools.partial(self._start, number)
+                )
 
     def is_cut(self, one, other):
         now = self.timeline.clock.now()
--- a/features/steps/config_way_steps.py
+++ b/features/steps/config_way_steps.py
@@ -6,9 +6,14 @@
 from behave import then
 from behave import when
 import config_model
+import hypothesis
+from hypothesis import strategies as st
 
 RUN_MS = 30_000
 FIRST_CHANGE_MS = 2000
+LAST_TROUBLE_MS = 18_000
+FLEET_SIZES = (3, 6, 7, 8, 12, 20)
+CHANGE_INTERVALS_MS = (300, 1000, 2000, 4000)
 
 
 def play(count, change_ms, arrange):
@@ -40,6 +45,16 @@
     context.late = []
 
 
+def schedule(events):
+    """Return a function that schedules events on a fleet."""
+
+    def arrange(fleet):
+        for at, name, *args in events:
+            fleet.at(at, getattr(fleet, name), *args)
+
+    return arrange
+
+
 def play_row(context, row, count, change_ms, events):
     """Play a history and note the versions that were late in it.
 
@@ -49,11 +64,7 @@
         Time, name of the fleet's method and its arguments, of each trouble.
     """
 
-    def arrange(fleet):
-        for at, name, *args in events:
-            fleet.at(at, getattr(fleet, name), *args)
-
-    late, errors = play(count, change_ms, arrange)
+    late, errors = play(count, change_ms, schedule(events))
     assert not errors, errors[:3]
     context.late += [(row.cells, item) for item in late]
 
@@ -98,6 +109,50 @@
         play_row(context, row, count, change_ms, events)
 
 
+@st.composite
+def histories(draw):
+    """Draw a fleet's size, the time between changes, and its troubles."""
+    count = draw(st.sampled_from(FLEET_SIZES))
+    some = st.sets(
+        st.integers(0, count - 1), min_size=1, max_size=max(1, count // 2)
+    )
+    ms = st.integers(200, 8000)
+    how = st.sampled_from(('silent', 'busy', 'reset', 'slow'))
+    trouble = st.one_of(
+        st.tuples(st.just('trouble'), how, st.none(), ms),
+        st.tuples(st.just('trouble'), how, some, ms),
+        st.tuples(st.just('cut'), some, ms),
+        st.tuples(st.just('kill'), some),
+        st.tuples(st.just('forget_history')),
+    )
+    at = st.integers(FIRST_CHANGE_MS, LAST_TROUBLE_MS)
+    found = draw(st.lists(st.tuples(at, trouble), min_size=1, max_size=6))
+    events = [(begin, *event) for begin, event in found]
+    return count, draw(st.sampled_from(CHANGE_INTERVALS_MS)), events
+
+
+@when('{count:d} drawn histories of changes and troubles are played')
+def play_histories(context, count):
+    # More by hand: behave -D histories=400 features/config_ways.feature
+    count = context.config.userdata.getint('histories', count)
+
+    @hypothesis.settings(
+        max_examples=count,
+        derandomize=True,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    @hypothesis.given(histories())
+    def check(history):
+        routers, change_ms, events = history
+        late, errors = play(routers, change_ms, schedule(events))
+        assert not errors, errors[:3]
+        assert not late, (len(late), late[:3])
+
+    check()
+
+
 @then('each router in touch has had each change in time')
 def check_in_time(context):
     # Time, router, its version and the version that was due.
