--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -39,6 +39,27 @@
 
 
 MUTATIONS = (
+    Mutation(
+        'restart a watch later that a recovery found too young',
+        COORDINATION + 'kind_watch.py',
+        'if self._silent_since == since:',
+        'if False:',
+        'config_ways',
+    ),
+    Mutation(
+        'probe the store beside each watch',
+        ROUTER + 'fleet_state.py',
+        'if self._clock.now() - self._probed_at >= _SHARED_PROBE_MS:',
+        'if False:',
+        'config_ways',
+    ),
+    Mutation(
+        'probe the store regularly without beacons',
+        COORDINATION + 'store_prober.py',
+        'self._outage.is_out or self._is_regular()',
+        'self._outage.is_out',
+        'config_ways',
+    ),
     Mutation(
         'count leaving routers that are heard among the sharers of limits',
         COORDINATION + 'members.py',
