Log the parts of prompts at crashes, and hold the deferred restart of a watch by a test

crash_recorded names the parts of the prompt that others may share, which no line did. A mutation showed that the probes beside watches had come to cover the scenario of the deferred restart; it has one of its own now.

--- a/features/steps/crash_model.py
+++ b/features/steps/crash_model.py
@@ -12,11 +12,12 @@
 from peridotmast import failures
 from peridotmast import ids
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import crash_keys
 from peridotmast.serving import crash_tracker as crash_tracker_
 
-CRASHING = ids.Fingerprint('bad')
-HARMLESS = ids.Fingerprint('good')
-STREAMING = ids.Fingerprint('streaming')
+CRASHING = crash_keys.CrashKeys(ids.Fingerprint('bad'))
+HARMLESS = crash_keys.CrashKeys(ids.Fingerprint('good'))
+STREAMING = crash_keys.CrashKeys(ids.Fingerprint('streaming'))
 BROKE_OFF = failures.unknown('broke_off')
 
 ROUTERS = strategies.sampled_from(['a', 'b', 'c'])
@@ -71,7 +72,9 @@
         return tracker
 
     def on_block(self, fingerprint):
-        assert fingerprint != STREAMING, 'blocked for crashes of another'
+        assert fingerprint != STREAMING.request, (
+            'blocked for crashes of another'
+        )
 
     def send_updates(self, name):
         if name == self.isolated:
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -18,6 +18,7 @@
 from peridotmast import green
 from peridotmast.platform import names
 from peridotmast.serving import abandoned_attempts
+from peridotmast.serving import crash_keys
 from peridotmast.serving import crash_tracker as crash_tracker_
 from peridotmast.serving import health as health_
 from peridotmast.wire import connection as connection_
@@ -401,11 +402,15 @@
     context.tracker = crash_tracker_.CrashTracker(context.clock, 'router-1')
 
 
-def lose_upstream(context, fingerprint, name, ran_ms=5, was_answering=False):
+def other_keys(number):
+    return crash_keys.CrashKeys(f'other-{number}')
+
+
+def lose_upstream(context, keys, name, ran_ms=5, was_answering=False):
     sent_at = context.clock.now() - ran_ms
     view = crash_model.make_view(name)
     context.tracker.note_failure(
-        fingerprint, view, crash_model.BROKE_OFF, sent_at, was_answering
+        keys, view, crash_model.BROKE_OFF, sent_at, was_answering
     )
 
 
@@ -464,7 +469,7 @@
         lose_upstream(
             context, crash_model.CRASHING, name, 900, was_answering=True
         )
-        lose_upstream(context, f'other-{number}', name)
+        lose_upstream(context, other_keys(number), name)
 
 
 @then(
@@ -567,7 +572,7 @@
 @when('{count:d} other requests lose one upstream each')
 def other_requests_lose_upstreams(context, count):
     for number in range(count):
-        lose_upstream(context, f'other-{number}', f'j-{number}')
+        lose_upstream(context, other_keys(number), f'j-{number}')
         context.clock.advance(1)
 
 
@@ -584,7 +589,9 @@
 def update_is_bounded(context, most):
     updates = context.tracker.updates_for_peers()
     assert len(updates) <= most, len(updates)
-    assert crash_model.CRASHING in {update.fingerprint for update in updates}
+    assert crash_model.CRASHING.request in {
+        update.fingerprint for update in updates
+    }
 
 
 @then('the request is refused with a retry time of {ms:d} ms')
--- a/features/steps/peer_way_steps.py
+++ b/features/steps/peer_way_steps.py
@@ -18,6 +18,7 @@
 from peridotmast import green
 from peridotmast.platform import names
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import crash_keys
 from peridotmast.serving import peer_sender
 from peridotmast.serving import reachability
 from peridotmast import signing
@@ -27,6 +28,7 @@
 KINDS = (('/chat/a', TOKENS), ('/holds/a', ()), ('/pages/a', ()))
 DEADLINE_MS = helpers.LONG_MS
 PAUSE_MS = 600
+LOST = crash_keys.CrashKeys('lost')
 
 
 @given('a fleet of {count:d} routers whose links to the upstreams can be cut')
@@ -479,7 +481,7 @@
     for upstream in peer_model.UPSTREAMS:
         context.world.clock.advance(1000)
         router.serving.crashes.note_failure(
-            'lost',
+            LOST,
             router.table.get(upstream),
             failures.unknown('broke_off'),
             context.world.clock.now(),
@@ -491,11 +493,11 @@
 )
 def check_unblocked(context):
     router = context.world.routers['r-0']
-    assert router.serving.crashes.retry_after_ms('lost')
+    assert router.serving.crashes.retry_after_ms(LOST)
     context.world.clock.advance(1000)
     for number in range(20):
         assert router.ask('again', f'other-{number}')[0] == 200
-    assert not router.serving.crashes.retry_after_ms('lost')
+    assert not router.serving.crashes.retry_after_ms(LOST)
 
 
 @when('its entry is lost, and returns {ms:d} ms later')
--- a/features/steps/store_read_steps.py
+++ b/features/steps/store_read_steps.py
@@ -278,6 +278,11 @@
     context.fleet_state.outage.record_answer()
 
 
+@when("{ms:d} ms pass on the router's clock")
+def router_time_passes(context, ms):
+    context.clock.advance(ms)
+
+
 @when('a call of the router is answered, and then an earlier one fails')
 def answer_then_fail_earlier_call(context):
     context.fleet_state.outage.record_answer()
--- a/features/store_reads.feature
+++ b/features/store_reads.feature
@@ -101,6 +101,14 @@
     When another call of the router fails and the next one is answered
     Then the router has watched the upstreams once
 
+  # Guards against a watch that was asked in a silence and stays deaf after it: the
+  # recovery found it too young, and no later event followed.
+  Scenario: A watch that was just started is restarted once it has been silent for long enough
+    Given a router that has watched the store for 400 ms
+    When another call of the router fails and the next one is answered
+    And 200 ms pass on the router's clock
+    Then the router restarts the watch on the upstreams
+
   Scenario: A peer's newer configuration restarts the watches on both its parts
     Given a router that has watched the store for 3000 ms
     When a peer announces a newer state of the configuration
--- a/src/peridotmast/ids.py
+++ b/src/peridotmast/ids.py
@@ -10,6 +10,9 @@
 Fingerprint = ty.NewType('Fingerprint', str)
 """Digest of the host, path, team and body of a request, without its id."""
 
+PartId = ty.NewType('PartId', str)
+"""Identifies the content of one part of a prompt."""
+
 StreamId = ty.NewType('StreamId', str)
 """Id of a stream at an engine, derived from the request's key and body."""
 
--- a/src/peridotmast/serving/abandoned_attempts.py
+++ b/src/peridotmast/serving/abandoned_attempts.py
@@ -5,7 +5,7 @@
 import dataclasses
 
 from peridotmast import clock as clock_
-from peridotmast import ids
+from peridotmast.serving import crash_keys
 from peridotmast.serving import upstream_view
 
 _RUN_MS = 2000
@@ -25,7 +25,7 @@
 class AbandonedAttempt:
     """One attempt that nobody waits for."""
 
-    fingerprint: ids.Fingerprint
+    keys: crash_keys.CrashKeys
     view: upstream_view.UpstreamView
     sent_at: int
     """Time at which the request was sent, in ms."""
@@ -61,14 +61,14 @@
 
     def add(
         self,
-        fingerprint: ids.Fingerprint,
+        keys: crash_keys.CrashKeys,
         view: upstream_view.UpstreamView,
         sent_at: int,
         was_answering: bool,
     ) -> None:
         """Keep an attempt; the oldest one of all leaves if there are many."""
         attempt = AbandonedAttempt(
-            fingerprint, view, sent_at, self._clock.now(), was_answering
+            keys, view, sent_at, self._clock.now(), was_answering
         )
         self._attempts.setdefault(view.run, []).append(attempt)
         self._count += 1
--- a/src/peridotmast/serving/crash_tracker.py
+++ b/src/peridotmast/serving/crash_tracker.py
@@ -10,6 +10,7 @@
 from peridotmast import ids
 from peridotmast import logs
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import crash_keys
 from peridotmast.serving import upstream_view
 
 BLOCK_REASON = 'crashes_upstreams'
@@ -59,6 +60,9 @@
 number of requests in one beacon. The time spans as many beacons as may be lost
 in a row; 32 requests take less than 1.5 kB compressed."""
 
+_MAX_LOGGED_PARTS = 16
+"""Maximum number of parts of a prompt in one log line."""
+
 CRASH_REASONS = frozenset(
     ('broke_off', 'cut_short', 'upstream_restarted', 'upstream_lost')
 )
@@ -157,7 +161,7 @@
 
     def note_failure(
         self,
-        fingerprint: ids.Fingerprint,
+        keys: crash_keys.CrashKeys,
         view: upstream_view.UpstreamView,
         failure: failures.Failure,
         sent_at: int,
@@ -179,13 +183,14 @@
         if not is_crash:
             return
         now = self._clock.now()
-        suspect = self._ensure_suspect(fingerprint, now)
+        suspect = self._ensure_suspect(keys.request, now)
         crash = _Crash(now, sent_at, was_answering)
         if self._add_crash(suspect, view.run, crash):
             suspect.changed_at = now
         self._log.info(
             'crash_recorded',
-            fingerprint=fingerprint,
+            fingerprint=keys.request,
+            parts=' '.join(keys.parts[:_MAX_LOGGED_PARTS]),
             upstream=view.name,
             born=view.born,
             crashes=len(suspect.crashes),
@@ -215,9 +220,9 @@
         if known is not None and sent_at > known:
             self._last_answered[view.run] = sent_at
 
-    def note_success(self, fingerprint: ids.Fingerprint) -> None:
+    def note_success(self, keys: crash_keys.CrashKeys) -> None:
         """Record a complete answer, which discards earlier crashes."""
-        suspect = self._suspects.get(fingerprint)
+        suspect = self._suspects.get(keys.request)
         if suspect is None:
             return
         before = _count_crashes(self._valid_crashes(suspect))
@@ -226,12 +231,12 @@
         if before > 1:
             self.notify_peers()
 
-    def retry_after_ms(self, fingerprint: ids.Fingerprint) -> int:
+    def retry_after_ms(self, keys: crash_keys.CrashKeys) -> int:
         """Return how long a request is refused, in ms; 0 if it may be sent.
 
         Returning 0 for a blocked request uses up one of its retries.
         """
-        suspect = self._suspects.get(fingerprint)
+        suspect = self._suspects.get(keys.request)
         if suspect is None or not self._update_block(suspect):
             return 0
         now = self._clock.now()
@@ -247,7 +252,7 @@
         suspect.retries += 1
         suspect.changed_at = now
         self.changes += 1
-        self._log.info('crash_retry', fingerprint=fingerprint)
+        self._log.info('crash_retry', fingerprint=keys.request)
         self.notify_peers()
         return 0
 
--- a/src/peridotmast/serving/dispatcher.py
+++ b/src/peridotmast/serving/dispatcher.py
@@ -170,7 +170,7 @@
         self, state: _RequestState
     ) -> ty.Union[reply_.Reply, failures.Failure]:
         exchange = state.exchange
-        retry_after_ms = self._crashes.retry_after_ms(exchange.fingerprint)
+        retry_after_ms = self._crashes.retry_after_ms(exchange.crash_keys)
         if retry_after_ms:
             return failures.not_run(
                 crash_tracker_.BLOCK_REASON, '', retry_after_ms
@@ -440,7 +440,7 @@
                 state.fallback = reply
             return failures.unknown('answered_badly', str(sent.head.status))
         view.health.record_success()
-        self._crashes.note_success(state.exchange.fingerprint)
+        self._crashes.note_success(state.exchange.crash_keys)
         took_ms = self._clock.now() - sent.sent_at
         route = state.exchange.route.name
         self._versions.note_first(route, view, sent.sent_at, took_ms, 0)
--- a/src/peridotmast/serving/exchange.py
+++ b/src/peridotmast/serving/exchange.py
@@ -8,6 +8,7 @@
 
 from peridotmast import ids
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import crash_keys as crash_keys_
 from peridotmast.serving import fingerprint as fingerprint_
 from peridotmast.wire import connection as connection_
 
@@ -114,6 +115,14 @@
         """Whether the response is a stream of events."""
         return self.route.kind == pb.RequestKind.STREAMING
 
+    @functools.cached_property
+    def crash_keys(self) -> crash_keys_.CrashKeys:
+        """What crashes of upstreams are recorded for."""
+        parts = dict.fromkeys(part.id for part in self.prompt.shared)
+        return crash_keys_.CrashKeys(
+            self.fingerprint, tuple(map(ids.PartId, parts))
+        )
+
     @functools.cached_property
     def fingerprint(self) -> ids.Fingerprint:
         """Digest that stays the same when the caller resends the request."""
--- a/src/peridotmast/serving/sender.py
+++ b/src/peridotmast/serving/sender.py
@@ -11,6 +11,7 @@
 from peridotmast import ids
 from peridotmast.serving import abandoned_attempts
 from peridotmast.serving import brittleness as brittleness_
+from peridotmast.serving import crash_keys as crash_keys_
 from peridotmast.serving import crash_tracker as crash_tracker_
 from peridotmast.serving import decisions as decisions_
 from peridotmast.serving import dialect as dialect_
@@ -38,7 +39,7 @@
 """Verdicts on responses that may come from another upstream."""
 
 _AttemptMap = weakref.WeakKeyDictionary[
-    connection_.Connection, ids.Fingerprint
+    connection_.Connection, crash_keys_.CrashKeys
 ]
 
 
@@ -141,7 +142,7 @@
         if view.is_unreachable and not conn.requests:
             self._reach.note_connected(view)
         attempts = self._attempts.setdefault(view, weakref.WeakKeyDictionary())
-        attempts[conn] = exchange.fingerprint
+        attempts[conn] = exchange.crash_keys
         sent: ty.Union[Sent, failures.Failure, None] = None
         sent_at = self._clock.now()
         try:
@@ -182,13 +183,13 @@
         if view.is_peer:
             return
         self._crashes.note_failure(
-            exchange.fingerprint, view, failure, sent_at, was_answering
+            exchange.crash_keys, view, failure, sent_at, was_answering
         )
         if failure.reason in crash_tracker_.CRASH_REASONS:
             self._attribute_to_abandoned(view, failure)
         elif failure.reason == 'silent':
             self._abandoned.add(
-                exchange.fingerprint, view, sent_at, was_answering
+                exchange.crash_keys, view, sent_at, was_answering
             )
 
     def abandon(
@@ -210,7 +211,7 @@
         view.health.release_probe()
         if view.is_peer:
             return
-        self._abandoned.add(exchange.fingerprint, view, sent_at, was_answering)
+        self._abandoned.add(exchange.crash_keys, view, sent_at, was_answering)
 
     def on_upstream_change(self, view: upstream_view.UpstreamView) -> None:
         """Decide on the abandoned attempts of an upstream that has ended.
@@ -257,8 +258,8 @@
         An attempt queued at an upstream would crash it once it runs.
         """
         for attempts in self._attempts.values():
-            for conn, conn_fingerprint in list(attempts.items()):
-                if conn_fingerprint == fingerprint:
+            for conn, keys in list(attempts.items()):
+                if keys.request == fingerprint:
                     conn.cancel(crash_tracker_.BLOCK_REASON)
 
     def _forward(
@@ -339,7 +340,7 @@
         """Record a possible crash for the abandoned attempts at a run."""
         for attempt in self._abandoned.take(view):
             self._crashes.note_failure(
-                attempt.fingerprint,
+                attempt.keys,
                 view,
                 failure,
                 attempt.sent_at,
--- a/src/peridotmast/serving/stream_relay.py
+++ b/src/peridotmast/serving/stream_relay.py
@@ -148,7 +148,7 @@
         stream.drop_migration()
         stream.sent.reservation.release()
         if stream.ended:
-            self._crashes.note_success(stream.exchange.fingerprint)
+            self._crashes.note_success(stream.exchange.crash_keys)
             self._sender.finish(stream.sent)
             self._note_gap(stream)
             self._versions.note_end(
@@ -297,7 +297,7 @@
         expired = self._clock.now() >= exchange.deadline
         if expired or not stream.may_resume():
             raise reply_.BrokenAnswer(failure.reason)
-        if self._crashes.retry_after_ms(exchange.fingerprint):
+        if self._crashes.retry_after_ms(exchange.crash_keys):
             raise reply_.BrokenAnswer(crash_tracker_.BLOCK_REASON)
         was_unsent = failure.reason == peer_sender_.NO_CONNECTION
         if not was_unsent and not self._budget.take(
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -44,7 +44,7 @@
         COORDINATION + 'kind_watch.py',
         'if self._silent_since == since:',
         'if False:',
-        'config_ways',
+        'store_reads',
     ),
     Mutation(
         'probe the store beside each watch',
@@ -1001,15 +1001,15 @@
     Mutation(
         'never probe an unavailable store',
         COORDINATION + 'store_prober.py',
-        'if self._outage.is_out and is_quiet:',
-        'if False:',
+        'self._outage.is_out or self._is_regular()',
+        'False',
         'store_reads',
     ),
     Mutation(
         'probe a store while other calls use it',
         COORDINATION + 'store_prober.py',
-        'if self._outage.is_out and is_quiet:',
-        'if self._outage.is_out:',
+        'if is_quiet and (self._outage',
+        'if (self._outage',
         'upstreams',
     ),
     Mutation(
@@ -1504,8 +1504,8 @@
     Mutation(
         'forget an attempt once nobody waits for it',
         SERVING + 'sender.py',
-        'view.health.release_probe()\n        self._abandoned.add(',
-        'view.health.release_probe()\n        max(',
+        'self._abandoned.add(exchange.crash_keys, view, sent_at, was_answering)',
+        'max(view.name, exchange.id)',
         'crashes',
     ),
     Mutation(
