--- a/src/peridotmast/standin/upstream_app.py
+++ b/src/peridotmast/standin/upstream_app.py
@@ -67,6 +67,9 @@
         number."""
         self.crash_body = b''
         """Requests whose body contains this crash it; empty for none."""
+        self.crash_part = ''
+        """Part of prompts: requests with it, other than as their last part,
+        crash it; empty for none."""
         self.crash_delay_ms = 0
         """Delay from the start of such a request to the crash."""
         self.version_fault = version_faults.GOOD
@@ -97,6 +100,13 @@
         """Run a request; each kind of upstream overrides this."""
         raise NotImplementedError
 
+    def _crashes_on(self, environ: dict[str, ty.Any], body: bytes) -> bool:
+        """Return whether a request crashes this upstream."""
+        if self.crash_body and self.crash_body in body:
+            return True
+        parts = _header(environ, names.PROMPT_PARTS).split(',')[:-1]
+        return self.crash_part in (part.partition(':')[0] for part in parts)
+
     def fault_occurs(self, fault: str) -> bool:
         """Decide at random whether `fault` affects the current request."""
         share = self.faults.get(fault, 0)
@@ -181,7 +191,7 @@
             )
         )
         conn = environ[strict_protocol.CONNECTION]
-        if self.crash_body and self.crash_body in body:
+        if self._crashes_on(environ, body):
             green.spawn_after_ms(self.crash_delay_ms, self.on_crash)
             green.sleep_ms(_HANG_MS)
         if self.fault_occurs('hang'):
