Refuse requests with a part that crashes upstreams, whatever else they hold

Cause: crashes were counted by host, path, team and body. Requests that share only a part of their prompts were new to every router, so nothing was refused. Change: the parts that others may share are tracked like requests. Complete answers at any router clear the parts of their prompts for a minute, so that of all that runs at a crashed upstream the parts remain that no sound request has. Three upstreams in two losses block a part everywhere: first tries, repeats, resumes, moves and what waits at upstreams; answers that have begun go on. Upstreams of a failure domain that are lost within 3 s are one loss for a part. A part that so far came only with a crashing one is tried once, by the holder of the duties, in a request without the other. One of two modules that grew is split: crash_suspect, crash_attribution.

--- a/features/crash_parts.feature
+++ b/features/crash_parts.feature
@@ -14,3 +14,29 @@
     Then 3 upstreams have crashed
     And the last 5 requests are refused with 503 and a retry time
     And sound requests with the parts "common" and "own" are answered at each router
+
+  # Three to six routers, five to twenty upstreams in simulated time: parts that crash
+  # upstreams in 5 to 50 in a hundred requests, two such parts, from the first moment on,
+  # with parts that nobody else sends, beside kills of routers, one by one and all at once.
+  Scenario Outline: Few requests with a part that crashes upstreams are sent, and all sound ones
+    When <bad> of 100 requests have a part that crashes upstreams, in 4 plays <beside>
+    Then at most three requests with such a part arrive after the fifth crash
+    And sound requests are sent at the first try
+
+    Examples:
+      | bad | beside                                       |
+      | 5   | of 10 requests a second                      |
+      | 50  | of 10 requests a second                      |
+      | 50  | of 40 requests a second                      |
+      | 30  | of 20 requests a second, in one failure domain |
+      | 30  | with two such parts                          |
+      | 20  | with other parts that nobody else sends      |
+      | 40  | from the first moment on                     |
+      | 20  | beside kills of single routers               |
+      | 20  | beside a kill of all routers                 |
+
+  # Guards against parts that are blocked although none is to blame: a failure domain is
+  # lost while thousands of requests run, none of them answered before.
+  Scenario: The loss of failure domains blocks no part
+    When failure domains are lost at the start and later, in 6 plays of 60 requests a second
+    Then no part has been blocked
--- a/features/steps/crash_model.py
+++ b/features/steps/crash_model.py
@@ -35,10 +35,14 @@
 the model, so that any edit there changes the histories."""
 
 
-def make_view(name, state=pb.UPSTREAM_STATE_LIVE):
+def make_view(name, state=pb.UPSTREAM_STATE_LIVE, failure_domain=''):
     """Return the attributes of an `UpstreamView` that a tracker reads."""
     return types.SimpleNamespace(
-        run=name, name=name, born=0, record=types.SimpleNamespace(state=state)
+        run=name,
+        name=name,
+        born=0,
+        failure_domain=failure_domain,
+        record=types.SimpleNamespace(state=state),
     )
 
 
--- a/features/steps/crash_part_steps.py
+++ b/features/steps/crash_part_steps.py
@@ -9,11 +9,32 @@
 from behave import when
 import crash_steps
 import helpers
+import part_model
 
 from peridotmast import green
 from peridotmast.platform import names
+from peridotmast.serving import crash_keys
 
 PATH = '/once/tag'
+PLAY_MS = 30_000
+MAX_ARRIVALS = 3
+SOUND_SHARE = 0.98
+"""Share of sound requests that must be sent at the first try. Half of them
+would do."""
+
+PLAYS = {
+    'of 10 requests a second': {},
+    'of 40 requests a second': {'routers': 6, 'rate': 40},
+    'of 20 requests a second, in one failure domain': {
+        'rate': 20,
+        'domains': 1,
+    },
+    'with two such parts': {'bad': ('bad', 'worse'), 'rate': 20},
+    'with other parts that nobody else sends': {},
+    'from the first moment on': {},
+    'beside kills of single routers': {},
+    'beside a kill of all routers': {},
+}
 _numbers = itertools.count(1)
 
 
@@ -68,3 +89,69 @@
     for router in itertools.islice(itertools.cycle(routers), count):
         context.answers.append(send_prompt(router, a, b, c))
         green.sleep_ms(crash_steps.PROPAGATION_MS)
+
+
+@when(
+    '{percent:d} of 100 requests have a part that crashes upstreams, in'
+    ' {count:d} plays {beside}'
+)
+def play_crashing_parts(context, percent, count, beside):
+    context.plays = []
+    for seed in range(count):
+        play = part_model.Play(seed, bad_share=percent / 100, **PLAYS[beside])
+        if 'nobody else' in beside:
+            play.own_parts_with_bad = True
+        if 'first moment' in beside:
+            play.bad_from = 0
+        if 'single routers' in beside:
+            for number in range(4):
+                play.at(4000 + 3000 * number, play.restart, [number % 3])
+        if 'all routers' in beside:
+            play.at(9000, play.restart, [0, 1, 2])
+        play.run(PLAY_MS)
+        context.plays.append(play)
+
+
+@then('at most three requests with such a part arrive after the fifth crash')
+def check_arrivals(context):
+    found = [
+        (play.excess(part), len(play.crashes[part]))
+        for play in context.plays
+        for part in play.bad
+    ]
+    assert all(excess <= MAX_ARRIVALS for excess, _ in found), found
+    assert all(crashes for _, crashes in found), found
+
+
+@then('sound requests are sent at the first try')
+def check_sound_sent(context):
+    shares = [play.served_share() for play in context.plays]
+    assert min(shares) > SOUND_SHARE, shares
+
+
+@when(
+    'failure domains are lost at the start and later, in {count:d} plays of'
+    ' {rate:d} requests a second'
+)
+def play_lost_domains(context, count, rate):
+    context.plays = []
+    for seed in range(count):
+        play = part_model.Play(
+            seed, routers=6, upstreams=20, bad=(), bad_share=0, rate=rate
+        )
+        play.at(400, play.lose_domain, 'd-1', 2500)
+        play.at(9000, play.lose_domain, 'd-2', 200)
+        play.at(14_000, play.lose_domain, 'd-3', 2500)
+        play.run(PLAY_MS)
+        context.plays.append(play)
+
+
+@then('no part has been blocked')
+def check_none_blocked(context):
+    blocked = {
+        key
+        for play in context.plays
+        for key in play.blocked
+        if crash_keys.is_part(key)
+    }
+    assert not blocked, blocked
--- a/src/peridotmast/ids.py
+++ b/src/peridotmast/ids.py
@@ -8,10 +8,8 @@
 """``team/request id``: identifies an accepted request in all modules."""
 
 Fingerprint = ty.NewType('Fingerprint', str)
-"""Digest of the host, path, team and body of a request, without its id."""
-
-PartId = ty.NewType('PartId', str)
-"""Identifies the content of one part of a prompt."""
+"""Digest of the host, path, team and body of a request, without its id; or
+``part:`` and the id of a part of prompts."""
 
 StreamId = ty.NewType('StreamId', str)
 """Id of a stream at an engine, derived from the request's key and body."""
--- a/src/peridotmast/router/serving.py
+++ b/src/peridotmast/router/serving.py
@@ -182,6 +182,9 @@
             spawn,
             bounds.drain_ms,
         )
+        migrator.is_blocked = lambda exchange: bool(
+            self.crashes.blocked_key(exchange.crash_keys)
+        )
         table.listen(migrator.on_change)
         table.listen(self._sender.on_upstream_change)
         table.listen_replacements(self._sender.abort_run)
--- a/src/peridotmast/serving/crash_tracker.py
+++ b/src/peridotmast/serving/crash_tracker.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import typing as ty
 
 from peridotmast import clock as clock_
@@ -10,15 +9,15 @@
 from peridotmast import ids
 from peridotmast import logs
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import crash_attribution
 from peridotmast.serving import crash_keys
+from peridotmast.serving import crash_suspect
+from peridotmast.serving import part_clearances
 from peridotmast.serving import upstream_view
 
 BLOCK_REASON = 'crashes_upstreams'
 """Failure reason of blocked requests, whether refused or cancelled."""
 
-BLOCK_THRESHOLD = 3
-"""Number of crashes at which a request is blocked."""
-
 MAX_RETRIES = 2
 """Retries allowed for a blocked request. All routers together may send it one
 time more, so up to 3 times after its last crash, if the lease of the duties
@@ -34,19 +33,16 @@
 
 _CONFIRMATION_RETRY_MS = 1000
 """Retry time given to callers within `_CONFIRMATION_MS` of the last crash, in
-ms: the crash may turn out to be only a broken connection."""
-
-_SIMULTANEOUS_MS = 250
-"""Upstreams that are lost within this time after the first one, in ms, count
-as one crash of a request that was sent to all of them before the first loss:
-they were lost together, not one after another because of the request."""
+ms: the crash may turn out to be only a broken connection. The same for a
+request of which one part is blocked that may be harmless: the holder of the
+duties soon finds out."""
 
 RETENTION_MS = 3_600_000
 """Time after the last crash or refusal of a request until it is no longer
 tracked, in ms."""
 
 MAX_SUSPECTS = 1024
-"""Maximum number of tracked requests, about 600 bytes each."""
+"""Maximum number of tracked requests and parts, about 600 bytes each."""
 
 _RETAINED_SHARE = 0.75
 """Fraction of `MAX_SUSPECTS` that is kept by an eviction."""
@@ -70,52 +66,29 @@
 
 _ENDED_STATES = frozenset((upstream_view.GONE, upstream_view.LAPSED))
 
-_NEVER = -(1 << 62)
-
-
-class _Crash(ty.NamedTuple):
-    """Loss of an upstream while it ran a request."""
-
-    at: int
-    """Time at which the connection broke, in ms."""
-    sent_at: int
-    """Time at which the request was sent to the upstream, in ms."""
-    was_answering: bool = False
-    """Whether the upstream had sent an event of the answer."""
-
-
-_CrashesByRun = dict[str, _Crash]
-"""Crashes of a request by run of an upstream."""
-
+_NEVER = part_clearances.NEVER
 
-@dataclasses.dataclass
-class _Suspect:
-    """A request that may have crashed upstreams."""
-
-    fingerprint: ids.Fingerprint
-    crashes: _CrashesByRun = dataclasses.field(default_factory=dict)
-    answered_at: int = _NEVER
-    """Time of the last complete answer, in ms."""
-    retries: int = 0
-    """Number of times that the request was sent while blocked."""
-    seen_at: int = _NEVER
-    """Time of the last crash or refusal, in ms."""
-    changed_at: int = _NEVER
-    """Time of the last change that peers must learn of, in ms."""
-    is_blocked: bool = False
-    """Whether the last evaluation of its crashes blocked the request."""
+_Crash = crash_suspect.Crash
+_CrashesByRun = crash_suspect.CrashesByRun
+_Suspect = crash_suspect.Suspect
 
 
 class CrashTracker:
     """Counts the upstreams that each request crashes, across all routers.
 
-    A request that has crashed `BLOCK_THRESHOLD` upstreams is refused by every
-    router that knows of the crashes. Routers exchange the crashes of a request
-    as a set of runs of upstreams and merge these sets by union, so duplicate,
-    late or relayed updates have no further effect. A broken connection counts
-    as a crash until the same run of the upstream answers a request that was
-    sent after the connection broke. A complete answer at any router discards
-    the earlier crashes of the request.
+    A request that has crashed `crash_suspect.BLOCK_THRESHOLD` upstreams is
+    refused by every router that knows of the crashes. Routers exchange the
+    crashes of a request as a set of runs of upstreams and merge these sets by
+    union, so duplicate, late or relayed updates have no further effect. A
+    broken connection counts as a crash until the same run of the upstream
+    answers a request that was sent after the connection broke. A complete
+    answer at any router discards the earlier crashes of the request.
+
+    The parts of a prompt that other requests share are tracked like requests,
+    since a part may crash each upstream that answers a prompt with it. A
+    complete answer at any router clears the parts of its prompt for a while,
+    so that of the requests that run at a crashed upstream only the parts that
+    no sound request has are left.
 
     A crash also interrupts the other requests running at the upstream, which
     may then be resent to the same upstreams as the request that causes the
@@ -139,6 +112,7 @@
         self._clock = clock
         self._log = logs.get('crashes', router=router)
         self._suspects: dict[ids.Fingerprint, _Suspect] = {}
+        self._clearances = part_clearances.PartClearances(clock)
         self._last_answered: dict[str, int] = {}
         """Send time of the latest answered request, in ms, by run of an
         upstream; only runs with a recorded crash."""
@@ -183,22 +157,31 @@
         if not is_crash:
             return
         now = self._clock.now()
-        suspect = self._ensure_suspect(keys.request, now)
-        crash = _Crash(now, sent_at, was_answering)
-        if self._add_crash(suspect, view.run, crash):
-            suspect.changed_at = now
+        crash = _Crash(now, sent_at, was_answering, view.failure_domain)
+        suspects = [
+            self._ensure_suspect(key, now)
+            for key in keys.all()
+            if not self._clearances.is_cleared(key)
+        ]
+        for suspect in suspects:
+            if self._add_crash(suspect, view.run, crash):
+                suspect.changed_at = now
         self._log.info(
             'crash_recorded',
             fingerprint=keys.request,
-            parts=' '.join(keys.parts[:_MAX_LOGGED_PARTS]),
+            parts=' '.join(
+                f'{suspect.key}={len(suspect.crashes)}'
+                for suspect in suspects[1 : 1 + _MAX_LOGGED_PARTS]
+            ),
             upstream=view.name,
             born=view.born,
-            crashes=len(suspect.crashes),
+            crashes=len(suspects[0].crashes),
             reason=failure.reason,
             was_answering=was_answering,
         )
-        self._update_block(suspect)
-        if len(suspect.crashes) > 1:
+        for suspect in suspects:
+            self._update_block(suspect)
+        if any(len(suspect.crashes) > 1 for suspect in suspects):
             self.notify_peers()
 
     def note_response(
@@ -222,40 +205,39 @@
 
     def note_success(self, keys: crash_keys.CrashKeys) -> None:
         """Record a complete answer, which discards earlier crashes."""
-        suspect = self._suspects.get(keys.request)
-        if suspect is None:
-            return
-        before = _count_crashes(self._valid_crashes(suspect))
-        suspect.answered_at = suspect.changed_at = self._clock.now()
-        self._update_block(suspect)
-        if before > 1:
-            self.notify_peers()
+        for part in keys.parts:
+            self._clearances.note(part)
+        if self._suspects:
+            for key in keys.all():
+                self._discard_crashes(key)
 
     def retry_after_ms(self, keys: crash_keys.CrashKeys) -> int:
         """Return how long a request is refused, in ms; 0 if it may be sent.
 
         Returning 0 for a blocked request uses up one of its retries.
         """
-        suspect = self._suspects.get(keys.request)
-        if suspect is None or not self._update_block(suspect):
+        blocked = self._blocked_suspects(keys)
+        if not blocked:
             return 0
         now = self._clock.now()
-        suspect.seen_at = now
-        last = max(crash.at for crash in suspect.crashes.values())
-        if now - last < _CONFIRMATION_MS:
-            return _CONFIRMATION_RETRY_MS
-        remaining = last + RETRY_DELAY_MS - now
-        if remaining > 0:
-            return remaining
-        if suspect.retries >= MAX_RETRIES or not self.may_retry():
-            return RETRY_DELAY_MS
-        suspect.retries += 1
-        suspect.changed_at = now
+        for suspect in blocked:
+            suspect.seen_at = now
+        wait_ms = max(self._wait_ms(suspect, keys) for suspect in blocked)
+        if wait_ms:
+            return wait_ms
+        for suspect in blocked:
+            suspect.retries += 1
+            suspect.changed_at = now
+            self._log.info('crash_retry', fingerprint=suspect.key)
         self.changes += 1
-        self._log.info('crash_retry', fingerprint=keys.request)
         self.notify_peers()
         return 0
 
+    def blocked_key(self, keys: crash_keys.CrashKeys) -> str:
+        """Return the request or part for which a request is refused, if so."""
+        blocked = self._blocked_suspects(keys)
+        return blocked[0].key if blocked else ''
+
     def updates_for_peers(self) -> list[pb.CrashSuspect]:
         """Return the blocked or recently changed requests, for peers."""
         if not self._suspects:
@@ -266,15 +248,14 @@
             for suspect in self._suspects.values()
             if suspect.is_blocked or suspect.changed_at > cutoff
         ]
-        selected.sort(key=lambda s: (s.is_blocked, s.changed_at), reverse=True)
-        return [
-            self._to_message(suspect) for suspect in selected[:_MAX_UPDATES]
-        ]
+        selected.sort(key=lambda s: (s.urgency, s.changed_at), reverse=True)
+        now = self._clock.now()
+        return [suspect.to_message(now) for suspect in selected[:_MAX_UPDATES]]
 
     def blocked_requests(self) -> list[pb.CrashSuspect]:
         """Return the blocked requests."""
         return [
-            self._to_message(suspect)
+            suspect.to_message(self._clock.now())
             for suspect in self._suspects.values()
             if self._update_block(suspect)
         ]
@@ -295,23 +276,26 @@
 
     def _merge(self, message: pb.CrashSuspect) -> None:
         now = self._clock.now()
-        fingerprint = ids.Fingerprint(message.fingerprint)
-        suspect = self._ensure_suspect(fingerprint, now - message.idle_ms)
+        key = ids.Fingerprint(message.fingerprint)
+        suspect = self._ensure_suspect(key, now - message.idle_ms)
         before = self._merged_state(suspect)
         for crash in message.crashes:
-            at = now - crash.ago_ms
             self._add_crash(
-                suspect,
-                crash.run,
-                _Crash(at, at - crash.ran_ms, crash.was_answering),
+                suspect, crash.run, _Crash.from_message(crash, now)
             )
+        answered_at = _NEVER
         if message.HasField('answered_ago_ms'):
             answered_at = now - message.answered_ago_ms
-            suspect.answered_at = max(suspect.answered_at, answered_at)
+        suspect.answered_at = max(
+            suspect.answered_at,
+            answered_at,
+            self._clearances.answered_at(key),
+        )
         suspect.retries = max(suspect.retries, message.retries)
         is_ahead = (
             len(suspect.crashes) > len(message.crashes)
             or suspect.retries > message.retries
+            or _discounts_more(suspect, answered_at)
         )
         is_changed = self._merged_state(suspect) != before
         if is_changed and (is_ahead or self.relays_updates()):
@@ -320,10 +304,60 @@
         if is_changed and is_ahead:
             self.notify_peers()
 
-    def _merged_state(self, suspect: _Suspect) -> tuple[int, int, bool]:
+    def _merged_state(self, suspect: _Suspect) -> tuple[int, ...]:
         """Return the values of which a merge must change at least one."""
-        has_answered = suspect.answered_at != _NEVER
-        return len(suspect.crashes), suspect.retries, has_answered
+        return (
+            len(suspect.crashes),
+            sum(c.was_answering for c in suspect.crashes.values()),
+            suspect.retries,
+            len(self._valid_crashes(suspect)),
+        )
+
+    def _blocked_suspects(self, keys: crash_keys.CrashKeys) -> list[_Suspect]:
+        if not self._suspects:
+            return []
+        found = [
+            suspect
+            for key in keys.all()
+            if (suspect := self._suspects.get(key)) is not None
+        ]
+        return [suspect for suspect in found if self._update_block(suspect)]
+
+    def _wait_ms(self, suspect: _Suspect, keys: crash_keys.CrashKeys) -> int:
+        """Return how long a blocked suspect must not be sent, in ms."""
+        since_crash_ms = self._clock.now() - suspect.last_crash_at
+        if since_crash_ms < _CONFIRMATION_MS:
+            return _CONFIRMATION_RETRY_MS
+        is_ambiguous = not suspect.retries and (
+            crash_attribution.is_ambiguous(
+                suspect,
+                self._valid_crashes(suspect),
+                keys,
+                self._suspects.values(),
+            )
+        )
+        if is_ambiguous:
+            return 0 if self.may_retry() else _CONFIRMATION_RETRY_MS
+        remaining_ms = RETRY_DELAY_MS - since_crash_ms
+        if remaining_ms > 0:
+            return remaining_ms
+        if suspect.retries >= MAX_RETRIES or not self.may_retry():
+            return RETRY_DELAY_MS
+        return 0
+
+    def _discard_crashes(self, key: ids.Fingerprint) -> None:
+        """Discard the crashes before a complete answer, which comes now."""
+        suspect = self._suspects.get(key)
+        if suspect is None:
+            return
+        before = suspect.count_losses(self._valid_crashes(suspect))
+        suspect.answered_at = now = self._clock.now()
+        if before or not suspect.is_part:
+            suspect.changed_at = now
+        self._update_block(suspect)
+        if before > 1:
+            self._log.info('crashes_discarded', fingerprint=key, count=before)
+            self.notify_peers()
 
     def _ensure_suspect(
         self, fingerprint: ids.Fingerprint, seen_at: int
@@ -352,7 +386,7 @@
             suspect.crashes[run] = max(known or crash, crash)
             return suspect.crashes[run] != known
         if not self._is_discounted(suspect, run, crash):
-            suspect.crashes[run] = min(known, crash)
+            suspect.crashes[run] = known.merged(crash)
         return False
 
     def _is_discounted(
@@ -363,10 +397,9 @@
         Either the same run of the upstream has answered a request that was
         sent later, or this request has received a complete answer later.
         """
-        answered_at = max(
-            suspect.answered_at, self._last_answered.get(run, _NEVER)
-        )
-        return crash.at < answered_at
+        return suspect.is_answered_after(
+            crash, suspect.answered_at
+        ) or crash.at < self._last_answered.get(run, _NEVER)
 
     def _valid_crashes(self, suspect: _Suspect) -> _CrashesByRun:
         """Return the crashes that count despite later answers."""
@@ -376,50 +409,16 @@
             if not self._is_discounted(suspect, run, crash)
         }
 
-    def _exclude_attributed(
-        self, suspect: _Suspect, crashes: _CrashesByRun
-    ) -> _CrashesByRun:
-        """Return the crashes that are not attributed to another request.
-
-        Crashes are not attributed to a request that has more than one crash
-        fewer than this one: it may only have been queued at one of the
-        upstreams. A difference of one is allowed, as the last crash of the
-        other request may not be known yet.
-        """
-        answered = [run for run, c in crashes.items() if c.was_answering]
-        if not answered:
-            return crashes
-        min_crashes = len(crashes) - 1
-        others = [
-            self._valid_crashes(other)
-            for other in self._suspects.values()
-            if other is not suspect
-            and len(other.crashes) >= min_crashes
-            and any(
-                run in other.crashes and not other.crashes[run].was_answering
-                for run in answered
-            )
-        ]
-        attributed_runs = {
-            run
-            for other_crashes in others
-            if len(other_crashes) >= min_crashes
-            for run, crash in other_crashes.items()
-            if not crash.was_answering
-        }
-        return {
-            run: crash
-            for run, crash in crashes.items()
-            if not (crash.was_answering and run in attributed_runs)
-        }
-
     def _has_reached_threshold(self, suspect: _Suspect) -> bool:
         crashes = self._valid_crashes(suspect)
-        if _count_crashes(crashes) < BLOCK_THRESHOLD:
+        if not suspect.has_enough(crashes):
             # The common case, decided without a scan of the other requests.
             return False
-        remaining = self._exclude_attributed(suspect, crashes)
-        return _count_crashes(remaining) >= BLOCK_THRESHOLD
+        return suspect.has_enough(
+            crash_attribution.exclude_attributed(
+                suspect, crashes, self._suspects.values(), self._valid_crashes
+            )
+        )
 
     def _update_block(self, suspect: _Suspect) -> bool:
         """Return whether a request is blocked; log it if that has changed."""
@@ -429,33 +428,13 @@
             self.changes += 1
             self._log.info(
                 'request_blocked' if is_blocked else 'request_unblocked',
-                fingerprint=suspect.fingerprint,
+                fingerprint=suspect.key,
                 crashes=' '.join(suspect.crashes),
             )
             if is_blocked:
-                self.on_block(suspect.fingerprint)
+                self.on_block(suspect.key)
         return is_blocked
 
-    def _to_message(self, suspect: _Suspect) -> pb.CrashSuspect:
-        now = self._clock.now()
-        message = pb.CrashSuspect(
-            fingerprint=suspect.fingerprint,
-            crashes=[
-                pb.Crash(
-                    run=run,
-                    ago_ms=now - crash.at,
-                    ran_ms=crash.at - crash.sent_at,
-                    was_answering=crash.was_answering,
-                )
-                for run, crash in suspect.crashes.items()
-            ],
-            retries=suspect.retries,
-            idle_ms=now - suspect.seen_at,
-        )
-        if suspect.answered_at != _NEVER:
-            message.answered_ago_ms = now - suspect.answered_at
-        return message
-
     def _evict(self) -> None:
         """Remove the oldest requests if there are more than `MAX_SUSPECTS`.
 
@@ -464,10 +443,10 @@
         if len(self._suspects) <= MAX_SUSPECTS:
             return
         order = sorted(
-            self._suspects.values(), key=lambda s: (s.is_blocked, s.seen_at)
+            self._suspects.values(), key=lambda s: (s.urgency[:2], s.seen_at)
         )
         retained = int(MAX_SUSPECTS * _RETAINED_SHARE)
-        self._remove([suspect.fingerprint for suspect in order[:-retained]])
+        self._remove([suspect.key for suspect in order[:-retained]])
 
     def _remove(self, fingerprints: ty.Iterable[ids.Fingerprint]) -> None:
         removed = [self._suspects.pop(f) for f in fingerprints]
@@ -480,11 +459,10 @@
             }
 
 
-def _count_crashes(crashes: _CrashesByRun) -> int:
-    """Return the number of crashes, counting simultaneous ones once."""
-    count, first_at = 0, _NEVER
-    for crash in sorted(crashes.values()):
-        is_near = crash.at - first_at <= _SIMULTANEOUS_MS
-        if not (is_near and crash.sent_at < first_at):
-            count, first_at = count + 1, crash.at
-    return count
+def _discounts_more(suspect: _Suspect, answered_at: int) -> bool:
+    """Return whether some crash counts with another time of an answer only."""
+    return any(
+        suspect.is_answered_after(crash, suspect.answered_at)
+        and not suspect.is_answered_after(crash, answered_at)
+        for crash in suspect.crashes.values()
+    )
--- a/src/peridotmast/serving/dispatcher.py
+++ b/src/peridotmast/serving/dispatcher.py
@@ -173,7 +173,9 @@
         retry_after_ms = self._crashes.retry_after_ms(exchange.crash_keys)
         if retry_after_ms:
             return failures.not_run(
-                crash_tracker_.BLOCK_REASON, '', retry_after_ms
+                crash_tracker_.BLOCK_REASON,
+                self._crashes.blocked_key(exchange.crash_keys),
+                retry_after_ms,
             )
         reservation = self._reserve(state)
         if reservation is None:
--- a/src/peridotmast/serving/exchange.py
+++ b/src/peridotmast/serving/exchange.py
@@ -118,10 +118,8 @@
     @functools.cached_property
     def crash_keys(self) -> crash_keys_.CrashKeys:
         """What crashes of upstreams are recorded for."""
-        parts = dict.fromkeys(part.id for part in self.prompt.shared)
-        return crash_keys_.CrashKeys(
-            self.fingerprint, tuple(map(ids.PartId, parts))
-        )
+        parts = crash_keys_.of_parts(part.id for part in self.prompt.shared)
+        return crash_keys_.CrashKeys(self.fingerprint, parts)
 
     @functools.cached_property
     def fingerprint(self) -> ids.Fingerprint:
--- a/src/peridotmast/serving/sender.py
+++ b/src/peridotmast/serving/sender.py
@@ -38,9 +38,17 @@
 )
 """Verdicts on responses that may come from another upstream."""
 
-_AttemptMap = weakref.WeakKeyDictionary[
-    connection_.Connection, crash_keys_.CrashKeys
-]
+
+@dataclasses.dataclass
+class _Attempt:
+    """An attempt in progress."""
+
+    keys: crash_keys_.CrashKeys
+    is_answering: bool = False
+    """Whether an event of the answer has come."""
+
+
+_AttemptMap = weakref.WeakKeyDictionary[connection_.Connection, _Attempt]
 
 
 @dataclasses.dataclass
@@ -142,7 +150,7 @@
         if view.is_unreachable and not conn.requests:
             self._reach.note_connected(view)
         attempts = self._attempts.setdefault(view, weakref.WeakKeyDictionary())
-        attempts[conn] = exchange.crash_keys
+        attempts[conn] = _Attempt(exchange.crash_keys)
         sent: ty.Union[Sent, failures.Failure, None] = None
         sent_at = self._clock.now()
         try:
@@ -252,14 +260,24 @@
             view, failures.unknown('upstream_restarted')
         )
 
-    def cancel_attempts(self, fingerprint: ids.Fingerprint) -> None:
-        """Cancel all attempts of a request that are in progress.
+    def note_answering(self, sent: Sent) -> None:
+        """Record that an event of the answer has come."""
+        attempts = self._attempts.get(sent.reservation.view)
+        if attempts is not None and sent.conn in attempts:
+            attempts[sent.conn].is_answering = True
+
+    def cancel_attempts(self, key: ids.Fingerprint) -> None:
+        """Cancel the attempts in progress of a request or with a part.
 
-        An attempt queued at an upstream would crash it once it runs.
+        An attempt queued at an upstream would crash it once it runs. With a
+        part, answers that have begun go on: a part that crashes upstreams
+        does so as they begin to answer.
         """
+        is_part = crash_keys_.is_part(key)
         for attempts in self._attempts.values():
-            for conn, keys in list(attempts.items()):
-                if keys.request == fingerprint:
+            for conn, attempt in list(attempts.items()):
+                is_kept = is_part and attempt.is_answering
+                if key in attempt.keys.all() and not is_kept:
                     conn.cancel(crash_tracker_.BLOCK_REASON)
 
     def _forward(
--- a/src/peridotmast/serving/stream_migrator.py
+++ b/src/peridotmast/serving/stream_migrator.py
@@ -9,7 +9,9 @@
 from peridotmast import failures
 from peridotmast import green
 from peridotmast import logs
+from peridotmast.serving import crash_tracker
 from peridotmast.serving import decisions as decisions_
+from peridotmast.serving import exchange as exchange_
 from peridotmast.serving import placement
 from peridotmast.serving import stream as stream_
 from peridotmast.serving import stream_relay
@@ -105,6 +107,10 @@
         self._spawn = spawn
         self._drain_ms = drain_ms
         self._leaving: set[str] = set()
+        self.is_blocked: ty.Callable[[exchange_.Exchange], bool] = (
+            lambda exchange: False
+        )
+        """Returns whether a request must not be sent to another upstream."""
         self._log = logs.get('mover')
 
     def on_change(self, view: upstream_view.UpstreamView) -> None:
@@ -142,7 +148,11 @@
         for stream in self._relay.streams_at(view):
             if not stream.service.moves or stream.is_migrating:
                 continue
-            if self._ends_in_time(stream, gone_at):
+            if self.is_blocked(stream.exchange):
+                self._note(
+                    stream, 'left_alone', view, crash_tracker.BLOCK_REASON
+                )
+            elif self._ends_in_time(stream, gone_at):
                 self._note(stream, 'left_alone', view)
             else:
                 self._spawn('move', self.move, stream, view)
--- a/src/peridotmast/serving/stream_relay.py
+++ b/src/peridotmast/serving/stream_relay.py
@@ -185,6 +185,7 @@
                 return failure
             if isinstance(migrated, failures.Failure):
                 return migrated
+        self._sender.note_answering(stream.sent)
         stream.sent.reservation.mark_prefill_ended()
         stream.sent.reservation.view.health.record_success()
         return None
