--- a/features/config_ways.feature
+++ b/features/config_ways.feature
@@ -42,6 +42,14 @@
       | 7       | 2000   | 7500   | 1100 | 1    | 4000 | 14000 |
       | 7       | 1000   | 9700   | 1500 | 1 4  | 6000 | 9000  |
       | 20      | 2000   | 9100   | 2000 | 3 15 | 5000 | 12000 |
+
+  # Guards against a slow reaction to a probe that failed: the router asked the store again
+  # only at its next regular check, and had a change 2.1 s after its ack.
+  Scenario: A router whose probe of the store has failed asks again at once
+    When changes are made while the store is silent for a router that is cut from its peers
+      | routers | change | silent | for  | cut  | from  | for  |
+      | 8       | 300    | 16030  | 209  | 3    | 16912 | 1995 |
+    Then each router in touch has had each change in time
     Then each router in touch has had each change in time
 
   # Stores that are silent, busy, slow or reset for all or for some routers, dropped
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -39,6 +39,41 @@
 
 
 MUTATIONS = (
+    Mutation(
+        'track the parts of prompts',
+        SERVING + 'crash_keys.py',
+        'return self.request, *self.parts',
+        'return (self.request,)',
+        'crash_parts',
+    ),
+    Mutation(
+        'clear the parts of prompts by complete answers',
+        SERVING + 'part_clearances.py',
+        'return self._clock.now() < self.answered_at(part) + CLEARED_MS',
+        'return False',
+        'crash_parts',
+    ),
+    Mutation(
+        'count the loss of a failure domain once for a part',
+        SERVING + 'crash_suspect.py',
+        'if self.is_part and crash.failure_domain and in_domain:',
+        'if False:',
+        'crash_parts',
+    ),
+    Mutation(
+        'try a part that may be harmless without the other one',
+        SERVING + 'crash_tracker.py',
+        'if is_ambiguous:',
+        'if False:',
+        'crash_parts',
+    ),
+    Mutation(
+        'let only the holder of the duties try a part that may be harmless',
+        SERVING + 'crash_tracker.py',
+        'return 0 if self.may_retry() else _CONFIRMATION_RETRY_MS',
+        'return 0',
+        'crash_parts',
+    ),
     Mutation(
         'restart a watch later that a recovery found too young',
         COORDINATION + 'kind_watch.py',
@@ -1257,15 +1292,15 @@
     ),
     Mutation(
         'count upstreams lost together as several crashes',
-        SERVING + 'crash_tracker.py',
-        'if not (is_near and crash.sent_at < first_at):',
-        'if True:',
+        SERVING + 'crash_suspect.py',
+        'if is_near and crash.sent_at < first_at:',
+        'if False:',
         'crashes',
     ),
     Mutation(
         'evict blocked requests first',
         SERVING + 'crash_tracker.py',
-        'key=lambda s: (s.is_blocked, s.seen_at)',
+        'key=lambda s: (s.urgency[:2], s.seen_at)',
         'key=lambda s: s.seen_at',
         'crashes',
     ),
@@ -1299,14 +1334,14 @@
     ),
     Mutation(
         'count crashes that are attributed to another request',
-        SERVING + 'crash_tracker.py',
+        SERVING + 'crash_attribution.py',
         'if not (crash.was_answering and run in attributed_runs)',
         'if True',
         'crashes',
     ),
     Mutation(
         'attribute crashes to a request with fewer crashes',
-        SERVING + 'crash_tracker.py',
+        SERVING + 'crash_attribution.py',
         'min_crashes = len(crashes) - 1',
         'min_crashes = 0',
         'crashes',
@@ -1328,7 +1363,7 @@
     Mutation(
         'give the full retry time just after a crash',
         SERVING + 'crash_tracker.py',
-        'if now - last < _CONFIRMATION_MS:',
+        'if since_crash_ms < _CONFIRMATION_MS:',
         'if False:',
         'crashes',
     ),
