--- a/features/config_ways.feature
+++ b/features/config_ways.feature
@@ -43,9 +43,9 @@
       | 7       | 1000   | 9700   | 1500 | 1 4  | 6000 | 9000  |
       | 20      | 2000   | 9100   | 2000 | 3 15 | 5000 | 12000 |
 
-  # Guards against a slow reaction to a probe that failed: the router asked the store again
-  # only at its next regular check, and had a change 2.1 s after its ack.
-  Scenario: A router whose probe of the store has failed asks again at once
+  # Guards against a watch that stays deaf although a peer had a newer version: it was too
+  # young to be restarted then, and the router was cut from its peers 0.2 s later.
+  Scenario: A young watch that a peer has overtaken is restarted a little later
     When changes are made while the store is silent for a router that is cut from its peers
       | routers | change | silent | for  | cut  | from  | for  |
       | 8       | 300    | 16030  | 209  | 3    | 16912 | 1995 |
