Restart a young watch that a peer has overtaken once it is old enough

Cause: a peer's newer version restarted a watch only after 2 s of silence and was forgotten if the watch was younger. Cut from its peers just then, the router had the next change 2.1 s after its ack. The same repair as for outages.

--- a/src/peridotmast/coordination/kind_watch.py
+++ b/src/peridotmast/coordination/kind_watch.py
@@ -108,9 +108,9 @@
         self._backoff_ms = _FIRST_BACKOFF_MS
         self._watch_interrupt = green.Interrupt()
         self._silent_since: ty.Optional[int] = None
-        self._doubted_since: ty.Optional[int] = None
-        """Start of the silence at whose minimum the watch is restarted, in
-        ms; None if no restart is due."""
+        self._retries_due: dict[str, int] = {}
+        """Start of the silence that a later restart awaits, in ms, by cause
+        of the restart."""
         self._outage_silent_ms = _OUTAGE_SILENT_MS
         self._log = logs.get('watch', kind=kind)
 
@@ -155,49 +155,45 @@
         whole wait of the watch. A watch whose answer is arriving is not
         restarted: on a slow link the answer may take longer than a beacon.
         """
-        self._restart_watch('watch_overtaken', _PEER_AHEAD_SILENT_MS)
+        self._restart_once_silent(
+            'watch_overtaken', _PEER_AHEAD_SILENT_MS, self.on_peer_ahead
+        )
 
     def on_outage(self) -> None:
-        """Restart the watch: the store may have dropped it in an outage.
-
-        A watch whose silence is too short is restarted when it has reached the
-        minimum. No other event may follow: if the watch was started while the
-        store did not answer, it stays silent for its whole wait.
-        """
-        if self._restart_watch('watch_doubted', self._outage_silent_ms):
+        """Restart the watch: the store may have dropped it in an outage."""
+        is_restarted = self._restart_once_silent(
+            'watch_doubted', self._outage_silent_ms, self.on_outage
+        )
+        if is_restarted:
             self._outage_silent_ms = min(
                 _MAX_OUTAGE_SILENT_MS, 2 * self._outage_silent_ms
             )
-            return
-        since = self._silent_since
-        if since is None or since == self._doubted_since:
-            return
-        self._doubted_since = since
-        remaining_ms = since + self._outage_silent_ms - self._clock.now()
-        green.call_after_ms(
-            remaining_ms, lambda: self._restart_if_silent(since)
-        )
 
-    def _restart_if_silent(self, since: int) -> None:
-        """Restart the watch if no byte has arrived since `since`, in ms."""
-        if self._doubted_since == since:
-            self._doubted_since = None
-        if self._silent_since == since:
-            self.on_outage()
+    def _restart_once_silent(
+        self, event: str, silent_ms: int, retry: ty.Callable[[], None]
+    ) -> bool:
+        """Restart the watch, now or once it has been silent for `silent_ms`.
 
-    def _restart_watch(self, event: str, silent_ms: int) -> bool:
-        """End the watch's wait if it has been silent for `silent_ms`.
+        If the watch is too young, `retry` is called later, unless bytes have
+        arrived: a watch that was started while the store did not answer stays
+        silent for its whole wait, and no other event may follow.
 
         Returns
         -------
         bool
-            Whether the wait was ended.
+            Whether the watch was restarted now.
         """
         since = self._silent_since
         if since is None:
             return False
         waited_ms = self._clock.now() - since
-        if waited_ms < silent_ms:
+        if waited_ms >= silent_ms:
+            self._log.info(event, revision=self._revision, silent_ms=waited_ms)
+            self._silent_since = None
+            self._watch_interrupt.fire()
+            return True
+        if self._retries_due.get(event) != since:
+            self._retries_due[event] = since
             self._log.info(
                 'watch_kept',
                 cause=event,
@@ -205,11 +201,19 @@
                 silent_ms=waited_ms,
                 min_silent_ms=silent_ms,
             )
-            return False
-        self._log.info(event, revision=self._revision, silent_ms=waited_ms)
-        self._silent_since = None
-        self._watch_interrupt.fire()
-        return True
+            green.call_after_ms(
+                silent_ms - waited_ms, lambda: self._retry(event, since, retry)
+            )
+        return False
+
+    def _retry(
+        self, event: str, since: int, retry: ty.Callable[[], None]
+    ) -> None:
+        """Call `retry` if no byte has arrived since `since`, in ms."""
+        if self._retries_due.get(event) == since:
+            del self._retries_due[event]
+        if self._silent_since == since:
+            retry()
 
     def _list(self) -> ty.Optional[failures.Failure]:
         listing = self._store.list(self.kind)
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -77,8 +77,8 @@
     Mutation(
         'restart a watch later that a recovery found too young',
         COORDINATION + 'kind_watch.py',
-        'if self._silent_since == since:',
-        'if False:',
+        'if self._silent_since == since:\n            retry()',
+        'if False:\n            retry()',
         'store_reads',
     ),
     Mutation(
