--- a/features/crash_parts.feature
+++ b/features/crash_parts.feature
@@ -40,3 +40,26 @@
   Scenario: The loss of failure domains blocks no part
     When failure domains are lost at the start and later, in 6 plays of 60 requests a second
     Then no part has been blocked
+
+  Scenario: A part that was answered before is not blocked by crashes in quick succession
+    Given two crash trackers, and the first one holds the lease of the duties
+    When a request with the parts "common" and "own" is answered at the second router
+    And requests with the parts "common" and "bad" crash 3 upstreams within 900 ms
+    Then both routers refuse requests with the parts "own" and "bad"
+    And neither router refuses requests with the parts "common" and "own"
+
+  Scenario: Upstreams of one failure domain that are lost one by one are one loss for a part
+    # The second and third request are sent after the first upstream is lost.
+    Given two crash trackers, and the first one holds the lease of the duties
+    When requests with the part "new" run at 4 upstreams of a failure domain that are lost 700 ms apart
+    Then neither router refuses requests with the parts "new" and "own"
+
+  Scenario: Of two parts that came together one is tried alone, once and by one router
+    Given two crash trackers, and the first one holds the lease of the duties
+    When requests with the parts "with" and "bad" crash 3 upstreams within 900 ms
+    And 4000 ms pass for both routers
+    Then the second router refuses requests with the part "with"
+    And the first router sends a request with the part "with" once
+    When the request with the part "with" is answered at the first router
+    Then neither router refuses requests with the parts "with" and "own"
+    And both routers refuse requests with the parts "own" and "bad"
--- a/features/steps/crash_part_steps.py
+++ b/features/steps/crash_part_steps.py
@@ -7,13 +7,16 @@
 from behave import given
 from behave import then
 from behave import when
+import crash_model
 import crash_steps
 import helpers
 import part_model
 
+from peridotmast import clock as clock_
 from peridotmast import green
 from peridotmast.platform import names
 from peridotmast.serving import crash_keys
+from peridotmast.serving import crash_tracker
 
 PATH = '/once/tag'
 PLAY_MS = 30_000
@@ -155,3 +158,100 @@
         if crash_keys.is_part(key)
     }
     assert not blocked, blocked
+
+
+def keys_of(*parts):
+    return crash_keys.CrashKeys(
+        f'request-{next(_numbers)}', crash_keys.of_parts(parts)
+    )
+
+
+def exchange_updates(context):
+    for _ in range(2):
+        for one, other in itertools.permutations(context.trackers, 2):
+            other.merge_updates(one.updates_for_peers())
+
+
+def lose_upstream(context, keys, name, domain):
+    """Lose an upstream 100 ms after a request was sent to it."""
+    context.trackers[0].note_failure(
+        keys,
+        crash_model.make_view(name, failure_domain=domain),
+        crash_model.BROKE_OFF,
+        context.clock.now() - 100,
+    )
+
+
+def is_refused(tracker, *parts):
+    return bool(tracker.retry_after_ms(keys_of(*parts)))
+
+
+@given('two crash trackers, and the first one holds the lease of the duties')
+def two_trackers(context):
+    context.clock = clock_.ManualClock(5_000_000)
+    context.trackers = [
+        crash_tracker.CrashTracker(context.clock, f'r-{number}')
+        for number in range(2)
+    ]
+    context.trackers[0].may_retry = lambda: True
+
+
+@when(
+    'a request with the parts "{a}" and "{b}" is answered at the second router'
+)
+def answered_at_second_router(context, a, b):
+    context.trackers[1].note_success(keys_of(a, b))
+
+
+@when('the request with the part "{part}" is answered at the first router')
+def answered_at_first_router(context, part):
+    context.trackers[0].note_success(keys_of(part))
+    exchange_updates(context)
+
+
+@when(
+    'requests with the parts "{a}" and "{b}" crash {count:d} upstreams within'
+    ' {ms:d} ms'
+)
+def crash_in_succession(context, a, b, count, ms):
+    for number in range(count):
+        context.clock.advance(ms // count)
+        lose_upstream(context, keys_of(a, b), f'i-{number}', f'd-{number}')
+        exchange_updates(context)
+
+
+@when(
+    'requests with the part "{part}" run at {count:d} upstreams of a failure'
+    ' domain that are lost {ms:d} ms apart'
+)
+def lose_domain(context, part, count, ms):
+    for number in range(count):
+        lose_upstream(context, keys_of(part), f'i-{number}', 'd-1')
+        context.clock.advance(ms)
+    exchange_updates(context)
+
+
+@when('{ms:d} ms pass for both routers')
+def time_passes(context, ms):
+    context.clock.advance(ms)
+
+
+@then('both routers refuse requests with the parts "{a}" and "{b}"')
+def refused_by_both(context, a, b):
+    assert all(is_refused(tracker, a, b) for tracker in context.trackers)
+
+
+@then('neither router refuses requests with the parts "{a}" and "{b}"')
+def refused_by_neither(context, a, b):
+    assert not any(is_refused(tracker, a, b) for tracker in context.trackers)
+
+
+@then('the second router refuses requests with the part "{part}"')
+def refused_by_second(context, part):
+    assert is_refused(context.trackers[1], part)
+
+
+@then('the first router sends a request with the part "{part}" once')
+def sent_once_by_first(context, part):
+    refused = [is_refused(context.trackers[0], part) for _ in range(5)]
+    assert refused == [False, True, True, True, True], refused
