--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -1539,8 +1539,8 @@
     Mutation(
         'forget an attempt once nobody waits for it',
         SERVING + 'sender.py',
-        'self._abandoned.add(exchange.crash_keys, view, sent_at, was_answering)',
-        'max(view.name, exchange.id)',
+        'self._abandoned.add(exchange.crash_keys, view, sent_at, was_answ',
+        'max(exchange.crash_keys, view, sent_at, was_answ',
         'crashes',
     ),
     Mutation(
