--- a/features/steps/config_way_steps.py
+++ b/features/steps/config_way_steps.py
@@ -6,6 +6,7 @@
 from behave import then
 from behave import when
 import config_model
+import histories
 import hypothesis
 from hypothesis import strategies as st
 
@@ -110,7 +111,7 @@
 
 
 @st.composite
-def histories(draw):
+def drawn_histories(draw):
     """Draw a fleet's size, the time between changes, and its troubles."""
     count = draw(st.sampled_from(FLEET_SIZES))
     some = st.sets(
@@ -136,14 +137,8 @@
     # More by hand: behave -D histories=400 features/config_ways.feature
     count = context.config.userdata.getint('histories', count)
 
-    @hypothesis.settings(
-        max_examples=count,
-        derandomize=True,
-        deadline=None,
-        database=None,
-        suppress_health_check=list(hypothesis.HealthCheck),
-    )
-    @hypothesis.given(histories())
+    @histories.settings(count)
+    @hypothesis.given(drawn_histories())
     def check(history):
         routers, change_ms, events = history
         late, errors = play(routers, change_ms, schedule(events))
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -10,6 +10,7 @@
 from behave import when
 import config_steps
 import helpers
+import histories
 import hypothesis
 from hypothesis import strategies
 import store_outage_steps
@@ -49,14 +50,7 @@
 
 def run_examples(count, *given_, test):
     """Run `test` on `count` drawn examples, the same ones each time."""
-    settings = hypothesis.settings(
-        max_examples=count,
-        derandomize=True,
-        deadline=None,
-        database=None,
-        suppress_health_check=list(hypothesis.HealthCheck),
-    )
-    settings(hypothesis.given(*given_)(test))()
+    histories.settings(count)(hypothesis.given(*given_)(test))()
 
 
 def value_paths(value, path=()):
--- a/features/steps/histories.py
+++ b/features/steps/histories.py
@@ -6,16 +6,20 @@
 from hypothesis import stateful
 
 
+def settings(count, **more):
+    """Return the settings of `count` reproducible random examples."""
+    return hypothesis.settings(
+        max_examples=count,
+        derandomize=True,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(hypothesis.HealthCheck),
+        **more,
+    )
+
+
 def run(model, count, steps):
     """Run reproducible random histories of a model."""
     stateful.run_state_machine_as_test(
-        model,
-        settings=hypothesis.settings(
-            max_examples=count,
-            stateful_step_count=steps,
-            derandomize=True,
-            deadline=None,
-            database=None,
-            suppress_health_check=list(hypothesis.HealthCheck),
-        ),
+        model, settings=settings(count, stateful_step_count=steps)
     )
--- a/features/steps/peer_model.py
+++ b/features/steps/peer_model.py
@@ -11,6 +11,7 @@
 import itertools
 import types
 
+import histories
 import hypothesis
 from hypothesis import strategies
 import prometheus_client
@@ -437,13 +438,7 @@
     """Check random requests, outcomes and cuts."""
 
     @hypothesis.seed(41)
-    @hypothesis.settings(
-        max_examples=count,
-        derandomize=True,
-        deadline=None,
-        database=None,
-        suppress_health_check=list(hypothesis.HealthCheck),
-    )
+    @histories.settings(count)
     @hypothesis.given(
         worlds(),
         strategies.lists(
--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -11,6 +11,7 @@
 from behave import given
 from behave import then
 from behave import when
+import histories
 import hypothesis
 from hypothesis import strategies
 
@@ -85,13 +86,7 @@
     ' and no valid mix is cheaper'
 )
 def random_markets(context, count):
-    @hypothesis.settings(
-        max_examples=count,
-        derandomize=True,
-        deadline=None,
-        database=None,
-        suppress_health_check=list(hypothesis.HealthCheck),
-    )
+    @histories.settings(count)
     @hypothesis.given(
         strategies.lists(strategies.floats(0.5, 2), min_size=2, max_size=3),
         strategies.floats(0.1, 1.0),
