--- a/features/config_ways.feature
+++ b/features/config_ways.feature
@@ -42,6 +42,7 @@
       | 7       | 2000   | 7500   | 1100 | 1    | 4000 | 14000 |
       | 7       | 1000   | 9700   | 1500 | 1 4  | 6000 | 9000  |
       | 20      | 2000   | 9100   | 2000 | 3 15 | 5000 | 12000 |
+    Then each router in touch has had each change in time
 
   # Guards against a watch that stays deaf although a peer had a newer version: it was too
   # young to be restarted then, and the router was cut from its peers 0.2 s later.
@@ -50,7 +51,6 @@
       | routers | change | silent | for  | cut  | from  | for  |
       | 8       | 300    | 16030  | 209  | 3    | 16912 | 1995 |
     Then each router in touch has had each change in time
-    Then each router in touch has had each change in time
 
   # Stores that are silent, busy, slow or reset for all or for some routers, dropped
   # histories, cuts between routers and kills, one to six at a time, in fleets of 3 to 20.
