--- a/features/crash_parts.feature
+++ b/features/crash_parts.feature
@@ -64,3 +64,17 @@
     When the request with the part "with" is answered at the first router
     Then neither router refuses requests with the parts "with" and "own"
     And both routers refuse requests with the parts "own" and "bad"
+
+  Scenario: A block cancels attempts that wait, and lets answers that have begun go on
+    Given a fleet of 1 routers
+    And a request with the part "late" is being answered, and another one waits
+    When the part "late" has crashed three upstreams at other routers
+    Then the request that waited ends with 502
+    And the request that was being answered is answered whole
+
+  Scenario: A stream with a blocked part is not moved off a leaving upstream
+    Given a stream at an upstream that leaves
+    When its request is blocked
+    Then it stays at its upstream
+    When its request is not blocked
+    Then it is moved
--- a/features/steps/crash_part_steps.py
+++ b/features/steps/crash_part_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import types
 
 from behave import given
 from behave import then
@@ -15,8 +16,11 @@
 from peridotmast import clock as clock_
 from peridotmast import green
 from peridotmast.platform import names
+from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import crash_keys
 from peridotmast.serving import crash_tracker
+from peridotmast.serving import decisions
+from peridotmast.serving import stream_migrator
 
 PATH = '/once/tag'
 PLAY_MS = 30_000
@@ -41,7 +45,7 @@
 _numbers = itertools.count(1)
 
 
-def send_prompt(router, *parts, path=PATH):
+def send_prompt(router, *parts, path=PATH, tokens_out=4, on_bytes=None):
     """Send a request with shared parts; its own last part is new."""
     number = next(_numbers)
     prompt = ','.join([*(f'{part}:20' for part in parts), f'{number:x}:8'])
@@ -49,7 +53,11 @@
         router.address,
         path,
         body=f'tag {number}'.encode(),
-        headers=[(names.TOKEN_COUNTS, '60,4'), (names.PROMPT_PARTS, prompt)],
+        headers=[
+            (names.TOKEN_COUNTS, f'60,{tokens_out}'),
+            (names.PROMPT_PARTS, prompt),
+        ],
+        on_bytes=on_bytes,
     )
 
 
@@ -256,3 +264,94 @@
 def sent_once_by_first(context, part):
     refused = [is_refused(context.trackers[0], part) for _ in range(5)]
     assert refused == [False, True, True, True, True], refused
+
+
+@given(
+    'a request with the part "{part}" is being answered, and another one waits'
+)
+def answering_and_waiting(context, part):
+    [router] = context.fleet.routers
+    context.started = green.Event()
+
+    def note_start(data):
+        if not context.started.ready():
+            context.started.send(None)
+
+    context.answering = green.spawn(
+        send_prompt, router, part, tokens_out=120, on_bytes=note_start
+    )
+    context.started.wait()
+    guests = helpers.guests(context)
+    for guest in guests:
+        guest.upstream.app.faults['hang'] = 1.0
+    before = sum(len(guest.upstream.app.arrivals) for guest in guests)
+    context.waiting = green.spawn(send_prompt, router, part)
+    helpers.wait_until(
+        lambda: sum(len(g.upstream.app.arrivals) for g in guests) > before,
+        'the second request has arrived',
+    )
+
+
+@when('the part "{part}" has crashed three upstreams at other routers')
+def crashed_elsewhere(context, part):
+    [router] = context.fleet.routers
+    [key] = crash_keys.of_parts([part])
+    crashes = [
+        pb.Crash(run=f'i-{n}', ago_ms=n * 500, failure_domain=f'd-{n}')
+        for n in range(3)
+    ]
+    router.serving.crashes.merge_updates(
+        [pb.CrashSuspect(fingerprint=key, crashes=crashes)]
+    )
+
+
+@then('the request that waited ends with 502')
+def waiting_ends(context):
+    answer = context.waiting.wait()
+    assert answer.status == 502, answer
+
+
+@then('the request that was being answered is answered whole')
+def answering_ends(context):
+    answer = context.answering.wait()
+    assert answer.status == 200 and answer.complete, answer
+
+
+@given('a stream at an upstream that leaves')
+def stream_at_leaving_upstream(context):
+    clock = clock_.ManualClock()
+    context.stream = types.SimpleNamespace(
+        service=types.SimpleNamespace(moves=True),
+        is_migrating=False,
+        exchange=types.SimpleNamespace(id='request'),
+        reader=types.SimpleNamespace(last_id=1),
+        expected_end=lambda now: None,
+    )
+    context.moved = []
+    context.migrator = stream_migrator.StreamMigrator(
+        clock,
+        types.SimpleNamespace(streams_at=lambda view: [context.stream]),
+        None,
+        None,
+        decisions.Decisions(clock, 'r-0'),
+        lambda name, move, *args: context.moved.append(args),
+        2000,
+    )
+
+
+@when('its request is {state}')
+def request_is_blocked_or_not(context, state):
+    context.migrator.is_blocked = lambda exchange: state == 'blocked'
+    view = crash_model.make_view('i-0')
+    context.migrator._move_streams(view, 10_000_000)
+
+
+@then('it stays at its upstream')
+def stream_stays(context):
+    assert not context.moved, context.moved
+
+
+@then('it is moved')
+def stream_is_moved(context):
+    [(stream, _)] = context.moved
+    assert stream is context.stream
--- a/src/peridotmast/serving/crash_suspect.py
+++ b/src/peridotmast/serving/crash_suspect.py
@@ -107,7 +107,7 @@
         return self.is_blocked, len(self.crashes) > 1, not is_answered
 
     def to_message(self, now: int) -> pb.CrashSuspect:
-        """Return the message that tells peers of the suspect."""
+        """Return the message to peers about the suspect."""
         message = pb.CrashSuspect(
             fingerprint=self.key,
             crashes=[
--- a/src/peridotmast/standin/upstream_app.py
+++ b/src/peridotmast/standin/upstream_app.py
@@ -105,7 +105,9 @@
         if self.crash_body and self.crash_body in body:
             return True
         parts = _header(environ, names.PROMPT_PARTS).split(',')[:-1]
-        return self.crash_part in (part.partition(':')[0] for part in parts)
+        return bool(self.crash_part) and any(
+            part.partition(':')[0] == self.crash_part for part in parts
+        )
 
     def fault_occurs(self, fault: str) -> bool:
         """Decide at random whether `fault` affects the current request."""
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -39,6 +39,27 @@
 
 
 MUTATIONS = (
+    Mutation(
+        'let answers that have begun go on when their part is blocked',
+        SERVING + 'sender.py',
+        'is_kept = is_part and attempt.is_answering',
+        'is_kept = False',
+        'crash_parts',
+    ),
+    Mutation(
+        'cancel what waits with a blocked part',
+        SERVING + 'sender.py',
+        'if key in attempt.keys.all() and not is_kept:',
+        'if key == attempt.keys.request and not is_kept:',
+        'crash_parts',
+    ),
+    Mutation(
+        'leave a blocked stream where it is',
+        SERVING + 'stream_migrator.py',
+        'if self.is_blocked(stream.exchange):',
+        'if False:',
+        'crash_parts',
+    ),
     Mutation(
         'track the parts of prompts',
         SERVING + 'crash_keys.py',
