--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -133,7 +133,7 @@
     Mutation(
         'wait for the peer that lags most',
         COORDINATION + 'report_confirmations.py',
-        'found = min(found, Confirmation(at, name))',
+        'found = min(found, Confirmation(known.confirmed_at, name))',
         'pass',
         'team_limit',
     ),
@@ -371,7 +371,7 @@
     Mutation(
         'report not_run for a request that may have run',
         SERVING + 'dispatcher.py',
-        'if state.runs and failure.kind is failures.FailureKind.NOT_RUN:',
+        'if has_run and failure.kind is failures.FailureKind.NOT_RUN:',
         'if False:',
         'once',
     ),
@@ -441,8 +441,8 @@
     Mutation(
         'use a resting upstream if there is no other',
         SERVING + 'placement.py',
-        'if view.name not in avoid and not self._wait_ms(view)',
-        'if view.name not in avoid',
+        'and self._has_way(view)\n                and not self._wait_ms(view)',
+        'and self._has_way(view)',
         'upstream_statements',
     ),
     Mutation(
@@ -577,7 +577,7 @@
     Mutation(
         'resume a stream that is not resumable',
         SERVING + 'stream.py',
-        'return route.resumable and len(self.tried) < route.attempts',
+        'return route.resumable and self.runs < route.attempts',
         'return True',
         'streams',
     ),
@@ -796,9 +796,9 @@
     ),
     Mutation(
         'accept a beacon with an invalid signature',
-        COORDINATION + 'beacons.py',
-        'if not hmac.compare_digest(tag, self._tag(body)):',
-        'if False:',
+        'peridotmast/signing.py',
+        'return hmac.compare_digest(tag, sign(secret, data))',
+        'return True',
         'fleet',
     ),
     Mutation(
@@ -1377,7 +1377,7 @@
     Mutation(
         'record a failed resumption for the previous upstream',
         SERVING + 'stream_relay.py',
-        'if failure is data:',
+        'if failure is first_failure:',
         'if True:',
         'crashes',
     ),
@@ -1468,8 +1468,8 @@
     Mutation(
         'use a version again that was rolled back',
         SERVING + 'version_gate.py',
-        'allowed = counts.keys() - rolled_back',
-        'allowed = set(counts)',
+        'allowed = ages.keys() - rolled_back',
+        'allowed = set(ages)',
         'rollouts',
     ),
     Mutation(
@@ -1588,8 +1588,8 @@
     Mutation(
         'count a forwarded request at the peer too',
         SERVING + 'dispatcher.py',
-        'if not exchange.forwarded_by:',
-        'if True:',
+        'if not exchange.forwarded_by:\n            self._budget.count',
+        'if True:\n            self._budget.count',
         'peer_ways',
     ),
     Mutation(
@@ -1602,7 +1602,7 @@
     Mutation(
         'offer a request to a peer after another one had it refused',
         SERVING + 'dispatcher.py',
-        'if state.exchange.forwarded_by and state.was_sent:',
+        'if exchange.forwarded_by and state.was_sent:',
         'if False:',
         'peer_ways',
     ),
