--- a/features/config_ways.feature
+++ b/features/config_ways.feature
@@ -52,6 +52,18 @@
       | 8       | 300    | 16030  | 209  | 3    | 16912 | 1995 |
     Then each router in touch has had each change in time
 
+  # Guards against a change that came over 2 s after its ack: the store turned the router
+  # away, the two peers that it called first had been lost right after they named the
+  # change, and it called no third one while these were silent.
+  Scenario: A change is in force in time although the peers that named it are lost
+    When changes are made while the store fails a router, and peers are cut off once they have named a change
+      | routers | store | router | lost             | at    | for  |
+      | 6       | busy  | 3      | 2 4 5            | 10168 | 2693 |
+      | 7       | busy  | 2      | 0 1 3 6          | 10260 | 3333 |
+      | 8       | reset | 1      | 2 3 4 5 6        | 10365 | 2583 |
+      | 12      | busy  | 5      | 0 2 3 4 6 8 9 10 | 10212 | 3091 |
+    Then each router in touch has had each change in time
+
   # Stores that are silent, busy, slow or reset for all or for some routers, dropped
   # histories, cuts between routers and kills, one to six at a time, in fleets of 3 to 20.
   Scenario: A change is in force in time in random histories
--- a/features/steps/config_way_steps.py
+++ b/features/steps/config_way_steps.py
@@ -15,6 +15,11 @@
 LAST_TROUBLE_MS = 18_000
 FLEET_SIZES = (3, 6, 7, 8, 12, 20)
 CHANGE_INTERVALS_MS = (300, 1000, 2000, 4000)
+LOSS_INTERVAL_MS = 4000
+FAILING_BEFORE_MS = 3500
+FAILING_MS = 7500
+"""Time between changes, and the time for which the store fails a router that
+has a change from its peers alone: from before they are cut off to their return."""
 
 
 def play(count, change_ms, arrange):
@@ -97,6 +102,21 @@
     play_cuts(context, is_store_silent_for_all=False)
 
 
+@when(
+    'changes are made while the store fails a router, and peers are cut off'
+    ' once they have named a change'
+)
+def make_changes_and_lose_peers(context):
+    for row in context.table:
+        how, lost = row['store'], {int(n) for n in row['lost'].split()}
+        router, at, ms = (int(row[name]) for name in ('router', 'at', 'for'))
+        events = [
+            (at - FAILING_BEFORE_MS, 'trouble', how, {router}, FAILING_MS),
+            (at, 'cut', lost, ms),
+        ]
+        play_row(context, row, int(row['routers']), LOSS_INTERVAL_MS, events)
+
+
 def play_cuts(context, is_store_silent_for_all):
     for row in context.table:
         count, change_ms, silent_at, silent_ms = map(int, row.cells[:4])
