--- a/src/peridotmast/router/config_fetcher.py
+++ b/src/peridotmast/router/config_fetcher.py
@@ -266,8 +266,17 @@
             for address, peer in self._peers_ahead.items()
             if peer.not_before <= now and address not in self._calls_started_at
         ]
+        due = self._reported_since(max(started, default=0), due) or due
         return self._random.choice(due) if due else ''
 
+    def _reported_since(self, at: int, found: list[str]) -> list[str]:
+        """Return the peers that have sent a message after the time `at`.
+
+        A call that gets no answer may have gone to a peer that was lost after
+        its last message, and others may have been lost with it.
+        """
+        return [a for a in found if self._peers_ahead[a].last_report_at > at]
+
     def _call(self, address: str) -> ty.Any:
         request = pb.ConfigRequest(
             known_version=self._config.routes.version,
