--- a/features/lease.feature
+++ b/features/lease.feature
@@ -270,5 +270,79 @@
   # a hint with it took the lease 24 ms after that renewal. The routers gave orders at once,
   # and a lower fencing number came after a higher one.
 
+  Scenario: A hint from before a return of the store does not free the lease after it
+    Given the contenders use a store in era 1
+    When the first contender requests the lease
+    And the clock advances by 4000 ms
+    And the first contender requests the lease
+    And the store is copied
+    And the clock advances by 1000 ms
+    And the first contender requests the lease
+    And the second contender receives the first's hint
+    And the store comes back from the copy
+    And the clock advances by 2000 ms
+    And the first contender requests the lease
+    And the clock advances by 1500 ms
+    And the first contender requests the lease
+    And the clock advances by 600 ms
+    And the second contender requests the lease
+    Then the first contender holds the lease and the second does not
+
+  Scenario: A router that the copy names as the holder does not go on with its lower number
+    Given the contenders use a store in era 1
+    When the first contender requests the lease
+    And the clock advances by 4000 ms
+    And the first contender requests the lease
+    And the clock advances by 3000 ms
+    And the first contender requests the lease
+    And the clock advances by 1000 ms
+    And the store is copied
+    And the first contender releases the lease
+    And the second contender requests the lease
+    Then the second contender still holds the lease
+    When the store comes back from the copy
+    And the first contender requests the lease
+    Then the first contender does not hold the lease
+    And the second contender still holds the lease
+
+  Scenario: A lease that nobody holds any more is free again after a return
+    Given the contenders use a store in era 1
+    When the first contender requests the lease
+    And the clock advances by 4000 ms
+    And the first contender requests the lease
+    And the store is copied
+    And the store comes back from the copy
+    And the second contender requests the lease
+    Then the second contender does not hold the lease
+    When the clock advances by 4000 ms
+    And the second contender requests the lease
+    Then the second contender still holds the lease
+
+  Scenario: A lease does not return by way of the first holder of an era
+    Given the contenders use a store in era 1
+    When the first contender requests the lease
+    And the clock advances by 4000 ms
+    And the first contender requests the lease
+    And the store is copied
+    And the store comes back from the copy
+    And the second contender requests the lease
+    And the clock advances by 3000 ms
+    Then the first contender may start orders to the platform
+    When the clock advances by 1000 ms
+    And the second contender requests the lease
+    Then the second contender still holds the lease
+    When the second contender releases the lease
+    And the first contender requests the lease
+    Then the first contender does not hold the lease
+
+  Scenario: The store comes back between the read and the write of a contender
+    Given the contenders use a store in era 1
+    When the first contender requests the lease
+    And the store is copied
+    And the clock advances by 4000 ms
+    And the store comes back at the next write
+    And the first contender requests the lease
+    Then the first contender does not hold the lease
+
   Scenario: One run may start orders at a time while the store comes back again and again
     Then the guarantees of the lease hold in 400 drawn histories of 40 steps with returns of the store
--- a/features/steps/lease_model.py
+++ b/features/steps/lease_model.py
@@ -157,6 +157,17 @@
     def come_back(self):
         self.store.come_back()
 
+    @stateful.rule()
+    def come_back_at_write(self):
+        self.store.returns_at_write = True
+
+    @stateful.rule(router=ROUTERS)
+    def wait_for_lease(self, router):
+        """Let a contender learn of the era, and wait until it may begin."""
+        self.attempt(router)
+        self.wait(LENGTH_MS)
+        self.attempt(router)
+
     @stateful.rule(router=ROUTERS, ms=STEPS)
     def lose_a_while(self, router, ms):
         """Come back without what a contender did in the last `ms`."""
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -73,6 +73,11 @@
     context.store.come_back()
 
 
+@when('the store comes back at the next write')
+def bring_store_back_at_write(context):
+    context.store.returns_at_write = True
+
+
 @given('a third contender for the lease')
 def create_third_contender(context):
     context.leases['third'] = make_contender(context, 'third')
--- a/features/steps/memory_store.py
+++ b/features/steps/memory_store.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from peridotmast import clock as clock_
 from peridotmast.coordination import objects
+from peridotmast.coordination import store_era
 from peridotmast import failures
 
 
@@ -23,6 +25,7 @@
         self.drop_writes = 0
         self._delayed = []
         self.calls = 0
+        self.era = store_era.StoreEra(clock_.ManualClock())
 
     def read(self, kind, name):
         self.calls += 1
--- a/features/steps/returning_store.py
+++ b/features/steps/returning_store.py
@@ -10,6 +10,7 @@
 import json
 
 from peridotmast.coordination import outage as outage_
+from peridotmast.coordination import store_era
 from peridotmast import failures
 from peridotmast.platform import names
 from peridotmast.platform import store as store_
@@ -24,6 +25,7 @@
 
     `is_down` fails every call. `lose_replies` applies the next writes without
     a reply, `delay_writes` holds them back until `apply_delayed_writes`.
+    `returns_at_write` lets the store come back just before the next write.
 
     Parameters
     ----------
@@ -37,6 +39,7 @@
         self.is_down = False
         self.lose_replies = 0
         self.delay_writes = 0
+        self.returns_at_write = False
         self.calls = 0
         self._objects = {}
         self._copy = {}, 0
@@ -45,7 +48,8 @@
     def client(self, clock):
         """Return the client of one router."""
         outage = outage_.OutageTracker(clock, LAPSE_MS)
-        store = store_.PlatformStore('10.1.0.1:1', 1500, outage)
+        era = store_era.StoreEra(clock)
+        store = store_.PlatformStore('10.1.0.1:1', 1500, outage, era)
         store._http = _Http(self)
         store._clock = clock
         return store
@@ -102,6 +106,9 @@
             self.delay_writes -= 1
             self._delayed.append((method, kind, name, body))
             return failures.unknown('no_answer')
+        if self.returns_at_write:
+            self.returns_at_write = False
+            self.come_back()
         response = self._write(method, kind, name, body)
         if self.lose_replies:
             self.lose_replies -= 1
--- a/src/peridotmast/coordination/lease.py
+++ b/src/peridotmast/coordination/lease.py
@@ -16,6 +16,17 @@
 """Kind of the objects that store leases."""
 
 
+_FENCING_PER_ERA = 10**6
+"""More holders than one era of the store has: the fencing numbers of an era
+begin above those of all earlier ones."""
+
+_MAX_READS = 3
+"""Maximum number of reads while each answer names another era."""
+
+_ANY_ROUTER = '*'
+"""Stands in a lease for former holders that are not known."""
+
+
 class Outcome(enum.Enum):
     """Result of an attempt to acquire or renew a lease."""
 
@@ -43,6 +54,12 @@
     the reply is lost, the next attempt reads the object first, and its nonce
     identifies the writer.
 
+    Each era of the store has a lease of its own, in an object of its own: the
+    store may have lost who held that of the earlier era, and a write for it
+    may still take effect. The holder keeps its lease over the return and
+    acquires that of the new era before it expires; any other router waits
+    until each lease of an earlier era has expired.
+
     Parameters
     ----------
     store : objects.ObjectStore
@@ -80,7 +97,9 @@
         self._clock = clock
         self._nonces = itertools.count(1)
         self._expires_at = 0
+        self._era = 0
         self._stored: ty.Optional[objects.StoredObject] = None
+        self._written = objects.StoredObject(name, 0)
         self._first_seen_at = 0
         self._is_read = False
         self._acquired_at = 0
@@ -122,7 +141,7 @@
             holder=self._router,
             fencing=self.fencing,
             left_ms=self.remaining_ms,
-            revision=self._stored.revision if self._stored else 0,
+            revision=self._written.revision,
         )
 
     def receive_hint(self, hint: pb.LeaseHint) -> None:
@@ -187,9 +206,15 @@
         is_same = fencing == self.fencing
         return self.remaining_ms if is_same and self.may_act() else 0
 
+    @property
+    def is_of_earlier_era(self) -> bool:
+        """Whether the store has come back without this run's lease."""
+        return self.is_held() and self._store.era.number != self._era
+
     def attempt(self) -> Outcome:
         """Acquire or renew the lease if that is allowed."""
         began = self._clock.boot_time()
+        self._follow_era()
         if not self._is_read:
             failure = self._read()
             if failure is not None:
@@ -197,14 +222,19 @@
         spec = self._next_spec()
         if spec is None:
             return Outcome.TAKEN
-        was_own = bool(self.fencing) and self._is_own(self._current())
+        was_own = bool(self.fencing) and (
+            self._is_own(self._current()) or self._continues()
+        )
         revision = self._stored.revision if self._stored else 0
-        result = self._store.write(KIND, self._name, spec, revision)
+        result = self._store.write(KIND, self._object_name(), spec, revision)
         if isinstance(result, failures.Failure):
             # The write may still take effect: read before the next attempt.
             self._is_read = False
             lost = result.kind is failures.FailureKind.CONFLICT
             return Outcome.TAKEN if lost else self._outcome_without_answer()
+        if objects.era_of(result.revision) != self._era:
+            self._is_read = False
+            return self._outcome_without_answer()
         self._record_write(result, spec, began, was_own)
         return Outcome.HELD
 
@@ -218,36 +248,50 @@
 
     def release(self) -> None:
         """Release the lease, so that the next holder need not wait."""
-        if not self.is_held() or self._stored is None:
+        if not self.is_held():
             return
         self._expires_at = 0
-        current = self._current()
-        # No earlier holder has acted since this run acquired the lease.
-        held_ms = self._clock.boot_time() - self._acquired_at
-        former = {
-            router: ms + held_ms
-            for router, ms in _former_holders(current).items()
-            if ms + held_ms < self.length_ms
-        }
+        if self._stored is None:
+            return
         spec = {
-            **current,
-            'before': former,
+            **self._current(),
+            'before': self._aged_former_holders(),
             'left': self.make_handover(),
             'released': True,
         }
-        self._store.write(KIND, self._name, spec, self._stored.revision)
+        self._store.write(
+            KIND, self._object_name(), spec, self._stored.revision
+        )
         self._is_read = False
         self._log.info('lease_released', fencing=self.fencing)
 
+    def _object_name(self) -> str:
+        """Return the name of the object of the era's lease."""
+        return f'{self._name}-{self._era}' if self._era else self._name
+
+    def _follow_era(self) -> None:
+        """Forget the lease of an earlier era, as stored."""
+        if self._store.era.number != self._era:
+            self._era = self._store.era.number
+            self._stored = None
+            self._is_read = False
+
     def _read(self) -> ty.Optional[failures.Failure]:
-        stored = self._store.read(KIND, self._name)
-        if isinstance(stored, failures.Failure):
-            return stored
+        for _ in range(_MAX_READS):
+            self._follow_era()
+            stored = self._store.read(KIND, self._object_name())
+            if isinstance(stored, failures.Failure):
+                return stored
+            if self._store.era.number == self._era:
+                self._record_read(stored)
+                return None
+        return failures.unavailable('store_returns')
+
+    def _record_read(self, stored: objects.StoredObject) -> None:
         if self._stored is None or stored.revision != self._stored.revision:
             self._first_seen_at = self._clock.boot_time()
         self._stored = stored
         self._is_read = True
-        return None
 
     def _current(self) -> objects.Json:
         """Return the stored lease, as this run last read or wrote it."""
@@ -265,7 +309,7 @@
             self._is_read = False
             return None
         keeps_number = is_own and (self.is_held() or not self.fencing)
-        fencing = int(current.get('fencing') or 0)
+        fencing = int(current.get('fencing') or self._era * _FENCING_PER_ERA)
         return {
             'holder': self._run,
             'router': self._router,
@@ -280,12 +324,13 @@
     def _is_available(self, current: objects.Json) -> bool:
         """Return whether this run may acquire the lease now."""
         if not current.get('holder'):
-            return True
+            return self._may_begin()
         if self._may_take_over(current):
             return True
         # If the duties return to a router soon after other routers held them,
         # its earlier and its new orders look like those of two holders.
-        held_recently = self._router in _former_holders(current)
+        former = _former_holders(current)
+        held_recently = self._router in former or _ANY_ROUTER in former
         if current.get('released') and not held_recently:
             return True
         now = self._clock.boot_time()
@@ -296,16 +341,65 @@
         known = self._stored is not None and self._stored.revision == hinted
         return bool(hinted) and known and now >= self._hint_expires_at
 
+    def _may_begin(self) -> bool:
+        """Return whether this run may acquire the first lease of an era.
+
+        A lease of an earlier era was written before the store came back, and
+        so before this router learned of it.
+        """
+        if not self._era or self._continues():
+            return True
+        since = self._store.era.seen_at
+        return self._clock.boot_time() - since >= self.length_ms
+
+    def _continues(self) -> bool:
+        """Return whether this run holds the lease of an earlier era."""
+        is_earlier = objects.era_of(self._written.revision) != self._era
+        return is_earlier and self.is_held()
+
     def _next_handover(
         self, current: objects.Json, keeps_number: bool
     ) -> ty.Optional[objects.Json]:
         """Return the handover state to write; at first the received one."""
-        if keeps_number and self.fencing:
+        if (keeps_number and self.fencing) or self._continues():
             return self.make_handover()
+        if self._era and not current:
+            return self._handover_of_earlier_era()
         return current.get('left') or {}
 
+    def _handover_of_earlier_era(self) -> objects.Json:
+        """Return the newest handover state that the store's copy has."""
+        listing = self._store.list(KIND)
+        if isinstance(listing, failures.Failure):
+            return {}
+        specs = [
+            stored.spec
+            for stored in listing.objects
+            if stored.spec and stored.name.partition('-')[0] == self._name
+        ]
+        newest = max(
+            specs, key=lambda spec: int(spec.get('fencing') or 0), default={}
+        )
+        return newest.get('left') or {}
+
+    def _aged_former_holders(self) -> dict[str, int]:
+        """Return the holders before this run, while it holds the lease.
+
+        None of them has acted since this run acquired it.
+        """
+        held_ms = self._clock.boot_time() - self._acquired_at
+        return {
+            router: ms + held_ms
+            for router, ms in _former_holders(self._written.spec).items()
+            if ms + held_ms < self.length_ms
+        }
+
     def _next_former_holders(self, current: objects.Json) -> dict[str, int]:
         """Return the holders before this run or its dead predecessor."""
+        if self._continues():
+            return self._aged_former_holders()
+        if self._era and not current:
+            return {_ANY_ROUTER: 0}
         former = _former_holders(current)
         is_own_or_predecessor = self._is_own(current) or self._is_successor(
             current
@@ -338,6 +432,7 @@
         was_own: bool,
     ) -> None:
         self._stored = objects.StoredObject(self._name, result.revision, spec)
+        self._written = self._stored
         self._first_seen_at = self._clock.boot_time()
         self._is_read = True
         self._expires_at = began + self.length_ms
@@ -352,7 +447,7 @@
         return Outcome.HELD if self.is_held() else Outcome.UNREACHED
 
 
-def _former_holders(spec: objects.Json) -> dict[str, int]:
+def _former_holders(spec: ty.Optional[objects.Json]) -> dict[str, int]:
     """Return the former holders of a lease, and how long ago each acted.
 
     The time, in ms, is measured from the latest moment at which a router can
@@ -361,7 +456,7 @@
     length of a lease are omitted. Routers of an older version write a single
     name.
     """
-    former = spec.get('before') or {}
+    former = (spec or {}).get('before') or {}
     if isinstance(former, str):
         return {former: 0}
     return {router: int(ms) for router, ms in former.items()}
--- a/src/peridotmast/duties/duty_holder.py
+++ b/src/peridotmast/duties/duty_holder.py
@@ -105,7 +105,7 @@
             is_due = (
                 self._lease.remaining_ms < _RENEW_FRACTION * self._lease_ms
             )
-            if is_due or self._must_save_state():
+            if is_due or self._must_save_state() or self._must_move():
                 self._renew()
         elif self._is_vacant():
             self._contend()
@@ -154,6 +154,11 @@
         may_retry = self._clock.boot_time() - self._renewed_at >= _RETRY_MS
         return may_retry and self._state_version() != self._saved_version
 
+    def _must_move(self) -> bool:
+        """Return whether the lease of a new era of the store is to acquire."""
+        may_retry = self._clock.boot_time() - self._renewed_at >= _RETRY_MS
+        return may_retry and self._lease.is_of_earlier_era
+
     def _renew(self) -> None:
         """Renew the lease, and save the state for the next holder with it.
 
--- a/src/peridotmast/platform/names.py
+++ b/src/peridotmast/platform/names.py
@@ -41,6 +41,9 @@
 AUTHORIZATION = 'Authorization'
 KEY_SCHEME = 'Bearer '
 RETRY_AFTER = 'Retry-After'
+ERA = 'Store-Era'
+"""Number of times that the store has come back from an older copy, in each of
+its answers."""
 LEAVING = 'Server-Leaving'
 """States in each answer of an upstream that it is leaving."""
 
--- a/src/peridotmast/platform/store.py
+++ b/src/peridotmast/platform/store.py
@@ -10,6 +10,7 @@
 from peridotmast import clock as clock_
 from peridotmast.coordination import objects
 from peridotmast.coordination import outage as outage_
+from peridotmast.coordination import store_era
 from peridotmast import failures
 from peridotmast import green
 from peridotmast import logs
@@ -59,10 +60,16 @@
         response begins and between two parts of its body.
     outage : outage.OutageTracker
         Records the outcome of each call.
+    era : store_era.StoreEra, optional
+        Records the era of each answer.
     """
 
     def __init__(
-        self, address: str, timeout_ms: int, outage: outage_.OutageTracker
+        self,
+        address: str,
+        timeout_ms: int,
+        outage: outage_.OutageTracker,
+        era: ty.Optional[store_era.StoreEra] = None,
     ) -> None:
         self.address = address
         """``IP:port`` of the store."""
@@ -70,6 +77,8 @@
         self._timeout_ms = timeout_ms
         self._outage = outage
         self._clock = clock_.SystemClock()
+        self.era = era or store_era.StoreEra(self._clock)
+        """Newest era that an answer has named."""
         self._log = logs.get('store')
         self._random = random.Random()
         self.calls = 0
@@ -98,13 +107,15 @@
             page = _parse_page(response, names.ITEMS)
             if isinstance(page, failures.Failure):
                 return page
+            if revision and objects.era_of(page.revision) != objects.era_of(
+                revision
+            ):
+                return failures.unavailable('store_returned', kind)
             # A watch must start from the revision of the first page: from
             # the revision of the last page, it would miss changes that
             # happened between two pages.
             revision = revision or page.revision
-            found += self._valid_objects(
-                kind, (object_codec.parse_object(item) for item in page.items)
-            )
+            found += self._valid_objects(kind, page)
             if not page.has_more:
                 return objects.Listing(found, revision)
             if not found:
@@ -145,53 +156,63 @@
         on_bytes : callable, optional
             Called when bytes of the response arrive.
         """
+        era, number = objects.era_of(since), objects.number_of(since)
+        if era != self.era.number:
+            return _history_gone(since)
         response = self._read(
-            f'{_path(kind)}?{names.WATCH}={since}&{names.WAIT_MS}={wait_ms}',
+            f'{_path(kind)}?{names.WATCH}={number}&{names.WAIT_MS}={wait_ms}',
             timeout_ms=wait_ms + _WATCH_SLACK_MS,
             on_bytes=on_bytes,
         )
         if isinstance(response, failures.Failure):
             return response
-        if response.status == _GONE:
-            return failures.missing(objects.HISTORY_GONE, str(since))
+        if response.status == _GONE or _era_of(response) != era:
+            return _history_gone(since)
         page = _parse_page(response, names.EVENTS)
         if isinstance(page, failures.Failure):
             return page
-        changed = self._valid_objects(kind, map(_parse_event, page.items))
+        changed = self._valid_objects(kind, page)
         return objects.Changes([*changed], page.revision)
 
     def write(
         self, kind: str, name: str, spec: objects.Json, revision: int
     ) -> ty.Union[objects.StoredObject, failures.Failure]:
         """Write an object that is still at `revision` (0: does not exist)."""
-        if revision:
-            meta = {'name': name, names.REVISION: revision, 'finalizers': []}
-            response = self._call(
-                'PUT', _path(kind, name), {names.META: meta, names.SPEC: spec}
-            )
-        else:
+        if not revision:
             body = {names.META: {'name': name}, names.SPEC: spec}
-            response = self._call('POST', _path(kind), body)
-        return _write_result(response, name)
+            return _write_result(self._call('POST', _path(kind), body), name)
+        number = objects.number_of(revision)
+        meta = {'name': name, names.REVISION: number, 'finalizers': []}
+        return self._write_conditionally(
+            'PUT',
+            _path(kind, name),
+            {names.META: meta, names.SPEC: spec},
+            name,
+            revision,
+        )
 
     def write_status(
         self, kind: str, name: str, status: objects.Json, revision: int
     ) -> ty.Union[objects.StoredObject, failures.Failure]:
         """Write the status of an object that is still at `revision`."""
-        meta = {'name': name, names.REVISION: revision}
-        response = self._call(
+        meta = {'name': name, names.REVISION: objects.number_of(revision)}
+        return self._write_conditionally(
             'PUT',
             f'{_path(kind, name)}/{names.STATUS}',
             {names.META: meta, names.STATUS: status},
+            name,
+            revision,
         )
-        return _write_result(response, name)
 
     def remove(
         self, kind: str, name: str, revision: int
     ) -> ty.Optional[failures.Failure]:
         """Remove an object that is still at `revision`."""
-        path = f'{_path(kind, name)}?{names.REVISION}={revision}'
-        result = _write_result(self._call('DELETE', path), name)
+        number = objects.number_of(revision)
+        path = f'{_path(kind, name)}?{names.REVISION}={number}'
+        result = self._write_conditionally(
+            'DELETE', path, None, name, revision
+        )
         return result if isinstance(result, failures.Failure) else None
 
     def probe(self) -> None:
@@ -206,13 +227,34 @@
         """Close the idle connections."""
         self._http.close()
 
-    def _valid_objects(
+    def _write_conditionally(
         self,
-        kind: str,
-        found: ty.Iterable[ty.Optional[objects.StoredObject]],
+        method: str,
+        path: str,
+        body: ty.Any,
+        name: str,
+        revision: int,
+    ) -> ty.Union[objects.StoredObject, failures.Failure]:
+        """Write an object that is still at `revision`.
+
+        The store compares the number alone. If it returned from an older copy
+        while the call was under way, the number may have named another write,
+        which this one has then replaced.
+        """
+        if objects.era_of(revision) != self.era.number:
+            return failures.conflict('earlier_era', name)
+        result = _write_result(self._call(method, path, body), name)
+        if isinstance(result, failures.Failure):
+            return result
+        if objects.era_of(revision) != self.era.number:
+            return failures.unknown('earlier_era', name)
+        return result
+
+    def _valid_objects(
+        self, kind: str, page: _Page
     ) -> ty.Iterator[objects.StoredObject]:
-        """Yield the parsed objects; log each one that failed to parse."""
-        for stored in found:
+        """Yield the objects of a page; log each one that failed to parse."""
+        for stored in page.objects:
             if stored is None:
                 self._log.error('object_unreadable', kind=kind)
             else:
@@ -266,7 +308,11 @@
             )
             if not was_waiting:
                 self._outage.record_failure(response.reason, elapsed_ms)
-        elif response.status in _FAILURE_STATUSES:
+            return response
+        if not self.era.record(_era_of(response)):
+            # Describes state that the store may have lost since.
+            return failures.unavailable('earlier_era')
+        if response.status in _FAILURE_STATUSES:
             self._outage.record_failure(str(response.status))
         else:
             self._outage.record_answer()
@@ -303,16 +349,17 @@
         stored = object_codec.parse_object(response.json())
     except ValueError as exc:
         return failures.unavailable('store_garbled', str(exc)[:200])
-    return stored or failures.unavailable(
-        'store_garbled', 'response has no object'
-    )
+    if stored is None:
+        return failures.unavailable('store_garbled', 'response has no object')
+    return _in_era(stored, _era_of(response))
 
 
 @dataclasses.dataclass(frozen=True)
 class _Page:
     """A response with a list of objects or events."""
 
-    items: list[ty.Any]
+    objects: list[ty.Optional[objects.StoredObject]]
+    """The objects; None for each one that failed to parse."""
     revision: int
     has_more: bool
 
@@ -329,7 +376,29 @@
         fields.raise_if_malformed()
     except ValueError as exc:
         return failures.unavailable('store_garbled', str(exc)[:200])
-    return _Page(body[key], revision, bool(body.get(names.HAS_MORE)))
+    era = _era_of(response)
+    parse = _parse_event if key == names.EVENTS else object_codec.parse_object
+    found = map(parse, body[key])
+    return _Page(
+        [stored and _in_era(stored, era) for stored in found],
+        objects.make_revision(era, revision),
+        bool(body.get(names.HAS_MORE)),
+    )
+
+
+def _era_of(response: http_client.Response) -> int:
+    """Return the era of an answer; 0 if it names none."""
+    text = response.header(names.ERA)
+    return int(text) if text.isdecimal() else 0
+
+
+def _in_era(stored: objects.StoredObject, era: int) -> objects.StoredObject:
+    revision = objects.make_revision(era, stored.revision)
+    return dataclasses.replace(stored, revision=revision)
+
+
+def _history_gone(since: int) -> failures.Failure:
+    return failures.missing(objects.HISTORY_GONE, str(since))
 
 
 def _parse_event(event: ty.Any) -> ty.Optional[objects.StoredObject]:
--- a/src/peridotmast/router/fleet_state.py
+++ b/src/peridotmast/router/fleet_state.py
@@ -13,6 +13,7 @@
 from peridotmast.coordination import members as members_
 from peridotmast.coordination import outage as outage_
 from peridotmast.coordination import registry as registry_
+from peridotmast.coordination import store_era
 from peridotmast.coordination import store_prober
 from peridotmast.coordination import upstream_feed
 from peridotmast.coordination import watchers as watchers_
@@ -89,7 +90,10 @@
         self.outage = outage_.OutageTracker(clock, lapse_ms)
         """Tracks whether the store answers."""
         self.store = store_.PlatformStore(
-            platform.objects, platform.timeout_ms, self.outage
+            platform.objects,
+            platform.timeout_ms,
+            self.outage,
+            store_era.StoreEra(clock),
         )
         """The platform's store."""
         me = pb.Member(
--- a/src/peridotmast/wire/http_client.py
+++ b/src/peridotmast/wire/http_client.py
@@ -24,6 +24,12 @@
     headers: connection_.Headers
     body: bytes
 
+    def header(self, name: str) -> str:
+        """Return the first header called `name`, in any case, or empty."""
+        wanted = name.lower()
+        found = (text for n, text in self.headers if n.lower() == wanted)
+        return next(found, '')
+
     def json(self) -> ty.Any:
         """Return the body parsed as JSON; an empty body is an empty object.
 
