--- a/features/lease.feature
+++ b/features/lease.feature
@@ -333,6 +333,7 @@
     Then the second contender still holds the lease
     When the second contender releases the lease
     And the first contender requests the lease
+    And the first contender requests the lease
     Then the first contender does not hold the lease
 
   Scenario: The store comes back between the read and the write of a contender
