--- a/features/config_ways.feature
+++ b/features/config_ways.feature
@@ -64,6 +64,19 @@
       | 12      | busy  | 5      | 0 2 3 4 6 8 9 10 | 10212 | 3091 |
     Then each router in touch has had each change in time
 
+  # Guards against changes and leaving upstreams that no router knows of after the store
+  # came back from an older copy: the watches waited for revisions above those that it then
+  # gave out a second time, so they were silent until it reached their numbers again.
+  Scenario: A change and a leaving upstream are known in time after the store came back older
+    When changes are made after the store came back from a copy, and an upstream leaves
+      | routers | store  | at    | away | age  | change | leaves |
+      | 6       | silent | 8931  | 181  | 7984 | 2000   | 9491   |
+      | 7       | silent | 8168  | 158  | 6755 | 4000   | 10696  |
+      | 8       | silent | 11365 | 464  | 4779 | 1000   | 13655  |
+      | 20      | silent | 11221 | 448  | 6320 | 300    | 13315  |
+      | 6       | busy   | 8484  | 1822 | 4422 | 300    | 10413  |
+    Then each router in touch has had each change in time
+
   # Stores that are silent, busy, slow or reset for all or for some routers, dropped
   # histories, cuts between routers and kills, one to six at a time, in fleets of 3 to 20.
   Scenario: A change is in force in time in random histories
--- a/features/steps/config_model.py
+++ b/features/steps/config_model.py
@@ -24,6 +24,7 @@
 from peridotmast import invariants
 from peridotmast.platform import config_codec
 from peridotmast.platform import names
+from peridotmast.platform import upstream_codec
 from peridotmast.router import catch_up as catch_up_
 from peridotmast.router import fleet_state as fleet_state_
 from peridotmast.router import peer_service
@@ -31,10 +32,13 @@
 from peridotmast.router import update_beacons
 from peridotmast import rpc
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import upstream_view
 from peridotmast.wire import http_client
 
 APPLY_MS = 2000
 """Time after its ack in which a change must be in force."""
+LEAVE_MS = 2000
+"""Time after its ack in which each router must know that an upstream leaves."""
 STABLE_MS = 3000
 """Time after a disturbance of the whole store, or the start of a router, from
 which the bound holds."""
@@ -44,10 +48,13 @@
 LEASE_MS = 1600
 CHECK_MS = 100
 RESTART_MS = 500
+WRITE_AGAIN_MS = 1200
+"""Time after a return of the store in which upstreams write their entries."""
 ANSWER_MS = 4
 TIMEOUT_MS = 1500
 RETRY_MS = 500
 SLOW_ANSWER_MS = 900
+UPSTREAMS = 6
 
 
 _STATUSES = {'busy': 503, 'gone': 410}
@@ -130,6 +137,11 @@
         self._unsent = []
         self._oldest = 0
         """Revision from which on changes can be watched."""
+        self.era = 0
+        self._copies = []
+        """Time, objects and revision after each write."""
+        self._states = {}
+        """State of each upstream that has written an entry."""
 
     def begin(self, trouble):
         """Begin a trouble; watches that wait stay open in a silent one."""
@@ -154,6 +166,41 @@
             if not watch.is_dead:
                 watch.end('gone')
 
+    def come_back(self, how, away_ms, age_ms):
+        """Be away, and come back from a copy of some time before that."""
+        now = self._timeline.clock.now()
+        self.begin(Trouble(how, None, now + away_ms))
+        self._timeline.call_after_ms(
+            away_ms, lambda: self._restore(now - age_ms)
+        )
+
+    def _restore(self, time):
+        _, objects, self.revision = next(
+            (copy for copy in reversed(self._copies) if copy[0] <= time),
+            self._copies[-1],
+        )
+        self._objects = {kind: {**found} for kind, found in objects.items()}
+        self._oldest = 0
+        self.era += 1
+        if self.acked:
+            document = make_document(self.acked[-1][1])
+            self.put(names.CONFIG_KIND, names.CONFIG_NAME, document)
+        for number, (name, state) in enumerate(self._states.items()):
+            self._timeline.call_after_ms(
+                WRITE_AGAIN_MS * (number + 1) // len(self._states),
+                functools.partial(self.put_upstream, name, state),
+            )
+
+    def put_upstream(self, name, state):
+        """Write an upstream's entry, unless that has changed meanwhile."""
+        if self._states.get(name, state) == 'draining':
+            state = 'draining'
+        self._states[name] = state
+        entry = make_entry(name, state)
+        known = self._objects.get(names.UPSTREAM_KIND, {}).get(name, {})
+        if known.get(names.SPEC) != entry:
+            self.put(names.UPSTREAM_KIND, name, entry)
+
     def trouble_of(self, router):
         """Return how the store fails a router now; empty if it does not."""
         now = self._timeline.clock.now()
@@ -193,8 +240,11 @@
             if watch.kind == kind and not watch.is_dead:
                 # An answer that falls into a silence is lost for good.
                 watch.is_dead = self.trouble_of(watch.router) == 'silent'
-                if not watch.is_dead:
+                if not watch.is_dead and self.revision > watch.since:
                     watch.end('')
+        copied = {kind: {**found} for kind, found in self._objects.items()}
+        now = self._timeline.clock.now()
+        self._copies.append((now, copied, self.revision))
         return stored
 
     def request(self, router, method, path, body, timeout_ms):
@@ -210,27 +260,33 @@
         options = dict(o.split('=') for o in query.split('&') if o)
         if method in ('POST', 'PUT'):
             name = name or body[names.META]['name']
-            return _answer(200, self.put(kind, name, body[names.SPEC]))
+            return self._answer(200, self.put(kind, name, body[names.SPEC]))
         if names.WATCH in options:
             since = int(options[names.WATCH])
             return self._wait(router, kind, since, timeout_ms)
         found = self._objects.get(kind, {})
         if name:
-            return _answer(200 if name in found else 404, found.get(name, {}))
+            status = 200 if name in found else 404
+            return self._answer(status, found.get(name, {}))
         listing = {names.ITEMS: [*found.values()], names.HAS_MORE: False}
-        return _answer(200, {**listing, names.AT_REVISION: self.revision})
+        return self._answer(200, {**listing, names.AT_REVISION: self.revision})
+
+    def _answer(self, status, document):
+        headers = [(names.ERA, str(self.era))] if self.era else []
+        body = json.dumps(document).encode()
+        return http_client.Response(status, headers, body)
 
     def _fail(self, trouble, timeout_ms):
         if trouble == 'silent':
             self._timeline.sleep_ms(timeout_ms)
             return failures.unknown('silent')
         if trouble in _STATUSES:
-            return _answer(_STATUSES[trouble], {})
+            return self._answer(_STATUSES[trouble], {})
         return failures.unknown('broke_off')
 
     def _wait(self, router, kind, since, timeout_ms):
-        if since < self._oldest:
-            return _answer(_STATUSES['gone'], {})
+        if not self._oldest <= since <= self.revision:
+            return self._answer(_STATUSES['gone'], {})
         watch = Watch(router, kind, since)
         if not self._changes(kind, since):
             self._watches.append(watch)
@@ -247,7 +303,7 @@
             {names.OBJECT: stored, names.DELETED: False}
             for stored in self._changes(kind, since)
         ]
-        return _answer(
+        return self._answer(
             200, {names.EVENTS: events, names.AT_REVISION: self.revision}
         )
 
@@ -333,6 +389,11 @@
     def version(self):
         return self.state.config.routes.version
 
+    def uses(self, name):
+        """Return whether an upstream may get requests."""
+        view = self.state.upstream_table.get(name)
+        return view is not None and view.is_available
+
     def stop(self):
         self._tasks.stop()
 
@@ -381,7 +442,11 @@
         green.call_after_ms = self.timeline.call_after_ms
         self.store = SimulatedStore(self.timeline)
         self.store.put(names.CONFIG_KIND, names.CONFIG_NAME, make_document(1))
+        for number in range(UPSTREAMS):
+            self.store.put_upstream(f'u{number}', 'ready')
         self._version = 1
+        self._left = {}
+        """Time of the ack of each upstream's leaving."""
         self._cuts = {}
         self._unserved_until = {}
         self.routers = [SimulatedRouter(self, n) for n in range(count)]
@@ -418,6 +483,19 @@
     def forget_history(self):
         self.store.forget_history()
 
+    def come_back(self, how, away_ms, age_ms):
+        self.store.come_back(how, away_ms, age_ms)
+
+    def leave(self, name):
+        """Let an upstream write that it leaves, once the store answers."""
+        if self.store.trouble_of(None):
+            self.timeline.call_after_ms(
+                RETRY_MS, functools.partial(self.leave, name)
+            )
+            return
+        self.store.put_upstream(name, 'draining')
+        self._left[name] = self.timeline.clock.now() + ANSWER_MS
+
     def cut(self, routers, ms):
         """Cut routers from all other routers for `ms`."""
         until = self.timeline.clock.now() + ms
@@ -476,6 +554,12 @@
                 self.late.append(
                     (self.timeline.elapsed, router.number, router.version, due)
                 )
+            for name, acked_at in self._left.items():
+                is_due = in_touch and acked_at + LEAVE_MS < now
+                if is_due and router.uses(name):
+                    self.late.append(
+                        (self.timeline.elapsed, router.number, name, 'leaving')
+                    )
         self.timeline.call_after_ms(CHECK_MS, self._check)
 
 
@@ -498,6 +582,16 @@
     return config_codec.write_config(config, version)
 
 
-def _answer(status, document):
-    body = json.dumps(document).encode()
-    return http_client.Response(status, [], body)
+def make_entry(name, state):
+    """Return an upstream's entry in the store."""
+    record = pb.UpstreamRecord(
+        upstream=pb.Upstream(
+            name=name,
+            address=f'10.2.0.{1 + int(name[1:])}:80',
+            failure_domain='a',
+            service='pages',
+            slots=4,
+        ),
+        state=upstream_view.LIVE,
+    )
+    return {**upstream_codec.write_upstream(record), 'state': state}
--- a/features/steps/config_way_steps.py
+++ b/features/steps/config_way_steps.py
@@ -118,6 +118,23 @@
         play_row(context, row, int(row['routers']), LOSS_INTERVAL_MS, events)
 
 
+@when(
+    'changes are made after the store came back from a copy, and an upstream'
+    ' leaves'
+)
+def make_changes_after_return(context):
+    for row in context.table:
+        at, away_ms, age_ms, change_ms, leaves_at = (
+            int(row[name])
+            for name in ('at', 'away', 'age', 'change', 'leaves')
+        )
+        events = [
+            (at, 'come_back', row['store'], away_ms, age_ms),
+            (leaves_at, 'leave', 'u1'),
+        ]
+        play_row(context, row, int(row['routers']), change_ms, events)
+
+
 def play_cuts(context, is_store_silent_for_all):
     for row in context.table:
         count, change_ms, silent_at, silent_ms = map(int, row.cells[:4])
