--- a/features/steps/config_model.py
+++ b/features/steps/config_model.py
@@ -38,7 +38,7 @@
 APPLY_MS = 2000
 """Time after its ack in which a change must be in force."""
 LEAVE_MS = 2000
-"""Time after its ack in which each router must know that an upstream leaves."""
+"""Time after its ack in which each router must know of a leaving upstream."""
 STABLE_MS = 3000
 """Time after a disturbance of the whole store, or the start of a router, from
 which the bound holds."""
--- a/features/steps/config_way_steps.py
+++ b/features/steps/config_way_steps.py
@@ -163,6 +163,13 @@
         st.tuples(st.just('cut'), some, ms),
         st.tuples(st.just('kill'), some),
         st.tuples(st.just('forget_history')),
+        st.tuples(
+            st.just('come_back'),
+            how,
+            st.integers(100, 3000),
+            st.integers(0, 8000),
+        ),
+        st.tuples(st.just('leave'), st.sampled_from(('u1', 'u2'))),
     )
     at = st.integers(FIRST_CHANGE_MS, LAST_TROUBLE_MS)
     found = draw(st.lists(st.tuples(at, trouble), min_size=1, max_size=6))
--- a/src/peridotmast/coordination/beacon_check.py
+++ b/src/peridotmast/coordination/beacon_check.py
@@ -125,6 +125,7 @@
     """Yield the numbers in a beacon that must not be negative."""
     yield from (beacon.config_version, beacon.document_version)
     yield from (beacon.upstreams_revision, beacon.upstreams_since)
+    yield beacon.store_era
     yield beacon.wall_ms
     yield from _numbers_in_stamp(beacon.stamp)
     yield from (record.revision for record in beacon.upstreams)
--- a/src/peridotmast/coordination/kind_watch.py
+++ b/src/peridotmast/coordination/kind_watch.py
@@ -169,6 +169,16 @@
                 _MAX_OUTAGE_SILENT_MS, 2 * self._outage_silent_ms
             )
 
+    def on_return(self) -> None:
+        """Restart the watch: the store has come back from an older copy.
+
+        The watch waits for revisions that the store gives out a second time.
+        """
+        if self._silent_since is not None:
+            self._log.info('watch_returned', revision=self._revision)
+            self._silent_since = None
+            self._watch_interrupt.fire()
+
     def _restart_once_silent(
         self, event: str, silent_ms: int, retry: ty.Callable[[], None]
     ) -> bool:
--- a/src/peridotmast/coordination/outage.py
+++ b/src/peridotmast/coordination/outage.py
@@ -70,6 +70,10 @@
         self._log.info('store_recovered')
         self.on_recovery()
 
+    def record_return(self) -> None:
+        """Record that the store has come back from an older copy."""
+        self._recovered_at = self._clock.now()
+
     def is_suspected(self) -> bool:
         """Return whether entries may be missing because of an outage."""
         now = self._clock.now()
--- a/src/peridotmast/router/fleet_state.py
+++ b/src/peridotmast/router/fleet_state.py
@@ -200,6 +200,7 @@
         # Changes during an outage are lost on connections that stay open: a
         # watch waiting on one of them would receive nothing for 25 s.
         self.outage.on_recovery = self._restart_watches
+        self.store.era.on_return = self._on_return
         tasks.spawn('register', self._register)
         check = store_prober.StoreProber(
             self.store, self.outage, self.watchers.is_prober
@@ -241,6 +242,15 @@
         ):
             self._probe()
 
+    def note_peer_era(self, era: int) -> None:
+        """Call the store if it has named a later era to a peer.
+
+        The era counts once the store itself names it to this router.
+        """
+        is_due = self._clock.now() - self._probed_at >= _STORE_CHECK_MS
+        if era > self.store.era.number and is_due:
+            self._probe()
+
     def tick(self) -> None:
         """Expire lapsed upstreams and remove the ones that are gone."""
         self._upstreams.tick()
@@ -287,10 +297,21 @@
 
     def _restart_watches(self) -> None:
         """Restart watches that may have missed changes in an outage."""
-        for watch in self._watches:
+        for watch in self._all_watches():
             watch.on_outage()
-        if self._rollout_watch is not None:
-            self._rollout_watch.on_outage()
+
+    def _on_return(self) -> None:
+        """Read everything again: the store has come back from a copy."""
+        self.outage.record_return()
+        for watch in self._all_watches():
+            watch.on_return()
+        if self._is_registered:
+            self._spawn('register', self._register)
+
+    def _all_watches(self) -> list[kind_watch.KindWatch]:
+        if self._rollout_watch is None:
+            return self._watches
+        return [*self._watches, self._rollout_watch]
 
     def _register(self) -> None:
         while not self._registry.register():
--- a/src/peridotmast/router/peering.py
+++ b/src/peridotmast/router/peering.py
@@ -191,6 +191,7 @@
         member = beacon.member
         if not self._members.receive(member):
             return
+        self._fleet_state.note_peer_era(beacon.store_era)
         if beacon.lease.holder:
             self._lease.receive_hint(beacon.lease)
         self._serving.crashes.merge_updates(beacon.crash_suspects)
--- a/src/peridotmast/router/update_beacons.py
+++ b/src/peridotmast/router/update_beacons.py
@@ -77,6 +77,7 @@
         config_version=fleet_state.config.routes.version,
         document_version=fleet_state.config.product.version,
         upstreams_revision=fleet_state.upstream_table.revision,
+        store_era=fleet_state.store.era.number,
     )
 
 
