--- a/features/steps/returning_store.py
+++ b/features/steps/returning_store.py
@@ -25,7 +25,8 @@
 
     `is_down` fails every call. `lose_replies` applies the next writes without
     a reply, `delay_writes` holds them back until `apply_delayed_writes`.
-    `returns_at_write` lets the store come back just before the next write.
+    `returns_at_write` lets the store come back just before the next write,
+    `returns_after_page` just after the next page of a listing.
 
     Parameters
     ----------
@@ -40,6 +41,8 @@
         self.lose_replies = 0
         self.delay_writes = 0
         self.returns_at_write = False
+        self.returns_after_page = False
+        self.page_size = 500
         self.calls = 0
         self._objects = {}
         self._copy = {}, 0
@@ -136,8 +139,19 @@
                 for stored in found
             ]
         else:
-            document.update({names.ITEMS: found, names.HAS_MORE: False})
-        return self.answer(200, document)
+            document.update(self._page(objects, options.get(names.AFTER, '')))
+        response = self.answer(200, document)
+        if self.returns_after_page:
+            self.returns_after_page = False
+            self.come_back()
+        return response
+
+    def _page(self, objects, after):
+        found = [objects[name] for name in sorted(objects) if name > after]
+        return {
+            names.ITEMS: found[: self.page_size],
+            names.HAS_MORE: len(found) > self.page_size,
+        }
 
     def _write(self, method, kind, name, body):
         name = name or body[names.META]['name']
--- /dev/null
+++ b/features/steps/store_era_steps.py
@@ -0,0 +1,152 @@
+"""Steps for a store that comes back from an older copy."""
+
+from __future__ import annotations
+
+from behave import given
+from behave import then
+from behave import when
+import config_model
+from returning_store import ReturningStore
+
+from peridotmast import clock as clock_
+from peridotmast.coordination import objects
+from peridotmast.coordination import upstream_feed
+from peridotmast import failures
+from peridotmast.platform import upstream_codec
+from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import upstreams as upstreams_
+
+KIND = 'things'
+NAME = 'thing'
+
+
+@given("a store in era 1, and two routers' access to it")
+def create_store(context):
+    context.clock = clock_.ManualClock()
+    context.store = ReturningStore(era=1)
+    context.clients = {
+        name: context.store.client(context.clock)
+        for name in ('first', 'second')
+    }
+    context.written = objects.StoredObject(NAME, 0)
+
+
+@given('the store lists one object a page')
+def limit_pages(context):
+    context.store.page_size = 1
+
+
+@when('the {name} router writes "{value}"')
+def write(context, name, value):
+    store = context.clients[name]
+    context.result = store.write(KIND, NAME, {'value': value}, 0)
+    if name == 'first':
+        context.written = context.result
+
+
+@when('the first router writes another object')
+def write_another(context):
+    store = context.clients['first']
+    context.result = store.write(KIND, 'z', {'value': 'z'}, 0)
+
+
+@when('the first router replaces "a" by "{value}"')
+def replace(context, value):
+    context.result = context.clients['first'].write(
+        KIND, NAME, {'value': value}, context.written.revision
+    )
+
+
+@when('the store comes back without it')
+def lose_write(context):
+    context.store.come_back()
+
+
+@when('the store comes back after the next page')
+def return_after_page(context):
+    context.store.take_copy()
+    context.store.returns_after_page = True
+
+
+@when('the first router reads it')
+def read(context):
+    context.result = context.clients['first'].read(KIND, NAME)
+
+
+@when('the first router lists the kind')
+def list_kind(context):
+    context.result = context.clients['first'].list(KIND)
+
+
+@when('the first router watches the kind')
+def watch_kind(context):
+    since = context.result.revision
+    context.result = context.clients['first'].watch(KIND, since, 1000)
+
+
+@when('an answer from before the return reaches the first router')
+def deliver_earlier_answer(context):
+    context.store.era -= 1
+    read(context)
+
+
+@then('that is a conflict')
+def check_conflict(context):
+    assert context.result.kind is failures.FailureKind.CONFLICT
+
+
+@then('that has no known outcome')
+def check_unknown(context):
+    assert context.result.kind is failures.FailureKind.OUTCOME_UNKNOWN
+
+
+@then('that is no answer')
+def check_no_answer(context):
+    assert context.result.kind is failures.FailureKind.UNAVAILABLE
+
+
+@then('that has lost its history')
+def check_history_gone(context):
+    assert context.result.reason == objects.HISTORY_GONE, context.result
+
+
+@then('the store has "{value}"')
+def check_stored(context, value):
+    assert context.store.spec(KIND, NAME) == {'value': value}
+
+
+@when('these entries are read over a return of the store')
+def read_entries(context):
+    context.states = []
+    for row in context.table:
+        before, on_copy, state = row.cells
+        table = upstreams_.UpstreamTable(context.clock)
+        feed = upstream_feed.UpstreamFeed(table, upstream_codec.read_upstream)
+        feed.on_listing(listing(1, 20, stored(1, 20, 'ready')), False)
+        changed = stored(1, 30, before)
+        feed.on_changes(objects.Changes([changed], changed.revision), False)
+        feed.on_listing(listing(2, 25, stored(2, 20, on_copy)), True)
+        view = table.get('u1')
+        found = pb.UpstreamState.Name(view.record.state)
+        context.states.append((row.cells, found, f'UPSTREAM_STATE_{state}'))
+
+
+def listing(era, number, item):
+    found = [item] if item.spec is not None else []
+    return objects.Listing(found, objects.make_revision(era, number))
+
+
+def stored(era, number, state):
+    """Return an entry with a state, or one that was removed."""
+    entry = config_model.make_entry('u1', state)
+    return objects.StoredObject(
+        'u1',
+        objects.make_revision(era, number),
+        None if state == 'removed' else entry,
+    )
+
+
+@then('each upstream is in its state')
+def check_states(context):
+    wrong = [s for s in context.states if s[1] != s[2]]
+    assert not wrong, wrong
--- /dev/null
+++ b/features/store_era.feature
@@ -0,0 +1,61 @@
+Feature: A store that comes back from an older copy
+
+  The store then lacks what it has acknowledged since, and gives the revisions of the
+  lost part to other writes. Each answer names its era.
+
+  Background:
+    Given a store in era 1, and two routers' access to it
+
+  Scenario: A write that is conditional on a revision of an earlier era is not sent
+    When the first router writes "a"
+    And the store comes back without it
+    And the first router reads it
+    And the second router writes "b"
+    And the first router replaces "a" by "c"
+    Then that is a conflict
+    And the store has "b"
+
+  Scenario: The outcome of a write is not known if its revision came to name another one
+    When the first router writes "a"
+    And the store comes back without it
+    And the second router writes "b"
+    And the first router replaces "a" by "c"
+    Then that has no known outcome
+
+  Scenario: An answer of an earlier era counts as none
+    When the first router writes "a"
+    And the store comes back without it
+    And the first router reads it
+    And an answer from before the return reaches the first router
+    Then that is no answer
+
+  Scenario: A watch from an earlier era has lost its history
+    When the first router writes "a"
+    And the first router lists the kind
+    And the store comes back without it
+    And the second router writes "b"
+    And the first router watches the kind
+    Then that has lost its history
+
+  Scenario: A listing that the return of the store interrupts is none
+    Given the store lists one object a page
+    When the first router writes "a"
+    And the first router writes another object
+    And the store comes back after the next page
+    And the first router lists the kind
+    Then that is no answer
+
+  # Guards against requests to an upstream that had said that it leaves: the store came back
+  # from a copy that showed it ready, and its revision there ordered after the later one.
+  Scenario: What is known of an upstream does not go back with the store
+    When these entries are read over a return of the store
+      | before the return | on the copy | state   |
+      | ready             | ready       | LIVE    |
+      | draining          | ready       | LEAVING |
+      | draining          | draining    | LEAVING |
+      | removed           | ready       | GONE    |
+      | removed           | draining    | GONE    |
+      | draining          | removed     | GONE    |
+      | ready             | removed     | LAPSED  |
+      | ready             | draining    | LEAVING |
+    Then each upstream is in its state
