--- a/features/steps/config_model.py
+++ b/features/steps/config_model.py
@@ -138,6 +138,7 @@
         self._oldest = 0
         """Revision from which on changes can be watched."""
         self.era = 0
+        self._removed = []
         self._copies = []
         """Time, objects and revision after each write."""
         self._states = {}
@@ -180,6 +181,7 @@
             self._copies[-1],
         )
         self._objects = {kind: {**found} for kind, found in objects.items()}
+        self._removed.clear()
         self._oldest = 0
         self.era += 1
         if self.acked:
@@ -198,8 +200,18 @@
         self._states[name] = state
         entry = make_entry(name, state)
         known = self._objects.get(names.UPSTREAM_KIND, {}).get(name, {})
-        if known.get(names.SPEC) != entry:
+        if known.get(names.SPEC, {}).get('state') != state:
             self.put(names.UPSTREAM_KIND, name, entry)
+        else:
+            known[names.SPEC]['seq'] += 1
+
+    def remove_upstream(self, name):
+        """Remove an upstream's entry, though the upstream lives."""
+        stored = self._objects[names.UPSTREAM_KIND].pop(name)
+        self.revision += 1
+        meta = {**stored[names.META], names.REVISION: self.revision}
+        self._removed.append((names.UPSTREAM_KIND, {names.META: meta}))
+        self._announce(names.UPSTREAM_KIND)
 
     def trouble_of(self, router):
         """Return how the store fails a router now; empty if it does not."""
@@ -236,6 +248,11 @@
         meta = {'name': name, names.REVISION: self.revision}
         stored = {names.META: meta, names.SPEC: spec}
         self._objects.setdefault(kind, {})[name] = stored
+        self._announce(kind)
+        return stored
+
+    def _announce(self, kind):
+        """End the watches that wait for a change, and keep a copy."""
         for watch in self._watches:
             if watch.kind == kind and not watch.is_dead:
                 # An answer that falls into a silence is lost for good.
@@ -245,7 +262,6 @@
         copied = {kind: {**found} for kind, found in self._objects.items()}
         now = self._timeline.clock.now()
         self._copies.append((now, copied, self.revision))
-        return stored
 
     def request(self, router, method, path, body, timeout_ms):
         """Answer a call of a router, or return a failure."""
@@ -300,7 +316,7 @@
             if trouble:
                 return self._fail(trouble, timeout_ms)
         events = [
-            {names.OBJECT: stored, names.DELETED: False}
+            {names.OBJECT: stored, names.DELETED: names.SPEC not in stored}
             for stored in self._changes(kind, since)
         ]
         return self._answer(
@@ -308,9 +324,10 @@
         )
 
     def _changes(self, kind, since):
+        removed = [stored for k, stored in self._removed if k == kind]
         return [
             stored
-            for stored in self._objects.get(kind, {}).values()
+            for stored in (*self._objects.get(kind, {}).values(), *removed)
             if stored[names.META][names.REVISION] > since
         ]
 
--- a/features/steps/store_era_steps.py
+++ b/features/steps/store_era_steps.py
@@ -13,6 +13,7 @@
 from peridotmast.coordination import upstream_feed
 from peridotmast import failures
 from peridotmast.platform import upstream_codec
+from peridotmast import revisions
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import upstreams as upstreams_
 
@@ -131,17 +132,55 @@
         context.states.append((row.cells, found, f'UPSTREAM_STATE_{state}'))
 
 
+@when('these entries are read over a return of the store, and again later')
+def read_entries_again(context):
+    context.states = []
+    for row in context.table:
+        before, on_copy, renewed, state = row.cells
+        table = upstreams_.UpstreamTable(context.clock)
+        feed = upstream_feed.UpstreamFeed(table, upstream_codec.read_upstream)
+        feed.on_listing(listing(1, 20, stored(1, 20, 'ready')), False)
+        changed = stored(1, 30, before)
+        feed.on_changes(objects.Changes([changed], changed.revision), False)
+        feed.on_listing(listing(2, 25, stored(2, 20, on_copy)), True)
+        renewals = 2 if renewed == 'yes' else 1
+        again = stored(2, 20, on_copy, renewals)
+        feed.on_listing(listing(2, 28, again), False)
+        found = pb.UpstreamState.Name(table.get('u1').record.state)
+        context.states.append((row.cells, found, f'UPSTREAM_STATE_{state}'))
+
+
+@when(
+    'an upstream is removed, and its entry is on the copy from which the store'
+    ' comes back'
+)
+def remove_over_return(context):
+    context.model = config_model.Fleet(7)
+    context.closing.append(context.model.close)
+    context.model.at(5000, context.model.store.remove_upstream, 'u1')
+    context.model.at(6000, context.model.come_back, 'busy', 500, 2000)
+    context.model.timeline.run(6500)
+    assert not any(r.uses('u1') for r in context.model.routers)
+
+
+@then('all routers use the upstream {ms:d} ms later')
+def check_used(context, ms):
+    context.model.timeline.run(ms)
+    unused = [r.number for r in context.model.routers if not r.uses('u1')]
+    assert not unused, unused
+
+
 def listing(era, number, item):
     found = [item] if item.spec is not None else []
-    return objects.Listing(found, objects.make_revision(era, number))
+    return objects.Listing(found, revisions.make(era, number))
 
 
-def stored(era, number, state):
+def stored(era, number, state, renewals=1):
     """Return an entry with a state, or one that was removed."""
-    entry = config_model.make_entry('u1', state)
+    entry = {**config_model.make_entry('u1', state), 'seq': renewals}
     return objects.StoredObject(
         'u1',
-        objects.make_revision(era, number),
+        revisions.make(era, number),
         None if state == 'removed' else entry,
     )
 
--- a/features/store_era.feature
+++ b/features/store_era.feature
@@ -59,3 +59,17 @@
       | ready             | removed     | LAPSED  |
       | ready             | draining    | LEAVING |
     Then each upstream is in its state
+
+  Scenario: An upstream that was gone is back once it has renewed its entry
+    When these entries are read over a return of the store, and again later
+      | before the return | on the copy | renewed | state   |
+      | removed           | ready       | no      | GONE    |
+      | removed           | ready       | yes     | LIVE    |
+      | removed           | draining    | yes     | LEAVING |
+      | draining          | ready       | yes     | LEAVING |
+    Then each upstream is in its state
+
+  Scenario: Upstreams are listed again after a return, once they have renewed their entries
+    Given a fleet without a network, with simulated time
+    When an upstream is removed, and its entry is on the copy from which the store comes back
+    Then all routers use the upstream 4000 ms later
--- a/src/peridotmast/coordination/kind_watch.py
+++ b/src/peridotmast/coordination/kind_watch.py
@@ -176,8 +176,14 @@
         """
         if self._silent_since is not None:
             self._log.info('watch_returned', revision=self._revision)
-            self._silent_since = None
-            self._watch_interrupt.fire()
+            self._interrupt()
+
+    def list_again(self) -> None:
+        """List the kind instead of waiting for a change of it."""
+        if self._listed and self._should_watch():
+            self._listed = False
+            if self._silent_since is not None:
+                self._interrupt()
 
     def _restart_once_silent(
         self, event: str, silent_ms: int, retry: ty.Callable[[], None]
@@ -199,8 +205,7 @@
         waited_ms = self._clock.now() - since
         if waited_ms >= silent_ms:
             self._log.info(event, revision=self._revision, silent_ms=waited_ms)
-            self._silent_since = None
-            self._watch_interrupt.fire()
+            self._interrupt()
             return True
         if self._retries_due.get(event) != since:
             self._retries_due[event] = since
@@ -216,6 +221,10 @@
             )
         return False
 
+    def _interrupt(self) -> None:
+        self._silent_since = None
+        self._watch_interrupt.fire()
+
     def _retry(
         self, event: str, since: int, retry: ty.Callable[[], None]
     ) -> None:
--- a/src/peridotmast/coordination/lease.py
+++ b/src/peridotmast/coordination/lease.py
@@ -10,6 +10,7 @@
 from peridotmast.coordination import objects
 from peridotmast import failures
 from peridotmast import logs
+from peridotmast import revisions
 from peridotmast.schema import peridotmast_pb2 as pb
 
 KIND = 'peridotmast-leases'
@@ -232,7 +233,7 @@
             self._is_read = False
             lost = result.kind is failures.FailureKind.CONFLICT
             return Outcome.TAKEN if lost else self._outcome_without_answer()
-        if objects.era_of(result.revision) != self._era:
+        if revisions.era_of(result.revision) != self._era:
             self._is_read = False
             return self._outcome_without_answer()
         self._record_write(result, spec, began, was_own)
@@ -354,7 +355,7 @@
 
     def _continues(self) -> bool:
         """Return whether this run holds the lease of an earlier era."""
-        is_earlier = objects.era_of(self._written.revision) != self._era
+        is_earlier = revisions.era_of(self._written.revision) != self._era
         return is_earlier and self.is_held()
 
     def _next_handover(
--- a/src/peridotmast/coordination/objects.py
+++ b/src/peridotmast/coordination/objects.py
@@ -10,29 +10,6 @@
 
 Json = dict[str, ty.Any]
 
-_REVISIONS_PER_ERA = 10**12
-"""Factor of the era in a revision: the number of the store's own counter that
-is never reached. A power of ten keeps revisions readable in logs."""
-
-
-def make_revision(era: int, number: int) -> int:
-    """Return the revision for a number of the store's counter in one era.
-
-    The store's counter goes back when an era begins, so that it names another
-    write by the same number. Revisions also order writes of different eras.
-    """
-    return era * _REVISIONS_PER_ERA + number
-
-
-def era_of(revision: int) -> int:
-    """Return the era of a revision."""
-    return revision // _REVISIONS_PER_ERA
-
-
-def number_of(revision: int) -> int:
-    """Return the number of the store's counter in a revision."""
-    return revision % _REVISIONS_PER_ERA
-
 
 @dataclasses.dataclass(frozen=True)
 class StoredObject:
@@ -76,9 +53,10 @@
     that it replaces. A failure of kind OUTCOME_UNKNOWN means that a write
     may have taken effect, or may do so later if its condition still holds.
 
-    Revisions are those of `make_revision`. A write that is conditional on a
-    revision of an earlier era is a conflict, and a watch from one has lost its
-    history. The result of a write has the era in which it took effect.
+    Revisions are those of `peridotmast.revisions`. A write that is conditional
+    on a revision of an earlier era is a conflict, and a watch from one has
+    lost its history. The result of a write has the era in which it took
+    effect.
     """
 
     era: store_era.StoreEra
--- a/src/peridotmast/coordination/upstream_feed.py
+++ b/src/peridotmast/coordination/upstream_feed.py
@@ -55,7 +55,7 @@
         """Process all entries; upstreams without one are gone or lapsed."""
         present = {stored.name for stored in listing.objects}
         for stored in listing.objects:
-            self._apply(stored, after_outage)
+            self._apply(stored, after_outage, listing.revision)
         for view in self._table.all():
             known = view.record.state != upstreams_.GONE
             if known and view.name not in present:
@@ -88,14 +88,21 @@
         ]
         return len(gone) >= _MASS_REMOVAL and 2 * len(gone) > len(known)
 
-    def _apply(self, stored: objects.StoredObject, after_outage: bool) -> None:
+    def _apply(
+        self,
+        stored: objects.StoredObject,
+        after_outage: bool,
+        listed_at: int = 0,
+    ) -> None:
         if stored.spec is not None:
-            self._merge_entry(stored)
+            self._merge_entry(stored, listed_at)
             return
         state = upstreams_.LAPSED if after_outage else upstreams_.GONE
         self._merge(_empty_record(stored, state))
 
-    def _merge_entry(self, stored: objects.StoredObject) -> None:
+    def _merge_entry(
+        self, stored: objects.StoredObject, listed_at: int
+    ) -> None:
         try:
             record = self._read(stored.name, stored.revision, stored.spec)
         except ValueError as exc:
@@ -106,8 +113,24 @@
                 error=str(exc)[:_MAX_LOGGED],
             )
             record = _empty_record(stored, upstreams_.UNREADABLE)
+        if self._is_renewed(record):
+            record.revision = max(record.revision, listed_at)
         self._merge(record)
 
+    def _is_renewed(self, record: pb.UpstreamRecord) -> bool:
+        """Return whether the entry of a gone upstream was renewed since.
+
+        An entry on the copy that the store returned from does not revive an
+        upstream that is gone. A renewal does, but it leaves the revision.
+        """
+        view = self._table.get(record.upstream.name)
+        return (
+            view is not None
+            and view.record.state == upstreams_.GONE
+            and view.record.revision == record.revision
+            and view.record.renewals < record.renewals
+        )
+
     def _merge(self, record: pb.UpstreamRecord) -> None:
         if self._table.merge(record):
             view = self._table.get(record.upstream.name)
--- a/src/peridotmast/platform/store.py
+++ b/src/peridotmast/platform/store.py
@@ -17,6 +17,7 @@
 from peridotmast.platform import fields as fields_
 from peridotmast.platform import names
 from peridotmast.platform import object_codec
+from peridotmast import revisions
 from peridotmast.wire import http_client
 
 _MAX_PAGES = 1000
@@ -107,9 +108,9 @@
             page = _parse_page(response, names.ITEMS)
             if isinstance(page, failures.Failure):
                 return page
-            if revision and objects.era_of(page.revision) != objects.era_of(
-                revision
-            ):
+            if revision and revisions.era_of(
+                page.revision
+            ) != revisions.era_of(revision):
                 return failures.unavailable('store_returned', kind)
             # A watch must start from the revision of the first page: from
             # the revision of the last page, it would miss changes that
@@ -156,7 +157,7 @@
         on_bytes : callable, optional
             Called when bytes of the response arrive.
         """
-        era, number = objects.era_of(since), objects.number_of(since)
+        era, number = revisions.era_of(since), revisions.number_of(since)
         if era != self.era.number:
             return _history_gone(since)
         response = self._read(
@@ -181,7 +182,7 @@
         if not revision:
             body = {names.META: {'name': name}, names.SPEC: spec}
             return _write_result(self._call('POST', _path(kind), body), name)
-        number = objects.number_of(revision)
+        number = revisions.number_of(revision)
         meta = {'name': name, names.REVISION: number, 'finalizers': []}
         return self._write_conditionally(
             'PUT',
@@ -195,7 +196,7 @@
         self, kind: str, name: str, status: objects.Json, revision: int
     ) -> ty.Union[objects.StoredObject, failures.Failure]:
         """Write the status of an object that is still at `revision`."""
-        meta = {'name': name, names.REVISION: objects.number_of(revision)}
+        meta = {'name': name, names.REVISION: revisions.number_of(revision)}
         return self._write_conditionally(
             'PUT',
             f'{_path(kind, name)}/{names.STATUS}',
@@ -208,7 +209,7 @@
         self, kind: str, name: str, revision: int
     ) -> ty.Optional[failures.Failure]:
         """Remove an object that is still at `revision`."""
-        number = objects.number_of(revision)
+        number = revisions.number_of(revision)
         path = f'{_path(kind, name)}?{names.REVISION}={number}'
         result = self._write_conditionally(
             'DELETE', path, None, name, revision
@@ -241,12 +242,12 @@
         while the call was under way, the number may have named another write,
         which this one has then replaced.
         """
-        if objects.era_of(revision) != self.era.number:
+        if revisions.era_of(revision) != self.era.number:
             return failures.conflict('earlier_era', name)
         result = _write_result(self._call(method, path, body), name)
         if isinstance(result, failures.Failure):
             return result
-        if objects.era_of(revision) != self.era.number:
+        if revisions.era_of(revision) != self.era.number:
             return failures.unknown('earlier_era', name)
         return result
 
@@ -381,7 +382,7 @@
     found = map(parse, body[key])
     return _Page(
         [stored and _in_era(stored, era) for stored in found],
-        objects.make_revision(era, revision),
+        revisions.make(era, revision),
         bool(body.get(names.HAS_MORE)),
     )
 
@@ -393,7 +394,7 @@
 
 
 def _in_era(stored: objects.StoredObject, era: int) -> objects.StoredObject:
-    revision = objects.make_revision(era, stored.revision)
+    revision = revisions.make(era, stored.revision)
     return dataclasses.replace(stored, revision=revision)
 
 
--- a/src/peridotmast/platform/upstream_codec.py
+++ b/src/peridotmast/platform/upstream_codec.py
@@ -42,9 +42,9 @@
         state=fields.choice('state', names.UPSTREAM_STATES),
         revision=revision,
         reclaimable=fields.boolean(names.RECLAIMABLE),
+        renewals=fields.integer('seq'),
     )
     fields.number('cold-left-ms')
-    fields.integer('seq')
     fields.raise_if_malformed()
     return record
 
--- a/src/peridotmast/router/fleet_state.py
+++ b/src/peridotmast/router/fleet_state.py
@@ -87,6 +87,7 @@
         cfg, platform, bounds = file.router, file.platform, file.bounds
         lapse_ms = int(bounds.lapse_s * 1000)
         self._clock = clock
+        self._lapse_ms = lapse_ms
         self.outage = outage_.OutageTracker(clock, lapse_ms)
         """Tracks whether the store answers."""
         self.store = store_.PlatformStore(
@@ -305,6 +306,9 @@
         self.outage.record_return()
         for watch in self._all_watches():
             watch.on_return()
+            if watch.kind == names.UPSTREAM_KIND:
+                # By then upstreams that live have renewed their entries.
+                green.call_after_ms(self._lapse_ms, watch.list_again)
         if self._is_registered:
             self._spawn('register', self._register)
 
--- a/src/peridotmast/serving/upstreams.py
+++ b/src/peridotmast/serving/upstreams.py
@@ -7,6 +7,7 @@
 from peridotmast import addresses
 from peridotmast import clock as clock_
 from peridotmast import ids
+from peridotmast import revisions
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import live_upstreams
 from peridotmast.serving import upstream_view
@@ -44,6 +45,9 @@
     an earlier run is ignored whatever its revision, as a write of a run that
     has ended may still reach the store.
 
+    An upstream that leaves or is gone stays so when the store returns from an
+    older copy. One that is gone is back with a later record of the new era.
+
     An upstream whose entry is missing after an outage of the store may only
     have been unable to renew its entry. Such a lapsed upstream gets new
     requests for a fraction of the drain time, and counts as gone if its entry
@@ -120,6 +124,9 @@
             )
         elif record.state == LIVE and view.has_stated_leaving:
             record = _with_state(record, LEAVING, record.revision)
+        elif _may_be_outdated(view, record):
+            view.has_stated_leaving |= view.record.state == LEAVING
+            record = _with_state(record, view.record.state, record.revision)
         self._set_record(view, record)
         return True
 
@@ -387,6 +394,20 @@
     return record.upstream.version != view.version
 
 
+def _may_be_outdated(
+    view: upstream_view.UpstreamView, record: pb.UpstreamRecord
+) -> bool:
+    """Return whether a record may show a state from before the known one.
+
+    The first record of an era may come from the copy that the store returned
+    from.
+    """
+    if view.record.state not in (LEAVING, GONE):
+        return False
+    known_era = revisions.era_of(view.record.revision)
+    return revisions.era_of(record.revision) > known_era
+
+
 def _is_usable(record: pb.UpstreamRecord) -> bool:
     upstream = record.upstream
     is_complete = upstream.service and upstream.slots > 0
