--- a/features/duties.feature
+++ b/features/duties.feature
@@ -40,6 +40,17 @@
     When two usage windows have ended
     Then each usage window was sent once, with the stored counts
 
+  # Guards against two reports of one window with different counts: the store came back
+  # from a copy without the record of the last report.
+  Scenario: No window is reported with two counts over a return of the store
+    Given a usage reporter that has sent window 10 before the store comes back without its record
+    When late counts of that window arrive
+    And the reporter goes on for 2 windows
+    And the store comes back without its record
+    And the next lease holder goes on for 3 windows
+    Then no usage window was sent with two counts
+    And the usage windows 10, 11 and 13 were sent
+
   Scenario: Reports of usage windows that are too old are skipped
     Given a usage reporter that has sent no report for 20 windows
     When the next lease holder starts
--- a/features/steps/duty_steps.py
+++ b/features/steps/duty_steps.py
@@ -11,6 +11,7 @@
 import helpers
 from memory_store import MemoryStore
 import prometheus_client
+import returning_store
 import stop_steps
 
 from peridotmast import clock as clock_
@@ -577,6 +578,64 @@
     assert context.reports.sent[0] == (10, {'noor': 1}, 1)
 
 
+@given(
+    'a usage reporter that has sent window {window:d} before the store comes'
+    ' back without its record'
+)
+def report_before_return(context, window):
+    set_up_usage(context, window)
+    context.returning = returning_store.ReturningStore(era=1)
+    context.store = context.returning.client(context.clock)
+    context.usage.count_started('noor')
+    context.reporter = make_reporter(context)
+    context.reporter.start(None)
+    context.clock.advance(2 * WINDOW_MS - 500)
+    context.reporter.run(1)
+    assert context.reports.sent == [(window, {'noor': 1}, 1)]
+    context.returning.come_back()
+
+
+@when('late counts of that window arrive')
+def count_late(context):
+    context.usage.count_started('noor', context.clock.wall_time() % WINDOW_MS)
+    context.usage.count_started('noor', WINDOW_MS)
+
+
+@when('the reporter goes on for {count:d} windows')
+def go_on(context, count):
+    for _ in range(4 * count):
+        context.clock.advance(WINDOW_MS // 4)
+        context.reporter.run(1)
+
+
+@when('the store comes back without its record')
+def lose_record(context):
+    context.returning.come_back()
+
+
+@when('the next lease holder goes on for {count:d} windows')
+def go_on_as_next_holder(context, count):
+    context.usage.count_started('noor', 2 * WINDOW_MS)
+    context.store = context.returning.client(context.clock)
+    context.reporter = make_reporter(context)
+    context.reporter.start(None)
+    go_on(context, count)
+
+
+@then('no usage window was sent with two counts')
+def check_one_count(context):
+    sent = {}
+    for window, counts, _ in context.reports.sent:
+        assert sent.setdefault(window, counts) == counts, context.reports.sent
+
+
+@then('the usage windows {windows} were sent')
+def check_windows_sent(context, windows):
+    wanted = [int(n) for n in windows.replace(' and', ',').split(',')]
+    sent = {window for window, _, _ in context.reports.sent}
+    assert sent >= set(wanted), context.reports.sent
+
+
 @given('a usage reporter that has sent no report for {count:d} windows')
 def reporter_with_gap(context, count):
     set_up_usage(context, 10)
