--- a/src/peridotmast/duties/usage_reporter.py
+++ b/src/peridotmast/duties/usage_reporter.py
@@ -45,6 +45,11 @@
     before they are sent. The next holder sends the stored counts again and
     continues with the window after them.
 
+    When the store returns from an older copy, the holder stores its last
+    counts again. A record of an earlier era does not show what was reported
+    since, so the next holder reports only windows whose reports became due
+    after it began.
+
     Parameters
     ----------
     usage : usage.Usage
@@ -78,6 +83,9 @@
         self._checks = checks
         self._first_window = usage.window_now()
         self._stored: ty.Optional[objects.StoredObject] = None
+        self._written: ty.Optional[objects.Json] = None
+        self._started_at = 0
+        self._era = 0
         self._is_current = False
         self._is_send_pending = False
         self._log = logs.get('usage')
@@ -90,6 +98,8 @@
     def start(self, state: ty.Optional[pb.DutiesLeft]) -> None:
         """Discard state from an earlier term as lease holder."""
         self._stored = None
+        self._written = None
+        self._started_at = self._fleet_now()
         self._is_current = False
         self._is_send_pending = False
 
@@ -101,6 +111,8 @@
 
     def run(self, fencing: int) -> None:
         """Store and send the reports that are due."""
+        if self._era != self._store.era.number:
+            self._is_current = False
         if not self._is_current and not self._read():
             return
         if self._is_send_pending and not self._send(fencing):
@@ -114,42 +126,75 @@
         stored = self._store.read(KIND, NAME)
         if isinstance(stored, failures.Failure):
             return False
+        self._era = self._store.era.number
+        if self._written and self._is_outdated(stored.spec or {}):
+            spec = {**self._written, 'era': self._era}
+            return self._store_counts(spec, stored.revision)
         self._stored = stored
         self._is_current = True
         # The holder that stored the counts may have failed before sending.
         self._is_send_pending = stored.spec is not None
         return True
 
+    def _is_outdated(self, spec: objects.Json) -> bool:
+        """Return whether the store has come back without the last counts."""
+        written = self._written or {}
+        is_earlier = _window_of(spec) < _window_of(written)
+        return is_earlier or (
+            _window_of(spec) == _window_of(written)
+            and spec.get('era', 0) != self._era
+        )
+
     def _next_window(self) -> int:
         newest = self._usage.window_now()
-        spec = (self._stored.spec if self._stored else None) or {}
-        following = int(spec.get('window') or self._first_window - 1) + 1
+        following = (_window_of(self._record()) or self._first_window - 1) + 1
+        if self._record().get('era', 0) != self._era:
+            following = max(following, self._first_due_window())
         return max(following, newest - _MAX_LATE_WINDOWS)
 
+    def _first_due_window(self) -> int:
+        """Return the first window that no earlier holder can have reported."""
+        return (self._started_at - _COLLECT_MS) // self._window_ms
+
+    def _record(self) -> objects.Json:
+        """Return the counts that were stored last."""
+        return (self._stored.spec if self._stored else None) or {}
+
     def _write(self, window: int) -> bool:
-        spec = {'window': window, 'counts': self._usage.total(window)}
+        spec = {
+            'window': window,
+            'counts': self._usage.total(window),
+            'era': self._era,
+        }
+        previous = _window_of(self._record())
         revision = self._stored.revision if self._stored else 0
+        if not self._store_counts(spec, revision):
+            return False
+        self._checks.check(
+            invariants_.Invariant.ONE_REPORT, window > previous, str(window)
+        )
+        self._is_send_pending = True
+        return True
+
+    def _store_counts(self, spec: objects.Json, revision: int) -> bool:
         result = self._store.write(KIND, NAME, spec, revision)
         if isinstance(result, failures.Failure):
             # The write may still take effect, so the store is read again
             # before the next write.
             self._is_current = False
             self._log.info(
-                'usage_write_failed', window=window, reason=result.reason
+                'usage_write_failed',
+                window=spec['window'],
+                reason=result.reason,
             )
             return False
-        previous = (self._stored.spec if self._stored else None) or {}
-        self._checks.check(
-            invariants_.Invariant.ONE_REPORT,
-            window > int(previous.get('window') or 0),
-            str(window),
-        )
         self._stored = objects.StoredObject(NAME, result.revision, spec)
-        self._is_send_pending = True
+        self._written = spec
+        self._is_current = True
         return True
 
     def _send(self, fencing: int) -> bool:
-        spec = (self._stored.spec if self._stored else None) or {}
+        spec = self._record()
         window, counts = int(spec['window']), spec['counts']
         failure = self._reports.report_usage(window, counts, fencing)
         self._is_send_pending = failure is not None and not _is_late(
@@ -165,5 +210,10 @@
         return not self._is_send_pending
 
 
+def _window_of(spec: objects.Json) -> int:
+    """Return the window of stored counts; 0 if there are none."""
+    return int(spec.get('window') or 0)
+
+
 def _is_late(window: int, newest: int) -> bool:
     return window < newest - _MAX_LATE_WINDOWS
