--- a/features/steps/group_steps.py
+++ b/features/steps/group_steps.py
@@ -14,6 +14,7 @@
 from behave import then
 from behave import when
 import crash_model
+import helpers
 import limit_model
 
 from peridotmast import clock as clock_
@@ -148,6 +149,7 @@
             is_watching=lambda what: False,
             restart_outdated_watches=lambda what: None,
             check_store=lambda: None,
+            **helpers.era_parts(self.members.clock),
         )
 
     def spent(self):
--- a/features/steps/helpers.py
+++ b/features/steps/helpers.py
@@ -9,6 +9,7 @@
 from eventlet.green import socket as green_socket
 
 from peridotmast import clock as clock_
+from peridotmast.coordination import store_era
 from peridotmast.embedded import fleet as fleet_
 from peridotmast.embedded import shape as shape_
 from peridotmast import failures
@@ -163,6 +164,14 @@
     )
 
 
+def era_parts(clock):
+    """Return what a fleet state without a store knows of the store's era."""
+    return {
+        'store': types.SimpleNamespace(era=store_era.StoreEra(clock)),
+        'note_peer_era': lambda era: None,
+    }
+
+
 def routers(context):
     return {router.cfg.name: router for router in context.fleet.routers}
 
--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -425,6 +425,7 @@
         upstream_table=upstreams_.UpstreamTable(clock),
         is_watching=lambda part: watches,
         check_store=lambda: None,
+        **helpers.era_parts(clock),
     )
     catch_up = catch_up_.CatchUp(
         clock, fleet_state, None, lambda name, *rest: spawned.append(name)
