--- a/features/steps/store_era_steps.py
+++ b/features/steps/store_era_steps.py
@@ -6,9 +6,11 @@
 from behave import then
 from behave import when
 import config_model
+import config_steps
 from returning_store import ReturningStore
 
 from peridotmast import clock as clock_
+from peridotmast.coordination import config_feed
 from peridotmast.coordination import objects
 from peridotmast.coordination import upstream_feed
 from peridotmast import failures
@@ -170,6 +172,49 @@
     assert not unused, unused
 
 
+def feed_of(context, name):
+    """Return a router's configuration feed."""
+    feeds = context.__dict__.setdefault('feeds', {})
+    if name not in feeds:
+        feeds[name] = config_steps.new_feed(context.clients[name])
+    return feeds[name]
+
+
+def commit_document(context, name, text):
+    feed = feed_of(context, name)
+    base = feed.product.version
+    return feed.commit(f'# {text}\n', base, 'me', '', 1)
+
+
+@when('the {name} router commits the document "{text}"')
+def commit(context, name, text):
+    context.result = commit_document(context, name, text)
+    assert isinstance(context.result, int), context.result
+
+
+@when('the {name} router lists the documents')
+def list_documents(context, name):
+    found = context.clients[name].list(config_feed.KIND)
+    feed_of(context, name).on_listing(found, False)
+
+
+@when('the {name} router restores the document')
+def restore_document(context, name):
+    feed_of(context, name).restore_product()
+
+
+@then('the {name} router has the document "{text}" in force')
+def check_in_force(context, name, text):
+    document = feed_of(context, name).product.document
+    assert document['document'] == f'# {text}\n', document
+
+
+@then('the first router\'s commit of "{text}" succeeds')
+def check_commit_succeeds(context, text):
+    list_documents(context, 'first')
+    commit(context, 'first', text)
+
+
 def listing(era, number, item):
     found = [item] if item.spec is not None else []
     return objects.Listing(found, revisions.make(era, number))
--- a/features/store_era.feature
+++ b/features/store_era.feature
@@ -73,3 +73,17 @@
     Given a fleet without a network, with simulated time
     When an upstream is removed, and its entry is on the copy from which the store comes back
     Then all routers use the upstream 4000 ms later
+
+  # Guards against a product document that reverts: the copy had the one before, and its
+  # revision there ordered after that of the newer one.
+  Scenario: A committed document stays in force over a return, and is stored again
+    When the first router commits the document "one"
+    And the store is copied
+    And the first router commits the document "two"
+    And the store comes back from the copy
+    And the first router lists the documents
+    Then the first router has the document "two" in force
+    When the first router restores the document
+    And the second router lists the documents
+    Then the second router has the document "two" in force
+    And the first router's commit of "three" succeeds
