--- a/src/peridotmast/coordination/config_feed.py
+++ b/src/peridotmast/coordination/config_feed.py
@@ -11,6 +11,7 @@
 from peridotmast import ini
 from peridotmast import invariants as invariants_
 from peridotmast import logs
+from peridotmast import revisions
 from peridotmast.schema import peridotmast_pb2 as pb
 
 KIND = 'peridotmast-config'
@@ -171,6 +172,12 @@
             committed first; one of kind OUTCOME_UNKNOWN if the reply was lost
             and the store can't be read.
         """
+        stored = self._store.read(KIND, NAME)
+        if isinstance(stored, failures.Failure):
+            return stored
+        self._offer([stored])
+        if base_version != max(self.product.version, _version_of(stored)):
+            return failures.conflict('config_changed')
         nonce = f'{by}:{at}:{base_version}'
         history = list(self.product.document.get('history') or ())
         history.append({'by': by, 'comment': comment, 'at-ms': at})
@@ -178,13 +185,35 @@
             'document': document,
             'nonce': nonce,
             'history': history[-_HISTORY_LENGTH:],
+            'era': self._store.era.number,
         }
-        result = self._store.write(KIND, NAME, spec, base_version)
+        result = self._store.write(KIND, NAME, spec, stored.revision)
         if isinstance(result, failures.Failure):
             return self._resolve_commit(result, nonce)
         self.offer_product(result.revision, spec, 'commit')
         return result.revision
 
+    def restore_product(self) -> bool:
+        """Store the document in force again if the store has an older one.
+
+        Returns
+        -------
+        bool
+            Whether the store has it, or a newer one.
+        """
+        stored = self._store.read(KIND, NAME)
+        if isinstance(stored, failures.Failure):
+            return False
+        self._offer([stored])
+        if _version_of(stored) >= self.product.version:
+            return True
+        spec = {**self.product.document, 'era': self._store.era.number}
+        result = self._store.write(KIND, NAME, spec, stored.revision)
+        if isinstance(result, failures.Failure):
+            return False
+        self._log.info('document_restored', version=result.revision)
+        return self.offer_product(result.revision, spec, 'restore')
+
     def read_from_store(self, routes: bool) -> ty.Union[int, failures.Failure]:
         """Read the platform's object or the product document once.
 
@@ -203,7 +232,7 @@
             return 0
         if routes:
             return self._reader.read_version(stored.spec)
-        return stored.revision
+        return _version_of(stored)
 
     def _resolve_commit(
         self, failure: failures.Failure, nonce: str
@@ -226,7 +255,7 @@
             if item.name == self._name:
                 self.offer_routes(item.spec, 'store')
             elif item.name == NAME:
-                self.offer_product(item.revision, item.spec, 'store')
+                self.offer_product(_version_of(item), item.spec, 'store')
 
     def _newer_part(
         self,
@@ -255,6 +284,23 @@
             listener(self.config)
 
 
+def _version_of(stored: objects.StoredObject) -> int:
+    """Return the version of a stored product document; 0 if there is none.
+
+    It has the era in which the document was written. A copy from which the
+    store has returned shows it under the same number in a later era.
+    """
+    if stored.spec is None:
+        return 0
+    era, newest = 0, revisions.era_of(stored.revision)
+    if isinstance(stored.spec, dict):
+        era = stored.spec.get('era', 0)
+    is_valid = isinstance(era, int) and 0 <= era <= newest
+    return revisions.make(
+        era if is_valid else newest, revisions.number_of(stored.revision)
+    )
+
+
 def check(document: str) -> findings_.Findings:
     """Return the findings on a product document; none if it is valid."""
     config, found = _parse_product(document)
--- a/src/peridotmast/router/fleet_state.py
+++ b/src/peridotmast/router/fleet_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import random
 import typing as ty
 
 from peridotmast import clock as clock_
@@ -49,6 +50,10 @@
 
 _REGISTER_RETRY_MS = 1000
 
+_RESTORE_SPREAD_MS = 500
+"""Time after a return of the store in which the watchers check the product
+document: many times the duration of a write."""
+
 _UNREGISTERED_WAIT_MS = 1500
 """Time after which a router that could not register in the store chooses the
 watchers among itself and the peers from which it has received beacons."""
@@ -88,6 +93,7 @@
         lapse_ms = int(bounds.lapse_s * 1000)
         self._clock = clock
         self._lapse_ms = lapse_ms
+        self._random = random.Random(cfg.name)
         self.outage = outage_.OutageTracker(clock, lapse_ms)
         """Tracks whether the store answers."""
         self.store = store_.PlatformStore(
@@ -311,6 +317,18 @@
                 green.call_after_ms(self._lapse_ms, watch.list_again)
         if self._is_registered:
             self._spawn('register', self._register)
+        self._spawn('restore_document', self._restore_document)
+
+    def _restore_document(self) -> None:
+        """Store the product document again if the store has lost it.
+
+        The routers that watch it begin one after another, so that usually the
+        first one alone writes.
+        """
+        if self.watchers.should_watch(config_feed.KIND):
+            green.sleep_ms(self._random.uniform(0, _RESTORE_SPREAD_MS))
+            while not self.config.restore_product():
+                green.sleep_ms(_REGISTER_RETRY_MS)
 
     def _all_watches(self) -> list[kind_watch.KindWatch]:
         if self._rollout_watch is None:
