--- a/features/steps/store_era_steps.py
+++ b/features/steps/store_era_steps.py
@@ -7,6 +7,7 @@
 from behave import when
 import config_model
 import config_steps
+import helpers
 from returning_store import ReturningStore
 
 from peridotmast import clock as clock_
@@ -172,6 +173,25 @@
     assert not unused, unused
 
 
+@when('the embedded store returns from a copy {ms:d} ms old')
+def return_embedded_store(context, ms):
+    context.fleet.store.come_back(ms)
+
+
+@then('every router is told of era 1 and uses all upstreams')
+def check_era_and_upstreams(context):
+    expected = {guest.name for guest in context.fleet.running_upstreams()}
+
+    def is_current(router):
+        used = {v.name for v in router.upstream_table.all() if v.is_available}
+        return router.store.era.number == 1 and used == expected
+
+    helpers.wait_until(
+        lambda: all(map(is_current, context.fleet.routers)),
+        'all routers know the era and the upstreams',
+    )
+
+
 def feed_of(context, name):
     """Return a router's configuration feed."""
     feeds = context.__dict__.setdefault('feeds', {})
--- a/features/store_era.feature
+++ b/features/store_era.feature
@@ -87,3 +87,11 @@
     And the second router lists the documents
     Then the second router has the document "two" in force
     And the first router's commit of "three" succeeds
+
+  Scenario: A fleet follows a store that returns from a copy
+    Given a fleet of 3 routers
+    When the operators change the configuration 3 times
+    And the embedded store returns from a copy 1500 ms old
+    And the operators change the configuration 1 times
+    Then every router has the last version in force within 3000 ms
+    And every router is told of era 1 and uses all upstreams
--- a/src/peridotmast/load/faults.py
+++ b/src/peridotmast/load/faults.py
@@ -56,6 +56,7 @@
     CRASHING_REQUEST = 'crashing_request'
     LIMIT_VM = 'limit_vm'
     ROLL_OUT = 'roll_out'
+    STORE_RETURN = 'store_return'
 
 
 PROCESS_FAULT_KINDS = tuple(FaultKind)
@@ -91,6 +92,10 @@
 all routers must enforce it plus the window in which the oracle counts
 requests."""
 
+_COPY_AGE_MS = 500, 6000
+"""Shortest and longest age of the copy that the store returns from, when it
+does, in ms."""
+
 _NO_END = 1 << 62
 """End of a stop that is still in progress, in ms."""
 
@@ -118,21 +123,35 @@
         Kinds to draw from.
     """
     rng = random.Random(f'faults|{seed}')
-    kinds = [
-        kind for kind in fault_kinds for _ in range(_WEIGHTS.get(kind, 1))
-    ]
-    extra = rng.choices(fault_kinds, k=int(seconds // 8))
-    schedule = [
+    # Returns are drawn apart, so that they do not change the schedule of the
+    # other kinds for a seed.
+    others = [k for k in fault_kinds if k is not FaultKind.STORE_RETURN]
+    kinds = [kind for kind in others for _ in range(_WEIGHTS.get(kind, 1))]
+    extra = rng.choices(others, k=int(seconds // 8))
+    schedule = _draw_faults([*kinds, *extra], seconds * share, rng, 'f')
+    if len(others) < len(fault_kinds):
+        rng = random.Random(f'returns|{seed}')
+        returns = [FaultKind.STORE_RETURN] * rng.choice((1, 2))
+        schedule += _draw_faults(returns, seconds * share, rng, 'r')
+    return sorted(schedule, key=lambda fault: fault.at)
+
+
+def _draw_faults(
+    kinds: ty.Iterable[FaultKind],
+    latest_s: float,
+    rng: random.Random,
+    prefix: str,
+) -> list[pb.Fault]:
+    return [
         pb.Fault(
-            name=f'f{number}',
+            name=f'{prefix}{number}',
             kind=kind.value,
-            at=round(rng.uniform(1.0, seconds * share), 3),
+            at=round(rng.uniform(1.0, latest_s), 3),
             for_ms=rng.randint(600, 2000),
             target=rng.randrange(64),
         )
-        for number, kind in enumerate([*kinds, *extra])
+        for number, kind in enumerate(kinds)
     ]
-    return sorted(schedule, key=lambda fault: fault.at)
 
 
 class FaultDriver:
@@ -451,6 +470,13 @@
     def _lost_replies(self, fault: pb.Fault) -> None:
         self._set_store_faults(fault, lose_reply=0.5)
 
+    def _store_return(self, fault: pb.Fault) -> None:
+        """Let the store be away, and return from a copy some seconds old."""
+        rng = random.Random(fault.target)
+        age_ms = rng.randint(*_COPY_AGE_MS)
+        self._set_store_faults(fault, outage=1.0)
+        self._fleet.store.come_back(age_ms)
+
     def _set_store_faults(self, fault: pb.Fault, **faults: float) -> None:
         self._fleet.store.app.set_faults(fault.for_ms, **faults)
         green.sleep_ms(fault.for_ms)
--- a/src/peridotmast/standin/store.py
+++ b/src/peridotmast/standin/store.py
@@ -13,11 +13,20 @@
 from peridotmast.standin import faulty_app
 from peridotmast.standin import http_standin
 from peridotmast import web
+from peridotmast.wire import caller_connection
 
 Json = dict[str, ty.Any]
 
 _PAGE_SIZE = 500
 _POLL_INTERVAL_MS = 20
+_COPIES_MS = 10_000
+"""Maximum age of the copies that the store can return from."""
+
+_FOREIGN_KINDS = (names.CONFIG_KIND, names.UPSTREAM_KIND, names.ROLLOUT_KIND)
+"""Kinds that operators and upstreams write; these write again what the store
+has lost."""
+
+_Objects = dict[str, dict[str, Json]]
 
 
 class _Change(ty.NamedTuple):
@@ -27,9 +36,36 @@
     deleted: bool
 
 
-class StoreStandin(http_standin.HttpStandin[faulty_app.FaultyApp]):
+class _Copy(ty.NamedTuple):
+    at: int
+    """Time of the copy, in ms."""
+    objects: _Objects
+    revision: int
+
+
+class _StoreApp(faulty_app.FaultyApp):
+    """Names the era of the store in each answer."""
+
+    def __init__(self, seed: int) -> None:
+        super().__init__('store', seed)
+        self.era = 0
+
+    def _answer(
+        self,
+        environ: dict[str, ty.Any],
+        conn: caller_connection.CallerConnection,
+    ) -> web.Response:
+        response = super()._answer(environ, conn)
+        response.headers.append((names.ERA, str(self.era)))
+        return response
+
+
+class StoreStandin(http_standin.HttpStandin[_StoreApp]):
     """Objects by kind and name, with one revision counter and a history.
 
+    The store can return from a copy of its state some seconds ago, without
+    what routers have written since.
+
     Parameters
     ----------
     address : str
@@ -39,10 +75,11 @@
     """
 
     def __init__(self, address: str = '127.0.0.1:0', seed: int = 0) -> None:
-        super().__init__(faulty_app.FaultyApp('store', seed), address)
+        super().__init__(_StoreApp(seed), address)
         self._clock = clock_.SystemClock()
-        self._objects: dict[str, dict[str, Json]] = {}
+        self._objects: _Objects = {}
         self._revision = 0
+        self._copies: collections.deque[_Copy] = collections.deque()
         self._history: collections.deque[_Change] = collections.deque()
         self._history_start = 0
         self._changed = green.Event()
@@ -87,6 +124,32 @@
         self._history.clear()
         self._history_start = self._revision
 
+    def come_back(self, age_ms: int) -> None:
+        """Return from a copy that is `age_ms` old, or from the oldest one.
+
+        What operators and upstreams have written since is written again, as
+        new writes. A watch that already waits goes on waiting.
+        """
+        now, known = self._clock.now(), self._objects
+        older = (c for c in reversed(self._copies) if c.at <= now - age_ms)
+        found = next(older, self._copies[0] if self._copies else None)
+        if found is None:
+            return
+        self._objects = {k: dict(v) for k, v in found.objects.items()}
+        self._revision = self._history_start = found.revision
+        self._history.clear()
+        self._copies.clear()
+        self.app.era += 1
+        for kind in _FOREIGN_KINDS:
+            self._write_again(kind, known.get(kind, {}))
+
+    def _write_again(self, kind: str, known: dict[str, Json]) -> None:
+        for name in self.object_names(kind):
+            if name not in known:
+                self.delete(kind, name)
+        for name, body in known.items():
+            self.put(kind, name, body[names.SPEC])
+
     def _list_or_watch(self, req: web.Request, kind: str) -> web.Response:
         kind = urllib.parse.unquote(kind)
         if names.WATCH in req.query:
@@ -109,6 +172,8 @@
         since = int(req.query[names.WATCH])
         wait_ms = int(req.query.get(names.WAIT_MS, 0))
         deadline = self._clock.now() + wait_ms
+        if since > self._revision:
+            return web.error_response(410, 'gone', 'history')
         while True:
             if self.app.in_outage():
                 return web.error_response(503, 'outage', 'fault')
@@ -228,3 +293,11 @@
             meta = {**body[names.META], names.REVISION: self._revision}
             body = {**body, names.META: meta}
         self._history.append(_Change(self._revision, kind, body, deleted))
+        self._keep_copy()
+
+    def _keep_copy(self) -> None:
+        now = self._clock.now()
+        copied = {kind: dict(found) for kind, found in self._objects.items()}
+        self._copies.append(_Copy(now, copied, self._revision))
+        while self._copies[0].at < now - _COPIES_MS:
+            self._copies.popleft()
