--- a/features/config_ways.feature
+++ b/features/config_ways.feature
@@ -77,6 +77,15 @@
       | 6       | busy   | 8484  | 1822 | 4422 | 300    | 10413  |
     Then each router in touch has had each change in time
 
+  # Guards against requests to an upstream 3 s after it had said that it leaves: routers that
+  # do not watch were sent, and asked for, records above a revision that the store reached
+  # again only seconds after its return from an older copy.
+  Scenario: Routers that do not watch know in time of a leaving upstream after a return
+    When an upstream leaves shortly before the store returns from a copy, and another one after that
+      | routers | left | store | at    | away | age  | leaves |
+      | 58      | 9500 | reset | 10000 | 500  | 6000 | 12500  |
+    Then each router in touch has had each change in time
+
   # Stores that are silent, busy, slow or reset for all or for some routers, dropped
   # histories, cuts between routers and kills, one to six at a time, in fleets of 3 to 20.
   Scenario: A change is in force in time in random histories
--- a/features/steps/config_way_steps.py
+++ b/features/steps/config_way_steps.py
@@ -15,6 +15,8 @@
 LAST_TROUBLE_MS = 18_000
 FLEET_SIZES = (3, 6, 7, 8, 12, 20)
 CHANGE_INTERVALS_MS = (300, 1000, 2000, 4000)
+LEAVE_INTERVAL_MS = 1000
+LEAVE_RUN_MS = 17_000
 LOSS_INTERVAL_MS = 4000
 FAILING_BEFORE_MS = 3500
 FAILING_MS = 7500
@@ -23,7 +25,7 @@
 return."""
 
 
-def play(count, change_ms, arrange):
+def play(count, change_ms, arrange, run_ms=RUN_MS):
     """Return the late versions and the errors of one history.
 
     Parameters
@@ -38,9 +40,9 @@
     fleet = config_model.Fleet(count)
     try:
         arrange(fleet)
-        for at in range(FIRST_CHANGE_MS, RUN_MS, change_ms):
+        for at in range(FIRST_CHANGE_MS, run_ms, change_ms):
             fleet.at(at, fleet.change)
-        fleet.timeline.run(RUN_MS)
+        fleet.timeline.run(run_ms)
         errors = [e for r in fleet.routers if r for e in r.errors]
         return fleet.late, errors
     finally:
@@ -62,7 +64,7 @@
     return arrange
 
 
-def play_row(context, row, count, change_ms, events):
+def play_row(context, row, count, change_ms, events, run_ms=RUN_MS):
     """Play a history and note the versions that were late in it.
 
     Parameters
@@ -71,7 +73,7 @@
         Time, name of the fleet's method and its arguments, of each trouble.
     """
 
-    late, errors = play(count, change_ms, schedule(events))
+    late, errors = play(count, change_ms, schedule(events), run_ms)
     assert not errors, errors[:3]
     context.late += [(row.cells, item) for item in late]
 
@@ -135,6 +137,24 @@
         play_row(context, row, int(row['routers']), change_ms, events)
 
 
+@when(
+    'an upstream leaves shortly before the store returns from a copy, and'
+    ' another one after that'
+)
+def leave_around_return(context):
+    for row in context.table:
+        left, at, away_ms, age_ms, leaves_at = (
+            int(row[name]) for name in ('left', 'at', 'away', 'age', 'leaves')
+        )
+        events = [
+            (left, 'leave', 'u2'),
+            (at, 'come_back', row['store'], away_ms, age_ms),
+            (leaves_at, 'leave', 'u1'),
+        ]
+        count = int(row['routers'])
+        play_row(context, row, count, LEAVE_INTERVAL_MS, events, LEAVE_RUN_MS)
+
+
 def play_cuts(context, is_store_silent_for_all):
     for row in context.table:
         count, change_ms, silent_at, silent_ms = map(int, row.cells[:4])
