--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -24,6 +24,7 @@
 from peridotmast.platform import config_codec
 from peridotmast.platform import fields as fields_
 from peridotmast.platform import names
+from peridotmast.platform import object_codec
 from peridotmast.platform import store as store_
 from peridotmast.platform import upstream_codec
 from peridotmast.schema import peridotmast_pb2 as pb
@@ -88,7 +89,7 @@
     for spec in (None, [], 'a', 7, {}):
         item = {names.META: {'name': name, names.REVISION: 50}}
         item[names.SPEC] = spec
-        stored = store_.object_codec.parse_object(item)
+        stored = object_codec.parse_object(item)
         store_outage_steps.apply_change(context, name, stored.spec)
         assert name not in store_outage_steps.live_names(context.upstreams), (
             spec
--- a/src/peridotmast/coordination/lease.py
+++ b/src/peridotmast/coordination/lease.py
@@ -7,6 +7,7 @@
 import typing as ty
 
 from peridotmast import clock as clock_
+from peridotmast.coordination import former_holders
 from peridotmast.coordination import objects
 from peridotmast import failures
 from peridotmast import logs
@@ -24,9 +25,6 @@
 _MAX_READS = 3
 """Maximum number of reads while each answer names another era."""
 
-_ANY_ROUTER = '*'
-"""Stands in a lease for former holders that are not known."""
-
 
 class Outcome(enum.Enum):
     """Result of an attempt to acquire or renew a lease."""
@@ -330,8 +328,7 @@
             return True
         # If the duties return to a router soon after other routers held them,
         # its earlier and its new orders look like those of two holders.
-        former = _former_holders(current)
-        held_recently = self._router in former or _ANY_ROUTER in former
+        held_recently = former_holders.has_held(current, self._router)
         if current.get('released') and not held_recently:
             return True
         now = self._clock.boot_time()
@@ -388,20 +385,19 @@
 
         None of them has acted since this run acquired it.
         """
-        held_ms = self._clock.boot_time() - self._acquired_at
-        return {
-            router: ms + held_ms
-            for router, ms in _former_holders(self._written.spec).items()
-            if ms + held_ms < self.length_ms
-        }
+        return former_holders.read_aged(
+            self._written.spec,
+            self._clock.boot_time() - self._acquired_at,
+            self.length_ms,
+        )
 
     def _next_former_holders(self, current: objects.Json) -> dict[str, int]:
         """Return the holders before this run or its dead predecessor."""
         if self._continues():
             return self._aged_former_holders()
         if self._era and not current:
-            return {_ANY_ROUTER: 0}
-        former = _former_holders(current)
+            return former_holders.UNKNOWN
+        former = former_holders.read(current)
         is_own_or_predecessor = self._is_own(current) or self._is_successor(
             current
         )
@@ -446,18 +442,3 @@
 
     def _outcome_without_answer(self) -> Outcome:
         return Outcome.HELD if self.is_held() else Outcome.UNREACHED
-
-
-def _former_holders(spec: ty.Optional[objects.Json]) -> dict[str, int]:
-    """Return the former holders of a lease, and how long ago each acted.
-
-    The time, in ms, is measured from the latest moment at which a router can
-    have acted. It ends when the current holder acquired the lease or, if the
-    lease was released, when it was released. Routers whose time exceeds the
-    length of a lease are omitted. Routers of an older version write a single
-    name.
-    """
-    former = (spec or {}).get('before') or {}
-    if isinstance(former, str):
-        return {former: 0}
-    return {router: int(ms) for router, ms in former.items()}
--- a/src/peridotmast/platform/store.py
+++ b/src/peridotmast/platform/store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import random
 import typing as ty
 import urllib.parse
@@ -14,9 +13,8 @@
 from peridotmast import failures
 from peridotmast import green
 from peridotmast import logs
-from peridotmast.platform import fields as fields_
 from peridotmast.platform import names
-from peridotmast.platform import object_codec
+from peridotmast.platform import store_answers
 from peridotmast import revisions
 from peridotmast.wire import http_client
 
@@ -45,7 +43,6 @@
 _PAGE_PAUSE_MS = 100
 """Number of attempts to read one page while the store gets too many calls, and
 mean pause after the first one, which grows by as much each time."""
-_CONFLICT = 409
 _GONE = 410
 
 
@@ -94,7 +91,7 @@
             return response
         if response.status == 404:
             return objects.StoredObject(name, 0)
-        return _parse_object(response)
+        return store_answers.parse_object(response)
 
     def list(self, kind: str) -> ty.Union[objects.Listing, failures.Failure]:
         """Return all objects of a kind."""
@@ -105,7 +102,7 @@
             response = self._read_page(path)
             if isinstance(response, failures.Failure):
                 return response
-            page = _parse_page(response, names.ITEMS)
+            page = store_answers.parse_page(response, names.ITEMS)
             if isinstance(page, failures.Failure):
                 return page
             if revision and revisions.era_of(
@@ -167,9 +164,9 @@
         )
         if isinstance(response, failures.Failure):
             return response
-        if response.status == _GONE or _era_of(response) != era:
+        if response.status == _GONE or store_answers.era_of(response) != era:
             return _history_gone(since)
-        page = _parse_page(response, names.EVENTS)
+        page = store_answers.parse_page(response, names.EVENTS)
         if isinstance(page, failures.Failure):
             return page
         changed = self._valid_objects(kind, page)
@@ -181,7 +178,9 @@
         """Write an object that is still at `revision` (0: does not exist)."""
         if not revision:
             body = {names.META: {'name': name}, names.SPEC: spec}
-            return _write_result(self._call('POST', _path(kind), body), name)
+            return store_answers.write_result(
+                self._call('POST', _path(kind), body), name
+            )
         number = revisions.number_of(revision)
         meta = {'name': name, names.REVISION: number, 'finalizers': []}
         return self._write_conditionally(
@@ -244,7 +243,9 @@
         """
         if revisions.era_of(revision) != self.era.number:
             return failures.conflict('earlier_era', name)
-        result = _write_result(self._call(method, path, body), name)
+        result = store_answers.write_result(
+            self._call(method, path, body), name
+        )
         if isinstance(result, failures.Failure):
             return result
         if revisions.era_of(revision) != self.era.number:
@@ -252,7 +253,7 @@
         return result
 
     def _valid_objects(
-        self, kind: str, page: _Page
+        self, kind: str, page: store_answers.Page
     ) -> ty.Iterator[objects.StoredObject]:
         """Yield the objects of a page; log each one that failed to parse."""
         for stored in page.objects:
@@ -310,105 +311,21 @@
             if not was_waiting:
                 self._outage.record_failure(response.reason, elapsed_ms)
             return response
-        if not self.era.record(_era_of(response)):
-            # Describes state that the store may have lost since.
-            return failures.unavailable('earlier_era')
+        is_current = self.era.record(store_answers.era_of(response))
         if response.status in _FAILURE_STATUSES:
             self._outage.record_failure(str(response.status))
-        else:
-            self._outage.record_answer()
+            return response
+        if not is_current:
+            # Describes state that the store may have lost since.
+            return failures.unavailable('earlier_era')
+        self._outage.record_answer()
         return response
 
 
-def _write_result(
-    response: ty.Union[http_client.Response, failures.Failure], name: str
-) -> ty.Union[objects.StoredObject, failures.Failure]:
-    """Return the object after a write, or the failure of the write."""
-    if isinstance(response, failures.Failure):
-        # A write without a response may have taken effect or may do so
-        # later.
-        return failures.unknown(response.reason, response.detail)
-    if response.status == _CONFLICT:
-        return failures.conflict('changed', name)
-    if response.status == 404:
-        return failures.missing('no_object', name)
-    if response.status in (429, 503):
-        return failures.not_run('store_busy', str(response.status))
-    if response.status not in (200, 201, 204):
-        return failures.unknown('store_error', str(response.status))
-    if not response.body:
-        return objects.StoredObject(name, 0)
-    return _parse_object(response)
-
-
-def _parse_object(
-    response: http_client.Response,
-) -> ty.Union[objects.StoredObject, failures.Failure]:
-    if response.status not in (200, 201):
-        return failures.unavailable('store_refused', str(response.status))
-    try:
-        stored = object_codec.parse_object(response.json())
-    except ValueError as exc:
-        return failures.unavailable('store_garbled', str(exc)[:200])
-    if stored is None:
-        return failures.unavailable('store_garbled', 'response has no object')
-    return _in_era(stored, _era_of(response))
-
-
-@dataclasses.dataclass(frozen=True)
-class _Page:
-    """A response with a list of objects or events."""
-
-    objects: list[ty.Optional[objects.StoredObject]]
-    """The objects; None for each one that failed to parse."""
-    revision: int
-    has_more: bool
-
-
-def _parse_page(
-    response: http_client.Response, key: str
-) -> ty.Union[_Page, failures.Failure]:
-    if response.status not in (200, 201):
-        return failures.unavailable('store_refused', str(response.status))
-    try:
-        body = object_codec.parse_list(response.body, key)
-        fields = fields_.Fields(body, 'response')
-        revision = fields.integer(names.AT_REVISION)
-        fields.raise_if_malformed()
-    except ValueError as exc:
-        return failures.unavailable('store_garbled', str(exc)[:200])
-    era = _era_of(response)
-    parse = _parse_event if key == names.EVENTS else object_codec.parse_object
-    found = map(parse, body[key])
-    return _Page(
-        [stored and _in_era(stored, era) for stored in found],
-        revisions.make(era, revision),
-        bool(body.get(names.HAS_MORE)),
-    )
-
-
-def _era_of(response: http_client.Response) -> int:
-    """Return the era of an answer; 0 if it names none."""
-    text = response.header(names.ERA)
-    return int(text) if text.isdecimal() else 0
-
-
-def _in_era(stored: objects.StoredObject, era: int) -> objects.StoredObject:
-    revision = revisions.make(era, stored.revision)
-    return dataclasses.replace(stored, revision=revision)
-
-
 def _history_gone(since: int) -> failures.Failure:
     return failures.missing(objects.HISTORY_GONE, str(since))
 
 
-def _parse_event(event: ty.Any) -> ty.Optional[objects.StoredObject]:
-    if not isinstance(event, dict):
-        return None
-    deleted = bool(event.get(names.DELETED))
-    return object_codec.parse_object(event.get(names.OBJECT), deleted)
-
-
 def _path(kind: str, name: str = '') -> str:
     path = f'{names.OBJECTS_PATH}/{_quoted(kind)}'
     return f'{path}/{_quoted(name)}' if name else path
--- a/src/peridotmast/router/fleet_state.py
+++ b/src/peridotmast/router/fleet_state.py
@@ -50,9 +50,9 @@
 
 _REGISTER_RETRY_MS = 1000
 
-_RESTORE_SPREAD_MS = 500
-"""Time after a return of the store in which the watchers check the product
-document: many times the duration of a write."""
+_WRITE_AGAIN_SPREAD_MS = 500
+"""Time after a return of the store in which the routers begin to write again
+what it has lost: many times the duration of a write."""
 
 _UNREGISTERED_WAIT_MS = 1500
 """Time after which a router that could not register in the store chooses the
@@ -315,18 +315,18 @@
             if watch.kind == names.UPSTREAM_KIND:
                 # By then upstreams that live have renewed their entries.
                 green.call_after_ms(self._lapse_ms, watch.list_again)
-        if self._is_registered:
-            self._spawn('register', self._register)
-        self._spawn('restore_document', self._restore_document)
+        self._spawn('write_again', self._write_again)
 
-    def _restore_document(self) -> None:
-        """Store the product document again if the store has lost it.
+    def _write_again(self) -> None:
+        """Write again what the store has lost of this router's entries.
 
-        The routers that watch it begin one after another, so that usually the
-        first one alone writes.
+        The routers begin one after another, so that usually the first one
+        alone writes the product document.
         """
+        green.sleep_ms(self._random.uniform(0, _WRITE_AGAIN_SPREAD_MS))
+        if self._is_registered:
+            self._register()
         if self.watchers.should_watch(config_feed.KIND):
-            green.sleep_ms(self._random.uniform(0, _RESTORE_SPREAD_MS))
             while not self.config.restore_product():
                 green.sleep_ms(_REGISTER_RETRY_MS)
 
