--- a/features/lease.feature
+++ b/features/lease.feature
@@ -336,6 +336,26 @@
     And the first contender requests the lease
     Then the first contender does not hold the lease
 
+  Scenario: A lease that is moved to a new era keeps its former holders
+    Given the contenders use a store in era 1
+    When the first contender requests the lease
+    And the clock advances by 4000 ms
+    And the first contender requests the lease
+    And the clock advances by 3000 ms
+    And the first contender requests the lease
+    And the clock advances by 1000 ms
+    And the first contender releases the lease
+    And the second contender requests the lease
+    Then the second contender still holds the lease
+    When the store is copied
+    And the store comes back from the copy
+    And the second contender requests the lease
+    And the second contender requests the lease
+    And the second contender releases the lease
+    And the first contender requests the lease
+    And the first contender requests the lease
+    Then the first contender does not hold the lease
+
   Scenario: The store comes back between the read and the write of a contender
     Given the contenders use a store in era 1
     When the first contender requests the lease
