--- a/features/config_ways.feature
+++ b/features/config_ways.feature
@@ -70,6 +70,7 @@
   Scenario: A change and a leaving upstream are known in time after the store came back older
     When changes are made after the store came back from a copy, and an upstream leaves
       | routers | store  | at    | away | age  | change | leaves |
+      | 1       | silent | 8931  | 181  | 7984 | 2000   | 9491   |
       | 6       | silent | 8931  | 181  | 7984 | 2000   | 9491   |
       | 7       | silent | 8168  | 158  | 6755 | 4000   | 10696  |
       | 8       | silent | 11365 | 464  | 4779 | 1000   | 13655  |
--- a/features/duties.feature
+++ b/features/duties.feature
@@ -46,10 +46,12 @@
     Given a usage reporter that has sent window 10 before the store comes back without its record
     When late counts of that window arrive
     And the reporter goes on for 2 windows
+    And its record is copied
+    And the reporter goes on for 2 windows
     And the store comes back without its record
     And the next lease holder goes on for 3 windows
     Then no usage window was sent with two counts
-    And the usage windows 10, 11 and 13 were sent
+    And the usage windows 10, 11, 12, 13, 14 and 16 were sent
 
   Scenario: Reports of usage windows that are too old are skipped
     Given a usage reporter that has sent no report for 20 windows
--- a/features/steps/duty_steps.py
+++ b/features/steps/duty_steps.py
@@ -608,6 +608,11 @@
         context.reporter.run(1)
 
 
+@when('its record is copied')
+def copy_record(context):
+    context.returning.take_copy()
+
+
 @when('the store comes back without its record')
 def lose_record(context):
     context.returning.come_back()
@@ -615,7 +620,8 @@
 
 @when('the next lease holder goes on for {count:d} windows')
 def go_on_as_next_holder(context, count):
-    context.usage.count_started('noor', 2 * WINDOW_MS)
+    for windows in (1, 2, 3):
+        context.usage.count_started('noor', windows * WINDOW_MS)
     context.store = context.returning.client(context.clock)
     context.reporter = make_reporter(context)
     context.reporter.start(None)
--- a/features/steps/store_era_steps.py
+++ b/features/steps/store_era_steps.py
@@ -153,6 +153,27 @@
         context.states.append((row.cells, found, f'UPSTREAM_STATE_{state}'))
 
 
+@when(
+    'an upstream leaves, the store returns, and its entry of before is written'
+    ' again'
+)
+def write_entry_again(context):
+    context.upstreams = upstreams_.UpstreamTable(context.clock)
+    read = upstream_codec.read_upstream
+    feed = upstream_feed.UpstreamFeed(context.upstreams, read)
+    feed.on_listing(listing(1, 20, stored(1, 20, 'ready')), False)
+    left, again = stored(1, 30, 'draining'), stored(2, 26, 'ready')
+    feed.on_changes(objects.Changes([left], left.revision), False)
+    feed.on_listing(listing(2, 25, stored(2, 20, 'ready')), True)
+    feed.on_changes(objects.Changes([again], again.revision), False)
+
+
+@then('the upstream is still known to leave')
+def check_still_leaving(context):
+    record = context.upstreams.get('u1').record
+    assert record.state == upstreams_.LEAVING, record
+
+
 @when(
     'an upstream is removed, and its entry is on the copy from which the store'
     ' comes back'
--- a/features/store_era.feature
+++ b/features/store_era.feature
@@ -69,6 +69,10 @@
       | draining          | ready       | yes     | LEAVING |
     Then each upstream is in its state
 
+  Scenario: An entry that is written again as ready does not undo that its upstream leaves
+    When an upstream leaves, the store returns, and its entry of before is written again
+    Then the upstream is still known to leave
+
   Scenario: Upstreams are listed again after a return, once they have renewed their entries
     Given a fleet without a network, with simulated time
     When an upstream is removed, and its entry is on the copy from which the store comes back
