The successor of a lost head decides on team limits in its place

Cause: a team at half of its limit was refused 3 requests of some 375 while 3 of 8 heads and 14 members were killed (groups.feature); nothing was refused before. Change: a member whose head does not answer asks the successor, which decides once it has not heard the head for 800 ms.

--- a/src/peridotmast/coordination/groups.py
+++ b/src/peridotmast/coordination/groups.py
@@ -132,6 +132,19 @@
             if name in self._eligible
         )
 
+    @property
+    def is_successor(self) -> bool:
+        """Whether this router is the successor of its group's head."""
+        if self._me not in self._eligible:
+            return False
+        own_rank = rank.of('head', self._me)
+        eligible = [
+            name
+            for name in self.names_in(self.own_group)
+            if name in self._eligible
+        ]
+        return sum(rank.of('head', n) < own_rank for n in eligible) == 1
+
     def members(self) -> list[members_.Peer]:
         """Return the other members of this router's group."""
         return self._groups.get(self.own_group, [])
--- a/src/peridotmast/router/quota_borrowing.py
+++ b/src/peridotmast/router/quota_borrowing.py
@@ -34,6 +34,11 @@
 _SILENT_HEAD_MS = 500
 """Time for which a head that did not answer is not asked again: one round."""
 
+_LOST_HEAD_MS = 800
+"""Silence of a head after which its successor decides in its place: a round
+takes 500 ms. A head that is only slow must not be joined by a second router
+that uses the part of the group."""
+
 _MAX_LATE = 64
 """Number of unanswered questions whose late answers are still accepted."""
 
@@ -56,9 +61,11 @@
     each request. The tokens that a head lends count as its own spending, so
     that the other heads know of them by its reports.
 
-    A member whose head does not answer admits one request, and the next one
-    when the head has confirmed its report. An answer that arrives too late
-    returns its tokens.
+    A member whose head does not answer asks the successor of the head, which
+    then decides in its place: the other heads wait for the part of the group
+    until its head counts as silent. Without any answer a member admits one
+    request, and the next one when the head has confirmed its report. An answer
+    that arrives too late returns its tokens.
 
     In a small fleet, a burst may have to wait until the peers know of its
     first requests.
@@ -134,12 +141,14 @@
         return self._quota.take(team, tokens)
 
     def handle_request(self, ask: pb.LimitAsk) -> None:
-        """Answer a group member's request for tokens, if this is its head."""
+        """Answer a member's request for tokens, if this router decides."""
         peer, groups = self._members.get(ask.router), self._current_groups()
-        if peer is None or groups is None or not groups.is_head:
+        if peer is None or groups is None:
             return
         if not groups.is_member(ask.router):
             return
+        if not (groups.is_head or ask.head_silent and self._stands_in(groups)):
+            return
         key = ask.router, ask.incarnation, ask.number
         answer = self._answers.get(key)
         if answer is None:
@@ -202,8 +211,34 @@
             return None
         if groups.is_head:
             return self._decide(groups, team, tokens)
-        if self._clock.now() < self._silent_until:
-            return None
+        answer = None
+        if self._clock.now() >= self._silent_until:
+            answer = self._ask(groups.head_and_successor()[:1], team, tokens)
+            if answer is None:
+                self._silent_until = self._clock.now() + _SILENT_HEAD_MS
+        if answer is None and self._stands_in(groups):
+            return self._decide(groups, team, tokens)
+        if answer is None:
+            successor = groups.head_and_successor()[1:2]
+            answer = self._ask(successor, team, tokens, head_silent=True)
+        return answer
+
+    def _stands_in(self, groups: groups_.GroupSnapshot) -> bool:
+        """Return whether this router decides in place of a lost head."""
+        if not groups.is_successor:
+            return False
+        limit = self._clock.now() - _LOST_HEAD_MS
+        heads = groups.head_and_successor()[:1]
+        return all(head.last_beacon_at < limit for head in heads)
+
+    def _ask(
+        self,
+        peers: ty.Sequence[members_.Peer],
+        team: str,
+        tokens: int,
+        head_silent: bool = False,
+    ) -> ty.Optional[pb.LimitAnswer]:
+        """Ask a router for tokens; return None without an answer."""
         number = next(self._numbers)
         answered = self._pending[number] = green.Event()
         me = self._members.me
@@ -213,19 +248,19 @@
             number=number,
             team=team,
             tokens=tokens,
+            head_silent=head_silent,
         )
-        head = groups.head_and_successor()[:1]
         answer: ty.Optional[pb.LimitAnswer] = None
         try:
             for wait_ms in (_REPEAT_MS, _ANSWER_TIMEOUT_MS - _REPEAT_MS):
-                self.send(pb.Beacon(limit_ask=ask), head)
+                self.send(pb.Beacon(limit_ask=ask), peers)
                 answer = self.wait_answer(answered, wait_ms)
                 if answer is not None:
                     break
         finally:
             del self._pending[number]
             if answer is None:
-                self._note_unanswered(number, team, tokens, head)
+                self._note_unanswered(number, team, tokens, peers)
         if answer is not None:
             self.count_answer('lent' if answer.lent else 'refused')
         return answer
@@ -235,16 +270,15 @@
         number: int,
         team: str,
         tokens: int,
-        head: ty.Sequence[members_.Peer],
+        peers: ty.Sequence[members_.Peer],
     ) -> None:
         self.count_answer('unanswered')
         self._log.info(
             'head_unanswered',
             team=team,
             tokens=tokens,
-            head=head[0].member.name if head else '',
+            head=peers[0].member.name if peers else '',
         )
-        self._silent_until = self._clock.now() + _SILENT_HEAD_MS
         self._late[number] = _Question(team, tokens)
         if len(self._late) > _MAX_LATE:
             self._late.popitem(last=False)
@@ -252,8 +286,10 @@
     def _decide(
         self, groups: groups_.GroupSnapshot, team: str, tokens: int
     ) -> pb.LimitAnswer:
-        """Return the answer of this head to a request of its group."""
-        loan = self._quota.lend(team, tokens, 1 + len(groups.members()))
+        """Return the answer of this router to a request of its group."""
+        members = 1 + len(groups.members())
+        stands_in = not groups.is_head
+        loan = self._quota.lend(team, tokens, members, stands_in)
         wait_ms = loan.wait_ms
         if wait_ms and self._quota.lacks_confirmation(team, tokens):
             wait_ms = _UNCONFIRMED_WAIT_MS
--- a/src/peridotmast/serving/quota.py
+++ b/src/peridotmast/serving/quota.py
@@ -142,20 +142,26 @@
             buckets[team.name] = known
         self._buckets = buckets
 
-    def take(self, team: str, tokens: int) -> int:
+    def take(self, team: str, tokens: int, stands_in: bool = False) -> int:
         """Admit a request and return 0, or return how long to wait, in ms.
 
         A request may make the level negative, so that one that is larger than
         the burst can be admitted.
+
+        Parameters
+        ----------
+        stands_in : bool
+            Whether this router decides in place of the head of its group.
         """
         bucket = self._buckets.get(team)
         if bucket is not None:
-            wait_ms = self._wait_ms(team, bucket, tokens)
+            wait_ms = self._wait_ms(team, bucket, tokens, stands_in)
             if wait_ms:
                 return wait_ms
             bucket.level -= tokens
             bucket.spending.add(self._clock.now(), tokens)
-            self._report_if_due(bucket, 0)
+            if not self.follows_head():
+                self._report_if_due(bucket, 0)
         self._spent[team] = self._spent.get(team, 0) + tokens
         return 0
 
@@ -198,7 +204,9 @@
         needed = bucket.tokens_needed(tokens)
         return bucket.level >= needed and self._exceeds_part(bucket, needed)
 
-    def lend(self, team: str, tokens: int, members: int) -> Loan:
+    def lend(
+        self, team: str, tokens: int, members: int, stands_in: bool = False
+    ) -> Loan:
         """Decide on a request of a member of this head's group.
 
         Once the level is known, the request is decided like one of this
@@ -210,13 +218,16 @@
         ----------
         members : int
             Number of routers in the group, including this one.
+        stands_in : bool
+            Whether the head of the group does not answer, so that this router
+            decides in its place.
         """
         bucket = self._buckets.get(team)
         if bucket is None:
             # The configuration of the member is older or newer.
             return Loan(_STARTUP_RETRY_MS, False)
         if bucket.is_known:
-            return Loan(self.take(team, tokens), True)
+            return Loan(self.take(team, tokens, stands_in), True)
         needed = bucket.tokens_needed(tokens)
         lendable = members * (1 - _UNLENT_SHARE) * self._own_part(bucket)
         if lendable - bucket.lent < needed:
@@ -385,7 +396,11 @@
         return (unspent + bucket.rate * ms / 1000) / self.count_routers()
 
     def _wait_ms(
-        self, team: str, bucket: token_bucket.TokenBucket, tokens: int
+        self,
+        team: str,
+        bucket: token_bucket.TokenBucket,
+        tokens: int,
+        stands_in: bool,
     ) -> int:
         """Return how long a request must wait, in ms; 0 if it is admitted."""
         self.tick()
@@ -394,7 +409,7 @@
         if bucket.level < needed:
             return bucket.refill_ms(needed, self.known_share)
         if bucket.is_known:
-            if self._exceeds_part(bucket, needed):
+            if self._exceeds_part(bucket, needed, stands_in):
                 return UNCONFIRMED_RETRY_MS
             return 0
         share = _UNLENT_SHARE if self.has_stale_peer_data() else 1.0
@@ -403,7 +418,10 @@
         return 0 if remaining >= needed else _STARTUP_RETRY_MS
 
     def _exceeds_part(
-        self, bucket: token_bucket.TokenBucket, needed: float
+        self,
+        bucket: token_bucket.TokenBucket,
+        needed: float,
+        stands_in: bool = False,
     ) -> bool:
         """Return whether too much was admitted here that peers don't know of.
 
@@ -413,7 +431,7 @@
         confirmed_at, _ = self.oldest_confirmation()
         spending = bucket.spending
         spending.confirm(self._clock.now(), confirmed_at)
-        if self.follows_head():
+        if self.follows_head() and not stands_in:
             # Without an answer of its head, a member has no part.
             is_low = bucket.level < _UNASKED_LEVEL * bucket.burst
             return is_low or spending.tokens > 0
@@ -426,7 +444,7 @@
         self, bucket: token_bucket.TokenBucket, needed: float
     ) -> None:
         """Ask for a report to peers once a part is used up to some share."""
-        if self.follows_head() or not bucket.is_known:
+        if not bucket.is_known:
             return
         used = bucket.spending.tokens + needed
         if used > self._part(bucket) * _REPORT_SHARE:
