A stream that may run once does not run again after its move was refused

Cause: if a stream is moved before its first event and the target refuses it or can't be reached, the failure of the attempt to resume was taken for one of the request: of kind NOT_RUN, so that the request began again although it had run where it was moved from. Change: such a failure has an unknown outcome. Result: new scenario "The target of a move refuses a stream before its first event" failed before (invariant ONE_RUN) and passes.

--- a/src/peridotmast/serving/stream_relay.py
+++ b/src/peridotmast/serving/stream_relay.py
@@ -184,7 +184,11 @@
                 self._note_failure(stream, failure)
                 return failure
             if isinstance(migrated, failures.Failure):
-                return migrated
+                # The request ran where it was moved from, whatever the target
+                # states about the attempt to resume.
+                return failures.unknown(
+                    migrated.reason, migrated.detail, migrated.retry_after_ms
+                )
         self._sender.note_answering(stream.sent)
         stream.sent.reservation.mark_prefill_ended()
         stream.sent.reservation.view.health.record_success()
