What a peer answers is no promise that it did not make

Cause: an answer of a peer with the status 408, 421 or 429 was passed on; an upstream behind a peer could set the header with the result of the call, which is read first; a call that a peer did not accept had the kind INVALID also if an attempt had run before (400 with "not_run": true at the chat API). Change: these statuses count as failures of the upstream; the peer removes the header from an upstream's answer; after an attempt that may have run, every failure has an unknown outcome. Two mutations name the changed lines.

--- a/features/steps/promise_steps.py
+++ b/features/steps/promise_steps.py
@@ -10,9 +10,74 @@
 from peridotmast import failures
 from peridotmast.platform import names
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import peer_sender
 from peridotmast.serving import stream as stream_
 
 
+def ask_through_peer(world, kind, connect_peer=None):
+    """Send a request at `r-0`, and return what its caller gets."""
+    if connect_peer is not None:
+        peers = world.routers['r-0'].serving.peers
+        peers._pool.acquire = lambda address: connect_peer(
+            world, address.partition(':')[0], 'pass'
+        )
+    return world.routers['r-0'].ask(kind, 'request')
+
+
+@then(
+    'the answer of an upstream that sets the result header is passed on as it'
+    ' is'
+)
+def result_header_of_upstream(context):
+    world = peer_model.World(
+        {'r-0': set(peer_model.UPSTREAMS), 'r-1': ()}, (), ()
+    )
+    refused = pb.ForwardResult(kind='not_run', reason='leaving')
+
+    class Conn(peer_model.UpstreamConn):
+        def read_head(self, method, deadline):
+            head = super().read_head(method, deadline)
+            head.headers.insert(0, peer_sender.encode_result(refused))
+            return head
+
+    world.routers['r-1'].serving.pool.acquire = lambda address: Conn(
+        world, f'u-{address[-1]}'
+    )
+    got = ask_through_peer(world, 'once')
+    assert world.runs == ['request'], world.runs
+    assert got[0] == 200, got
+
+
+@then(
+    'an answer of a peer with the status {status:d} becomes a failure of'
+    ' unknown outcome'
+)
+def status_of_peer(context, status):
+    world = peer_model.World(
+        {'r-0': set(peer_model.UPSTREAMS), 'r-1': ()}, (), ()
+    )
+
+    class Conn(peer_model.PeerConn):
+        def start(self, line, headers):
+            super().start(f'{status} Status', headers)
+
+    got = ask_through_peer(world, 'once', Conn)
+    assert world.runs == ['request'], world.runs
+    assert isinstance(got, failures.Failure), got
+    assert got.kind is failures.FailureKind.OUTCOME_UNKNOWN, got
+
+
+@then(
+    'a request that ran before a peer did not accept it has an unknown outcome'
+)
+def not_accepted_by_peer(context):
+    world = peer_model.World({'r-0': {'u-2', 'u-3'}, 'r-1': ()}, ['lost'], ())
+    world.routers['r-1'].app._secret = b'another'
+    got = ask_through_peer(world, 'again')
+    assert world.runs == ['request'] and world.forwarded, world.forwarded
+    assert got.kind is failures.FailureKind.OUTCOME_UNKNOWN, got
+
+
 @then(
     'a stream that may run once is not begun again after its move has failed'
 )
--- a/src/peridotmast/router/forward_app.py
+++ b/src/peridotmast/router/forward_app.py
@@ -212,7 +212,13 @@
             born=view.born if view else 0,
             version=exchange.version or '',
         )
-        reply.head.headers.append(peer_sender.encode_result(result))
+        header = peer_sender.encode_result(result)
+        # An upstream must not be able to state the result.
+        reply.head.headers[:] = [
+            (name, value)
+            for name, value in reply.head.headers
+            if name.lower() != header[0].lower()
+        ] + [header]
 
     def _refuse(
         self, start: ty.Callable[..., ty.Any], failure: failures.Failure
--- a/src/peridotmast/serving/dialect.py
+++ b/src/peridotmast/serving/dialect.py
@@ -12,6 +12,12 @@
 from peridotmast.wire import connection as connection_
 
 
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+"""Statuses that tell a caller that its request did not run and will not run.
+If an upstream sends one of them without stating that it did not run the
+request, the response is not forwarded."""
+
+
 class Verdict(enum.Enum):
     """What the head of a response states about the request."""
 
--- a/src/peridotmast/serving/dispatcher.py
+++ b/src/peridotmast/serving/dispatcher.py
@@ -39,11 +39,6 @@
 """Fraction of the remaining time that an attempt may take to send its first
 bytes if another attempt may follow."""
 
-NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
-"""Statuses that tell a caller that its request did not run and will not run.
-If an upstream sends one of them without stating that it did not run the
-request, the response is not forwarded."""
-
 _MAX_CONNECT_FAILURES = 2
 """Number of upstreams that a request fails to connect to before it is offered
 to a peer: a connection that hangs takes a large part of a short time limit."""
@@ -438,7 +433,7 @@
         self._note_end(state, sent.reservation, sent.sent_at, failed)
         if failed:
             view.health.record_error()
-            if sent.head.status not in NOT_RUN_STATUSES:
+            if sent.head.status not in dialect_.NOT_RUN_STATUSES:
                 state.fallback = reply
             return failures.unknown('answered_badly', str(sent.head.status))
         view.health.record_success()
@@ -490,13 +485,12 @@
     def _final_failure(
         self, state: _RequestState, failure: failures.Failure
     ) -> failures.Failure:
-        """Return the failure for the caller; NOT_RUN only if no attempt ran.
+        """Return the failure for the caller.
 
-        If an earlier attempt may have run, the outcome is unknown even if the
-        last attempt did not run. The retry time is kept.
+        If an earlier attempt may have run, the outcome is unknown whatever
+        the failure of the last attempt guarantees. The retry time is kept.
         """
-        has_run = state.runs > state.earlier_runs
-        if has_run and failure.kind is failures.FailureKind.NOT_RUN:
+        if state.runs > state.earlier_runs:
             return failures.unknown(
                 failure.reason, failure.detail, failure.retry_after_ms
             )
--- a/src/peridotmast/serving/peer_sender.py
+++ b/src/peridotmast/serving/peer_sender.py
@@ -428,7 +428,8 @@
 
 
 def _verdict(head: connection_.ResponseHead) -> dialect_.Verdict:
-    if head.status in _FORWARDED_ERRORS:
+    is_promise = head.status in dialect_.NOT_RUN_STATUSES
+    if is_promise or head.status in _FORWARDED_ERRORS:
         return dialect_.Verdict.FAILED
     return dialect_.Verdict.ANSWER
 
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -483,7 +483,7 @@
     Mutation(
         'report not_run for a request that may have run',
         SERVING + 'dispatcher.py',
-        'if has_run and failure.kind is failures.FailureKind.NOT_RUN:',
+        'if state.runs > state.earlier_runs:',
         'if False:',
         'once',
     ),
@@ -574,7 +574,7 @@
     Mutation(
         'forward a not-run status without confirmation',
         SERVING + 'dispatcher.py',
-        'if sent.head.status not in NOT_RUN_STATUSES:',
+        'if sent.head.status not in dialect_.NOT_RUN_STATUSES:',
         'if True:',
         'odd_upstreams',
     ),
