Only failures that guarantee that nothing ran have a status that says so

Cause: both APIs gave 503 to failures of kind UNAVAILABLE, which guarantee nothing, the chat API also with "not_run": true; 429 went by the reason team_limit, whatever the kind. Change: UNAVAILABLE is a 502, or 504 at the chat API; 429 needs the kind NOT_RUN. Result: new scenario over each kind and reason failed before and passes.

--- a/features/steps/promise_steps.py
+++ b/features/steps/promise_steps.py
@@ -8,10 +8,14 @@
 import peer_model
 
 from peridotmast import failures
+from peridotmast.platform import caller_app
 from peridotmast.platform import names
+from peridotmast.router import chat_api
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import dialect
 from peridotmast.serving import peer_sender
 from peridotmast.serving import stream as stream_
+from peridotmast import web
 
 
 def ask_through_peer(world, kind, connect_peer=None):
@@ -112,3 +116,22 @@
         got = router.ask('fixed', 'request')
     assert world.arrived == ['request'] * 2, world.arrived
     assert got.kind is failures.FailureKind.OUTCOME_UNKNOWN, got
+
+
+@then(
+    'at both APIs, no other kind of failure has the status 408, 421, 429 or'
+    ' 503'
+)
+def statuses_of_failures(context):
+    lines = []
+    app = caller_app.PlatformCallerApp(None, None, None, None)
+    for kind in failures.FailureKind:
+        for reason in ('team_limit', 'silent', 'no_route', 'other'):
+            failure = failures.Failure(kind, reason)
+            app._refuse(lambda line, headers: lines.append(line), failure, '')
+            status = chat_api._http_status(failure)
+            response = web.failure_response(failure, 'id', status)
+            found = {int(lines[-1][:3]), response.status}
+            is_promise = kind is failures.FailureKind.NOT_RUN
+            refusals = found & set(dialect.NOT_RUN_STATUSES)
+            assert is_promise or not refusals, (failure, found)
--- a/src/peridotmast/platform/caller_app.py
+++ b/src/peridotmast/platform/caller_app.py
@@ -39,15 +39,14 @@
 _STATUS_BY_KIND = {
     failures.FailureKind.NOT_RUN: 503,
     failures.FailureKind.OUTCOME_UNKNOWN: 502,
-    failures.FailureKind.UNAVAILABLE: 503,
 }
 _STATUS_BY_REASON = {
     'no_route': 404,
     'no_key': 401,
-    'team_limit': 429,
     'silent': 504,
     'timed_out': 504,
 }
+_TEAM_LIMIT_STATUS = 429
 _TOO_LARGE = 413
 
 
@@ -146,6 +145,9 @@
         status = _STATUS_BY_REASON.get(failure.reason)
         if status is None:
             status = _STATUS_BY_KIND.get(failure.kind, 502)
+        is_not_run = failure.kind is failures.FailureKind.NOT_RUN
+        if is_not_run and failure.reason == 'team_limit':
+            status = _TEAM_LIMIT_STATUS
         return _send_refusal(
             start,
             status,
--- a/src/peridotmast/router/chat_api.py
+++ b/src/peridotmast/router/chat_api.py
@@ -308,4 +308,7 @@
 
 def _http_status(failure: failures.Failure) -> int:
     """Return the HTTP status for failures with a special one, else 0."""
-    return {'team_limit': 429, 'no_key': 401}.get(failure.reason, 0)
+    is_not_run = failure.kind is failures.FailureKind.NOT_RUN
+    if is_not_run and failure.reason == 'team_limit':
+        return 429
+    return 401 if failure.reason == 'no_key' else 0
--- a/src/peridotmast/web.py
+++ b/src/peridotmast/web.py
@@ -239,7 +239,7 @@
     return {
         kinds.NOT_RUN: 503,
         kinds.OUTCOME_UNKNOWN: 504,
-        kinds.UNAVAILABLE: 503,
+        kinds.UNAVAILABLE: 504,
         kinds.CONFLICT: 409,
         kinds.MISSING: 404,
         kinds.INVALID: 400,
@@ -251,7 +251,11 @@
 ) -> Response:
     """Return the error response for `failure`."""
     kinds = failures.FailureKind
-    may_have_run = failure.kind in (kinds.OUTCOME_UNKNOWN, kinds.CONFLICT)
+    may_have_run = failure.kind in (
+        kinds.OUTCOME_UNKNOWN,
+        kinds.UNAVAILABLE,
+        kinds.CONFLICT,
+    )
     code = failure.kind.value
     return error_response(
         status or failure_status(failure),
