--- a/src/peridotmast/serving/dialect.py
+++ b/src/peridotmast/serving/dialect.py
@@ -12,6 +12,12 @@
 from peridotmast.wire import connection as connection_
 
 
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+"""Statuses that tell a caller that its request did not run and will not run.
+If an upstream sends one of them without stating that it did not run the
+request, the response is not forwarded."""
+
+
 class Verdict(enum.Enum):
     """What the head of a response states about the request."""
 
@@ -56,8 +62,19 @@
         self,
         exchange: exchange_.Exchange,
         head: connection_.ResponseHead,
+        upstream: str,
+        may_be_stale: bool,
     ) -> Verdict:
-        """Return what the head of a response states."""
+        """Return what the head of a response states.
+
+        Parameters
+        ----------
+        upstream : str
+            Name of the upstream that the request was sent to.
+        may_be_stale : bool
+            Whether the connection had earlier requests or responses, so that
+            a response without an id may belong to another request.
+        """
 
     def is_leaving(self, head: connection_.ResponseHead) -> bool:
         """Return whether a response states that its upstream is leaving."""
