Bound what upstreams send without end, and yield while reading it

Cause: bytes that always arrive were read without yielding and without looking at the time limit, since both happened only in the wait for more bytes. http.client bounds neither 1xx responses nor trailers; a chunk of negative size turned what follows into a body without end; an event that is never completed was kept, and searched from its start with each piece. Comments began a stream. The body of a refusal was awaited until the time limit.

Change: SocketReader lets other tasks run after a turn of work and, after the deadline, reads only a bounded number of turns without waiting. Heads with their informational responses (128 KiB), chunk lines and trailers (16 KiB), the parts and the framing of buffered bodies, and the bytes of a stream without an event (1 MiB) have bounds; exceeding them is the failure too_long, which does not count as a crash by the request. A stream begins with its first event. The rest of a refusal is read for 200 ms at most.

--- a/src/peridotmast/serving/dispatcher.py
+++ b/src/peridotmast/serving/dispatcher.py
@@ -32,6 +32,10 @@
 stream is read completely before it is forwarded, so that a request with a
 truncated response can be retried or reported as failed."""
 
+_REFUSAL_BODY_MS = 200
+"""Time limit for the rest of a refusal, in ms. Its body is not used: it is
+read to reuse the connection, and the request does not wait for more of it."""
+
 _RETRY_MS = 500
 """Retry time sent to the caller if no upstream accepted the request, in ms."""
 
@@ -358,10 +362,13 @@
             sent.reservation.view.health.record_failure()
             sent.conn.close()
             return failures.not_run('address_reused', '', _RETRY_MS)
-        body = sent.conn.read_all(exchange.deadline, _MAX_BODY_BYTES)
-        if not isinstance(body, failures.Failure):
+        deadline = min(exchange.deadline, self._clock.now() + _REFUSAL_BODY_MS)
+        body = sent.conn.read_all(deadline, _MAX_BODY_BYTES)
+        if isinstance(body, failures.Failure):
+            sent.reservation.view.health.record_failure()
+        else:
             self._sender.finish(sent)
-        sent.reservation.view.health.record_error()
+            sent.reservation.view.health.record_error()
         return failures.not_run('upstream_refused', '', _RETRY_MS)
 
     def _begin_stream(
--- a/src/peridotmast/serving/stream.py
+++ b/src/peridotmast/serving/stream.py
@@ -88,6 +88,8 @@
             self._first = self._clock.now(), self.reader.last_id
         if self._gap_start is None and self.is_answering:
             self._gap_start = self._clock.now(), self.reader.last_id
+        if self.reader.is_endless:
+            return failures.unknown('too_long', 'bytes without an event')
         return None
 
     def _end(self) -> ty.Optional[failures.Failure]:
--- a/src/peridotmast/serving/stream_relay.py
+++ b/src/peridotmast/serving/stream_relay.py
@@ -173,7 +173,8 @@
         self, stream: stream_.Stream, first_event_ms: int
     ) -> ty.Optional[failures.Failure]:
         deadline = self._clock.now() + first_event_ms
-        while not stream.pending and not stream.ended:
+        # Comments begin no response: the upstream may send nothing else.
+        while not stream.reader.has_event and not stream.ended:
             failure = self._read(
                 stream, min(stream.exchange.deadline, deadline)
             )
--- /dev/null
+++ b/src/peridotmast/standin/endless.py
@@ -0,0 +1,111 @@
+"""Responses without end, as faulty upstreams send them."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+import typing as ty
+
+from peridotmast import green
+
+PIECE_BYTES = 16384
+"""Size of the pieces in which a response without end is sent, in bytes."""
+
+_PAUSE_MS = 1
+"""Pause between two pieces. Without it, this upstream would take all the
+processor time of a program that it shares with routers."""
+
+_CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
+_EVENT = b'id: 1\ndata: {"text": "w"}\n\n'
+
+HEADS = {
+    'a status line': (b'HTTP/1.1 200 ', b'OK'),
+    'a header line': (b'HTTP/1.1 200 OK\r\nDate: ', b'now'),
+    'headers': (b'HTTP/1.1 200 OK\r\n', b'Date: now\r\n'),
+    'long headers': (
+        b'HTTP/1.1 200 OK\r\n',
+        b'Date: ' + b'x' * 60_000 + b'\r\n',
+    ),
+    'continue responses': (b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+    'early hints': (b'', b'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n'),
+}
+"""First bytes, and those that follow without end, by what has no end."""
+
+BODIES = {
+    'a chunk size': (_CHUNKED, b'0'),
+    'a chunk extension': (_CHUNKED + b'1;', b'x'),
+    'small chunks': (_CHUNKED, b'2\r\n\n\n\r\n'),
+    'chunks with extensions': (
+        _CHUNKED,
+        b'1;' + b'x' * 4000 + b'\r\n\n\r\n',
+    ),
+    'a chunk of negative size': (_CHUNKED + b'-5\r\n', b'x'),
+    'trailers': (_CHUNKED + b'0\r\n', b'Date: now\r\n'),
+    'a body without length': (b'\r\n', b'\n'),
+}
+"""The same for bodies. The first bytes follow the last header line."""
+
+STREAMS = {
+    'comments': (b'\r\n', b': still here\n\n'),
+    'blank lines': (b'\r\n', b'\n'),
+    'an event': (b'\r\ndata: ', b'x'),
+    'an event in small chunks': (
+        _CHUNKED + b'6\r\ndata: \r\n',
+        b'1\r\nx\r\n',
+    ),
+    'comments after an event': (b'\r\n' + _EVENT, b': still here\n\n'),
+    'blank lines after an event': (b'\r\n' + _EVENT, b'\n'),
+    'an event after an event': (b'\r\n' + _EVENT + b'data: ', b'x'),
+}
+"""The same for bodies of streams."""
+
+KINDS = tuple(
+    kind for kind in (*HEADS, *BODIES, *STREAMS) if 'after' not in kind
+)
+"""What has no end, for responses that consist of nothing else."""
+
+
+@dataclasses.dataclass
+class EndlessResponse:
+    """A response without end that was sent to a router."""
+
+    kind: str
+    request_id: str
+    deadline: int
+    """Time limit of the request, in ms."""
+    ended_at: int = 0
+    """Time at which the router closed the connection, in ms; 0 before."""
+
+
+def pieces(kind: str, head: bytes) -> ty.Iterator[bytes]:
+    """Yield a response without end.
+
+    Parameters
+    ----------
+    kind : str
+        Key of `HEADS`, `BODIES` or `STREAMS`.
+    head : bytes
+        Status line and header lines of a response whose body has no end,
+        without the blank line.
+    """
+    if kind in HEADS:
+        first, repeated = HEADS[kind]
+    else:
+        first, repeated = {**BODIES, **STREAMS}[kind]
+        first = head + first
+    yield first
+    piece = repeated * max(1, PIECE_BYTES // len(repeated))
+    yield from itertools.repeat(piece)
+
+
+def send(sock: ty.Any, kind: str, head: bytes) -> None:
+    """Send a response without end until the connection is closed.
+
+    Raises
+    ------
+    OSError
+        If the receiver has closed the connection.
+    """
+    for piece in pieces(kind, head):
+        sock.sendall(piece)
+        green.sleep_ms(_PAUSE_MS)
--- a/src/peridotmast/wire/connection.py
+++ b/src/peridotmast/wire/connection.py
@@ -35,6 +35,18 @@
 _KEEPALIVE_PROBES = 3
 """With these settings a dead connection is detected in about three seconds,
 even if its upstream sends nothing for longer."""
+_MAX_HEAD_BYTES = 128 << 10
+"""Maximum size of the head of a response with the informational responses
+before it, in bytes. Common servers limit heads to 64 KiB."""
+_MAX_CHUNK_LINES_BYTES = 16 << 10
+"""Maximum size of a chunk-size line with its extensions, and of a trailer, in
+bytes. Both are discarded."""
+_MIN_MEAN_PART_BYTES = 16
+_MAX_WIRE_FACTOR = 2
+"""A buffered body may have as many parts as if each had the first number of
+bytes, and may take, with its framing, the second number times its maximum size
+on the wire. Otherwise chunks of one byte, or with long extensions, would be
+read for seconds, and no time would be left for another attempt."""
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 """SO_LINGER value with which closing a socket resets its connection."""
 _CONNECTION_ERRORS = (http.client.HTTPException, OSError, ValueError)
@@ -195,24 +207,22 @@
     ) -> ty.Union[ResponseHead, failures.Failure]:
         """Return status and headers of the next response."""
         self._reader.deadline = deadline
+        self._reader.line_bytes_left = _MAX_HEAD_BYTES
         try:
             head = self._read_head(method)
-        except TimeoutError as exc:
-            return self._close_with_failure('silent', str(exc))
         except _CONNECTION_ERRORS as exc:
-            return self._close_with_failure('broke_off', repr(exc)[:200])
+            return self._close_after_error(exc)
         return self._unless_cancelled(head)
 
     def read_some(self, deadline: int) -> ty.Union[bytes, failures.Failure]:
         """Return the next bytes of the response body; empty at its end."""
         self._reader.deadline = deadline
+        self._reader.line_bytes_left = _MAX_CHUNK_LINES_BYTES
         resp = self._resp
         try:
             data = resp.read1(_READ_BYTES)
-        except TimeoutError as exc:
-            return self._close_with_failure('silent', str(exc))
         except _CONNECTION_ERRORS as exc:
-            return self._close_with_failure('broke_off', repr(exc)[:200])
+            return self._close_after_error(exc)
         if not data and resp.length:
             return self._close_with_failure(
                 'cut_short', f'{resp.length} bytes'
@@ -237,15 +247,18 @@
         deadline : int
             Time by which the body must end, in ms of the clock.
         limit : int
-            Maximum number of bytes. A longer body closes the connection and
-            results in a failure with the reason ``too_long``.
+            Maximum number of bytes. A longer body, or one with too much
+            framing, closes the connection and results in a failure with the
+            reason ``too_long``.
         idle_timeout_ms : int, optional
             Maximum time without a byte of the body, in ms; 0 for no maximum.
         on_bytes : callable, optional
             Called when bytes of the body arrive.
         """
-        parts: list[bytes] = []
-        size = 0
+        # A list would take much more memory for chunks of a few bytes.
+        body = bytearray()
+        parts_left = limit // _MIN_MEAN_PART_BYTES
+        max_bytes_read = self._reader.bytes_read + limit * _MAX_WIRE_FACTOR
         while True:
             bound = deadline
             if idle_timeout_ms:
@@ -254,11 +267,15 @@
             if isinstance(part, failures.Failure):
                 return part
             if not part:
-                return b''.join(parts)
+                return bytes(body)
             on_bytes()
-            parts.append(part)
-            size += len(part)
-            if size > limit:
+            body += part
+            parts_left -= 1
+            if (
+                len(body) > limit
+                or parts_left < 0
+                or self._reader.bytes_read > max_bytes_read
+            ):
                 self.close()
                 return failures.unknown('too_long', f'over {limit} bytes')
 
@@ -279,6 +296,14 @@
             return found
         return self._close_with_failure(self._cancelled)
 
+    def _close_after_error(self, error: Exception) -> failures.Failure:
+        """Close the connection after an error in reading a response."""
+        if isinstance(error, TimeoutError):
+            return self._close_with_failure('silent', str(error))
+        if isinstance(error, socket_reader.LinesTooLongError):
+            return self._close_with_failure('too_long', str(error))
+        return self._close_with_failure('broke_off', repr(error)[:200])
+
     def _close_with_failure(
         self, reason: str, detail: str = ''
     ) -> failures.Failure:
@@ -292,7 +317,7 @@
 
     def _read_head(self, method: str) -> ResponseHead:
         while True:
-            resp = http.client.HTTPResponse(self._http_socket, method=method)
+            resp = _Response(self._http_socket, method=method)
             resp.begin()
             if self._reader.ended:
                 # The library takes the end of the connection for that of the
@@ -313,6 +338,20 @@
                 self.keep_alive_ms = int(value) * 1000
 
 
+class _Response(http.client.HTTPResponse):
+    """Response whose chunks have no negative size.
+
+    The library takes what follows such a chunk for a body without end.
+    """
+
+    def _read_next_chunk_size(self) -> int:
+        parent: ty.Any = super()
+        size: int = parent._read_next_chunk_size()
+        if size < 0:
+            raise http.client.HTTPException(f'chunk size {size}')
+        return size
+
+
 class _EarlyResponse(Exception):
     """Raised if the response begins while the body is being sent."""
 
--- a/src/peridotmast/wire/event_reader.py
+++ b/src/peridotmast/wire/event_reader.py
@@ -4,9 +4,18 @@
 
 import re
 
-_EVENT_END = re.compile(rb'\r?\n\r?\n')
+MAX_FILLER_BYTES = 1 << 20
+"""Maximum number of bytes that are received without completing an event, in
+bytes. Events have a few hundred bytes, and comments that keep a connection
+alive come seconds apart."""
+
+_EVENT_END = re.compile(rb'\r?\n(?:\r?\n)+')
+_MAX_PARTIAL_END = 3
+"""Number of bytes of an event's end that may precede its last byte."""
 _EVENT_ID = re.compile(rb'^id:[ ]?([0-9]+)\r?$', re.MULTILINE)
 
+_CONTENT = re.compile(rb'^[^:\r\n]', re.MULTILINE)
+
 
 class EventReader:
     """Returns only complete events and tracks the id of the last one.
@@ -17,15 +26,28 @@
     """
 
     def __init__(self, last_id: int = -1) -> None:
-        self._buffer = b''
+        self._buffer = bytearray()
+        self._filler_bytes = 0
+        self._repeated_id = -1
         self._skipping_seen = last_id >= 0
+        self.has_event = False
+        """Whether an event was returned, not only comments."""
         self.last_id = last_id
         """Id of the last event that was returned; -1 before the first."""
 
     @property
     def buffered(self) -> bytes:
         """Bytes of an incomplete event."""
-        return self._buffer
+        return bytes(self._buffer)
+
+    @property
+    def is_endless(self) -> bool:
+        """Whether so much was received without an event that none is expected.
+
+        Comments, blank lines, a part of an event, and events that were
+        repeated more than once count as no event.
+        """
+        return self._filler_bytes > MAX_FILLER_BYTES
 
     @property
     def is_inside_event(self) -> bool:
@@ -35,29 +57,41 @@
 
     def feed(self, data: bytes) -> bytes:
         """Return the bytes of the events that `data` completes."""
+        # What was searched before is not searched again: an event may arrive
+        # in many small pieces.
+        searched = max(0, len(self._buffer) - _MAX_PARTIAL_END)
         self._buffer += data
+        self._filler_bytes += len(data)
         complete: list[bytes] = []
         start = 0
-        for match in _EVENT_END.finditer(self._buffer):
-            event = self._buffer[start : match.end()]
+        for match in _EVENT_END.finditer(self._buffer, searched):
+            event = bytes(self._buffer[start : match.end()])
             start = match.end()
             if self._is_new(event):
                 complete.append(event)
-        self._buffer = self._buffer[start:]
+        del self._buffer[:start]
         return b''.join(complete)
 
     def restart(self) -> None:
         """Continue with another upstream, whose stream may repeat events."""
-        self._buffer = b''
+        self._buffer.clear()
+        self._filler_bytes = 0
+        self._repeated_id = -1
         self._skipping_seen = True
 
     def _is_new(self, event: bytes) -> bool:
         match = _EVENT_ID.search(event)
-        if match is None:
+        if match is None and _CONTENT.search(event) is None:
             return True
-        number = int(match[1])
-        if self._skipping_seen and number <= self.last_id:
-            return False
-        self._skipping_seen = False
-        self.last_id = number
+        if match is not None:
+            number = int(match[1])
+            if self._skipping_seen and number <= self.last_id:
+                if number > self._repeated_id:
+                    self._repeated_id = number
+                    self._filler_bytes = 0
+                return False
+            self._skipping_seen = False
+            self.last_id = number
+        self.has_event = True
+        self._filler_bytes = 0
         return True
--- a/src/peridotmast/wire/socket_reader.py
+++ b/src/peridotmast/wire/socket_reader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http.client
 import socket
 import typing as ty
 
@@ -10,6 +11,21 @@
 
 _READ_BYTES = 65536
 
+_TURN_UNITS = 256
+"""Work after which a task lets the others run, in units: one call of this
+interface, or `_UNIT_BYTES` bytes. A turn takes a millisecond or less, also if
+bytes always arrive."""
+_UNIT_BYTES = 256
+
+_MAX_LATE_TURNS = 256
+"""Number of turns that may be read after the deadline, without waiting. What
+had arrived before a pause of this process is read, such as a body of 1 MiB in
+chunks of 64 bytes; what arrives without end is not."""
+
+
+class LinesTooLongError(http.client.HTTPException):
+    """Raised if a head, chunk-size line or trailer exceeds its limit."""
+
 
 class SocketReader:
     """File object for `http.client` that reads from a non-blocking socket.
@@ -36,22 +52,46 @@
         """Time by which bytes must arrive, in ms of the clock."""
         self.bytes_received = 0
         """Number of bytes read from the socket so far."""
+        self.line_bytes_left = 0
+        """Number of bytes that `readline` may still return."""
+        self._turn_units = 0
+        self._late_turns = 0
 
     @property
     def pending(self) -> int:
         """Number of bytes that are received but not read yet."""
         return len(self._buffer)
 
+    @property
+    def bytes_read(self) -> int:
+        """Number of bytes that were returned so far."""
+        return self.bytes_received - len(self._buffer)
+
     def readline(self, limit: int = -1) -> bytes:
-        """Return bytes through a line feed, up to `limit` or the end."""
+        """Return bytes through a line feed, up to `limit` or the end.
+
+        Raises
+        ------
+        LinesTooLongError
+            If the lines exceed `line_bytes_left`.
+        """
+        self._count_work(1)
+        max_bytes = self.line_bytes_left + 1
+        if limit >= 0:
+            max_bytes = min(max_bytes, limit)
         while (end := self._buffer.find(b'\n') + 1) == 0:
-            if 0 <= limit <= len(self._buffer) or not self._fill():
+            if max_bytes <= len(self._buffer) or not self._fill():
                 end = len(self._buffer)
                 break
-        return self._take(end if limit < 0 else min(end, limit))
+        line = self._take(min(end, max_bytes))
+        self.line_bytes_left -= len(line)
+        if self.line_bytes_left < 0:
+            raise LinesTooLongError('lines without end')
+        return line
 
     def read(self, size: int = -1) -> bytes:
         """Return `size` bytes, fewer at the end; all if negative."""
+        self._count_work(1)
         while (size < 0 or len(self._buffer) < size) and self._fill():
             pass
         return self._take(len(self._buffer) if size < 0 else size)
@@ -60,6 +100,7 @@
         """Return buffered bytes; wait only if there are none."""
         if not size:
             return b''
+        self._count_work(1)
         if not self._buffer:
             self._fill()
         return self._take(len(self._buffer) if size < 0 else size)
@@ -100,10 +141,30 @@
             self.ended = not data
             self.bytes_received += len(data)
             self._buffer += data
+            self._count_work(len(data) // _UNIT_BYTES)
             return bool(data)
         return False
 
+    def _count_work(self, units: int) -> None:
+        """Let other tasks run after a turn; end reading long after deadline.
+
+        Raises
+        ------
+        TimeoutError
+            If bytes still arrive although the deadline has passed.
+        """
+        self._turn_units += units
+        if self._turn_units < _TURN_UNITS:
+            return
+        self._turn_units = 0
+        is_late = self._clock.now() > self.deadline
+        self._late_turns = self._late_turns + 1 if is_late else 0
+        if self._late_turns > _MAX_LATE_TURNS:
+            raise TimeoutError('data still received after the deadline')
+        green.sleep_ms(0)
+
     def _wait(self) -> None:
+        self._turn_units = 0
         remaining_ms = self.deadline - self._clock.now()
         if remaining_ms <= 0 or not green.poller.wait(
             self._sock.fileno(), remaining_ms
