Soak: upstreams that answer without end

Cause: no fault of the soak had an upstream send bytes until the router closes the connection.

Change: the stand-ins have the fault `endless` (a kind of response without end at random), and the soak draws `endless_answers`, which gives it to an engine and to a plain service for 3 s. The oracle has the guarantee `endless_not_ended`: such a response is closed within 5 s after the time limit of its request.

--- a/features/endless_upstreams.feature
+++ b/features/endless_upstreams.feature
@@ -54,3 +54,7 @@
     Then an event of 1000000 bytes in pieces of 7 bytes is read whole
     And repeated events count as progress, unless they are repeated again
     And a response that arrived before a pause of the router is read whole
+
+  # Guards against a soak that injects the fault and sees no violation of it.
+  Scenario: A soak notices a response without end that a router goes on reading
+    Then a soak counts a response without end that is read 5100 ms too long
--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -19,6 +19,7 @@
 from peridotmast import clock as clock_
 from peridotmast.embedded import shape as shape_
 from peridotmast import green
+from peridotmast.load import oracle
 from peridotmast.platform import names
 from peridotmast.serving import health as health_
 from peridotmast.standin import endless
@@ -227,3 +228,13 @@
             assert conn.read_head('GET', deadline).status == 200
             assert len(conn.read_all(deadline, 1 << 20)) == 800 * 64
     conn.close()
+
+
+@then('a soak counts a response without end that is read {ms:d} ms too long')
+def soak_counts(context, ms):
+    def count(ended_at, now):
+        response = endless.EndlessResponse('headers', 'r1', 1000, ended_at)
+        return oracle.count_not_ended([response], now)
+
+    assert count(1000 + ms, 99_000) == count(0, 1000 + ms) == 1
+    assert count(900, 99_000) == count(0, 1500) == 0
--- a/src/peridotmast/load/faults.py
+++ b/src/peridotmast/load/faults.py
@@ -57,6 +57,7 @@
     LIMIT_VM = 'limit_vm'
     ROLL_OUT = 'roll_out'
     STORE_RETURN = 'store_return'
+    ENDLESS_ANSWERS = 'endless_answers'
 
 
 PROCESS_FAULT_KINDS = tuple(FaultKind)
@@ -92,6 +93,12 @@
 all routers must enforce it plus the window in which the oracle counts
 requests."""
 
+_ENDLESS_SHARE = 0.7
+"""Share of the requests that upstreams answer without end."""
+_ENDLESS_DURATION_MS = 3000
+"""Time for which they do so: routers send them few requests once two have
+failed."""
+
 _COPY_AGE_MS = 500, 6000
 """Shortest and longest age of the copy that the store returns from, when it
 does, in ms."""
@@ -102,6 +109,14 @@
 _OPERATOR_TIMEOUT_MS = 5000
 """Time-out of one call by an operator."""
 
+_DRAWN_APART = {
+    FaultKind.STORE_RETURN: ('returns', 'r'),
+    FaultKind.ENDLESS_ANSWERS: ('endless', 'e'),
+}
+"""Kinds that are drawn apart, so that they do not change the schedule of the
+other kinds for a seed: the word in the seed of each, and the first letter of
+its names."""
+
 _WEIGHTS = {FaultKind.RECLAIM_DOMAIN: 2, FaultKind.RECLAIM_VM: 2}
 """Minimum number of faults of a kind in a schedule; 1 for all others."""
 
@@ -123,16 +138,15 @@
         Kinds to draw from.
     """
     rng = random.Random(f'faults|{seed}')
-    # Returns are drawn apart, so that they do not change the schedule of the
-    # other kinds for a seed.
-    others = [k for k in fault_kinds if k is not FaultKind.STORE_RETURN]
+    others = [k for k in fault_kinds if k not in _DRAWN_APART]
     kinds = [kind for kind in others for _ in range(_WEIGHTS.get(kind, 1))]
     extra = rng.choices(others, k=int(seconds // 8))
     schedule = _draw_faults([*kinds, *extra], seconds * share, rng, 'f')
-    if len(others) < len(fault_kinds):
-        rng = random.Random(f'returns|{seed}')
-        returns = [FaultKind.STORE_RETURN] * rng.choice((1, 2))
-        schedule += _draw_faults(returns, seconds * share, rng, 'r')
+    for kind, (word, letter) in _DRAWN_APART.items():
+        if kind in fault_kinds:
+            rng = random.Random(f'{word}|{seed}')
+            faults = [kind] * rng.choice((1, 2))
+            schedule += _draw_faults(faults, seconds * share, rng, letter)
     return sorted(schedule, key=lambda fault: fault.at)
 
 
@@ -352,6 +366,19 @@
     def _lose_answers(self, fault: pb.Fault) -> None:
         self._set_engine_faults(fault, lose=0.5)
 
+    def _endless_answers(self, fault: pb.Fault) -> None:
+        """Let an engine and a plain service answer without end."""
+        plain = self._fleet.running_upstreams(shape_.PLAIN_SERVICE)
+        guests = [plain[fault.target % len(plain)]]
+        engine = self._pick_engine(fault.target)
+        if engine is not None:
+            guests.append(engine)
+        for guest in guests:
+            guest.upstream.app.faults = {'endless': _ENDLESS_SHARE}
+        green.sleep_ms(_ENDLESS_DURATION_MS)
+        for guest in guests:
+            guest.upstream.app.faults = {}
+
     def _health_says_up(self, fault: pb.Fault) -> None:
         self._set_engine_faults(fault, error=0.7)
 
--- a/src/peridotmast/load/oracle.py
+++ b/src/peridotmast/load/oracle.py
@@ -17,6 +17,7 @@
 from peridotmast.load import team_runs as team_runs_
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.standin import answers
+from peridotmast.standin import endless
 
 MODEL = 'draft-7b'
 """Model that the stand-in engines serve."""
@@ -32,6 +33,7 @@
     'sent_over_limit',
     'teams_over_limit',
     'overexposed_versions',
+    'endless_not_ended',
     'invariant_violations',
 )
 """Fields of `Verdict` that must be zero."""
@@ -58,6 +60,10 @@
 _THAW_MS = 300
 """Time after a frozen router resumes in which a call that it sent before may
 still arrive."""
+_ENDLESS_MARGIN_MS = 5000
+"""Time after the limit of a request until the connection to an upstream that
+answers it without end must be closed. Routers are frozen, and links held up,
+for up to 2 s each."""
 _FailureKind = failures.FailureKind
 _EMPTY_SPAN = (1, 0)
 
@@ -113,7 +119,11 @@
     overexposed_versions: int = 0
     """Bad versions that got more requests than their bound, or any after
     their roll-back."""
+    endless_not_ended: int = 0
+    """Responses without end that routers read long after their limit."""
     invariant_violations: int = 0
+    endless_responses: int = 0
+    """Responses without end that upstreams have sent."""
     outcome_unknown: int = 0
     """Requests that may have run and received no answer."""
     recomputed_tokens: int = 0
@@ -215,6 +225,11 @@
         )
         verdict.invariant_violations = self._fleet.invariant_violations()
         for guest in self._fleet.instances:
+            responses = guest.upstream.app.endless_responses
+            verdict.endless_responses += len(responses)
+            verdict.endless_not_ended += count_not_ended(
+                responses, self._fleet.clock.now()
+            )
             totals = getattr(guest.upstream, 'totals', {})
             verdict.recomputed_tokens += totals.get('recomputed', 0)
             verdict.moved_tokens += totals.get('moved', 0)
@@ -345,6 +360,16 @@
     return max(0, crashes - _MAX_CRASHES_ONCE_BLOCKED - resumes)
 
 
+def count_not_ended(
+    responses: ty.Iterable[endless.EndlessResponse], now: int
+) -> int:
+    """Return how many responses without end were read for too long."""
+    return sum(
+        (response.ended_at or now) > response.deadline + _ENDLESS_MARGIN_MS
+        for response in responses
+    )
+
+
 def exceeds_limit(
     arrival_times: ty.Sequence[int],
     rate: float,
--- a/src/peridotmast/standin/upstream_app.py
+++ b/src/peridotmast/standin/upstream_app.py
@@ -10,6 +10,7 @@
 from peridotmast import clock as clock_
 from peridotmast import green
 from peridotmast.platform import names
+from peridotmast.standin import endless
 from peridotmast.standin import team_run
 from peridotmast.standin import version_faults
 from peridotmast import web
@@ -59,7 +60,9 @@
         """Ids of requests whose sender disconnected before their end."""
         self.faults: dict[str, float] = {}
         """Fraction of requests that each fault affects: ``refuse``, ``error``,
-        ``lose``, ``cut``, ``hang``, ``garble``, ``extra``."""
+        ``lose``, ``cut``, ``hang``, ``garble``, ``extra``, ``endless``."""
+        self.endless_responses: list[endless.EndlessResponse] = []
+        """Responses without end, in the order in which they began."""
         self.limit = ''
         """Value of the rate limit header of its answers; empty for none."""
         self.brittle = ''
@@ -205,6 +208,8 @@
             conn.reset()
             environ['eventlet.input'].get_socket().sendall(b'\x00no answer')
             raise ConnectionResetError('injected fault: garbled answer')
+        if self.fault_occurs('endless'):
+            self._send_endless(request_id, environ)
         if self.fault_occurs('error') or self._version_fails(environ):
             headers = [
                 *self.answer_headers(request_id),
@@ -214,6 +219,27 @@
             return [b'error']
         return _TrackedAnswer(self, request_id, environ, body, start)
 
+    def _send_endless(
+        self, request_id: str, environ: dict[str, ty.Any]
+    ) -> ty.NoReturn:
+        """Send bytes until the connection is closed."""
+        now = self._clock.now()
+        left_ms = int(_header(environ, names.DEADLINE_MS) or _HANG_MS)
+        kind = self._rng.choice(endless.KINDS)
+        response = endless.EndlessResponse(kind, request_id, now + left_ms)
+        self.endless_responses.append(response)
+        lines = ''.join(
+            f'{name}: {value}\r\n'
+            for name, value in self.answer_headers(request_id)
+        )
+        head = f'HTTP/1.1 200 OK\r\n{lines}'.encode()
+        try:
+            endless.send(environ['eventlet.input'].get_socket(), kind, head)
+        finally:
+            response.ended_at = self._clock.now()
+            environ[strict_protocol.CONNECTION].reset()
+        raise ConnectionResetError('injected fault: endless response')
+
     def _health(self, req: web.Request) -> web.Response:
         response = web.Response(503 if self.draining else 200, b'')
         response.headers.append((names.UPSTREAM, self.name))
