Order requests by priority while the capacity of a service is short

Cause: short prompts of low priorities pass long prompts of priority 0.

Change: serving/scarcity/ compares the load of each engine service, as beacons report it, with the slots and the memory of its live upstreams, smoothed and with hysteresis. With [scarcity] order = priority, the urgency follows the priority alone while capacity is short. New metrics, log lines and the command node show. A settings file that changes at run time is now also checked for unknown policies, orders and log levels.

--- a/features/programs.feature
+++ b/features/programs.feature
@@ -24,6 +24,14 @@
     When the other router receives SIGTERM
     Then the terminated router exits with 0 after its drain
 
+  Scenario: The command line shows the scarcity of services after the order was set
+    Given a stand-in and two routers in separate processes
+    When a router receives SIGHUP after the order under scarcity was changed to "fifo"
+    Then the router logs that the order is invalid and keeps the order "slack"
+    When a router receives SIGHUP after the order under scarcity was changed to "priority"
+    Then the command line shows a service with sufficient capacity
+    And the command line finds no router "nobody" to show
+
   Scenario: A suspended router is not listed until it is resumed
     Given a stand-in and two routers in separate processes
     When a router is suspended
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -67,3 +67,28 @@
       cloud = 127.0.0.1:2
       """
     Then the router program exits with 0
+
+  Scenario Outline: Unknown values of settings under scarcity
+    When the router program checks these settings
+      """
+      [router]
+      name = a
+      listen = 127.0.0.1:0
+      peer_listen = 127.0.0.1:0
+      failure_domain = fd-1
+      [platform]
+      objects = 127.0.0.1:1
+      cloud = 127.0.0.1:2
+      [scarcity]
+      order = <order>
+      refuse = <refuse>
+      """
+    Then the router program exits with <code>
+    And its output contains "router.ini" and "<text>"
+
+    Examples:
+      | order    | refuse | code | text                                             |
+      | fifo     | false  | 2    | [scarcity] order: must be one of slack, priority |
+      | slack    | true   | 2    | [scarcity] refuse: needs order = priority        |
+      | priority | maybe  | 2    | must be true or false                            |
+      | priority | true   | 0    | no findings                                      |
--- a/features/steps/program_steps.py
+++ b/features/steps/program_steps.py
@@ -342,6 +342,55 @@
     check_printed_answer(context)
 
 
+@when(
+    'a router receives SIGHUP after the order under scarcity was changed to'
+    ' "{order}"'
+)
+def change_order(context, order):
+    router = context.routers[0]
+    text = SETTINGS.format(number=1, platform=context.platform)
+    with open(router.config_path, 'w') as file:
+        file.write(f'{text}\n[scarcity]\norder = {order}\n')
+    router.send_signal(signal.SIGHUP)
+
+
+def show_scarcity(context):
+    [node] = [
+        line.split()[0]
+        for line in run_command(context, 'node', 'list').stdout.splitlines()
+        if line.startswith('router-1 ')
+    ]
+    return run_command(context, 'node', 'show', node).stdout
+
+
+@then(
+    'the router logs that the order is invalid and keeps the order "{order}"'
+)
+def check_order_kept(context, order):
+    wait_for_log(
+        context.routers[0], r'event=settings_invalid .*\[scarcity\] order'
+    )
+    output = show_scarcity(context)
+    assert output == f'router-1: scarcity order={order} refuse=no\n', output
+
+
+@then('the command line shows a service with sufficient capacity')
+def check_scarcity_shown(context):
+    wait_for(
+        lambda: 'sufficient scarcity=0.00' in show_scarcity(context),
+        'a service with its scarcity',
+    )
+    output = show_scarcity(context)
+    assert 'order=priority refuse=no' in output, output
+
+
+@then('the command line finds no router "{name}" to show')
+def check_unknown_not_shown(context, name):
+    run = run_command(context, 'node', 'show', name)
+    assert run.returncode == 1
+    assert run.stderr == f'no router {name}\n', run.stderr
+
+
 @when('a router is suspended')
 def suspend_router(context):
     context.suspended = context.routers[1]
--- a/src/peridotmast/cli/_program.py
+++ b/src/peridotmast/cli/_program.py
@@ -12,10 +12,12 @@
 from google.protobuf import message
 import prometheus_client
 
+from peridotmast import findings as findings_
 from peridotmast import green
 from peridotmast import ini
 from peridotmast import logs
 from peridotmast.serving import policies
+from peridotmast.serving.scarcity import order as scarcity_order
 from peridotmast import web
 from peridotmast.wire import server as server_
 
@@ -34,6 +36,18 @@
     If there are findings, prints all of them and exits with 2. With `check`,
     exits with 0 if there are none.
     """
+    settings, found = check_file(path, kind)
+    if found:
+        click.echo(str(found), err=True)
+        sys.exit(BAD_SETTINGS)
+    if check:
+        click.echo(f'{path}: no findings')
+        sys.exit(0)
+    return settings
+
+
+def check_file(path: str, kind: type[M]) -> tuple[M, findings_.Findings]:
+    """Return the settings in `path` and the findings on them."""
     settings, found = ini.load_file(path, kind)
     router = getattr(settings, 'router', None)
     if router is not None and router.policy:
@@ -44,13 +58,15 @@
     if telemetry is not None and telemetry.log_level not in logs.LEVELS:
         levels = ', '.join(logs.LEVELS)
         found.add(path, f'[telemetry] log_level: must be one of {levels}')
-    if found:
-        click.echo(str(found), err=True)
-        sys.exit(BAD_SETTINGS)
-    if check:
-        click.echo(f'{path}: no findings')
-        sys.exit(0)
-    return settings
+    scarcity = getattr(settings, 'scarcity', None)
+    if scarcity is not None and scarcity.order:
+        if scarcity.order not in scarcity_order.ORDERS:
+            known = ', '.join(scarcity_order.ORDERS)
+            found.add(path, f'[scarcity] order: must be one of {known}')
+        elif scarcity.refuse and scarcity.order != scarcity_order.PRIORITY:
+            needed = scarcity_order.PRIORITY
+            found.add(path, f'[scarcity] refuse: needs order = {needed}')
+    return settings, found
 
 
 def setup(level: str) -> None:
--- a/src/peridotmast/cli/main.py
+++ b/src/peridotmast/cli/main.py
@@ -280,6 +280,28 @@
         click.echo('duties: no known holder')
 
 
+@node.command('show')
+@click.argument('name', default='')
+@click.pass_obj
+def node_show(operator: Operator, name: str) -> None:
+    """Show a router's view of the scarcity of the engine services."""
+    reply = operator.call('NodeShow', pb.NodeShowRequest(name=name))
+    if reply.reason:
+        click.echo(reply.reason, err=True)
+        sys.exit(1)
+    refuse = 'yes' if reply.scarcity_refuse else 'no'
+    click.echo(
+        f'{reply.name}: scarcity order={reply.scarcity_order} refuse={refuse}'
+    )
+    for item in reply.services:
+        click.echo(
+            f'{item.name:<24} {"short" if item.short else "sufficient":<10} '
+            f'scarcity={item.scarcity:.2f} running={item.running} '
+            f'slots={item.slots} memory={item.memory} '
+            f'memory_tokens={item.memory_tokens}'
+        )
+
+
 @node.command('drain')
 @click.argument('name')
 @click.pass_obj
--- a/src/peridotmast/cli/router.py
+++ b/src/peridotmast/cli/router.py
@@ -8,7 +8,6 @@
 
 from peridotmast.cli import _program
 from peridotmast import green
-from peridotmast import ini
 from peridotmast import logs
 from peridotmast.router import router as router_
 from peridotmast.router import settings_watch
@@ -41,7 +40,7 @@
     settings_file_watch = settings_watch.SettingsWatch(
         config,
         settings,
-        lambda path: ini.load_file(path, pb.RouterFile),
+        lambda path: _program.check_file(path, pb.RouterFile),
         router.apply_settings,
     )
     tasks = green.Tasks(
--- a/src/peridotmast/embedded/router_settings.py
+++ b/src/peridotmast/embedded/router_settings.py
@@ -49,6 +49,7 @@
             cloud=platform.cloud,
         ),
         bounds=ini.defaults(pb.BoundsSettings, **shape.bounds),
+        scarcity=ini.defaults(pb.ScarcitySettings, **shape.scarcity),
         telemetry=ini.defaults(
             pb.TelemetrySettings, trace_file=shape.trace_file
         ),
--- a/src/peridotmast/embedded/shape.py
+++ b/src/peridotmast/embedded/shape.py
@@ -104,6 +104,8 @@
     """Settings of the routers that differ from the defaults."""
     bounds: dict[str, ty.Any] = dataclasses.field(default_factory=dict)
     """Bounds that differ from the defaults."""
+    scarcity: dict[str, ty.Any] = dataclasses.field(default_factory=dict)
+    """Settings under scarcity that differ from the defaults."""
     trace_file: str = ''
     chat: bool = True
     """Whether routers also serve the chat API."""
--- a/src/peridotmast/router/operator_service.py
+++ b/src/peridotmast/router/operator_service.py
@@ -15,6 +15,7 @@
 from peridotmast import rpc
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import decisions as decisions_
+from peridotmast.serving.scarcity import control as scarcity_
 from peridotmast.serving import upstreams as upstreams_
 
 _CALL_TIMEOUT_MS = 1000
@@ -45,6 +46,7 @@
         operators: rpc.RpcClient,
         start_drain: ty.Callable[[], None],
         rollouts: rollout_views.RolloutViews,
+        scarcity: scarcity_.ScarcityControl,
         tls: pb.TlsSettings,
     ) -> None:
         self._clock = clock
@@ -57,6 +59,7 @@
         self._operators = operators
         self._start_drain = start_drain
         self._rollouts = rollouts
+        self._scarcity = scarcity
         self._tls = tls
         self._log = logs.get('operators', router=members.me.name)
 
@@ -148,6 +151,23 @@
             return pb.NodeDrainReply(reason=reply.reason)
         return reply
 
+    def NodeShow(  # noqa: N802
+        self, req: pb.NodeShowRequest, caller: rpc.Caller
+    ) -> pb.NodeShowReply:
+        """Return the scarcity of the services at this or another router."""
+        self._require_role(caller, READ)
+        if req.name in ('', self._members.me.name):
+            return self._show_node()
+        other = self._members.get(req.name)
+        if other is None:
+            return pb.NodeShowReply(reason=f'no router {req.name}')
+        reply = self._operators.call(
+            other.member.peer_address, 'NodeShow', req, _CALL_TIMEOUT_MS
+        )
+        if isinstance(reply, failures.Failure):
+            return pb.NodeShowReply(reason=reply.reason)
+        return reply
+
     def UpstreamList(  # noqa: N802
         self, req: pb.UpstreamListRequest, caller: rpc.Caller
     ) -> pb.UpstreamListReply:
@@ -230,6 +250,26 @@
             return
         raise rpc.PermissionDenied(f'{caller.name or "nobody"} may not {role}')
 
+    def _show_node(self) -> pb.NodeShowReply:
+        """Return the scarcity of the services as this router knows it."""
+        settings = self._scarcity.settings
+        reply = pb.NodeShowReply(
+            name=self._members.me.name,
+            scarcity_order=settings.order,
+            scarcity_refuse=settings.refuse,
+        )
+        for name, state in sorted(self._scarcity.states().items()):
+            reply.services.add(
+                name=name,
+                short=state.is_short,
+                scarcity=state.ratio,
+                running=round(state.figures.running),
+                slots=state.figures.slots,
+                memory=round(state.figures.memory),
+                memory_tokens=state.figures.memory_tokens,
+            )
+        return reply
+
     def _node_status(self, member: pb.Member) -> pb.ConfigStatusReply.Node:
         node = pb.ConfigStatusReply.Node(name=member.name)
         if member.name == self._members.me.name:
--- a/src/peridotmast/router/serving.py
+++ b/src/peridotmast/router/serving.py
@@ -25,6 +25,7 @@
 from peridotmast.serving import quota as quota_
 from peridotmast.serving import reachability
 from peridotmast.serving import retry_budget
+from peridotmast.serving.scarcity import control as scarcity_
 from peridotmast.serving import sender as sender_
 from peridotmast.serving import stream_migrator as migrator_
 from peridotmast.serving import stream_relay
@@ -188,6 +189,15 @@
         table.listen(migrator.on_change)
         table.listen(self._sender.on_upstream_change)
         table.listen_replacements(self._sender.abort_run)
+        self.scarcity = scarcity_.ScarcityControl(
+            clock, table, self.demand, self._metrics, cfg.name
+        )
+        """Orders requests while capacity is short."""
+        count_routers = fleet_state.members.limit_sharer_count
+        self.scarcity.count_missing = lambda: (
+            (1 - self.quota.known_share) * count_routers()
+        )
+        self.scarcity.apply_settings(file.scarcity)
         self.gateway = gateway_.Gateway(
             clock,
             self._create_dispatcher(),
@@ -196,6 +206,7 @@
             self._metrics,
             self.decisions,
             tracer,
+            self.scarcity,
         )
         """Handles the requests."""
 
@@ -209,6 +220,7 @@
         self.crashes.tick()
         self._sender.tick()
         self.limits.tick()
+        self.scarcity.tick()
         self._team_log.tick()
         self.stream_versions.tick()
 
@@ -227,6 +239,7 @@
             bounds.budget_slack,
         )
         self.quota.tolerance = _tolerance(bounds)
+        self.scarcity.apply_settings(file.scarcity)
 
     def _create_dispatcher(self) -> dispatcher_.Dispatcher:
         return dispatcher_.Dispatcher(
--- a/src/peridotmast/serving/gateway.py
+++ b/src/peridotmast/serving/gateway.py
@@ -17,6 +17,7 @@
 from peridotmast.serving import quota as quota_
 from peridotmast.serving import reply as reply_
 from peridotmast.serving import route_table
+from peridotmast.serving.scarcity import control as scarcity_
 from peridotmast.serving import urgency
 from peridotmast import tracing
 from peridotmast.wire import connection
@@ -90,6 +91,8 @@
         Records the decisions on each request.
     tracer : tracing.Tracing
         Opens a span for each request.
+    scarcity : scarcity.control.ScarcityControl
+        Orders requests while capacity is short.
     """
 
     def __init__(
@@ -101,6 +104,7 @@
         metrics: metrics_.ServingMetrics,
         decisions: decisions_.Decisions,
         tracer: tracing.Tracing,
+        scarcity: scarcity_.ScarcityControl,
     ) -> None:
         self._clock = clock
         self._dispatcher = dispatcher
@@ -109,6 +113,7 @@
         self._quota = quota
         self._demand = demand
         self._metrics = metrics
+        self._scarcity = scarcity
         self._routes: ty.Optional[route_table.RouteTable] = None
         self._accept_all_until = 0
         self._stops_at: ty.Optional[int] = None
@@ -144,6 +149,7 @@
         """Apply a configuration."""
         self._routes = route_table.RouteTable(config)
         self._quota.configure(config.teams)
+        self._scarcity.configure(config.services)
 
     def handle(
         self, request: IncomingRequest
@@ -253,6 +259,7 @@
                 'team_limit', self._quota.describe(exchange.team), wait_ms
             )
             return self._record_refusal(request, failure, service.name)
+        self._scarcity.set_urgency(exchange, service)
         self._demand.count_request(service.name, exchange.prompt.tokens_in)
         result = self._dispatcher.answer(exchange, service)
         if isinstance(result, failures.Failure):
--- a/src/peridotmast/serving/metrics.py
+++ b/src/peridotmast/serving/metrics.py
@@ -87,6 +87,18 @@
             ['service', 'source'],
             registry=registry,
         )
+        self.scarcity = prometheus_client.Gauge(
+            'peridotmast_scarcity',
+            'Smoothed ratio of load to capacity of an engine service.',
+            ['service'],
+            registry=registry,
+        )
+        self.ordered = prometheus_client.Counter(
+            'peridotmast_ordered_requests',
+            'Requests to measured engine services, by order of urgency.',
+            ['service', 'order'],
+            registry=registry,
+        )
         self.resumed_streams = prometheus_client.Counter(
             'peridotmast_resumed_streams',
             'Streams that went on at another upstream.',
--- a/src/peridotmast/serving/upstreams.py
+++ b/src/peridotmast/serving/upstreams.py
@@ -177,6 +177,10 @@
         """Return all upstreams, including gone ones."""
         return list(self._views.values())
 
+    def not_live(self) -> ty.Collection[upstream_view.UpstreamView]:
+        """Return the upstreams that leave, are gone or have lapsed."""
+        return self._not_live.values()
+
     def live(self, service: str) -> ty.Sequence[upstream_view.UpstreamView]:
         """Return the upstreams of `service` that may get new requests.
 
--- a/src/peridotmast/serving/urgency.py
+++ b/src/peridotmast/serving/urgency.py
@@ -21,6 +21,17 @@
 _LONG_PROMPT_STEP = 3
 
 
+def prefill_share(
+    tokens: int, target_ms: int, prefill_rate: float | None
+) -> float:
+    """Return the prefill time as a fraction of the latency target.
+
+    Parameters are those of `level`.
+    """
+    rate = prefill_rate or _DEFAULT_PREFILL_RATE
+    return tokens / rate / max(1, target_ms)
+
+
 def level(
     priority: int, tokens: int, target_ms: int, prefill_rate: float | None
 ) -> int:
@@ -37,9 +48,7 @@
     prefill_rate : float, optional
         Measured prefill rate of the engines, in tokens per ms.
     """
-    share = (
-        tokens / (prefill_rate or _DEFAULT_PREFILL_RATE) / max(1, target_ms)
-    )
+    share = prefill_share(tokens, target_ms, prefill_rate)
     step = next(
         (step for bound, step in _STEPS if share < bound), _LONG_PROMPT_STEP
     )
