Refuse requests that could not end in time while capacity is short

Cause: with too few slots, requests wait at engines until their time limit. Ordering by priority alone leaves the lowest priority without any slot.

Change: with [scarcity] refuse = true, a request that would not end within 0.75 of the time left to it gets 503 and a spread retry time, lower priorities first. A share of each priority and team is always admitted, and nothing is refused while less than half of the slots are in use. Refused requests count for the demand by which upstreams are ordered.

--- a/src/peridotmast/router/serving.py
+++ b/src/peridotmast/router/serving.py
@@ -194,6 +194,7 @@
         )
         """Orders requests while capacity is short."""
         count_routers = fleet_state.members.limit_sharer_count
+        self.scarcity.count_routers = count_routers
         self.scarcity.count_missing = lambda: (
             (1 - self.quota.known_share) * count_routers()
         )
--- a/src/peridotmast/serving/gateway.py
+++ b/src/peridotmast/serving/gateway.py
@@ -259,14 +259,23 @@
                 'team_limit', self._quota.describe(exchange.team), wait_ms
             )
             return self._record_refusal(request, failure, service.name)
-        self._scarcity.set_urgency(exchange, service)
+        # Also counted if refused for lack of capacity, which must be ordered.
         self._demand.count_request(service.name, exchange.prompt.tokens_in)
-        result = self._dispatcher.answer(exchange, service)
+        ticket = self._scarcity.admit(exchange, service)
+        if isinstance(ticket, failures.Failure):
+            self._quota.refund(exchange.team, exchange.cost)
+            return self._record_refusal(request, ticket, service.name)
+        result: ty.Union[reply_.Reply, failures.Failure, None] = None
+        try:
+            result = self._dispatcher.answer(exchange, service)
+        finally:
+            if not isinstance(result, reply_.Reply):
+                ticket.end()
         if isinstance(result, failures.Failure):
             if result.kind is failures.FailureKind.NOT_RUN:
                 self._quota.refund(exchange.team, exchange.cost)
             return self._record_refusal(request, result, service.name)
-        return self._record_response(exchange, service, result, span)
+        return self._record_response(exchange, service, result, span, ticket)
 
     def _outlasts_router(self, exchange: exchange_.Exchange) -> bool:
         """Return whether the router may stop before the request ends."""
@@ -281,6 +290,7 @@
         service: pb.Service,
         reply: reply_.Reply,
         span: tracing.Span,
+        ticket: scarcity_.Ticket,
     ) -> reply_.Reply:
         """Count a response that has begun, and record its end when closed."""
         priority = str(exchange.priority)
@@ -297,6 +307,7 @@
             span.end()
             self.in_flight -= 1
             took_ms = self._clock.now() - exchange.arrived_at
+            ticket.end(waited_ms, took_ms)
             self._metrics.answer_time.labels(service.name, priority).observe(
                 took_ms / 1000
             )
--- a/src/peridotmast/serving/metrics.py
+++ b/src/peridotmast/serving/metrics.py
@@ -99,6 +99,12 @@
             ['service', 'order'],
             registry=registry,
         )
+        self.scarcity_refusals = prometheus_client.Counter(
+            'peridotmast_scarcity_refusals',
+            'Requests refused as they could not begin in time, by priority.',
+            ['service', 'priority'],
+            registry=registry,
+        )
         self.resumed_streams = prometheus_client.Counter(
             'peridotmast_resumed_streams',
             'Streams that went on at another upstream.',
--- a/src/peridotmast/serving/scarcity/control.py
+++ b/src/peridotmast/serving/scarcity/control.py
@@ -5,23 +5,89 @@
 import typing as ty
 
 from peridotmast import clock as clock_
+from peridotmast import failures
 from peridotmast import logs
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import candidates
 from peridotmast.serving import demand as demand_
 from peridotmast.serving import exchange as exchange_
 from peridotmast.serving import metrics as metrics_
+from peridotmast.serving.scarcity import admission as admission_
 from peridotmast.serving.scarcity import measure
 from peridotmast.serving.scarcity import order as order_
 from peridotmast.serving import upstream_view
 from peridotmast.serving import upstreams as upstreams_
+from peridotmast.serving import urgency
+
+REFUSAL_REASON = 'capacity_short'
+
+
+class Ticket:
+    """An admitted request, until its end is counted.
+
+    Parameters
+    ----------
+    end : callable
+        Called once with the time for which the request held a slot, in ms;
+        None if it is unknown.
+    prefill_ms : float
+        Expected prefill time, in ms.
+    state : measure.ScarcityState, optional
+        State of the service; None if nothing is counted.
+    is_stream : bool
+        Whether the first event marks the end of the prefill.
+    """
+
+    def __init__(
+        self,
+        end: ty.Callable[[ty.Optional[float]], None] = lambda hold_ms: None,
+        prefill_ms: float = 0.0,
+        state: ty.Optional[measure.ScarcityState] = None,
+        is_stream: bool = False,
+    ) -> None:
+        self._end: ty.Optional[ty.Callable[[ty.Optional[float]], None]] = end
+        self._prefill_ms = prefill_ms
+        self._state = state
+        self._is_stream = is_stream
+
+    def end(
+        self,
+        first_ms: ty.Optional[float] = None,
+        took_ms: ty.Optional[float] = None,
+    ) -> None:
+        """Count the end of the request; idempotent.
+
+        Parameters
+        ----------
+        first_ms : float, optional
+            Time from its arrival to the first bytes of the response, in ms;
+            None if there is no response.
+        took_ms : float, optional
+            Time to the end of the response, in ms.
+        """
+        end, self._end = self._end, None
+        if end is not None:
+            end(self._hold_ms(first_ms, took_ms))
+
+    def _hold_ms(
+        self, first_ms: ty.Optional[float], took_ms: ty.Optional[float]
+    ) -> ty.Optional[float]:
+        if first_ms is None or took_ms is None:
+            return None
+        if self._is_stream:
+            return took_ms - first_ms + self._prefill_ms
+        if self._state is not None and self._state.is_short:
+            # The response may have waited in the queue of the engine.
+            return None
+        return took_ms
 
 
 class ScarcityControl:
     """Orders the requests to engine services whose capacity is short.
 
     The state has one entry for each engine service of the configuration that
-    has upstreams, and some 200 bytes each. It is derived at each `tick` from
+    has upstreams. An entry takes some 200 bytes, and up to 60 kB for the
+    counts by team if requests are refused. It is derived at each `tick` from
     the loads that routers report in their beacons, and ends with the service.
     Each router decides for itself; routers agree within two rounds of beacons.
     While nothing is enabled, there is no state.
@@ -56,9 +122,12 @@
         self._log = logs.get('scarcity', router=router)
         self._services: dict[str, pb.Service] = {}
         self._states: dict[str, measure.ScarcityState] = {}
+        self._admissions: dict[str, admission_.Admission] = {}
         self._settings = pb.ScarcitySettings()
         self.count_missing: ty.Callable[[], float] = lambda: 0.0
         """Returns the number of routers whose reports are missing."""
+        self.count_routers: ty.Callable[[], int] = lambda: 1
+        """Returns the number of routers, including this one."""
 
     @property
     def settings(self) -> pb.ScarcitySettings:
@@ -94,7 +163,73 @@
         """Return the state of each service that is measured."""
         return self._states
 
-    def set_urgency(
+    def admit(
+        self, exchange: exchange_.Exchange, service: pb.Service
+    ) -> ty.Union[Ticket, failures.Failure]:
+        """Set the urgency of a request, or refuse it.
+
+        The caller of this method must call ``end`` of a `Ticket`.
+        """
+        self._set_urgency(exchange, service)
+        state = self._states.get(service.name)
+        admission = self._admissions.get(service.name)
+        if state is None or admission is None:
+            return Ticket()
+        now = self._clock.now()
+        by_share = False
+        # The beginning of a resumed stream has been served already.
+        if not exchange.is_stream or exchange.resumes is None:
+            verdict = admission.decide(
+                exchange.priority,
+                exchange.team,
+                exchange.deadline - now,
+                now,
+            )
+            if verdict.retry_ms:
+                return self._refusal(exchange, service, state, verdict)
+            by_share = verdict.by_share
+            if by_share:
+                exchange.urgency = min(exchange.urgency, order_.SHARE_LEVEL)
+        return self._ticket(exchange, service, state, admission, by_share)
+
+    def _refusal(
+        self,
+        exchange: exchange_.Exchange,
+        service: pb.Service,
+        state: measure.ScarcityState,
+        verdict: admission_.Verdict,
+    ) -> failures.Failure:
+        priority = exchange.priority
+        self._metrics.scarcity_refusals.labels(
+            service.name, str(priority)
+        ).inc()
+        detail = (
+            f'priority {priority}: wait {verdict.wait_ms:.0f} ms,'
+            f' running {state.figures.running:.0f} of {state.figures.slots}'
+        )
+        return failures.not_run(REFUSAL_REASON, detail, verdict.retry_ms)
+
+    def _ticket(
+        self,
+        exchange: exchange_.Exchange,
+        service: pb.Service,
+        state: measure.ScarcityState,
+        admission: admission_.Admission,
+        by_share: bool,
+    ) -> Ticket:
+        prompt, priority = exchange.prompt, exchange.priority
+        memory = prompt.tokens_in + prompt.tokens_out
+        admission.begin(priority, memory, by_share)
+        return Ticket(
+            lambda hold_ms: admission.end(priority, memory, hold_ms, by_share),
+            urgency.prefill_ms(
+                prompt.tokens_in, self._demand.prefill_rate(service.name)
+            ),
+            state,
+            exchange.is_stream,
+        )
+
+    def _set_urgency(
         self, exchange: exchange_.Exchange, service: pb.Service
     ) -> None:
         """Replace the urgency of a request while capacity is short."""
@@ -133,6 +268,14 @@
                 missing_routers=round(missing, 1),
             )
         self._metrics.scarcity.labels(service.name).set(state.ratio)
+        if not self._settings.refuse:
+            self._admissions.pop(service.name, None)
+            return
+        admission = self._admissions.get(service.name)
+        if admission is None:
+            admission = admission_.Admission(f'{self._router}|{service.name}')
+            self._admissions[service.name] = admission
+        admission.tick(figures, self.count_routers(), self._clock.now())
 
     def _leaving_by_service(
         self,
@@ -147,4 +290,5 @@
         """Drop the state of all services that are not in `services`."""
         for name in [name for name in self._states if name not in services]:
             del self._states[name]
+            self._admissions.pop(name, None)
             self._metrics.scarcity.remove(name)
--- a/src/peridotmast/serving/scarcity/order.py
+++ b/src/peridotmast/serving/scarcity/order.py
@@ -14,6 +14,11 @@
 ORDERS = (SLACK, PRIORITY)
 """All orders, by their name in the settings."""
 
+SHARE_LEVEL = 1
+"""Urgency level of a request that is only admitted for the minimum share of
+its priority or team: that of long prompts of priority 0, as it would not be
+served at the level of its priority."""
+
 _LEVELS = 2
 """Number of urgency levels of one priority."""
 
--- a/src/peridotmast/serving/urgency.py
+++ b/src/peridotmast/serving/urgency.py
@@ -21,6 +21,11 @@
 _LONG_PROMPT_STEP = 3
 
 
+def prefill_ms(tokens: int, prefill_rate: float | None) -> float:
+    """Return the prefill time of a prompt of `tokens`, in ms."""
+    return tokens / (prefill_rate or _DEFAULT_PREFILL_RATE)
+
+
 def prefill_share(
     tokens: int, target_ms: int, prefill_rate: float | None
 ) -> float:
@@ -28,8 +33,7 @@
 
     Parameters are those of `level`.
     """
-    rate = prefill_rate or _DEFAULT_PREFILL_RATE
-    return tokens / rate / max(1, target_ms)
+    return prefill_ms(tokens, prefill_rate) / max(1, target_ms)
 
 
 def level(
