--- a/src/peridotmast/serving/urgency.py
+++ b/src/peridotmast/serving/urgency.py
@@ -21,6 +21,21 @@
 _LONG_PROMPT_STEP = 3
 
 
+def prefill_ms(tokens: int, prefill_rate: float | None) -> float:
+    """Return the prefill time of a prompt of `tokens`, in ms."""
+    return tokens / (prefill_rate or _DEFAULT_PREFILL_RATE)
+
+
+def prefill_share(
+    tokens: int, target_ms: int, prefill_rate: float | None
+) -> float:
+    """Return the prefill time as a fraction of the latency target.
+
+    Parameters are those of `level`.
+    """
+    return prefill_ms(tokens, prefill_rate) / max(1, target_ms)
+
+
 def level(
     priority: int, tokens: int, target_ms: int, prefill_rate: float | None
 ) -> int:
@@ -37,9 +52,7 @@
     prefill_rate : float, optional
         Measured prefill rate of the engines, in tokens per ms.
     """
-    share = (
-        tokens / (prefill_rate or _DEFAULT_PREFILL_RATE) / max(1, target_ms)
-    )
+    share = prefill_share(tokens, target_ms, prefill_rate)
     step = next(
         (step for bound, step in _STEPS if share < bound), _LONG_PROMPT_STEP
     )
