Estimate the speed of each run of an upstream

The score of an upstream assumes one prefill rate for its service, although some upstreams are slower. Nothing uses it yet.

--- /dev/null
+++ b/features/speeds.feature
@@ -0,0 +1,55 @@
+Feature: A router estimates the speed of each run of an upstream
+
+  # Guards against a service-wide prefill rate that hides which upstreams are slow.
+  Scenario: A third of the upstreams prefill 1.3 times slower, and times are noisy
+    Given 30 upstreams of which every 3rd is 1.3 times slower
+    When each of them prefills 4 times a second for 20 s, with noise of 0.3
+    Then the estimates are between 0.65 and 0.9 at slow upstreams, between 0.85 and 1.2 at others
+
+  # Guards against avoiding an upstream because of one disturbed request.
+  Scenario: An estimate from one sample is pulled towards 1
+    Given 1 upstreams of which none is slower
+    When upstream 0 prefills once, 100 times slower than expected
+    Then the speed of upstream 0 is between 0.5 and 0.75
+
+  Scenario: An estimate stays within its bounds for any times
+    Then estimates from random samples are between 0.25 and 4
+
+  # Guards against an upstream that is avoided for long after a short slow-down.
+  Scenario: The effect of a slow-down of 2 s ends
+    Given 1 upstreams of which none is slower
+    When upstream 0 prefills 4 times a second for 10 s, at 1 times the expected time
+    And upstream 0 prefills 4 times a second for 2 s, at 3 times the expected time
+    Then the speed of upstream 0 is between 0.25 and 0.75
+    When 30 s pass without requests
+    Then the speed of upstream 0 is between 0.85 and 1.15
+    When 60 s pass without requests
+    Then nothing is kept of upstream 0
+
+  # Guards against judging a new process by the one that had its id before.
+  Scenario: A run that begins again under its id starts without samples
+    Given 1 upstreams of which none is slower
+    When upstream 0 prefills 4 times a second for 10 s, at 3 times the expected time
+    Then the speed of upstream 0 is between 0.25 and 0.5
+    When upstream 0 begins again under its id
+    Then the speed of upstream 0 is between 1 and 1
+    And nothing is kept of upstream 0
+    When a request of the earlier run of upstream 0 has its first event
+    Then nothing is kept of upstream 0
+
+  # Guards against metrics of upstreams that no longer exist.
+  Scenario: The metric of an upstream that is gone is removed
+    Given 2 upstreams of which none is slower
+    When upstream 0 prefills 4 times a second for 10 s, at 3 times the expected time
+    And upstream 1 prefills 4 times a second for 10 s, at 1 times the expected time
+    Then the metric shows a speed of upstreams 0 and 1
+    When upstream 0 is gone
+    Then the metric shows a speed of upstream 1 only
+
+  # Guards against a log line for each small change of an estimate.
+  Scenario: The log has one line when an estimate crosses a threshold
+    Given 1 upstreams of which none is slower
+    When upstream 0 prefills 4 times a second for 10 s, at 3 times the expected time
+    Then 1 changes of a speed were logged, the last to "slow"
+    When upstream 0 prefills 4 times a second for 60 s, at 1 times the expected time
+    Then 2 changes of a speed were logged, the last to "usual"
--- a/src/peridotmast/serving/demand.py
+++ b/src/peridotmast/serving/demand.py
@@ -65,6 +65,10 @@
         found = [rate for rate in [*found, own or 0] if rate > 0]
         return statistics.median(found) if found else None
 
+    def prefill_overhead_ms(self, service: str) -> int:
+        """Return the fixed part of the time to the first event, in ms."""
+        return self._prefill_rates.overhead_ms(service)
+
     def count_request(self, service: str, tokens: int) -> None:
         """Count a request to this router with a prompt of `tokens`."""
         self._own[service] += tokens
--- a/src/peridotmast/serving/metrics.py
+++ b/src/peridotmast/serving/metrics.py
@@ -93,3 +93,9 @@
             ['service'],
             registry=registry,
         )
+        self.upstream_speed = prometheus_client.Gauge(
+            'peridotmast_upstream_speed',
+            'Estimated speed of an upstream relative to its service.',
+            ['upstream'],
+            registry=registry,
+        )
--- a/src/peridotmast/serving/prefill_rate.py
+++ b/src/peridotmast/serving/prefill_rate.py
@@ -69,13 +69,13 @@
         samples = self._samples.get(service, ())
         if len(samples) < _MIN_SAMPLES:
             return None
-        overhead_ms = self._overhead_ms(service)
+        overhead_ms = self.overhead_ms(service)
         rates = sorted(
             tokens / max(1, ms - overhead_ms) for tokens, ms in samples
         )
         return rates[int(_QUANTILE * len(rates))]
 
-    def _overhead_ms(self, service: str) -> int:
+    def overhead_ms(self, service: str) -> int:
         """Return the fixed part of the time to the first event, in ms."""
         short_ms = sorted(self._short_ms.get(service, ()))
         if len(short_ms) < _MIN_SHORT_SAMPLES:
--- /dev/null
+++ b/src/peridotmast/serving/speeds/__init__.py
@@ -0,0 +1,1 @@
+"""Speeds of the upstreams of a service, relative to each other."""
--- /dev/null
+++ b/src/peridotmast/serving/speeds/speeds.py
@@ -0,0 +1,209 @@
+"""Estimated speeds of all upstreams that a router uses."""
+
+from __future__ import annotations
+
+import typing as ty
+
+import prometheus_client
+
+from peridotmast import clock as clock_
+from peridotmast import logs
+from peridotmast.serving.speeds import estimate
+from peridotmast.serving import upstream_view
+
+OFF = 'off'
+OWN = 'own'
+SHARED = 'shared'
+MODES = (OFF, OWN, SHARED)
+"""Values of the setting: no speeds, speeds from the requests of this router
+alone, or from those of all routers."""
+
+_MIN_TOKENS = 1000
+"""Shortest prompt used as a sample, in tokens: for shorter prompts, network
+time and the engine step take most of the time to the first event."""
+
+_SLOW = 0.75
+_FAST = 1.33
+"""Speeds at which a change is logged."""
+
+_HYSTERESIS = 0.05
+"""How far a speed must return before the return is logged, so that an estimate
+close to a threshold does not fill the log."""
+
+_UPDATE_MS = 250
+"""Interval at which all estimates are updated, in ms."""
+
+Run = tuple[str, int]
+"""Name and start time of a run of an upstream."""
+
+
+class Speeds:
+    """Estimates the speed of each run and stores it in its view.
+
+    Parameters
+    ----------
+    clock : clock.Clock
+        Times the decay of samples.
+    mode : str
+        One of `MODES`.
+    router : str
+        Name of this router, for the log.
+    find_view : callable
+        Returns the current view of an upstream, or None.
+    gauge : prometheus_client.Gauge
+        Receives the speeds, by upstream.
+    """
+
+    def __init__(
+        self,
+        clock: clock_.Clock,
+        mode: str,
+        router: str,
+        find_view: ty.Callable[[str], ty.Optional[upstream_view.UpstreamView]],
+        gauge: prometheus_client.Gauge,
+    ) -> None:
+        self._clock = clock
+        self._mode = mode
+        self._find_view = find_view
+        self._gauge = gauge
+        self._log = logs.get('speeds', router=router)
+        self._own: dict[Run, estimate.Samples] = {}
+        self._bands: dict[Run, str] = {}
+        self._updated_at = 0
+
+    @property
+    def mode(self) -> str:
+        """The setting: one of `MODES`."""
+        return self._mode
+
+    def add_prefill(
+        self,
+        view: upstream_view.UpstreamView,
+        tokens: int,
+        expected_ms: float,
+        took_ms: float,
+    ) -> None:
+        """Add a prefill at an upstream without other prefills.
+
+        Parameters
+        ----------
+        tokens : int
+            Prompt tokens that were not in the KV cache of the engine.
+        expected_ms : float
+            Time that the prefill takes at the rate of the service, in ms.
+        took_ms : float
+            Time that it took, in ms.
+        """
+        is_current = self._find_view(view.name) is view
+        if self._mode == OFF or tokens < _MIN_TOKENS or not is_current:
+            return
+        run = view.name, view.born
+        samples = self._own.setdefault(run, estimate.Samples())
+        samples.add(self._clock.now(), expected_ms, took_ms)
+        self._set_speed(view, self._estimate(run))
+
+    def tick(self) -> None:
+        """Update the estimates as samples decay and runs end."""
+        now = self._clock.now()
+        if self._mode == OFF or now - self._updated_at < _UPDATE_MS:
+            return
+        self._updated_at = now
+        known = self._known_runs()
+        for samples in self._own.values():
+            samples.decay(now)
+        self._own = {
+            run: samples
+            for run, samples in self._own.items()
+            if not samples.is_negligible and self._view_of(run)
+        }
+        for run in known:
+            view = self._view_of(run)
+            if view is not None:
+                self._set_speed(view, self._estimate(run))
+            else:
+                self._forget(run)
+
+    def on_upstream_change(self, view: upstream_view.UpstreamView) -> None:
+        """Drop the estimate of a run that has ended."""
+        if view.record.state == upstream_view.GONE:
+            self.on_replaced(view)
+
+    def on_replaced(self, view: upstream_view.UpstreamView) -> None:
+        """Drop the estimate of a run that a later one has replaced."""
+        self._forget((view.name, view.born))
+        view.speed = 1.0
+
+    def speeds(self) -> dict[Run, tuple[float, float]]:
+        """Return speed and weight of samples by run, for operators."""
+        found = {}
+        for run in sorted(self._known_runs()):
+            samples = self._estimate(run)
+            found[run] = samples.speed(), samples.weight
+        return found
+
+    def _known_runs(self) -> set[Run]:
+        """Return the runs with samples, or with a speed from earlier ones."""
+        return {*self._own, *self._bands}
+
+    def _view_of(self, run: Run) -> ty.Optional[upstream_view.UpstreamView]:
+        """Return the view of a run that has not ended."""
+        view = self._find_view(run[0])
+        if view is None or view.born != run[1] or not _is_running(view):
+            return None
+        return view
+
+    def _estimate(self, run: Run) -> estimate.Samples:
+        """Return all known samples of a run."""
+        now = self._clock.now()
+        total = estimate.Samples(at=now)
+        own = self._own.get(run)
+        if own is not None:
+            own.decay(now)
+            total.merge(own)
+        return total
+
+    def _set_speed(
+        self, view: upstream_view.UpstreamView, samples: estimate.Samples
+    ) -> None:
+        run = view.name, view.born
+        if samples.is_negligible:
+            self._forget(run)
+            view.speed = 1.0
+            return
+        view.speed = samples.speed()
+        self._gauge.labels(view.name).set(view.speed)
+        before = self._bands.get(run, 'usual')
+        band = self._bands[run] = _band(view.speed, before)
+        if band != before:
+            self._log.info(
+                'upstream_speed',
+                upstream=view.name,
+                born=view.born,
+                service=view.service,
+                speed=round(view.speed, 2),
+                band=band,
+                before=before,
+                samples=round(samples.weight, 1),
+                own=round(self._own.get(run, samples).weight, 1),
+            )
+
+    def _forget(self, run: Run) -> None:
+        """Drop all state of a run."""
+        self._own.pop(run, None)
+        if self._bands.pop(run, None) is None:
+            return
+        if not any(name == run[0] for name, _ in self._bands):
+            self._gauge.remove(run[0])
+
+
+def _is_running(view: upstream_view.UpstreamView) -> bool:
+    return view.record.state != upstream_view.GONE
+
+
+def _band(speed: float, before: str) -> str:
+    """Return how a speed is logged: as slow, usual or fast."""
+    slow = _SLOW + (_HYSTERESIS if before == 'slow' else 0)
+    fast = _FAST - (_HYSTERESIS if before == 'fast' else 0)
+    if speed < slow:
+        return 'slow'
+    return 'fast' if speed > fast else 'usual'
--- a/src/peridotmast/serving/upstream_view.py
+++ b/src/peridotmast/serving/upstream_view.py
@@ -84,6 +84,8 @@
         self.brittle_limit = 0.0
         """Refusals a second that it bears, as its last answer states; 0 for
         any number."""
+        self.speed = 1.0
+        """Estimated speed of this run relative to its service."""
         self._rests_until = 0
         self._clock = clock
         self._busy = busy
