Consider the speed of each upstream in placement: [router] speeds

ScoredPolicy takes all upstreams of a service for equally fast. With [router] speeds = own, a router estimates the speed of each run from the times to the first event of its own requests and divides the tokens to prefill and the delay of running requests by it. The default, off, adds no samples, and every speed is 1. The setting can change at run time.

Adds the metric peridotmast_upstream_speed, the log event upstream_speed and peridotmast node show (operator call NodeShow).

--- a/features/speeds.feature
+++ b/features/speeds.feature
@@ -53,3 +53,42 @@
     Then 1 changes of a speed were logged, the last to "slow"
     When upstream 0 prefills 4 times a second for 60 s, at 1 times the expected time
     Then 2 changes of a speed were logged, the last to "usual"
+
+  # Guards against a score that takes all upstreams of a service for equally fast.
+  Scenario: Requests go to a faster upstream unless it has more to prefill
+    Given 2 upstreams of which every 3rd is 1.3 times slower
+    When each of them prefills 4 times a second for 20 s, with noise of 0
+    Then a prompt of 4000 tokens goes to upstream 1 if 0 tokens wait at each
+    And a prompt of 4000 tokens goes to upstream 1 if 500 more tokens wait there
+    And a prompt of 4000 tokens goes to upstream 0 if 5000 more tokens wait at upstream 1
+
+  # Guards against a change of placement where the setting is not used.
+  Scenario: Without the setting there are no estimates
+    Given 1 upstreams of which none is slower, and routers with speeds "off"
+    When upstream 0 prefills 4 times a second for 10 s, at 3 times the expected time
+    Then nothing is kept of upstream 0
+
+  # Guards against estimates that stay in force after they were disabled.
+  Scenario: Disabling the setting ends the estimates at once
+    Given 1 upstreams of which none is slower, and routers with speeds "own"
+    When upstream 0 prefills 4 times a second for 10 s, at 3 times the expected time
+    Then the speed of upstream 0 is between 0.25 and 0.5
+    When the setting becomes "off"
+    Then nothing is kept of upstream 0
+
+  Scenario: An invalid value of the setting is reported
+    When these router settings are checked
+      """
+      [router]
+      speeds = fast
+      """
+    Then these findings are reported
+      | line | text                                              |
+      | 2    | speeds = fast: must be one of off, own, shared    |
+
+  Scenario: Operators see the estimates from the requests of a router
+    Given a fleet of 2 routers with speeds "own"
+    When 24 prompts of 2048 tokens are sent to one router
+    Then "node show" prints a speed of an engine at that router
+    And "node show" prints no speed at the other router
+    And "node show" of an unknown router fails
--- a/features/steps/speed_steps.py
+++ b/features/steps/speed_steps.py
@@ -3,20 +3,29 @@
 from __future__ import annotations
 
 import random
+import re
 from unittest import mock
 
 from behave import given
 from behave import then
 from behave import when
+import click.testing
+import fleet_steps
+import helpers
 import hypothesis
 from hypothesis import strategies as st
 import prometheus_client
 
+from peridotmast.cli import main as cli
 from peridotmast import clock as clock_
+from peridotmast.platform import names
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import exchange as exchange_
 from peridotmast.serving import metrics as metrics_
+from peridotmast.serving import policies
 from peridotmast.serving.speeds import estimate
 from peridotmast.serving.speeds import speeds as speeds_
+from peridotmast.serving import upstream_view
 from peridotmast.serving import upstreams as upstreams_
 
 EXPECTED_MS = 100.0
@@ -75,6 +84,16 @@
     context.factors = [1.0] * count
 
 
+@given(
+    '{count:d} upstreams of which none is slower, and routers with speeds'
+    ' "{mode}"'
+)
+def equal_upstreams_with_setting(context, count, mode):
+    equal_upstreams(context, count)
+    value = pb.RouterSettings.Speeds.Value(mode.upper())
+    context.router = SpeedRouter(context.clock, count, value)
+
+
 @given('{count:d} upstreams of which every 3rd is {factor:g} times slower')
 def unequal_upstreams(context, count, factor):
     equal_upstreams(context, count)
@@ -203,3 +222,88 @@
             assert low <= samples.speed() <= high
 
     check()
+
+
+def choose(context, tokens, waiting=0):
+    """Return which upstream gets a prompt if `waiting` tokens are at 1."""
+    policy = policies.ScoredPolicy('')
+    views = [context.router.view(n) for n in range(2)]
+    load = upstream_view.Load(unread=waiting)
+    views[1].add_load(load)
+    exchange = mock.Mock()
+    exchange.prompt = exchange_.Prompt('m', tokens, 10, ())
+    best = policy.order(exchange, pb.Service(name='pool'), views, None)[0]
+    views[1].remove_load(load)
+    return views.index(best)
+
+
+@then('a prompt of {tokens:d} tokens goes to upstream {number:d} if 0 tokens'
+      ' wait at each')  # fmt: skip
+def prompt_goes_to(context, tokens, number):
+    assert choose(context, tokens) == number
+
+
+@then('a prompt of {tokens:d} tokens goes to upstream {number:d} if'
+      ' {waiting:d} more tokens wait there')  # fmt: skip
+def prompt_goes_there(context, tokens, number, waiting):
+    assert choose(context, tokens, waiting) == number
+
+
+@then('a prompt of {tokens:d} tokens goes to upstream {number:d} if'
+      ' {waiting:d} more tokens wait at upstream 1')  # fmt: skip
+def prompt_goes_elsewhere(context, tokens, number, waiting):
+    assert choose(context, tokens, waiting) == number
+
+
+@when('the setting becomes "{mode}"')
+def setting_becomes(context, mode):
+    value = pb.RouterSettings.Speeds.Value(mode.upper())
+    context.router.speeds.set_mode(value)
+
+
+@given('a fleet of {count:d} routers with speeds "{mode}"')
+def fleet_with_speeds(context, count, mode):
+    value = pb.RouterSettings.Speeds.Value(mode.upper())
+    helpers.start_fleet(context, routers=count, router={'speeds': value})
+    fleet_steps.wait_until_known(context, 4)
+
+
+@when('{count:d} prompts of {tokens:d} tokens are sent to one router')
+def send_prompts(context, count, tokens):
+    address = context.fleet.routers[0].address
+    headers = [(names.TOKEN_COUNTS, f'{tokens},4')]
+    for _ in range(count):
+        answer = helpers.send_request(address, '/chat/x', headers=headers)
+        assert answer.status == 200, answer
+
+
+def show_node(context, name):
+    address = context.fleet.routers[1].peer_address
+    return click.testing.CliRunner().invoke(
+        cli.node, ['show', name], obj=cli.Operator(address, pb.TlsSettings())
+    )
+
+
+@then('"node show" prints a speed of an engine at that router')
+def shows_speed(context):
+    name = context.fleet.routers[0].cfg.name
+    result = show_node(context, name)
+    assert not result.exit_code, result.output
+    first, *lines = result.output.splitlines()
+    assert first == f'{name}: speeds = own', result.output
+    assert lines, result.output
+    speeds = [float(re.search(r'speed=([\d.]+)', line)[1]) for line in lines]
+    assert all(0.25 <= speed <= 4 for speed in speeds), result.output
+
+
+@then('"node show" prints no speed at the other router')
+def shows_no_speed(context):
+    result = show_node(context, '')
+    name = context.fleet.routers[1].cfg.name
+    assert result.output == f'{name}: speeds = own\n', result.output
+
+
+@then('"node show" of an unknown router fails')
+def unknown_router_fails(context):
+    result = show_node(context, 'nobody')
+    assert result.exit_code == 1 and 'no router nobody' in result.output
--- a/src/peridotmast/cli/main.py
+++ b/src/peridotmast/cli/main.py
@@ -280,6 +280,24 @@
         click.echo('duties: no known holder')
 
 
+@node.command('show')
+@click.argument('name', default='')
+@click.pass_obj
+def node_show(operator: Operator, name: str) -> None:
+    """Show what a router has estimated; without NAME, the one asked."""
+    reply = operator.call('NodeShow', pb.NodeShowRequest(name=name))
+    if reply.reason:
+        click.echo(reply.reason, err=True)
+        sys.exit(1)
+    setting = pb.RouterSettings.Speeds.Name(reply.speeds_setting).lower()
+    click.echo(f'{reply.name}: speeds = {setting}')
+    for item in reply.speeds:
+        click.echo(
+            f'{item.upstream:<24} born={item.born} speed={item.speed:.2f} '
+            f'samples={item.samples:.1f}'
+        )
+
+
 @node.command('drain')
 @click.argument('name')
 @click.pass_obj
--- a/src/peridotmast/router/operator_service.py
+++ b/src/peridotmast/router/operator_service.py
@@ -15,6 +15,7 @@
 from peridotmast import rpc
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import decisions as decisions_
+from peridotmast.serving.speeds import speeds as speeds_
 from peridotmast.serving import upstreams as upstreams_
 
 _CALL_TIMEOUT_MS = 1000
@@ -45,6 +46,7 @@
         operators: rpc.RpcClient,
         start_drain: ty.Callable[[], None],
         rollouts: rollout_views.RolloutViews,
+        speeds: speeds_.Speeds,
         tls: pb.TlsSettings,
     ) -> None:
         self._clock = clock
@@ -57,6 +59,7 @@
         self._operators = operators
         self._start_drain = start_drain
         self._rollouts = rollouts
+        self._speeds = speeds
         self._tls = tls
         self._log = logs.get('operators', router=members.me.name)
 
@@ -148,6 +151,22 @@
             return pb.NodeDrainReply(reason=reply.reason)
         return reply
 
+    def NodeShow(  # noqa: N802
+        self, req: pb.NodeShowRequest, caller: rpc.Caller
+    ) -> pb.NodeShowReply:
+        """Return the speeds that a router has estimated."""
+        self._require_role(caller, READ)
+        if req.name and req.name != self._members.me.name:
+            return self._show_other(req)
+        reply = pb.NodeShowReply(
+            name=self._members.me.name, speeds_setting=self._speeds.mode
+        )
+        for (name, born), (speed, samples) in self._speeds.speeds().items():
+            reply.speeds.add(
+                upstream=name, born=born, speed=speed, samples=samples
+            )
+        return reply
+
     def UpstreamList(  # noqa: N802
         self, req: pb.UpstreamListRequest, caller: rpc.Caller
     ) -> pb.UpstreamListReply:
@@ -215,6 +234,18 @@
             reply.steps.add(router=self._members.me.name, at_ms=at, text=text)
         return reply
 
+    def _show_other(self, req: pb.NodeShowRequest) -> pb.NodeShowReply:
+        """Return what another router replies."""
+        other = self._members.get(req.name)
+        if other is None:
+            return pb.NodeShowReply(reason=f'no router {req.name}')
+        reply = self._operators.call(
+            other.member.peer_address, 'NodeShow', req, _CALL_TIMEOUT_MS
+        )
+        if isinstance(reply, failures.Failure):
+            return pb.NodeShowReply(reason=reply.reason)
+        return reply
+
     def _require_role(self, caller: rpc.Caller, role: str) -> None:
         """Raise `rpc.PermissionDenied` if the caller does not have `role`."""
         if (
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -381,6 +381,7 @@
             self._operators,
             lambda: self._tasks.spawn('drain', self.drain),
             rollouts,
+            self.serving.speeds,
             self._file.tls,
         )
         peers = peer_service.PeerService(
--- a/src/peridotmast/router/serving.py
+++ b/src/peridotmast/router/serving.py
@@ -26,6 +26,7 @@
 from peridotmast.serving import reachability
 from peridotmast.serving import retry_budget
 from peridotmast.serving import sender as sender_
+from peridotmast.serving.speeds import speeds as speeds_
 from peridotmast.serving import stream_migrator as migrator_
 from peridotmast.serving import stream_relay
 from peridotmast.serving import stream_versions
@@ -129,6 +130,16 @@
         """Forwards requests to peers."""
         self.peers.members = fleet_state.members.serving
         self._metrics = metrics_.ServingMetrics(registry)
+        self.speeds = speeds_.Speeds(
+            clock,
+            cfg.speeds,
+            cfg.name,
+            table.get,
+            self._metrics.upstream_speed,
+        )
+        """Estimates the speeds of the upstreams."""
+        table.listen(self.speeds.on_upstream_change)
+        table.listen_replacements(self.speeds.on_replaced)
         self._team_log = team_limit_log.TeamLimitLog(
             clock, self.quota, self._metrics, cfg.name
         )
@@ -205,6 +216,7 @@
         self.peers.tick()
         self._reach.tick()
         self.demand.tick()
+        self.speeds.tick()
         self.retry_budget.tick()
         self.crashes.tick()
         self._sender.tick()
@@ -227,6 +239,7 @@
             bounds.budget_slack,
         )
         self.quota.tolerance = _tolerance(bounds)
+        self.speeds.set_mode(file.router.speeds)
 
     def _create_dispatcher(self) -> dispatcher_.Dispatcher:
         return dispatcher_.Dispatcher(
@@ -240,6 +253,7 @@
             self.crashes,
             self.usage,
             self.demand,
+            self.speeds,
             self.versions,
             self.stream_versions,
             self._metrics,
--- a/src/peridotmast/serving/dispatcher.py
+++ b/src/peridotmast/serving/dispatcher.py
@@ -21,6 +21,7 @@
 from peridotmast.serving import reply as reply_
 from peridotmast.serving import retry_budget
 from peridotmast.serving import sender as sender_
+from peridotmast.serving.speeds import speeds as speeds_
 from peridotmast.serving import stream_relay
 from peridotmast.serving import stream_versions as stream_versions_
 from peridotmast.serving import usage as usage_
@@ -116,6 +117,7 @@
         crashes: crash_tracker_.CrashTracker,
         usage: usage_.Usage,
         demand: demand_.Demand,
+        speeds: speeds_.Speeds,
         versions: version_gate.VersionGate,
         stream_versions: stream_versions_.StreamVersions,
         metrics: metrics_.ServingMetrics,
@@ -133,6 +135,7 @@
         self._crashes = crashes
         self._usage = usage
         self._demand = demand
+        self._speeds = speeds
         self._versions = versions
         self._stream_versions = stream_versions
         self._metrics = metrics
@@ -419,7 +422,15 @@
         is_alone = not reservation.selection.unread
         if not is_alone or not self._versions.is_in_use(reservation.view):
             return
-        self._demand.note_prefill(state.service.name, tokens, took_ms)
+        service = state.service.name
+        if self._speeds.is_enabled and (
+            rate := self._demand.prefill_rate(service)
+        ):
+            overhead_ms = self._demand.prefill_overhead_ms(service)
+            self._speeds.add_prefill(
+                reservation.view, tokens, tokens / rate, took_ms - overhead_ms
+            )
+        self._demand.note_prefill(service, tokens, took_ms)
 
     def _read_response(
         self, state: _RequestState, sent: sender_.Sent
--- a/src/peridotmast/serving/policies.py
+++ b/src/peridotmast/serving/policies.py
@@ -64,7 +64,8 @@
     The delay is expressed as a number of prompt tokens to prefill: those
     waiting at the upstream, those of the request that the upstream has not
     cached, and equivalents for running requests, a full batch or memory,
-    recent failures, silence and distance.
+    recent failures, silence and distance. The tokens to prefill and the delay
+    due to running requests are divided by the speed of the upstream.
 
     Parameters
     ----------
@@ -105,6 +106,7 @@
         if view is home:
             score -= shared
         score += _RUNNING_REQUEST_TOKENS * load.running
+        score /= view.speed
         if load.running >= view.slots:
             score += _FULL_UPSTREAM_TOKENS * load.running / view.slots
         needed = load.memory + prompt.tokens_in + prompt.tokens_out
--- a/src/peridotmast/serving/speeds/speeds.py
+++ b/src/peridotmast/serving/speeds/speeds.py
@@ -8,15 +8,13 @@
 
 from peridotmast import clock as clock_
 from peridotmast import logs
+from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving.speeds import estimate
 from peridotmast.serving import upstream_view
 
-OFF = 'off'
-OWN = 'own'
-SHARED = 'shared'
-MODES = (OFF, OWN, SHARED)
-"""Values of the setting: no speeds, speeds from the requests of this router
-alone, or from those of all routers."""
+OFF = pb.RouterSettings.OFF
+OWN = pb.RouterSettings.OWN
+SHARED = pb.RouterSettings.SHARED
 
 _MIN_TOKENS = 1000
 """Shortest prompt used as a sample, in tokens: for shorter prompts, network
@@ -44,8 +42,8 @@
     ----------
     clock : clock.Clock
         Times the decay of samples.
-    mode : str
-        One of `MODES`.
+    mode : pb.RouterSettings.Speeds
+        Whether there are estimates, and from whose requests.
     router : str
         Name of this router, for the log.
     find_view : callable
@@ -57,13 +55,15 @@
     def __init__(
         self,
         clock: clock_.Clock,
-        mode: str,
+        mode: pb.RouterSettings.Speeds,
         router: str,
         find_view: ty.Callable[[str], ty.Optional[upstream_view.UpstreamView]],
         gauge: prometheus_client.Gauge,
     ) -> None:
         self._clock = clock
         self._mode = mode
+        self.is_enabled = mode in (OWN, SHARED)
+        """Whether there are estimates."""
         self._find_view = find_view
         self._gauge = gauge
         self._log = logs.get('speeds', router=router)
@@ -72,10 +72,21 @@
         self._updated_at = 0
 
     @property
-    def mode(self) -> str:
-        """The setting: one of `MODES`."""
+    def mode(self) -> pb.RouterSettings.Speeds:
+        """Whether there are estimates, and from whose requests."""
         return self._mode
 
+    def set_mode(self, mode: pb.RouterSettings.Speeds) -> None:
+        """Change the mode; without estimates, all state is dropped."""
+        self._mode = mode
+        self.is_enabled = mode in (OWN, SHARED)
+        if not self.is_enabled:
+            for run in self._known_runs():
+                view = self._view_of(run)
+                if view is not None:
+                    view.speed = 1.0
+                self._forget(run)
+
     def add_prefill(
         self,
         view: upstream_view.UpstreamView,
@@ -95,7 +106,7 @@
             Time that it took, in ms.
         """
         is_current = self._find_view(view.name) is view
-        if self._mode == OFF or tokens < _MIN_TOKENS or not is_current:
+        if not self.is_enabled or tokens < _MIN_TOKENS or not is_current:
             return
         run = view.name, view.born
         samples = self._own.setdefault(run, estimate.Samples())
@@ -105,7 +116,7 @@
     def tick(self) -> None:
         """Update the estimates as samples decay and runs end."""
         now = self._clock.now()
-        if self._mode == OFF or now - self._updated_at < _UPDATE_MS:
+        if not self.is_enabled or now - self._updated_at < _UPDATE_MS:
             return
         self._updated_at = now
         known = self._known_runs()
