Share the samples of upstream speeds between routers: speeds = shared

In a large fleet, one router has few samples of each upstream. With speeds = shared, each router reports the decayed sums of its samples in the beacons that carry loads. In fleets with groups, heads add up the sums of their members and subtract each member's own part from what they send it. A report has at most 32 runs, that of a head 128. Malformed entries, entries of other runs and entries without recent samples have no effect.

--- a/features/speeds.feature
+++ b/features/speeds.feature
@@ -92,3 +92,98 @@
     Then "node show" prints a speed of an engine at that router
     And "node show" prints no speed at the other router
     And "node show" of an unknown router fails
+
+  # Guards against samples that are counted twice, or not at all, on the way over heads.
+  Scenario Outline: The samples of each router reach every other exactly once
+    Given <count> routers that know each other's names
+    When 5000 ms pass in the fleet
+    And each router has a prefill at "u-1" that takes 3 times the expected time
+    And 3000 ms pass in the fleet
+    Then each router knows the samples of <count> routers at "u-1", all 3000 ms old
+
+    Examples:
+      | count |
+      | 5     |
+      | 40    |
+
+  # Guards against a fleet in which one router of an older version spoils the others' estimates.
+  Scenario Outline: A router that does not share its samples counts as having none
+    Given <count> routers that know each other's names
+    When one router has the speeds "own"
+    And 5000 ms pass in the fleet
+    And each router has a prefill at "u-1" that takes 3 times the expected time
+    And 3000 ms pass in the fleet
+    Then that router knows the samples of 1 router at "u-1"
+    And the others know the samples of <others> routers at "u-1"
+
+    Examples:
+      | count | others |
+      | 5     | 4      |
+      | 40    | 39     |
+
+  # Guards against estimates that are lost, or stay in force for long, while reports are missing.
+  Scenario Outline: While reports are lost, own samples remain, and others' decay
+    Given <count> routers that know each other's names
+    When 5000 ms pass in the fleet
+    And each router has a prefill at "u-1" that takes 3 times the expected time
+    And 2000 ms pass in the fleet
+    And all beacons are lost for 30000 ms, with a prefill a second at each router
+    Then each router estimates the speed of "u-1" from 3 to 7 samples, as 0.4 to 0.6
+
+    Examples:
+      | count |
+      | 5     |
+      | 40    |
+
+  # The simulated routers of a large fleet do not announce themselves again after a silence
+  # in which they consider all others silent; the outage is therefore shorter.
+  Scenario Outline: After reports were lost, the samples of all routers count again
+    Given <count> routers that know each other's names
+    When 5000 ms pass in the fleet
+    And all beacons are lost for 1000 ms, with a prefill a second at each router
+    Then each router estimates the speed of "u-1" from 0.5 to 1 samples, as 0.6 to 0.8
+    When beacons arrive again for 5000 ms, with a prefill a second at each router
+    Then each router estimates the speed of "u-1" from <least> to <most> samples, as 0.3 to 0.4
+
+    Examples:
+      | count | least | most |
+      | 5     | 13    | 20   |
+      | 40    | 90    | 160  |
+
+  Scenario: With a tenth of the beacons lost, all routers have similar estimates
+    Given 40 routers of which a tenth of the beacons is lost
+    When 5000 ms pass in the fleet
+    And beacons arrive again for 10000 ms, with a prefill a second at each router
+    Then each router estimates the speed of "u-1" from 60 to 240 samples, as 0.3 to 0.4
+
+  # Guards against beacons that grow with the number of upstreams.
+  Scenario: Reports have a bounded size and contain the runs with most samples
+    Given 300 upstreams of which none is slower, and routers with speeds "shared"
+    When each of them prefills, the later ones more often
+    Then a report of the router has 32 runs, those with most samples, in at most 1600 bytes
+    And a report of a head has 128 runs, those with most samples, in at most 6400 bytes
+    When 60 s pass without requests
+    Then the report of the router is empty
+
+  Scenario: Reports with malformed entries are read without these
+    Then no malformed entry has an effect on an estimate
+
+  # Guards against judging a new process by what peers report of the one before.
+  Scenario: Reports on an earlier run do not count for the current one
+    Given 1 upstreams of which none is slower, and routers with speeds "shared"
+    When a peer reports 10 samples of 3 times the expected time for upstream 0
+    Then the speed of upstream 0 is between 0.3 and 0.5
+    When upstream 0 begins again under its id
+    And 1 s pass without requests
+    Then nothing is kept of upstream 0
+    When a peer reports 10 samples of 3 times the expected time for the earlier run
+    Then nothing is kept of upstream 0
+
+  # Guards against a late report that keeps an upstream slow after it has recovered.
+  Scenario: The effect of a report that is late ends as that of a sample does
+    Given 1 upstreams of which none is slower, and routers with speeds "shared"
+    When upstream 0 prefills 4 times a second for 10 s, at 1 times the expected time
+    And a peer reports 10 samples of 3 times the expected time for upstream 0
+    Then the speed of upstream 0 is between 0.6 and 0.8
+    When upstream 0 prefills 4 times a second for 10 s, at 1 times the expected time
+    Then the speed of upstream 0 is between 0.9 and 1.05
--- a/features/steps/group_steps.py
+++ b/features/steps/group_steps.py
@@ -37,6 +37,7 @@
 from peridotmast.serving import demand as demand_
 from peridotmast.serving import quota as quota_
 from peridotmast.serving import retry_budget
+from peridotmast.serving.speeds import speeds as speeds_
 from peridotmast.serving import upstream_limits
 from peridotmast.serving import upstream_view
 from peridotmast.serving import upstreams as upstreams_
@@ -112,6 +113,13 @@
             crashes=crash_tracker_.CrashTracker(self.clock, self.name),
             limits=upstream_limits.UpstreamLimits(self.clock, self.name),
             versions=version_gate.VersionGate(self.clock, self.name, False),
+            speeds=speeds_.Speeds(
+                self.clock,
+                speeds_.SHARED,
+                self.name,
+                self.table.get,
+                mock.Mock(),
+            ),
         )
         if limited:
             self.set_limit(rate=0, burst=BURST)
--- a/features/steps/speed_steps.py
+++ b/features/steps/speed_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import re
 from unittest import mock
@@ -11,6 +12,7 @@
 from behave import when
 import click.testing
 import fleet_steps
+import group_steps
 import helpers
 import hypothesis
 from hypothesis import strategies as st
@@ -24,6 +26,7 @@
 from peridotmast.serving import metrics as metrics_
 from peridotmast.serving import policies
 from peridotmast.serving.speeds import estimate
+from peridotmast.serving.speeds import reports
 from peridotmast.serving.speeds import speeds as speeds_
 from peridotmast.serving import upstream_view
 from peridotmast.serving import upstreams as upstreams_
@@ -36,7 +39,7 @@
     return pb.UpstreamRecord(
         upstream=pb.Upstream(
             name=f'u-{number}',
-            address=f'10.0.0.{number}:80',
+            address=f'10.0.{number // 250}.{number % 250}:80',
             service='pool',
             slots=32,
             born=born,
@@ -307,3 +310,199 @@
 def unknown_router_fails(context):
     result = show_node(context, 'nobody')
     assert result.exit_code == 1 and 'no router nobody' in result.output
+
+
+def prefill_at_all(context, factor):
+    for node in context.simulated.nodes.values():
+        view = node.table.get('u-1')
+        node.serving.speeds.add_prefill(
+            view, TOKENS, EXPECTED_MS, EXPECTED_MS * factor
+        )
+
+
+@when(
+    'each router has a prefill at "u-1" that takes {factor:g} times the'
+    ' expected time'
+)
+def each_router_prefills(context, factor):
+    prefill_at_all(context, factor)
+
+
+def samples_at(node):
+    """Return speed and weight of the samples that a router knows of u-1."""
+    node.serving.speeds._updated_at = 0
+    node.serving.speeds.tick()
+    return node.serving.speeds.speeds().get(('u-1', 0), (1.0, 0.0))
+
+
+@then(
+    'each router knows the samples of {count:d} routers at "u-1", all {ms:d}'
+    ' ms old'
+)
+def knows_samples(context, count, ms):
+    decay = 0.5 ** (ms / estimate.HALF_LIFE_MS)
+    for node in context.simulated.nodes.values():
+        _, weight = samples_at(node)
+        assert abs(weight - count * decay) < 1e-3, (node.name, weight)
+
+
+@when('one router has the speeds "{mode}"')
+def one_router_has_mode(context, mode):
+    context.other = context.simulated.nodes['router-003']
+    value = pb.RouterSettings.Speeds.Value(mode.upper())
+    context.other.serving.speeds.set_mode(value)
+
+
+@then('that router knows the samples of 1 router at "u-1"')
+def that_router_knows(context):
+    _, weight = samples_at(context.other)
+    assert abs(weight - 0.5) < 1e-3, weight
+
+
+@then('the others know the samples of {count:d} routers at "u-1"')
+def others_know(context, count):
+    for node in context.simulated.nodes.values():
+        if node is not context.other:
+            _, weight = samples_at(node)
+            assert abs(weight - count / 2) < 1e-3, (node.name, weight)
+
+
+def run_with_prefills(context, ms):
+    for _ in range(ms // 1000):
+        prefill_at_all(context, 3)
+        context.simulated.run(1000)
+
+
+@when(
+    'all beacons are lost for {ms:d} ms, with a prefill a second at each'
+    ' router'
+)
+def beacons_lost(context, ms):
+    context.simulated.loss_rate = 1
+    run_with_prefills(context, ms)
+
+
+@when(
+    'beacons arrive again for {ms:d} ms, with a prefill a second at each'
+    ' router'
+)
+def beacons_arrive_again(context, ms):
+    if context.simulated.loss_rate == 1:
+        context.simulated.loss_rate = 0
+    run_with_prefills(context, ms)
+
+
+@then(
+    'each router estimates the speed of "u-1" from {least:g} to {most:g}'
+    ' samples, as {low:g} to {high:g}'
+)
+def estimates_from_samples(context, least, most, low, high):
+    for node in context.simulated.nodes.values():
+        speed, weight = samples_at(node)
+        assert least <= weight <= most, (node.name, weight)
+        assert low <= speed <= high, (node.name, speed)
+
+
+@given('{count:d} routers of which a tenth of the beacons is lost')
+def lossy_fleet(context, count):
+    context.simulated = group_steps.Fleet(count, lost=0.1)
+
+
+@when('each of them prefills, the later ones more often')
+def later_ones_more_often(context):
+    for number in range(len(context.factors)):
+        for _ in range(1 + number):
+            context.router.prefill(number, 1)
+
+
+def check_report(entries, count, total, most_bytes):
+    assert len(entries) == count, len(entries)
+    expected = {f'u-{n}' for n in range(total - count, total)}
+    assert {entry.upstream for entry in entries} == expected
+    size = pb.Totals(speeds=entries).ByteSize()
+    assert size <= most_bytes, size
+
+
+@then(
+    'a report of the router has {count:d} runs, those with most samples, in at'
+    ' most {most:d} bytes'
+)
+def report_of_router(context, count, most):
+    report = context.router.speeds.own_report()
+    entries = reports.to_messages(report, reports.MAX_OWN)
+    check_report(entries, count, len(context.factors), most)
+
+
+@then(
+    'a report of a head has {count:d} runs, those with most samples, in at'
+    ' most {most:d} bytes'
+)
+def report_of_head(context, count, most):
+    report = context.router.speeds.own_report()
+    total = reports.total(context.clock.now(), [report, report])
+    entries = reports.to_messages(total, reports.MAX_RELAYED)
+    check_report(entries, count, len(context.factors), most)
+
+
+@then('the report of the router is empty')
+def report_empty(context):
+    report = context.router.speeds.own_report()
+    assert reports.to_messages(report, reports.MAX_OWN) == []
+
+
+@then('no malformed entry has an effect on an estimate')
+def malformed_entries_ignored(context):
+    values = st.floats(allow_nan=True, allow_infinity=True, width=32)
+
+    @hypothesis.settings(
+        derandomize=True, database=None, deadline=None, max_examples=300
+    )
+    @hypothesis.given(values, values)
+    @hypothesis.example(math.nan, 0.0)
+    @hypothesis.example(1.0, math.nan)
+    @hypothesis.example(math.inf, 0.0)
+    @hypothesis.example(-1.0, 0.0)
+    @hypothesis.example(0.0, 1.0)
+    @hypothesis.example(1.0, 100.0)
+    def check(weight, log_sum):
+        entry = pb.SpeedSamples(
+            upstream='u', born=1, weight=weight, log_sum=log_sum
+        )
+        found = reports.from_messages([entry], 0)
+        bound = math.log(4) * weight
+        is_possible = 0 < weight <= 1e6 and abs(log_sum) <= bound
+        if is_possible:
+            assert found['u', 1].weight == weight
+        elif abs(log_sum) > 1.01 * bound or not 0 < weight <= 1e6:
+            assert not found, found
+
+    check()
+
+
+@when(
+    'a peer reports {count:d} samples of {factor:g} times the expected time'
+    ' for upstream {number:d}'
+)
+def peer_reports(context, count, factor, number):
+    context.peer_entry = pb.SpeedSamples(
+        upstream=f'u-{number}',
+        born=1,
+        weight=count,
+        log_sum=-math.log(factor) * count,
+    )
+    report_of_peer(context)
+
+
+def report_of_peer(context):
+    report = reports.from_messages([context.peer_entry], context.clock.now())
+    context.router.speeds.set_peer_report('peer', report)
+    context.clock.advance(1000)
+    context.router.speeds.tick()
+
+
+@when(
+    'a peer reports {count:d} samples of {factor:g} times the expected time'
+    ' for the earlier run'
+)
+def peer_reports_earlier_run(context, count, factor):
+    report_of_peer(context)
--- a/src/peridotmast/router/load_filter.py
+++ b/src/peridotmast/router/load_filter.py
@@ -57,7 +57,7 @@
         """
         if len(loads) <= candidates.SUBSET_SIZE:
             return loads
-        names = self._subset_names(router)
+        names = self.subset_names(router)
         selected = {k: load for k, load in loads.items() if k[0] in names}
         others = [item for item in loads.items() if item[0][0] not in names]
         others.sort(key=lambda item: item[1][1], reverse=True)
@@ -72,7 +72,7 @@
             if router in routers
         }
 
-    def _subset_names(self, router: str) -> set[str]:
+    def subset_names(self, router: str) -> set[str]:
         """Return the names of the upstreams in a router's subsets."""
         now = self._clock.now()
         known = self._subsets.get(router)
--- a/src/peridotmast/router/shared_totals.py
+++ b/src/peridotmast/router/shared_totals.py
@@ -9,6 +9,7 @@
 from peridotmast.router import load_filter
 from peridotmast.router import serving as serving_
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving.speeds import reports
 from peridotmast.serving import upstreams as upstreams_
 
 _FLEET_NAME = '|fleet'
@@ -48,7 +49,9 @@
         self._quota = serving.quota
         self._demand = serving.demand
         self._usage = serving.usage
+        self._speeds = serving.speeds
         self._table = table
+        self._clock = clock
         self._load_filter = load_filter.LoadFilter(table, clock)
         self._spends = fleet_counts.FleetCounts(
             self._quota.spent, self._quota.subtract_peer_spends
@@ -58,6 +61,8 @@
         )
         self._loads: dict[str, list[pb.UpstreamLoad]] = {}
         self._group_loads: dict[int, list[pb.UpstreamLoad]] = {}
+        self._speed_reports: dict[str, reports.Report] = {}
+        self._group_speeds: dict[int, reports.Report] = {}
 
     def own(self) -> pb.Totals:
         """Return the counts and the load of this router alone."""
@@ -68,6 +73,9 @@
             demand=_demand_messages(
                 self._demand.counts(), self._demand.own_prefill_rates()
             ),
+            speeds=reports.to_messages(
+                self._speeds.own_report(), reports.MAX_OWN
+            ),
         )
 
     def group(self) -> pb.Totals:
@@ -79,6 +87,10 @@
             demand=_demand_messages(
                 self._demand_tokens.group_total(), self._prefill_rates()
             ),
+            speeds=reports.to_messages(
+                reports.total(self._clock.now(), self._members_speeds()),
+                reports.MAX_RELAYED,
+            ),
         )
 
     def totals_for_members(
@@ -94,6 +106,10 @@
             [*self._members_loads(), *self._group_loads.values()]
         )
         rates = self._prefill_rates()
+        speeds = reports.total(
+            self._clock.now(),
+            [*self._members_speeds(), *self._group_speeds.values()],
+        )
         rows = zip(
             members,
             self._spends.totals_excluding_each(members),
@@ -113,6 +129,7 @@
                     ),
                     usage=used,
                     demand=_demand_messages(offered, rates),
+                    speeds=self._speeds_for_member(member, speeds),
                 ),
             )
 
@@ -142,7 +159,9 @@
         )
         self._usage.merge_router(router, run, totals.usage)
         self._loads[router] = list(totals.loads)
+        self._speed_reports[router] = self._read_speeds(totals)
         if counted:
+            self._speeds.set_peer_report(router, self._read_speeds(totals))
             self._table.set_peer_loads(router, totals.loads)
             self._update_prefill_rates(router, totals)
 
@@ -165,7 +184,11 @@
         )
         self._usage.merge_group(group, totals.usage)
         self._group_loads[group] = list(totals.loads)
+        self._group_speeds[group] = self._read_speeds(totals)
         if counted:
+            self._speeds.set_peer_report(
+                _group_name(group), self._read_speeds(totals)
+            )
             self._table.set_peer_loads(_group_name(group), totals.loads)
             self._update_prefill_rates(head, totals)
 
@@ -179,6 +202,9 @@
         )
         self._usage.merge_fleet(totals.usage)
         if counted:
+            self._speeds.set_peer_report(
+                _FLEET_NAME, self._read_speeds(totals)
+            )
             self._table.set_peer_loads(_FLEET_NAME, totals.loads)
             self._update_prefill_rates(head, totals)
 
@@ -190,7 +216,11 @@
     def retain_members(self, is_member: ty.Callable[[str], bool]) -> None:
         """Drop the state of all routers but members after a regrouping."""
         self._group_loads = {}
+        self._group_speeds = {}
         self._loads = {r: v for r, v in self._loads.items() if is_member(r)}
+        self._speed_reports = {
+            r: v for r, v in self._speed_reports.items() if is_member(r)
+        }
         self._usage.regroup(is_member)
 
     def change_source(self) -> None:
@@ -226,15 +256,42 @@
         self._group_loads = {
             g: v for g, v in self._group_loads.items() if g in groups
         }
+        self._speed_reports = {
+            r: v for r, v in self._speed_reports.items() if r in live
+        }
+        self._group_speeds = {
+            g: v for g, v in self._group_speeds.items() if g in groups
+        }
         if follows:
             self._table.retain_peer_loads({_FLEET_NAME})
+            self._speeds.retain_peers({_FLEET_NAME})
             return
         names = {_group_name(group) for group in self._group_loads}
         self._table.retain_peer_loads({*self._loads, *names})
+        self._speeds.retain_peers({*self._loads, *names})
 
     def _members_loads(self) -> list[Loads]:
         return [self._table.local_loads(), *self._loads.values()]
 
+    def _members_speeds(self) -> list[reports.Report]:
+        return [self._speeds.own_report(), *self._speed_reports.values()]
+
+    def _speeds_for_member(
+        self, member: str, totals: reports.Report
+    ) -> list[pb.SpeedSamples]:
+        """Return the samples of all other routers that matter for one."""
+        if not totals:
+            return []
+        own = self._speed_reports.get(member, {})
+        found = reports.excluding(self._clock.now(), totals, own)
+        if len(found) > reports.MAX_RELAYED:
+            names = self._load_filter.subset_names(member)
+            found = {run: s for run, s in found.items() if run[0] in names}
+        return reports.to_messages(found, reports.MAX_RELAYED)
+
+    def _read_speeds(self, totals: pb.Totals) -> reports.Report:
+        return reports.from_messages(totals.speeds, self._clock.now())
+
     def _prefill_rates(self) -> dict[str, float]:
         found = {
             s: self._demand.prefill_rate(s) for s in self._demand.counts()
--- a/src/peridotmast/serving/speeds/speeds.py
+++ b/src/peridotmast/serving/speeds/speeds.py
@@ -10,6 +10,7 @@
 from peridotmast import logs
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving.speeds import estimate
+from peridotmast.serving.speeds import reports
 from peridotmast.serving import upstream_view
 
 OFF = pb.RouterSettings.OFF
@@ -31,9 +32,6 @@
 _UPDATE_MS = 250
 """Interval at which all estimates are updated, in ms."""
 
-Run = tuple[str, int]
-"""Name and start time of a run of an upstream."""
-
 
 class Speeds:
     """Estimates the speed of each run and stores it in its view.
@@ -67,8 +65,10 @@
         self._find_view = find_view
         self._gauge = gauge
         self._log = logs.get('speeds', router=router)
-        self._own: dict[Run, estimate.Samples] = {}
-        self._bands: dict[Run, str] = {}
+        self._own: reports.Report = {}
+        self._peers: dict[str, reports.Report] = {}
+        self._peer_total: reports.Report = {}
+        self._bands: dict[reports.Run, str] = {}
         self._updated_at = 0
 
     @property
@@ -80,6 +80,8 @@
         """Change the mode; without estimates, all state is dropped."""
         self._mode = mode
         self.is_enabled = mode in (OWN, SHARED)
+        if mode != SHARED:
+            self._peers, self._peer_total = {}, {}
         if not self.is_enabled:
             for run in self._known_runs():
                 view = self._view_of(run)
@@ -113,6 +115,27 @@
         samples.add(self._clock.now(), expected_ms, took_ms)
         self._set_speed(view, self._estimate(run))
 
+    def own_report(self) -> reports.Report:
+        """Return the samples of this router; none unless they are shared."""
+        if self._mode != SHARED:
+            return {}
+        now = self._clock.now()
+        for samples in self._own.values():
+            samples.decay(now)
+        return self._own
+
+    def set_peer_report(self, source: str, report: reports.Report) -> None:
+        """Replace what a peer, a group or the rest of the fleet reports.
+
+        The estimates change with the next `tick`.
+        """
+        if self._mode == SHARED:
+            self._peers[source] = report
+
+    def retain_peers(self, sources: ty.Collection[str]) -> None:
+        """Drop the reports of all sources that are not in `sources`."""
+        self._peers = {s: r for s, r in self._peers.items() if s in sources}
+
     def tick(self) -> None:
         """Update the estimates as samples decay and runs end."""
         now = self._clock.now()
@@ -120,6 +143,8 @@
             return
         self._updated_at = now
         known = self._known_runs()
+        self._peer_total = reports.total(now, self._peers.values())
+        known.update(self._peer_total)
         for samples in self._own.values():
             samples.decay(now)
         self._own = {
@@ -144,7 +169,7 @@
         self._forget((view.name, view.born))
         view.speed = 1.0
 
-    def speeds(self) -> dict[Run, tuple[float, float]]:
+    def speeds(self) -> dict[reports.Run, tuple[float, float]]:
         """Return speed and weight of samples by run, for operators."""
         found = {}
         for run in sorted(self._known_runs()):
@@ -152,25 +177,27 @@
             found[run] = samples.speed(), samples.weight
         return found
 
-    def _known_runs(self) -> set[Run]:
+    def _known_runs(self) -> set[reports.Run]:
         """Return the runs with samples, or with a speed from earlier ones."""
         return {*self._own, *self._bands}
 
-    def _view_of(self, run: Run) -> ty.Optional[upstream_view.UpstreamView]:
+    def _view_of(
+        self, run: reports.Run
+    ) -> ty.Optional[upstream_view.UpstreamView]:
         """Return the view of a run that has not ended."""
         view = self._find_view(run[0])
         if view is None or view.born != run[1] or not _is_running(view):
             return None
         return view
 
-    def _estimate(self, run: Run) -> estimate.Samples:
+    def _estimate(self, run: reports.Run) -> estimate.Samples:
         """Return all known samples of a run."""
         now = self._clock.now()
         total = estimate.Samples(at=now)
-        own = self._own.get(run)
-        if own is not None:
-            own.decay(now)
-            total.merge(own)
+        for known in (self._own.get(run), self._peer_total.get(run)):
+            if known is not None:
+                known.decay(now)
+                total.merge(known)
         return total
 
     def _set_speed(
@@ -186,6 +213,7 @@
         before = self._bands.get(run, 'usual')
         band = self._bands[run] = _band(view.speed, before)
         if band != before:
+            own = self._own.get(run)
             self._log.info(
                 'upstream_speed',
                 upstream=view.name,
@@ -195,12 +223,13 @@
                 band=band,
                 before=before,
                 samples=round(samples.weight, 1),
-                own=round(self._own.get(run, samples).weight, 1),
+                own=round(own.weight if own else 0.0, 1),
             )
 
-    def _forget(self, run: Run) -> None:
+    def _forget(self, run: reports.Run) -> None:
         """Drop all state of a run."""
         self._own.pop(run, None)
+        self._peer_total.pop(run, None)
         if self._bands.pop(run, None) is None:
             return
         if not any(name == run[0] for name, _ in self._bands):
