Compare placement with and without speeds in a model

Samples of speed 1 now weigh 4 instead of 2: in the model, a single sample disturbed by prompts not yet reported crossed the threshold of a log line. The ranges of three steps in features/speeds.feature follow this; the one for a single sample is narrower than before and also checks the log.

--- a/features/speeds.feature
+++ b/features/speeds.feature
@@ -10,7 +10,8 @@
   Scenario: An estimate from one sample is pulled towards 1
     Given 1 upstreams of which none is slower
     When upstream 0 prefills once, 100 times slower than expected
-    Then the speed of upstream 0 is between 0.5 and 0.75
+    Then the speed of upstream 0 is between 0.75 and 0.9
+    And 0 changes of a speed were logged
 
   Scenario: An estimate stays within its bounds for any times
     Then estimates from random samples are between 0.25 and 4
@@ -141,9 +142,9 @@
     Given <count> routers that know each other's names
     When 5000 ms pass in the fleet
     And all beacons are lost for 1000 ms, with a prefill a second at each router
-    Then each router estimates the speed of "u-1" from 0.5 to 1 samples, as 0.6 to 0.8
+    Then each router estimates the speed of "u-1" from 0.5 to 1 samples, as 0.7 to 0.9
     When beacons arrive again for 5000 ms, with a prefill a second at each router
-    Then each router estimates the speed of "u-1" from <least> to <most> samples, as 0.3 to 0.4
+    Then each router estimates the speed of "u-1" from <least> to <most> samples, as 0.3 to 0.45
 
     Examples:
       | count | least | most |
@@ -154,7 +155,7 @@
     Given 40 routers of which a tenth of the beacons is lost
     When 5000 ms pass in the fleet
     And beacons arrive again for 10000 ms, with a prefill a second at each router
-    Then each router estimates the speed of "u-1" from 60 to 240 samples, as 0.3 to 0.4
+    Then each router estimates the speed of "u-1" from 60 to 240 samples, as 0.3 to 0.45
 
   # Guards against beacons that grow with the number of upstreams.
   Scenario: Reports have a bounded size and contain the runs with most samples
@@ -187,3 +188,8 @@
     Then the speed of upstream 0 is between 0.6 and 0.8
     When upstream 0 prefills 4 times a second for 10 s, at 1 times the expected time
     Then the speed of upstream 0 is between 0.9 and 1.05
+
+  # Guards against speeds that make placement worse, or that have no effect where
+  # upstreams differ much.
+  Scenario: In a model, a third of the upstreams is 2.5 times slower
+    Then in the model the 95th percentile of the time to the first event is at most 0.85 of that without speeds if they are shared
--- a/features/steps/speed_steps.py
+++ b/features/steps/speed_steps.py
@@ -5,6 +5,7 @@
 import math
 import random
 import re
+import statistics
 from unittest import mock
 
 from behave import given
@@ -17,6 +18,7 @@
 import hypothesis
 from hypothesis import strategies as st
 import prometheus_client
+import speed_model
 
 from peridotmast.cli import main as cli
 from peridotmast import clock as clock_
@@ -208,6 +210,11 @@
     assert lines[-1].kwargs['band'] == band, lines
 
 
+@then('0 changes of a speed were logged')
+def nothing_logged(context):
+    assert not context.router.speeds._log.info.called
+
+
 @then('estimates from random samples are between {low:g} and {high:g}')
 def random_estimates_between(context, low, high):
     times = st.floats(0, 1e9, allow_nan=False)
@@ -506,3 +513,18 @@
 )
 def peer_reports_earlier_run(context, count, factor):
     report_of_peer(context)
+
+
+@then(
+    'in the model the 95th percentile of the time to the first event is at'
+    ' most {share:g} of that without speeds if they are shared'
+)
+def model_improves(context, share):
+    case = speed_model.CASES['third 2.5']
+    policy = policies.ScoredPolicy
+    waits = {
+        mode: speed_model.Model(case, mode, policy, 0).run(15_000)
+        for mode in (speeds_.OFF, speeds_.SHARED)
+    }
+    tails = {m: statistics.quantiles(w, n=20)[18] for m, w in waits.items()}
+    assert tails[speeds_.SHARED] <= share * tails[speeds_.OFF], tails
--- a/src/peridotmast/serving/speeds/estimate.py
+++ b/src/peridotmast/serving/speeds/estimate.py
@@ -15,8 +15,10 @@
 upstream that was three times slower for 2 s was still estimated at 0.79 at the
 end of these, with four samples a second."""
 
-_PRIOR_WEIGHT = 2.0
-"""Weight with which an estimate is pulled towards 1, in samples."""
+_PRIOR_WEIGHT = 4.0
+"""Weight with which an estimate is pulled towards 1, in samples. Prompts that
+no report has named yet make some samples four times too long; with a weight of
+2, one such sample crossed the threshold of a log line."""
 
 _MIN_WEIGHT = 0.05
 """Weight below which samples are dropped. Even at the bounds of a speed, their
