--- a/src/peridotmast/cli/main.py
+++ b/src/peridotmast/cli/main.py
@@ -284,11 +284,16 @@
 @click.argument('name', default='')
 @click.pass_obj
 def node_show(operator: Operator, name: str) -> None:
-    """Show a router's view of the scarcity of the engine services."""
+    """Show what a router measures; without NAME, the one asked."""
     reply = operator.call('NodeShow', pb.NodeShowRequest(name=name))
     if reply.reason:
         click.echo(reply.reason, err=True)
         sys.exit(1)
+    _print_scarcity(reply)
+    _print_speeds(reply)
+
+
+def _print_scarcity(reply: pb.NodeShowReply) -> None:
     refuse = 'yes' if reply.scarcity_refuse else 'no'
     click.echo(
         f'{reply.name}: scarcity order={reply.scarcity_order} refuse={refuse}'
@@ -302,6 +307,16 @@
         )
 
 
+def _print_speeds(reply: pb.NodeShowReply) -> None:
+    setting = pb.RouterSettings.Speeds.Name(reply.speeds_setting).lower()
+    click.echo(f'{reply.name}: speeds = {setting}')
+    for item in reply.speeds:
+        click.echo(
+            f'{item.upstream:<24} born={item.born} speed={item.speed:.2f} '
+            f'samples={item.samples:.1f}'
+        )
+
+
 @node.command('drain')
 @click.argument('name')
 @click.pass_obj
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -385,6 +385,7 @@
             lambda: self._tasks.spawn('drain', self.drain),
             rollouts,
             self.serving.scarcity,
+            self.serving.speeds,
             self._file.tls,
         )
         peers = peer_service.PeerService(
