--- a/src/peridotmast/serving/scarcity/admission.py
+++ b/src/peridotmast/serving/scarcity/admission.py
@@ -31,9 +31,7 @@
 
 _SAFE_SHARE = 0.75
 """Fraction of the time limit within which a request must be expected to end:
-loads are up to 250 ms old, and preempted requests take longer. With 1, 0.51
-instead of 0.27 of the requests of priority 1 ran into their time limit in the
-queueing model at 1.8 times the capacity."""
+loads are up to 250 ms old, and preempted requests take longer."""
 
 _MIN_RETRY_MS, _MAX_RETRY_MS = 250, 10_000
 """Range of the earliest retry times, in ms: loads are reported every 250 ms,
