--- a/features/steps/config_model.py
+++ b/features/steps/config_model.py
@@ -383,7 +383,9 @@
             self.state,
             helpers.make_limits(clock),
             types.SimpleNamespace(
-                change_source=lambda: None, retain_members=lambda keep: None
+                change_source=lambda: None,
+                retain_members=lambda keep: None,
+                group_spends=lambda teams: {},
             ),
             None,
             self.catch_up,
