Reject an empty order under scarcity; reset speeds kept under a late start time

An empty [scarcity] order with refuse = true was accepted and had no effect. If the start time of a run became known after its first samples, its view kept the speed of these without end. The scenario on node show expected the output from before the merge with scarcity; it now checks both parts. Help texts say that refused requests could not end in time, as the code decides.

--- a/features/settings.feature
+++ b/features/settings.feature
@@ -91,4 +91,5 @@
       | fifo     | false  | 2    | [scarcity] order: must be one of slack, priority |
       | slack    | true   | 2    | [scarcity] refuse: needs order = priority        |
       | priority | maybe  | 2    | must be true or false                            |
+      |          | true   | 2    | [scarcity] order: must be one of slack, priority |
       | priority | true   | 0    | no findings                                      |
--- a/features/speeds.feature
+++ b/features/speeds.feature
@@ -38,6 +38,15 @@
     When a request of the earlier run of upstream 0 has its first event
     Then nothing is kept of upstream 0
 
+  # Guards against a speed that stays in force, as it was stored under another start time.
+  Scenario: A run whose start time becomes known later starts without samples
+    Given 1 upstreams of which none is slower
+    When upstream 1 appears with an unknown start time
+    And upstream 1 prefills 4 times a second for 10 s, at 3 times the expected time
+    Then the speed of upstream 1 is between 0.25 and 0.5
+    When the start time of upstream 1 becomes known
+    Then nothing is kept of upstream 1
+
   # Guards against metrics of upstreams that no longer exist.
   Scenario: The metric of an upstream that is gone is removed
     Given 2 upstreams of which none is slower
--- a/features/steps/speed_steps.py
+++ b/features/steps/speed_steps.py
@@ -174,6 +174,20 @@
     assert context.router.view(number) is not context.earlier
 
 
+@when('upstream {number:d} appears with an unknown start time')
+def appears_without_start_time(context, number):
+    context.router.table.merge(record(number, born=0))
+    assert not context.router.view(number).born
+
+
+@when('the start time of upstream {number:d} becomes known')
+def start_time_known(context, number):
+    context.router.table.merge(record(number, born=2, revision=2))
+    assert context.router.view(number).born == 2
+    context.clock.advance(1000)
+    context.router.speeds.tick()
+
+
 @when(
     'a request of the earlier run of upstream {number:d} has its first event'
 )
@@ -299,8 +313,9 @@
     name = context.fleet.routers[0].cfg.name
     result = show_node(context, name)
     assert not result.exit_code, result.output
-    first, *lines = result.output.splitlines()
-    assert first == f'{name}: speeds = own', result.output
+    scarcity, setting, *lines = result.output.splitlines()
+    assert scarcity == f'{name}: scarcity order=slack refuse=no', result.output
+    assert setting == f'{name}: speeds = own', result.output
     assert lines, result.output
     speeds = [float(re.search(r'speed=([\d.]+)', line)[1]) for line in lines]
     assert all(0.25 <= speed <= 4 for speed in speeds), result.output
@@ -310,7 +325,10 @@
 def shows_no_speed(context):
     result = show_node(context, '')
     name = context.fleet.routers[1].cfg.name
-    assert result.output == f'{name}: speeds = own\n', result.output
+    expected = (
+        f'{name}: scarcity order=slack refuse=no\n{name}: speeds = own\n'
+    )
+    assert result.output == expected, result.output
 
 
 @then('"node show" of an unknown router fails')
--- a/src/peridotmast/cli/_program.py
+++ b/src/peridotmast/cli/_program.py
@@ -59,7 +59,7 @@
         levels = ', '.join(logs.LEVELS)
         found.add(path, f'[telemetry] log_level: must be one of {levels}')
     scarcity = getattr(settings, 'scarcity', None)
-    if scarcity is not None and scarcity.order:
+    if scarcity is not None:
         if scarcity.order not in scarcity_order.ORDERS:
             known = ', '.join(scarcity_order.ORDERS)
             found.add(path, f'[scarcity] order: must be one of {known}')
--- a/src/peridotmast/serving/metrics.py
+++ b/src/peridotmast/serving/metrics.py
@@ -108,7 +108,7 @@
         )
         self.scarcity_refusals = prometheus_client.Counter(
             'peridotmast_scarcity_refusals',
-            'Requests refused as they could not begin in time, by priority.',
+            'Requests refused as they could not end in time, by priority.',
             ['service', 'priority'],
             registry=registry,
         )
--- a/src/peridotmast/serving/scarcity/admission.py
+++ b/src/peridotmast/serving/scarcity/admission.py
@@ -1,4 +1,4 @@
-"""Refusal of requests that could not begin in time, for one service."""
+"""Refusal of requests that could not end in time, for one service."""
 
 from __future__ import annotations
 
@@ -305,4 +305,5 @@
 
 
 def _key(priority: int) -> int:
+    """Return the priority as which a request is counted."""
     return max(0, min(_MAX_PRIORITY, priority))
--- a/src/peridotmast/serving/speeds/reports.py
+++ b/src/peridotmast/serving/speeds/reports.py
@@ -13,11 +13,11 @@
 """Maximum number of runs in the report of one router, about 1.4 kB."""
 
 MAX_RELAYED = 128
-"""Maximum number of runs in the report of a group head, about 5.6 kB."""
+"""Maximum number of runs in the report of a group head, about 5.8 kB."""
 
 _MIN_WEIGHT = 0.25
 """Weight below which the samples of a run are not reported: without requests,
-a router stops to report a run two half-lives after its last sample."""
+a router stops reporting a run two half-lives after its last sample."""
 
 _MAX_WEIGHT = 1e6
 """Weight above which an entry is malformed: far more requests than a fleet
--- a/src/peridotmast/serving/speeds/speeds.py
+++ b/src/peridotmast/serving/speeds/speeds.py
@@ -158,6 +158,7 @@
                 self._set_speed(view, self._estimate(run))
             else:
                 self._forget(run)
+                self._reset_if_unknown(run[0])
 
     def on_upstream_change(self, view: upstream_view.UpstreamView) -> None:
         """Drop the estimate of a run that has ended."""
@@ -226,6 +227,16 @@
                 own=round(own.weight if own else 0.0, 1),
             )
 
+    def _reset_if_unknown(self, name: str) -> None:
+        """Reset the speed of an upstream whose current run has no samples.
+
+        The start time of a run may become known after its first samples,
+        which were then stored under another key.
+        """
+        view = self._find_view(name)
+        if view is not None and (name, view.born) not in self._bands:
+            view.speed = 1.0
+
     def _forget(self, run: reports.Run) -> None:
         """Drop all state of a run."""
         self._own.pop(run, None)
