--- a/features/scarcity_refusal.feature
+++ b/features/scarcity_refusal.feature
@@ -90,3 +90,9 @@
     When the capacity is short for all requests
     Then a request is refused with 503 and a retry time of 700 ms
     And it has run at no upstream and has not reduced what its team may spend
+
+  # Guards against waits that are estimated from errors that an upstream sends within some ms.
+  Scenario: Responses that are not a success do not count for the time that a slot is held
+    Given a fleet of 1 routers that refuse requests which could not begin
+    When upstreams respond to 3 requests with 400
+    Then no request is counted as running, and no time is known for which one holds a slot
--- a/features/steps/scarcity_steps.py
+++ b/features/steps/scarcity_steps.py
@@ -22,11 +22,13 @@
 from peridotmast.serving import demand as demand_
 from peridotmast.serving import exchange as exchange_
 from peridotmast.serving import metrics as metrics_
+from peridotmast.serving import reply
 from peridotmast.serving.scarcity import admission
 from peridotmast.serving.scarcity import control
 from peridotmast.serving.scarcity import measure
 from peridotmast.serving.scarcity import order
 from peridotmast.serving import upstreams as upstreams_
+from peridotmast.wire import connection
 
 SERVICE = 'pool'
 TICK_MS = 250
@@ -615,3 +617,32 @@
     [router] = context.fleet.routers
     assert helpers.arrival_count(context, context.answer.request_id) == 0
     assert router.serving.quota.spent() == context.spent
+
+
+@when('upstreams respond to {count:d} requests with {status:d}')
+def upstreams_respond(context, count, status):
+    [router] = context.fleet.routers
+    helpers.wait_until(
+        lambda: router.serving.scarcity._admissions, 'a measured service'
+    )
+    dispatcher = router.serving.gateway._dispatcher
+    dispatcher.answer = lambda exchange, service: reply.Reply(
+        connection.ResponseHead(status, []), b'invalid'
+    )
+    for _ in range(count):
+        request_of_noor(context)
+        assert context.answer.status == status, vars(context.answer)
+
+
+@then(
+    'no request is counted as running, and no time is known for which one'
+    ' holds a slot'
+)
+def nothing_running_nor_known(context):
+    [router] = context.fleet.routers
+    helpers.wait_until(
+        lambda: not router.serving.gateway.in_flight, 'the end of requests'
+    )
+    [found] = router.serving.scarcity._admissions.values()
+    assert not any(found._slots.in_use.values()), found._slots.in_use
+    assert not found._hold_ms, found._hold_ms
--- a/src/peridotmast/serving/gateway.py
+++ b/src/peridotmast/serving/gateway.py
@@ -307,7 +307,10 @@
             span.end()
             self.in_flight -= 1
             took_ms = self._clock.now() - exchange.arrived_at
-            ticket.end(waited_ms, took_ms)
+            if reply.head.is_success:
+                ticket.end(waited_ms, took_ms)
+            else:
+                ticket.end()
             self._metrics.answer_time.labels(service.name, priority).observe(
                 took_ms / 1000
             )
--- a/src/peridotmast/serving/scarcity/control.py
+++ b/src/peridotmast/serving/scarcity/control.py
@@ -61,7 +61,7 @@
         ----------
         first_ms : float, optional
             Time from its arrival to the first bytes of the response, in ms;
-            None if there is no response.
+            None without a successful response.
         took_ms : float, optional
             Time to the end of the response, in ms.
         """
