--- a/src/peridotmast/serving/scarcity/admission.py
+++ b/src/peridotmast/serving/scarcity/admission.py
@@ -113,10 +113,11 @@
             Time since the last update, in ms.
         routers : int
             Number of routers. The load of a priority counts as this router's
-            times their number; what is left of the load of all routers, as of
-            the lowest priority. In proportion to this router's requests, one
-            that refused low priorities would take the load that others have of
-            them for load of high priorities, and would refuse ever more.
+            times their number, at most the load of all routers; what is left
+            of that load counts for no priority. In proportion to this router's
+            requests, one that refused low priorities would take the load that
+            others have of them for load of high priorities, and would refuse
+            ever more.
         load, capacity : float
             Those of all routers.
         """
