--- a/features/endless_upstreams.feature
+++ b/features/endless_upstreams.feature
@@ -53,6 +53,8 @@
   Scenario: Long events, repeated events and late responses are no fault
     Then an event of 1000000 bytes in pieces of 7 bytes is read whole
     And repeated events count as progress, unless they are repeated again
+    And an event whose id has 5000 digits is returned as one without an id
+    And 1000000 bytes of comments in pieces of 8 bytes are received in little time
     And a response that arrived before a pause of the router is read whole
 
   # Guards against a soak that injects the fault and sees no violation of it.
--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -6,6 +6,7 @@
 import socket
 import threading
 import time
+from unittest import mock
 
 import answer_end_steps
 from behave import given
@@ -22,6 +23,7 @@
 from peridotmast.load import oracle
 from peridotmast.platform import names
 from peridotmast.serving import health as health_
+from peridotmast.serving import stream as stream_
 from peridotmast.standin import endless
 from peridotmast.wire import connection as connection_
 from peridotmast.wire import event_reader
@@ -210,6 +212,35 @@
     assert reader.is_endless
 
 
+@then('an event whose id has {count:d} digits is returned as one without an id')
+def long_event_id(context, count):
+    # Python refuses to convert so many digits to a number.
+    reader = event_reader.EventReader()
+    event = b'id: %s\ndata: x\n\n' % (b'1' * count)
+    assert reader.feed(event) == event
+    assert reader.has_event and reader.last_id == -1
+
+
+@then(
+    '{size:d} bytes of comments in pieces of {piece:d} bytes are received in'
+    ' little time'
+)
+def comments_received(context, size, piece):
+    # Each piece must not copy all bytes that wait for the first event.
+    stream = stream_.Stream(
+        mock.Mock(last_event=None),
+        mock.Mock(),
+        mock.Mock(),
+        clock_.SystemClock(),
+    )
+    comment = b': ' + b'x' * (piece - 4) + b'\n\n'
+    began = time.process_time()
+    for _ in range(size // piece):
+        assert stream.feed(comment) is None
+    assert time.process_time() - began < 2
+    assert stream.take_pending() == comment * (size // piece)
+
+
 @then('a response that arrived before a pause of the router is read whole')
 def late_response(context):
     clock = clock_.SystemClock()
--- a/src/peridotmast/serving/stream.py
+++ b/src/peridotmast/serving/stream.py
@@ -55,7 +55,7 @@
         self.unreached: set[str] = set()
         """Names of upstreams and peers that could not be connected to when the
         stream was resumed."""
-        self.pending = b''
+        self.pending = bytearray()
         """Received events that were not forwarded yet."""
         self.ended = False
         """Whether the stream has ended, as far as the caller can see."""
@@ -117,7 +117,8 @@
 
     def take_pending(self) -> bytes:
         """Return the pending events and clear them."""
-        pending, self.pending = self.pending, b''
+        pending = bytes(self.pending)
+        self.pending.clear()
         return pending
 
     def take_gap_ms(self, min_events: int = 1) -> ty.Optional[float]:
