Bound refunds at members, skip useless questions, keep overtaken beacons

A member of a group recorded each refund for ever. The successor of a silent head waited 100 ms for a router that never decides. Beacons of a head that a report of its spending had overtaken were ignored, so that its group could count as silent.

--- a/features/groups.feature
+++ b/features/groups.feature
@@ -107,6 +107,22 @@
     And a head announces that it is leaving, and ends 2000 ms later
     Then for 6000 ms of staggered rounds each router considers all others alive
 
+  # Guards against requests that wait 100 ms for an answer that cannot come: a successor was
+  # waiting for the router after itself, which does not decide, or for nobody.
+  Scenario: The successor of a head that does not answer asks nobody else
+    Given 40 routers that know each other's names
+    When 5000 ms pass in the fleet
+    And the heads do not answer any more
+    Then each successor asks only the head for the tokens of a request
+
+  # Guards against a group that counts as silent while its head is under load: the head's
+  # reports between rounds may overtake each of its beacons, which were then ignored.
+  Scenario: A head is heard although its reports overtake its beacons
+    Given 40 routers that know each other's names
+    When 5000 ms pass in the fleet
+    And reports between heads overtake their beacons for 3000 ms
+    Then no head misses the reports of another group
+
   # Guards against routers that are considered silent after their head is restarted
   # (2,514 log lines in 2 s): it was head again at once, and reported only the routers
   # whose beacons it had received by then, so all others were considered silent.
--- a/features/limits.feature
+++ b/features/limits.feature
@@ -145,6 +145,13 @@
     When the router admits a small request that does not run
     Then the next request is admitted at once
 
+  # Guards against memory that grows with each refund: the head has counted the requests, and
+  # a member never asks for confirmations of its own spending while the head answers.
+  Scenario: Refunds at a member of a group take no memory
+    Given one of 58 routers, and a team whose token bucket is at a low level
+    When the head of its group admits 1000 requests that do not run
+    Then the router keeps no record of its own spending
+
   Scenario: A single router admits requests within the limit at once
     Given one of 1 routers, and a team whose token bucket is at a low level
     When the router admits a small request
--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -212,7 +212,9 @@
     assert reader.is_endless
 
 
-@then('an event whose id has {count:d} digits is returned as one without an id')
+@then(
+    'an event whose id has {count:d} digits is returned as one without an id'
+)
 def long_event_id(context, count):
     # Python refuses to convert so many digits to a number.
     reader = event_reader.EventReader()
--- a/features/steps/group_steps.py
+++ b/features/steps/group_steps.py
@@ -800,6 +800,56 @@
     fleet.is_cut = lambda beacon: beacon.HasField('limit_ask')
 
 
+@when('the heads do not answer any more')
+def heads_do_not_answer(context):
+    context.simulated.is_cut = lambda beacon: beacon.HasField('limit_answer')
+
+
+@then('each successor asks only the head for the tokens of a request')
+def successor_asks_head(context):
+    fleet = context.simulated
+    successors = [
+        node
+        for node in fleet.nodes.values()
+        if node.peering._current_groups().is_successor
+    ]
+    assert successors
+    for node in successors:
+        borrowing = node.peering.borrowing
+        borrowing.wait_answer = mock.Mock(return_value=None)
+        borrowing.acquire('noor', 100)
+        waited_ms = sum(
+            call.args[1] for call in borrowing.wait_answer.call_args_list
+        )
+        assert waited_ms == 100, waited_ms
+
+
+@when('reports between heads overtake their beacons for {ms:d} ms')
+def reports_overtake_beacons(context, ms):
+    """Deliver a report of each head in each round before its beacon."""
+    fleet = context.simulated
+
+    def overtake(node, beacon, peers):
+        if beacon.HasField('group'):
+            fleet.clock.advance(1)
+            node.peering.spend_reports.send_report()
+        Fleet.deliver(fleet, node, beacon, peers)
+
+    fleet.deliver = overtake
+    fleet.run(ms)
+
+
+@then('no head misses the reports of another group')
+def no_head_misses_reports(context):
+    nodes = context.simulated.nodes.values()
+    heads = [n for n in nodes if n.peering._current_groups().is_head]
+    for node in heads:
+        heard = set(node.peering._group_reported_at)
+        groups_ = node.peering._current_groups()
+        expected = set(range(groups_.count)) - {groups_.own_group}
+        assert heard == expected, (node.name, heard, expected)
+
+
 @when('{count:d} more routers join with the same limit')
 def join_with_limit(context, count):
     before = set(context.simulated.nodes)
--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -698,6 +698,20 @@
     context.quota.refund('a', 500)
 
 
+@when('the head of its group admits {count:d} requests that do not run')
+def head_admits_not_run(context, count):
+    context.quota.follows_head = lambda: True
+    for _ in range(count):
+        context.clock.advance(10)
+        context.quota.refund('a', 500)
+
+
+@then('the router keeps no record of its own spending')
+def no_record_of_spending(context):
+    bucket = context.quota._buckets['a']
+    assert not bucket.spending._admitted, len(bucket.spending._admitted)
+
+
 @then('the next request is admitted at once')
 def next_admitted_at_once(context):
     wait_ms = context.quota.take('a', 500)
--- a/src/peridotmast/router/peering.py
+++ b/src/peridotmast/router/peering.py
@@ -310,16 +310,19 @@
                     name, run, beacon.own, counted, is_new
                 )
                 self.spend_reports.notify()
-        if beacon.HasField('group') and self._confirmations.receive(
-            name, run, beacon.stamp
-        ):
+        if beacon.HasField('group'):
             clock.record_peer(name, beacon.wall_ms)
             group = groups.group_of(name)
             self._group_reported_at[group] = self._clock.now()
             covered = () if beacon.others_alive else groups.names_in(group)
             self._members.apply_head_report(beacon.alive, covered)
             counted = split and groups.is_head
-            self._totals.update_group(name, run, group, beacon.group, counted)
+            # A report between rounds may overtake a beacon, but has only
+            # the spending.
+            is_newest = self._confirmations.receive(name, run, beacon.stamp)
+            self._totals.update_group(
+                name, run, group, beacon.group, counted, is_newest
+            )
             if counted:
                 self._add_gap_estimates(
                     _group_source(group), (name, run), groups
--- a/src/peridotmast/router/quota_borrowing.py
+++ b/src/peridotmast/router/quota_borrowing.py
@@ -218,7 +218,7 @@
                 self._silent_until = self._clock.now() + _SILENT_HEAD_MS
         if answer is None and self._stands_in(groups):
             return self._decide(groups, team, tokens)
-        if answer is None:
+        if answer is None and not groups.is_successor:
             successor = groups.head_and_successor()[1:2]
             answer = self._ask(successor, team, tokens, head_silent=True)
         return answer
@@ -238,7 +238,17 @@
         tokens: int,
         head_silent: bool = False,
     ) -> ty.Optional[pb.LimitAnswer]:
-        """Ask a router for tokens; return None without an answer."""
+        """Ask a router for tokens; return None without an answer.
+
+        Parameters
+        ----------
+        peers : sequence of members.Peer
+            The router to ask; empty if there is none.
+        head_silent : bool
+            Whether the head of the group did not answer.
+        """
+        if not peers:
+            return None
         number = next(self._numbers)
         answered = self._pending[number] = green.Event()
         me = self._members.me
@@ -277,7 +287,7 @@
             'head_unanswered',
             team=team,
             tokens=tokens,
-            head=peers[0].member.name if peers else '',
+            head=peers[0].member.name,
         )
         self._late[number] = _Question(team, tokens)
         if len(self._late) > _MAX_LATE:
--- a/src/peridotmast/router/shared_totals.py
+++ b/src/peridotmast/router/shared_totals.py
@@ -193,12 +193,27 @@
         self._spends.receive_group(group, head, run, counts, counted=True)
 
     def update_group(
-        self, head: str, run: int, group: int, totals: pb.Totals, counted: bool
+        self,
+        head: str,
+        run: int,
+        group: int,
+        totals: pb.Totals,
+        counted: bool,
+        has_newest_spends: bool = True,
     ) -> None:
-        """Update the totals of another group from its head."""
-        self._spends.receive_group(
-            group, head, run, _tokens_by_team(totals), counted
-        )
+        """Update the totals of another group from its head.
+
+        Parameters
+        ----------
+        counted : bool
+            Whether this router takes the group's counts from this message.
+        has_newest_spends : bool
+            Whether no newer report of the head on spending has arrived.
+        """
+        if has_newest_spends:
+            self._spends.receive_group(
+                group, head, run, _tokens_by_team(totals), counted
+            )
         self._demand_tokens.receive_group(
             group, head, run, _tokens_by_service(totals), counted
         )
--- a/src/peridotmast/serving/quota.py
+++ b/src/peridotmast/serving/quota.py
@@ -274,7 +274,8 @@
             own = tokens
             if self.follows_head():
                 own = max(0, min(tokens, bucket.spending.tokens))
-            bucket.spending.add(self._clock.now(), -own)
+            if own:
+                bucket.spending.add(self._clock.now(), -own)
 
     def spent(self) -> dict[str, int]:
         """Return the total tokens spent by this router, by team."""
@@ -443,7 +444,7 @@
     def _report_if_due(
         self, bucket: token_bucket.TokenBucket, needed: float
     ) -> None:
-        """Ask for a report to peers once a part is used up to some share."""
+        """Request a report to peers if `_REPORT_SHARE` of the part is used."""
         if not bucket.is_known:
             return
         used = bucket.spending.tokens + needed
--- a/src/peridotmast/standin/endless.py
+++ b/src/peridotmast/standin/endless.py
@@ -30,7 +30,7 @@
     'continue responses': (b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
     'early hints': (b'', b'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n'),
 }
-"""First bytes, and those that follow without end, by what has no end."""
+"""By the part without end: the first bytes, and those repeated after them."""
 
 BODIES = {
     'a chunk size': (_CHUNKED, b'0'),
@@ -63,7 +63,7 @@
 KINDS = tuple(
     kind for kind in (*HEADS, *BODIES, *STREAMS) if 'after' not in kind
 )
-"""What has no end, for responses that consist of nothing else."""
+"""Keys of responses that begin with the part without end."""
 
 
 @dataclasses.dataclass
