--- a/features/team_limit.feature
+++ b/features/team_limit.feature
@@ -32,7 +32,7 @@
     And the team asks for 20 times its limit for 12 s
     Then no more tokens run in any 8 s than are allowed
 
-  # The same fault where heads relay the reports: the pacing there goes by the size of the fleet.
+  # The same fault where heads relay the reports, so that these pass three hops.
   Scenario: A team gets no more than its limit while reports are late in a large fleet
     Given 24 routers before a team with 600000 tokens a second and a burst of 1320000
     When beacons take 200 to 500 ms, and rounds are up to 200 ms late
