A head without a team's limit leaves its requests to the member; event ids of up to 18 digits

Cause: found in review: while a configuration spreads, a head that lacked a team's limit refused the requests of members that had it; ids of 16 to 18 digits are valid.

--- a/features/limits.feature
+++ b/features/limits.feature
@@ -152,6 +152,12 @@
     When the head of its group admits 1000 requests that do not run
     Then the router keeps no record of its own spending
 
+  # Guards against refusals while a configuration spreads: a head without a team's limit
+  # refused the requests of members that had it already.
+  Scenario: A head without the limit of a team leaves its requests to the member
+    Given one of 58 routers, and a team whose token bucket is at a low level
+    Then as the head it lends 500 tokens to a team that it does not know, uncounted
+
   Scenario: A single router admits requests within the limit at once
     Given one of 1 routers, and a team whose token bucket is at a low level
     When the router admits a small request
--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -716,3 +716,13 @@
 def next_admitted_at_once(context):
     wait_ms = context.quota.take('a', 500)
     assert wait_ms == 0, wait_ms
+
+
+@then(
+    'as the head it lends {tokens:d} tokens to a team that it does not know,'
+    ' uncounted'
+)
+def head_lends_to_unknown_team(context, tokens):
+    loan = context.quota.lend('unknown', tokens, members=7)
+    assert loan == quota_.Loan(wait_ms=0, is_counted=False), loan
+    assert 'unknown' not in context.quota.spent()
--- a/src/peridotmast/serving/quota.py
+++ b/src/peridotmast/serving/quota.py
@@ -224,8 +224,8 @@
         """
         bucket = self._buckets.get(team)
         if bucket is None:
-            # The configuration of the member is older or newer.
-            return Loan(_STARTUP_RETRY_MS, False)
+            # The configuration in force here has no limit for the team.
+            return Loan(0, False)
         if bucket.is_known:
             return Loan(self.take(team, tokens, stands_in), True)
         needed = bucket.tokens_needed(tokens)
--- a/src/peridotmast/wire/event_reader.py
+++ b/src/peridotmast/wire/event_reader.py
@@ -12,8 +12,8 @@
 _EVENT_END = re.compile(rb'\r?\n(?:\r?\n)+')
 _MAX_PARTIAL_END = 3
 """Number of bytes of an event's end that may precede its last byte."""
-_EVENT_ID = re.compile(rb'^id:[ ]?([0-9]{1,15})\r?$', re.MULTILINE)
-"""Ids with more digits are ignored: they overflow the messages between
+_EVENT_ID = re.compile(rb'^id:[ ]?([0-9]{1,18})\r?$', re.MULTILINE)
+"""Ids with more digits are ignored: they may overflow the messages between
 routers, and Python refuses to convert thousands of digits."""
 
 _CONTENT = re.compile(rb'^[^:\r\n]', re.MULTILINE)
