--- a/features/steps/group_steps.py
+++ b/features/steps/group_steps.py
@@ -46,6 +46,7 @@
 
 ROUND_MS = 250
 STEP_MS = 50
+CONFIRMATION_MS = 20
 LATE_MS = 150
 """Largest delay of a round at a busy router."""
 BURST = 1_000_000
@@ -229,10 +230,13 @@
             self.clock.advance(ROUND_MS)
 
     def confirm_reports(self):
-        """Let the time pass in which heads confirm a report to each other."""
-        self.clock.advance(STEP_MS)
+        """Let the time pass in which heads confirm a report to each other.
+
+        It is less than a head keeps a request waiting for confirmations.
+        """
+        self.clock.advance(CONFIRMATION_MS // 2)
         self.send_due_reports()
-        self.clock.advance(STEP_MS)
+        self.clock.advance(CONFIRMATION_MS // 2)
 
     def send_due_reports(self):
         due, self.due_reports = self.due_reports, set()
