--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -229,13 +229,9 @@
                 'at': self._revision,
             }
             text = json.dumps(page)
-        req.send(
-            200, text.encode(), [('Content-Type', 'application/json')]
-        )
+        req.send(200, text.encode(), [('Content-Type', 'application/json')])
 
-    def _watch(
-        self, req: Handler, kind: str, query: dict[str, str]
-    ) -> None:
+    def _watch(self, req: Handler, kind: str, query: dict[str, str]) -> None:
         since = int(query['watch'])
         end = time.monotonic() + int(query.get('wait-ms', 0)) / 1000
         with self._changed:
@@ -250,9 +246,7 @@
                     break
                 self._changed.wait(left)
             text = json.dumps({'events': events, 'at': self._revision})
-        req.send(
-            200, text.encode(), [('Content-Type', 'application/json')]
-        )
+        req.send(200, text.encode(), [('Content-Type', 'application/json')])
 
     def _one(
         self,
--- a/review/lib/upstream_standin.py
+++ b/review/lib/upstream_standin.py
@@ -115,9 +115,7 @@
             how=self.ended[request_id],
         )
 
-    def control(
-        self, req: platform.Handler, path: str, body: bytes
-    ) -> bool:
+    def control(self, req: platform.Handler, path: str, body: bytes) -> bool:
         """Answer a control call; return whether it was one."""
         if req.command != 'GET' or path != '/health':
             return False
@@ -132,9 +130,7 @@
             ('X-Response-Seal', f'{self.name}.{request_id}'),
         ]
 
-    def run(
-        self, req: platform.Handler, request_id: str, body: bytes
-    ) -> None:
+    def run(self, req: platform.Handler, request_id: str, body: bytes) -> None:
         """Run one request."""
         time.sleep(self.work_ms / 1000)
         if not self._is_up:
@@ -180,9 +176,7 @@
         """The other engines by address."""
         super().__init__(*args, **kwargs)
 
-    def control(
-        self, req: platform.Handler, path: str, body: bytes
-    ) -> bool:
+    def control(self, req: platform.Handler, path: str, body: bytes) -> bool:
         if req.command == 'GET' and path == '/report':
             req.send_json(200, self._report())
             return True
@@ -234,9 +228,7 @@
         target.copies[f'{self.address}/{handle}'] = run
         req.send_json(200, answer)
 
-    def run(
-        self, req: platform.Handler, request_id: str, body: bytes
-    ) -> None:
+    def run(self, req: platform.Handler, request_id: str, body: bytes) -> None:
         after = int(req.headers.get('Last-Event-Id') or 0)
         source = req.headers.get('Kv-From')
         self._note(
