--- a/review/lib/upstream_standin.py
+++ b/review/lib/upstream_standin.py
@@ -37,6 +37,7 @@
         note: ty.Callable[..., None],
         zone: str = 'zone-a',
         slots: int = 6,
+        born: int = 0,
     ) -> None:
         self._store, self.service, self.name = store, service, name
         self.work_ms, self._note = work_ms, note
@@ -54,6 +55,8 @@
             'version': 'v1', 'capacity-slots': slots, 'state': 'ready',
             'cold-left-ms': 0, 'seq': 1,
         }  # fmt: skip
+        if born:
+            self.entry['born'] = born
         store.put('servers', name, dict(self.entry))
         threading.Thread(target=self._renew, daemon=True).start()
 
