--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -102,14 +102,17 @@
 
     daemon_threads = True
     request_queue_size = 1024
-    allow_reuse_address = False
+    allow_reuse_address = True
 
     def __init__(
-        self, app: ty.Callable[[Handler], None], host: str = '127.0.0.1'
+        self,
+        app: ty.Callable[[Handler], None],
+        host: str = '127.0.0.1',
+        port: int = 0,
     ) -> None:
         self.app = app
         self.connections: set[socket.socket] = set()
-        super().__init__((host, 0), Handler)
+        super().__init__((host, port), Handler)
         self.address = f'{host}:{self.server_address[1]}'
         threading.Thread(
             target=self.serve_forever, args=(0.05,), daemon=True
--- a/review/lib/upstream_standin.py
+++ b/review/lib/upstream_standin.py
@@ -38,6 +38,7 @@
         zone: str = 'zone-a',
         slots: int = 6,
         born: int = 0,
+        port: int = 0,
     ) -> None:
         self._store, self.service, self.name = store, service, name
         self.work_ms, self._note = work_ms, note
@@ -48,7 +49,7 @@
         """How each run ended: `answered` or `cut`."""
         self.state = 'ready'
         self._lock = threading.Lock()
-        self.server = platform.Server(self._answer)
+        self.server = platform.Server(self._answer, port=port)
         self._is_up = True
         self.entry = {
             'service': service, 'addr': self.server.address, 'zone': zone,
