--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -50,6 +51,12 @@
         self._lock = threading.Lock()
         self.temp = pathlib.Path(tempfile.mkdtemp(prefix='peridotmast-'))
         self.routers: list[Router] = []
+        # Plays beside each other don't take each other's ports.
+        numbers = random.SystemRandom()
+        self.network = (
+            f'127.{numbers.randrange(1, 255)}.{numbers.randrange(255)}'
+        )
+        """First three numbers of the routers' loopback addresses."""
         self.store = platform.Store()
         self.cloud = platform.Cloud()
 
@@ -115,7 +122,7 @@
     ) -> None:
         self._case, self.number = case, number
         self.name = f'edge-{number}'
-        self.ip = f'127.0.0.{10 + number}'
+        self.ip = f'{case.network}.{10 + number}'
         self._bounds = bounds
         names = ('front', 'ready', 'directory', 'control', 'metrics')
         self.ports = dict(zip(names, _free_ports(self.ip, len(names))))
