--- a/review/1/run.py
+++ b/review/1/run.py
@@ -11,8 +11,8 @@
 import case as case_  # noqa: E402
 import upstream_standin as upstream  # noqa: E402
 
-DRAIN_MS = 2000
-SERVES_ON_S = 3.5
+DRAIN_MS = 3000
+SERVES_ON_S = 4.5
 """Time for which the draining worker serves after its report: `drain-ms` and a
 little longer."""
 
@@ -29,9 +29,9 @@
     )
     workers = [
         upstream.Worker(case.store, 'ledger', name, 45, case.note)
-        for name in ('i-a', 'i-b')
+        for name in ('i-a', 'i-b', 'i-c', 'i-d', 'i-e')
     ]
-    routers = [case.router(number) for number in (1, 2)]
+    routers = [case.router(number, drain_ms=DRAIN_MS) for number in (1, 2)]
     for router in routers:
         router.wait_until_ready()
     answers: dict[str, case_.Answer] = {}
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -46,11 +46,11 @@
             case.store, 'pool', name, 0, case.note,
             slots=64, gap_ms=60, count=PIECES,
         )
-        for name in ('i-a', 'i-b')
+        for name in ('i-a', 'i-b', 'i-c', 'i-d', 'i-e')
     ]  # fmt: skip
     for engine in engines:
         engine.peers = {e.address: e for e in engines if e is not engine}
-    router = case.router(1)
+    router = case.router(1, drain_ms=3000)
     router.wait_until_ready()
     # From then on a router knows the version of each stream that may still
     # be taken up.
