A stream that a caller takes up keeps its position when it is moved

Callers saw: events twice, in an answer that looked sound.

Cause: a stream's reader states -1 before its first event. Both ways to resume turned that into 0, and the request headers replaced the caller's own position by it. "No event yet in this answer" and "the caller has nothing" were the same number.

Change: Stream.last_event is the only place that states the position, and is None before the first event. The headers then pass on what the caller stated, in its own words, also if a router can't read it; 0 is sent only if the caller stated nothing. A first attempt and a retry did so before.

Of the 18 scenarios of features/positions.feature 10 failed before, none now. Streams, reclaim, answer_ends, stream_versions, peer_ways, promises: 94 scenarios passed.

--- a/features/steps/peer_model.py
+++ b/features/steps/peer_model.py
@@ -190,14 +190,14 @@
             return failures.not_run('no_connection', 'error 111')
         return PeerConn(self.world, address.partition(':')[0], hop)
 
-    def ask(self, kind, request_id):
+    def ask(self, kind, request_id, headers=()):
         """Handle a request as its entry router; return what the caller got."""
         now = self.world.clock.now()
         exchange = exchange_.Exchange(
             id=request_id,
             method='POST',
             target='/',
-            headers=[('Host', 'h'), (names.REQUEST_ID, request_id)],
+            headers=[('Host', 'h'), (names.REQUEST_ID, request_id), *headers],
             body=b'',
             route=ROUTES[kind],
             team='t',
--- a/src/peridotmast/platform/dialect.py
+++ b/src/peridotmast/platform/dialect.py
@@ -60,12 +60,7 @@
         if exchange.is_stream:
             headers.append((names.PRIORITY, str(exchange.urgency)))
         if resume is not None:
-            headers = [
-                (name, value)
-                for name, value in headers
-                if name.lower() != names.LAST_EVENT.lower()
-            ]
-            headers.append((names.LAST_EVENT, str(resume.last_event)))
+            headers = _at_position(headers, resume.last_event)
             if resume.kv_location:
                 headers.append((names.COPY_FROM, resume.kv_location))
         return headers
@@ -141,6 +136,26 @@
         return float(text)
 
 
+def _at_position(
+    headers: connection.Headers, last_event: ty.Optional[int]
+) -> connection.Headers:
+    """Return `headers` with the position from which a stream is resumed.
+
+    Before the first event, the position of a caller that takes a stream up is
+    passed on as the caller states it: it came from an upstream, whose ids may
+    be unreadable for a router.
+    """
+    stated = [value for name, value in headers if _is_position(name)]
+    if last_event is None and any(map(str.strip, stated)):
+        return headers
+    others = [(name, v) for name, v in headers if not _is_position(name)]
+    return [*others, (names.LAST_EVENT, str(last_event or 0))]
+
+
+def _is_position(name: str) -> bool:
+    return name.lower() == names.LAST_EVENT.lower()
+
+
 def _refusal(
     head: connection.ResponseHead, upstream: str
 ) -> ty.Optional[dialect.Verdict]:
--- a/src/peridotmast/serving/dialect.py
+++ b/src/peridotmast/serving/dialect.py
@@ -40,8 +40,10 @@
 class ResumePoint:
     """Position from which a stream is resumed."""
 
-    last_event: int
-    """Id of the last event that the caller has received."""
+    last_event: ty.Optional[int]
+    """Id of the last event that the caller has received from routers in
+    response to this request; None before the first one. The position is then
+    the one that the headers of the request state, if any."""
     kv_location: str = ''
     """Location of the KV cache of the run; empty to recompute the prefill."""
 
--- a/src/peridotmast/serving/stream.py
+++ b/src/peridotmast/serving/stream.py
@@ -151,6 +151,16 @@
         events = self.exchange.prompt.tokens_out / self.service.event_tokens
         return int(now + max(0.0, events - self.reader.last_id) * ms_per_event)
 
+    @property
+    def last_event(self) -> ty.Optional[int]:
+        """Id of the last event that the caller has received; None if none.
+
+        For a request that a peer resumes, this includes the events that the
+        caller has received from the peer.
+        """
+        last_id = self.reader.last_id
+        return last_id if last_id >= 0 else None
+
     def may_resume(self) -> bool:
         """Return whether the route allows a run at one more upstream."""
         route = self.exchange.route
--- a/src/peridotmast/serving/stream_relay.py
+++ b/src/peridotmast/serving/stream_relay.py
@@ -285,7 +285,7 @@
             return None
         stream.sent.reservation.release()
         resume_point = dialect_.ResumePoint(
-            max(0, stream.reader.last_id), migrated.kv_location
+            stream.last_event, migrated.kv_location
         )
         return self._send_resume(stream, migrated.reservation, resume_point)
 
@@ -326,7 +326,7 @@
                 if lacks_version
                 else peer_sender_.NO_UPSTREAM
             )
-        resume_point = dialect_.ResumePoint(max(0, stream.reader.last_id))
+        resume_point = dialect_.ResumePoint(stream.last_event)
         result = self._send_resume(stream, reservation, resume_point)
         is_unsent = (
             isinstance(result, failures.Failure)
