A stream whose events have no ids continues nowhere else

Callers would see: all events of such a stream again, once it is moved or resumed at another upstream after its first event.

A stream without a position counted as one at position 0.

Change: Stream.has_position states whether another upstream can be told where the stream continues. If not, the stream is not moved off a leaving upstream and not resumed; it ends visibly incomplete, with the reason no_position.

--- a/features/positions.feature
+++ b/features/positions.feature
@@ -34,5 +34,18 @@
       | e-17                |
       | 1234567890123456789 |
 
+  # Guards against events that reach a caller twice because they have no ids: another upstream was
+  # told the position 0.
+  Scenario Outline: A stream whose events have no ids continues nowhere else
+    When a stream whose events have no ids <what>
+    Then the caller receives it <how>
+
+    Examples:
+      | what                                   | how                           |
+      | is moved after 1 event                 | broken off, and no event twice |
+      | is broken off after 1 event            | broken off, and no event twice |
+      | is moved while its first event arrives | broken off, and no event twice |
+      | is moved before an event               | whole                         |
+
   Scenario: Random attempts at a stream that is taken up
     Then in 300 drawn worlds, a stream that is taken up brings the events after its position, each once
--- a/features/steps/position_steps.py
+++ b/features/steps/position_steps.py
@@ -15,6 +15,7 @@
 
 from peridotmast import failures
 from peridotmast.platform import names
+from peridotmast.serving import stream as stream_
 from peridotmast.serving import stream_migrator
 
 ONE_VERSION = dict.fromkeys(peer_model.UPSTREAMS, 'a')
@@ -28,6 +29,8 @@
 
     is_moved: bool
     events: int
+    late_events: tuple[bytes, ...] = ()
+    """Events that are sent after the run was stopped for its move."""
 
 
 class Conn(peer_model.UpstreamConn):
@@ -47,28 +50,29 @@
         self.attempt = self.world.script.pop(0) if is_scripted else None
 
     def events(self):
-        events = EVENTS[self.resumed :]
+        events = self.world.events[self.resumed :]
         if self.attempt is None:
             yield from events
             yield b''
         yield from events[: self.attempt.events]
         if self.attempt.is_moved:
             self.move()
+        yield from self.attempt.late_events
         yield failures.unknown('broke_off')
 
     def move(self):
         serving = self.router.serving
-        stream = serving._relay._open[-1]
         migrator = stream_migrator.StreamMigrator(
             self.world.clock,
             serving._relay,
             serving.placement,
             Control(),
             serving.decisions,
-            lambda *args: None,
+            lambda name, func, *args: func(*args),
             3000,
         )
-        migrator.move(stream, stream.sent.reservation.view)
+        view = self.router.table.get(self.upstream)
+        migrator._move_streams(view, gone_at=0)
 
 
 class Control:
@@ -78,7 +82,7 @@
         return stream_migrator.KvCopy('kv', is_at_target=True)
 
 
-def play(position, script, is_through_peer=False, hops=()):
+def play(position, script, is_through_peer=False, hops=(), events=EVENTS):
     """Return the world and what a caller got of a stream it takes up."""
     cuts = {'r-0': ()}
     if is_through_peer:
@@ -86,6 +90,7 @@
     with mock.patch.dict(peer_model.VERSIONS, ONE_VERSION):
         world = peer_model.World(cuts, (), hops)
         world.script, world.positions = list(script), []
+        world.events = events
         for router in world.routers.values():
             connect(world, router)
         headers = [] if position is None else [(names.LAST_EVENT, position)]
@@ -131,6 +136,31 @@
     assert context.world.positions == [position] * 3, context.world.positions
 
 
+WITHOUT_IDS = [event.partition(b'\n')[2] for event in EVENTS]
+SCRIPTS = {
+    'is moved after 1 event': Attempt(True, 1),
+    'is broken off after 1 event': Attempt(False, 1),
+    'is moved while its first event arrives': Attempt(
+        True, 0, (WITHOUT_IDS[0],)
+    ),
+    'is moved before an event': Attempt(True, 0),
+}
+
+
+@when('a stream whose events have no ids {what}')
+def stream_without_ids(context, what):
+    _, context.got = play('0', [SCRIPTS[what]], events=WITHOUT_IDS)
+
+
+@then('the caller receives it {how}')
+def receives_how(context, how):
+    if how == 'broken off, and no event twice':
+        assert isinstance(context.got, failures.Failure), context.got
+        assert context.got.reason == stream_.NO_POSITION, context.got
+    else:
+        assert context.got[1] == b''.join(WITHOUT_IDS), context.got
+
+
 ATTEMPTS = strategies.builds(
     Attempt, strategies.booleans(), strategies.integers(0, 2)
 )
--- a/src/peridotmast/serving/stream.py
+++ b/src/peridotmast/serving/stream.py
@@ -18,6 +18,9 @@
 END_UNKNOWN = 'end_unknown'
 """Reason of a failure of a stream that may be complete or not."""
 
+NO_POSITION = 'no_position'
+"""Reason why a stream whose events have no ids can't be resumed."""
+
 _MIGRATION_WAIT_MS = 1500
 """Time limit for a migration to finish once its stream has stopped, in ms."""
 
@@ -45,9 +48,10 @@
         self.service = service
         self.sent = sent
         """The attempt that currently supplies the events."""
-        self.reader = event_reader.EventReader(
+        self._first_position = (
             -1 if exchange.last_event is None else exchange.last_event
         )
+        self.reader = event_reader.EventReader(self._first_position)
         self.tried: set[str] = {sent.reservation.view.name}
         """Names of the upstreams chosen to run the stream from its prompt."""
         self.runs = 1
@@ -161,6 +165,15 @@
         last_id = self.reader.last_id
         return last_id if last_id >= 0 else None
 
+    @property
+    def has_position(self) -> bool:
+        """Whether another upstream can be told where the stream continues.
+
+        Otherwise it would send again what the caller has received.
+        """
+        has_id = self.reader.last_id > self._first_position
+        return has_id or not self.reader.has_event
+
     def may_resume(self) -> bool:
         """Return whether the route allows a run at one more upstream."""
         route = self.exchange.route
--- a/src/peridotmast/serving/stream_migrator.py
+++ b/src/peridotmast/serving/stream_migrator.py
@@ -152,6 +152,8 @@
                 self._note(
                     stream, 'left_alone', view, crash_tracker.BLOCK_REASON
                 )
+            elif not stream.has_position:
+                self._note(stream, 'left_alone', view, stream_.NO_POSITION)
             elif self._ends_in_time(stream, gone_at):
                 self._note(stream, 'left_alone', view)
             else:
--- a/src/peridotmast/serving/stream_relay.py
+++ b/src/peridotmast/serving/stream_relay.py
@@ -283,6 +283,10 @@
         migrated = stream.wait_for_migration()
         if migrated is None:
             return None
+        if not stream.has_position:
+            # The first event has arrived while the run was migrated.
+            migrated.reservation.release()
+            return failures.unknown(stream_.NO_POSITION)
         stream.sent.reservation.release()
         resume_point = dialect_.ResumePoint(
             stream.last_event, migrated.kv_location
@@ -303,6 +307,8 @@
         expired = self._clock.now() >= exchange.deadline
         if expired or not stream.may_resume():
             raise reply_.BrokenAnswer(failure.reason)
+        if not stream.has_position:
+            raise reply_.BrokenAnswer(stream_.NO_POSITION)
         if self._crashes.retry_after_ms(exchange.crash_keys):
             raise reply_.BrokenAnswer(crash_tracker_.BLOCK_REASON)
         was_unsent = failure.reason == peer_sender_.NO_CONNECTION
