An entry with a number of 400 digits is malformed like any other

An entry of another writer had a number of 400 digits.

Cause: Fields.number converted an integer to a float to look for NaN. A double can't hold that integer, which raises OverflowError, where readers of entries expect ValueError. The error ended the watch of the upstreams at all routers.

Evidence: both routers log task_failed task=watch_servers with that error when the entry appears, and nothing of upstreams after it.

Change: an integer is compared with the bounds as it is; no comparison with NaN is true. Findings are shortened without visiting all levels of a deep value. The same reader serves upstreams, configuration, roll-outs, objects' metadata, engines' reports and the store's pages.

--- a/features/entries.feature
+++ b/features/entries.feature
@@ -15,6 +15,7 @@
       | addr           | null                    |
       | capacity-slots | -5                      |
       | capacity-slots | 1e999                   |
+      | capacity-slots | 400 digits              |
       | capacity-slots | "4"                     |
       | capacity-slots | true                    |
       | service        | ""                      |
@@ -25,6 +26,7 @@
       | spot           | "no"                    |
       | born           | "yesterday"             |
       | seq            | null                    |
+      | seq            | 400 digits              |
 
   Scenario: A value of another type takes its upstream out of use
     Given upstreams "a", "b" and "c" with entries in the store
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -35,6 +35,8 @@
     strategies.none(),
     strategies.booleans(),
     strategies.integers(),
+    # Beyond the range of a double, and before the limit of a JSON parser.
+    strategies.integers(309, 4200).map(lambda digits: 10**digits),
     strategies.floats(),
     strategies.text(max_size=8),
     strategies.sampled_from(['10.0.0.1:80', 'ready', 'pool', '\ud800']),
@@ -80,6 +82,7 @@
 
 @when('the entry of "{name}" has {value} for "{field}"')
 def set_entry_field(context, name, value, field):
+    value = value.replace('400 digits', '9' * 400)
     spec = {**store_outage_steps.entry_spec(name), field: json.loads(value)}
     store_outage_steps.apply_change(context, name, spec)
 
--- /dev/null
+++ b/features/steps/foreign_entry_steps.py
@@ -0,0 +1,183 @@
+"""Steps for entries of other writers among those that routers read."""
+
+from __future__ import annotations
+
+import json
+from unittest import mock
+
+from behave import then
+from behave import when
+import entry_steps
+import histories
+import hypothesis
+from hypothesis import strategies
+import store_outage_steps
+
+from peridotmast import clock as clock_
+from peridotmast.coordination import kind_watch
+from peridotmast.coordination import upstream_feed
+from peridotmast.platform import config_codec
+from peridotmast.platform import fields as fields_
+from peridotmast.platform import names
+from peridotmast.platform import rollout_orders
+from peridotmast.platform import upstream_codec
+from peridotmast.serving import upstreams as upstreams_
+from peridotmast.wire import http_client
+
+HUGE = '9' * 400
+"""Beyond the range of a double, and read by every JSON parser."""
+TOO_LONG = '9' * 5000
+"""More digits than Python converts to an integer."""
+VALUES = {
+    '400 digits': HUGE,
+    '-400 digits': f'-{HUGE}',
+    '5000 digits': TOO_LONG,
+    '900 lists': '[' * 900 + ']' * 900,
+}
+"""JSON texts of unreadable values by their names in the features."""
+UNREADABLE = ('nothing', '[1,]', '\0', '{"x":}')
+"""Texts that are no JSON."""
+
+
+class _Upstreams:
+    """The feed of upstreams, which reads entries of `a` and of another."""
+
+    kind = names.UPSTREAM_KIND
+    spec = store_outage_steps.entry_spec('a')
+    changed = store_outage_steps.entry_spec('a', upstreams_.LEAVING)
+
+    def __init__(self):
+        self.table = upstreams_.UpstreamTable(clock_.ManualClock(), 2000, 2000)
+        self.listener = upstream_feed.UpstreamFeed(
+            self.table, upstream_codec.read_upstream
+        )
+
+    def is_known(self):
+        return 'a' in store_outage_steps.live_names(self.table)
+
+    def is_changed(self):
+        return not self.is_known()
+
+
+class _Rollouts:
+    """The orders of roll-outs, which read one of `a` and another."""
+
+    kind = names.ROLLOUT_KIND
+    spec = {names.SERVICE: 'a', names.TARGET: 'v2', names.DURATION_S: 9}
+    changed = {**spec, names.TARGET: 'v3'}
+
+    def __init__(self):
+        self.listener = rollout_orders.RolloutOrders(None)
+
+    def _targets(self):
+        return {o.service: o.target for o in self.listener.orders}
+
+    def is_known(self):
+        return self._targets().get('a') == 'v2'
+
+    def is_changed(self):
+        return self._targets().get('a') == 'v3'
+
+
+KINDS = {'upstreams': _Upstreams, 'rollouts': _Rollouts}
+
+
+class _Answers:
+    """Replaces the HTTP calls of a store by scripted answers."""
+
+    def __init__(self, *bodies):
+        self._bodies = list(bodies)
+
+    def request(self, *args, **kwargs):
+        return http_client.Response(200, [], self._bodies.pop(0))
+
+
+def item(name, revision, spec):
+    meta = {'name': name, names.REVISION: revision}
+    return f'{{"{names.SPEC}":{spec},"{names.META}":{json.dumps(meta)}}}'
+
+
+def listing(*items):
+    text = ','.join(items)
+    return (
+        f'{{"{names.ITEMS}":[{text}],"{names.HAS_MORE}":false,'
+        f'"{names.AT_REVISION}":9}}'
+    ).encode()
+
+
+def changes(*items):
+    events = ','.join(
+        f'{{"{names.DELETED}":false,"{names.OBJECT}":{found}}}'
+        for found in items
+    )
+    return f'{{"{names.EVENTS}":[{events}],"{names.AT_REVISION}":19}}'.encode()
+
+
+def read(kind, foreign):
+    """Read a listing and a change with a foreign entry before another one."""
+    state = KINDS[kind]()
+    store = entry_steps.make_answering_store(b'')
+    store._http = _Answers(
+        listing(item('x', 5, foreign), item('a', 6, json.dumps(state.spec))),
+        changes(
+            item('x', 15, foreign), item('a', 16, json.dumps(state.changed))
+        ),
+    )
+    watch = kind_watch.KindWatch(
+        store, state.kind, state.listener, clock_.ManualClock()
+    )
+    with mock.patch.object(kind_watch.green, 'sleep_ms'):
+        watch.step()
+        was_known = state.is_known()
+        watch.step()
+    return was_known, state.is_changed()
+
+
+@when('the {kind} are read beside an entry whose {field} is {value}')
+def read_beside(context, kind, field, value):
+    spec = {**KINDS[kind].spec, field: '?'}
+    text = json.dumps(spec).replace('"?"', VALUES[value])
+    context.was_known, context.is_changed = read(kind, text)
+
+
+@then('the other {kind} are known, and so is a later change of one of them')
+def others_are_known(context, kind):
+    assert context.was_known, 'the listing was not read'
+    assert context.is_changed, 'the change was not read'
+
+
+@then('{count:d} drawn entries cost no other of the {kind}')
+def drawn_entries(context, count, kind):
+    whole = KINDS[kind].spec
+    texts = strategies.one_of(
+        entry_steps.JSON.map(json.dumps),
+        strategies.sampled_from(sorted(VALUES.values())),
+        strategies.sampled_from(UNREADABLE),
+    )
+
+    @hypothesis.seed(65)
+    @histories.settings(count)
+    @hypothesis.given(strategies.sampled_from([None, *sorted(whole)]), texts)
+    def test(field, text):
+        if field is not None:
+            text = json.dumps({**whole, field: '?'}).replace('"?"', text)
+        assert read(kind, text) == (True, True)
+
+    test()
+
+
+@then(
+    'a configuration with 400 digits in any of its numbers is rejected with'
+    ' findings'
+)
+def configuration_with_digits(context):
+    whole = entry_steps.make_config()
+    for path in entry_steps.value_paths(whole):
+        document = entry_steps.with_value_at(whole, path, int(HUGE))
+        if path and path[-1] == 'version':
+            assert config_codec.read_version(document) == 0
+            continue
+        try:
+            config_codec.read_config(document)
+        except fields_.MalformedDocumentError as exc:
+            assert all(found.place and found.text for found in exc.findings)
--- a/src/peridotmast/platform/fields.py
+++ b/src/peridotmast/platform/fields.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import math
+import reprlib
 import typing as ty
 
 from peridotmast import addresses
@@ -131,8 +131,10 @@
         if value is None or not self.has(name):
             return value or 0
         is_number = isinstance(value, (int, float))
-        if isinstance(value, bool) or not is_number or math.isnan(value):
+        if isinstance(value, bool) or not is_number:
             return self._add_finding(name, 'a number', value, minimum)
+        # An integer is compared as it is: one of 400 digits can't be
+        # converted to a float. No comparison with NaN is true.
         if not minimum <= value <= maximum:
             expected = f'from {minimum:g} to {maximum:g}'
             return self._add_finding(name, expected, value, minimum)
@@ -228,4 +230,10 @@
 
 
 def _format_value(value: Json) -> str:
-    return ascii(value)[:_MAX_SHOWN_CHARS]
+    text = _shortener.repr(value)
+    return text.encode('ascii', 'backslashreplace').decode()[:_MAX_SHOWN_CHARS]
+
+
+_shortener = reprlib.Repr()
+"""Converts values to text without visiting all levels of deep ones."""
+_shortener.maxlevel = 2
