A task that must live as long as the router runs again after an error

Cause: watches, registration and joining were started once. An error that nobody expected ended them for good, the router remained ready, and it noticed no change of its upstreams any more. An entry at which a reader fails would fail it again each time, so that running again is not enough.

Change: Tasks.supervise runs a task again after each error, after 0.1 to 1 s with jitter. ObjectErrors confines an error to the stored object, or the listener of the configuration, that has caused it. An upstream whose entry can't be read for any reason is out of use.

--- a/src/peridotmast/coordination/config_feed.py
+++ b/src/peridotmast/coordination/config_feed.py
@@ -5,6 +5,7 @@
 import dataclasses
 import typing as ty
 
+from peridotmast.coordination import object_errors
 from peridotmast.coordination import objects
 from peridotmast import failures
 from peridotmast import findings as findings_
@@ -92,6 +93,8 @@
         self._checks = checks
         self._listeners: list[Listener] = []
         self._log = logs.get('config')
+        self.errors = object_errors.ObjectErrors('config')
+        """Confines errors to single objects."""
         self.routes = ConfigPart()
         """The platform's object, which the operators write."""
         self.product = ConfigPart(config=_parse_product('')[0])
@@ -250,12 +253,16 @@
 
     def _offer(self, stored: ty.Iterable[objects.StoredObject]) -> None:
         for item in stored:
-            if item.spec is None:
-                continue
-            if item.name == self._name:
-                self.offer_routes(item.spec, 'store')
-            elif item.name == NAME:
-                self.offer_product(_version_of(item), item.spec, 'store')
+            if item.spec is not None:
+                with self.errors.confine(item):
+                    self._offer_object(item)
+
+    def _offer_object(self, stored: objects.StoredObject) -> None:
+        document = ty.cast(objects.Json, stored.spec)
+        if stored.name == self._name:
+            self.offer_routes(document, 'store')
+        elif stored.name == NAME:
+            self.offer_product(_version_of(stored), document, 'store')
 
     def _newer_part(
         self,
@@ -280,8 +287,11 @@
             routes=len(self.config.routes),
             teams=len(self.config.teams),
         )
+        # The others get a configuration that one listener can't apply.
+        stored = objects.StoredObject(part, version)
         for listener in self._listeners:
-            listener(self.config)
+            with self.errors.confine(stored):
+                listener(self.config)
 
 
 def _version_of(stored: objects.StoredObject) -> int:
--- a/src/peridotmast/coordination/upstream_feed.py
+++ b/src/peridotmast/coordination/upstream_feed.py
@@ -4,6 +4,7 @@
 
 import typing as ty
 
+from peridotmast.coordination import object_errors
 from peridotmast.coordination import objects
 from peridotmast import logs
 from peridotmast.schema import peridotmast_pb2 as pb
@@ -48,6 +49,8 @@
         self._table = table
         self._read = read
         self._log = logs.get('upstreams')
+        self.errors = object_errors.ObjectErrors('upstreams')
+        """Confines errors to single entries."""
         self.is_listed = False
         """Whether a listing of all entries has been processed."""
 
@@ -94,17 +97,28 @@
         after_outage: bool,
         listed_at: int = 0,
     ) -> None:
-        if stored.spec is not None:
-            self._merge_entry(stored, listed_at)
-            return
-        state = upstreams_.LAPSED if after_outage else upstreams_.GONE
-        self._merge(_empty_record(stored, state))
+        with self.errors.confine(stored):
+            if stored.spec is not None:
+                self._merge_entry(stored, listed_at)
+                return
+            state = upstreams_.LAPSED if after_outage else upstreams_.GONE
+            self._merge(_empty_record(stored, state))
 
     def _merge_entry(
         self, stored: objects.StoredObject, listed_at: int
     ) -> None:
+        # Remains if the reader fails in a way that it does not state.
+        record = _empty_record(stored, upstreams_.UNREADABLE)
+        with self.errors.confine(stored):
+            record = self._read_entry(stored)
+        if self._is_renewed(record):
+            record.revision = max(record.revision, listed_at)
+        self._merge(record)
+
+    def _read_entry(self, stored: objects.StoredObject) -> pb.UpstreamRecord:
+        """Return the record of an entry, also if the entry is malformed."""
         try:
-            record = self._read(stored.name, stored.revision, stored.spec)
+            return self._read(stored.name, stored.revision, stored.spec)
         except ValueError as exc:
             self._log.error(
                 'entry_malformed',
@@ -112,10 +126,7 @@
                 revision=stored.revision,
                 error=str(exc)[:_MAX_LOGGED],
             )
-            record = _empty_record(stored, upstreams_.UNREADABLE)
-        if self._is_renewed(record):
-            record.revision = max(record.revision, listed_at)
-        self._merge(record)
+            return _empty_record(stored, upstreams_.UNREADABLE)
 
     def _is_renewed(self, record: pb.UpstreamRecord) -> bool:
         """Return whether the entry of a gone upstream was renewed since.
--- a/src/peridotmast/green.py
+++ b/src/peridotmast/green.py
@@ -12,6 +12,7 @@
 import enum
 import math
 import os
+import random
 import select
 import time
 import typing as ty
@@ -33,6 +34,16 @@
 
 from peridotmast import loop_hub  # noqa: E402
 
+_FIRST_RESTART_MS = 100
+_MAX_RESTART_MS = 1000
+"""First and longest pause before a supervised task runs again. The longest
+one is below the two seconds in which a change must be in force."""
+_RESTART_JITTER = 0.3
+"""Share by which pauses differ, so that the routers of a fleet whose tasks
+fail at the same time don't call the store at the same time again."""
+_STABLE_MS = 10_000
+"""Time without an error after which the next pause is the first one again."""
+
 Event = event.Event
 GreenPool = greenpool.GreenPool
 Queue = queue.Queue
@@ -310,6 +321,16 @@
         self._running.add(task)
         task.link(self._running.discard)
 
+    def supervise(
+        self, name: str, func: ty.Callable[..., ty.Any], *args: ty.Any
+    ) -> None:
+        """Run ``func(*args)`` in a new task, and again after each error.
+
+        An error is reported, and the task runs again after a pause. It ends
+        once `func` returns.
+        """
+        self.spawn(name, self._run_until_done, name, func, *args)
+
     def run_every(
         self, name: str, period_ms: float, func: ty.Callable[[], ty.Any]
     ) -> None:
@@ -331,10 +352,27 @@
             self._run(name, func)
             sleep_ms(period_ms)
 
-    def _run(
+    def _run_until_done(
         self, name: str, func: ty.Callable[..., ty.Any], *args: ty.Any
     ) -> None:
+        pause_ms = _FIRST_RESTART_MS
+        began = time.monotonic()
+        while not self._run(name, func, *args):
+            ran_ms = 1000 * (time.monotonic() - began)
+            if ran_ms >= _STABLE_MS:
+                pause_ms = _FIRST_RESTART_MS
+            jitter = random.uniform(1 - _RESTART_JITTER, 1 + _RESTART_JITTER)
+            sleep_ms(pause_ms * jitter)
+            pause_ms = min(_MAX_RESTART_MS, 2 * pause_ms)
+            began = time.monotonic()
+
+    def _run(
+        self, name: str, func: ty.Callable[..., ty.Any], *args: ty.Any
+    ) -> bool:
+        """Run a task; return whether it ended without an error."""
         try:
             func(*args)
         except (Exception, Timeout) as exc:
             self._on_error(name, exc)
+            return False
+        return True
--- a/src/peridotmast/platform/rollout_orders.py
+++ b/src/peridotmast/platform/rollout_orders.py
@@ -4,6 +4,7 @@
 
 import typing as ty
 
+from peridotmast.coordination import object_errors
 from peridotmast.coordination import objects
 from peridotmast import failures
 from peridotmast import findings as findings_
@@ -34,6 +35,8 @@
     def __init__(self, store: objects.ObjectStore) -> None:
         self._store = store
         self._log = logs.get('rollout_orders')
+        self.errors = object_errors.ObjectErrors('rollouts')
+        """Confines errors to single orders."""
         self._orders: dict[str, pb.RolloutOrder] = {}
         self._findings: dict[str, findings_.Findings] = {}
         self.listener: Listener = lambda orders: None
@@ -101,7 +104,8 @@
                 continue
             self._remove(item.name)
             if item.spec is not None:
-                self._read(item)
+                with self.errors.confine(item):
+                    self._read(item)
         self.listener(self.orders)
 
     def _read(self, stored: objects.StoredObject) -> None:
--- a/src/peridotmast/router/fleet_state.py
+++ b/src/peridotmast/router/fleet_state.py
@@ -81,6 +81,9 @@
         Clock for all timing.
     checks : invariants.Invariants
         Invariants that are checked at run time.
+    on_error : callable, optional
+        Called with the name of a task and each unexpected error in the
+        processing of one stored object.
     """
 
     def __init__(
@@ -88,6 +91,9 @@
         file: pb.RouterFile,
         clock: clock_.Clock,
         checks: invariants_.Invariants,
+        on_error: ty.Callable[[str, BaseException], None] = (
+            lambda task, exc: None
+        ),
     ) -> None:
         cfg, platform, bounds = file.router, file.platform, file.bounds
         lapse_ms = int(bounds.lapse_s * 1000)
@@ -142,12 +148,15 @@
         self._upstreams = upstream_feed.UpstreamFeed(
             self.upstream_table, upstream_codec.read_upstream
         )
+        for feed in (self.config, self.rollout_orders, self._upstreams):
+            feed.errors.on_error = on_error
         self._registry = registry_.Registry(self.store, self.members)
         self._watches: list[kind_watch.KindWatch] = []
         self._is_registered = False
         self._probed_at = -_SHARED_PROBE_MS
         self._created_at = clock.now()
         self._spawn: ty.Callable[..., None] = lambda name, func: None
+        self._supervise: ty.Callable[..., None] = lambda name, func: None
         self._rollout_watch: ty.Optional[kind_watch.KindWatch] = None
         self.needs_rollouts: ty.Callable[[], bool] = lambda: False
         """Returns whether this router needs the orders of roll-outs."""
@@ -200,15 +209,15 @@
                 on_start=self._probe_beside_watch,
             )
             self._watches.append(watch)
-            tasks.spawn(f'watch_{kind}', watch.run)
+            tasks.supervise(f'watch_{kind}', watch.run)
         if self._has_rollouts:
             self._watch_rollouts(tasks)
-        self._spawn = tasks.spawn
+        self._spawn, self._supervise = tasks.spawn, tasks.supervise
         # Changes during an outage are lost on connections that stay open: a
         # watch waiting on one of them would receive nothing for 25 s.
         self.outage.on_recovery = self._restart_watches
         self.store.era.on_return = self._on_return
-        tasks.spawn('register', self._register)
+        tasks.supervise('register', self._register)
         check = store_prober.StoreProber(
             self.store, self.outage, self.watchers.is_prober
         )
@@ -275,7 +284,7 @@
             on_start=self._probe_beside_watch,
         )
         self._rollout_watch = watch
-        tasks.spawn(f'watch_{names.ROLLOUT_KIND}', watch.run)
+        tasks.supervise(f'watch_{names.ROLLOUT_KIND}', watch.run)
 
     def _probe_beside_watch(self) -> None:
         """Probe the store at the moment at which a watch is started.
@@ -315,7 +324,7 @@
             if watch.kind == names.UPSTREAM_KIND:
                 # By then upstreams that live have renewed their entries.
                 green.call_after_ms(self._lapse_ms, watch.list_again)
-        self._spawn('write_again', self._write_again)
+        self._supervise('write_again', self._write_again)
 
     def _write_again(self) -> None:
         """Write again what the store has lost of this router's entries.
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -33,6 +33,7 @@
 from peridotmast.router import rollout_views
 from peridotmast.router import serving as serving_
 from peridotmast.router import shared_totals as shared_totals_
+from peridotmast.router import task_errors
 from peridotmast.router import version_exchange
 from peridotmast import rpc
 from peridotmast.schema import peridotmast_pb2 as pb
@@ -83,9 +84,10 @@
         """The router's own section of the settings."""
         self._clock = clock or clock_.SystemClock()
         self._log = logs.get('router', router=self.cfg.name)
-        self._tasks = green.Tasks(self._on_error)
         self.registry = prometheus_client.CollectorRegistry()
         """Metrics of this router."""
+        errors = task_errors.TaskErrors(self.cfg.name, self.registry)
+        self._tasks = green.Tasks(errors.report)
         prometheus_client.ProcessCollector(registry=self.registry)
         self.invariants = invariants_.Invariants(
             self.registry, self.cfg.fatal_invariants
@@ -97,7 +99,7 @@
         self.is_running = False
         """Whether the router was started and not yet stopped."""
         self.fleet_state = fleet_state_.FleetState(
-            file, self._clock, self.invariants
+            file, self._clock, self.invariants, errors.report
         )
         """State of platform and fleet."""
         self.store = self.fleet_state.store
@@ -407,7 +409,7 @@
         self.fleet_state.start(
             self._tasks, self._peering.is_outage_suspected, self._send_changes
         )
-        self._tasks.spawn('join', self._catch_up.join, self.cfg.seeds)
+        self._tasks.supervise('join', self._catch_up.join, self.cfg.seeds)
         every('beacons', self.cfg.beacon_ms, self.beacons.send_round)
         every('keep_house', _HOUSEKEEPING_MS, self._run_housekeeping)
         every('lease', _LEASE_TICK_MS, self._duty_holder.keep_lease)
@@ -484,9 +486,6 @@
             self._announce()
             self._log.info('ready', config=self.config.routes.version)
 
-    def _on_error(self, name: str, exc: BaseException) -> None:
-        self._log.error('task_failed', task=name, error=repr(exc))
-
 
 def _read_secret(tls: pb.TlsSettings) -> bytes:
     if not tls.secret_file:
