A number of tokens that no engine can hold is refused

Callers would see: nothing at first. A caller that stated 10**30 tokens silenced its router: the demand that beacons carry did not fit into a message, so that each round of beacons failed and peers took the router for lost. With hundreds of digits the request failed with 500, with thousands of them so did one that stated them as its time limit.

Change: numbers in headers of callers are read up to 18 digits. A request, or a part of its prompt, of more than 10**9 tokens is refused with 400 and the reason tokens_out_of_range; reading it as no number would let it pass its team's limit. A longer time limit is as good as none.

--- a/features/callers.feature
+++ b/features/callers.feature
@@ -23,6 +23,25 @@
     Then the status is 200 and the body is "done:seat 12" with the upstream's seal
     And the upstream receives the target "/holds/seat?x=%2F%2f"
 
+  # Guards against a caller that silences its router: the sum of the tokens did not fit into a message
+  # between routers, so that no beacon was sent any more.
+  Scenario Outline: Numbers of tokens that no engine can hold are refused
+    When a caller sends each router a number of <digits> digits in "<header>"
+    Then each router refuses it with 400 and the reason tokens_out_of_range
+    And each router goes on to send beacons without an error
+
+    Examples:
+      | digits | header         |
+      | 10     | X-Token-Counts |
+      | 30     | X-Token-Counts |
+      | 400    | X-Token-Counts |
+      | 5000   | X-Token-Counts |
+      | 30     | X-Prefix-Hash  |
+
+  Scenario: A time limit of thousands of digits is as good as none
+    When a caller sends each router a number of 5000 digits in "X-Deadline-Ms"
+    Then each router answers it with 200
+
   Scenario: Internal headers are not accepted from callers
     When a caller sends these headers
       | name              | value     |
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -6,6 +6,7 @@
 
 import fleet_steps
 import helpers
+import task_steps
 
 from behave import given
 from behave import then
@@ -58,6 +59,45 @@
     assert found == target, found
 
 
+@when('a caller sends each router a number of {digits:d} digits in "{header}"')
+def send_long_number(context, digits, header):
+    number = '9' * digits
+    value = {
+        'X-Token-Counts': f'{number},1',
+        'X-Prefix-Hash': f'a:{number},b:1',
+    }.get(header, number)
+    context.answers = [
+        helpers.send_request(
+            router.address, '/chat/x', headers=[(header, value)], deadline_ms=0
+        )
+        for router in context.fleet.routers
+    ]
+
+
+@then(
+    'each router refuses it with {status:d} and the reason tokens_out_of_range'
+)
+def each_refuses(context, status):
+    for answer in context.answers:
+        assert answer.status == status, answer
+        assert answer.body == b'tokens_out_of_range', answer
+
+
+@then('each router answers it with {status:d}')
+def each_answers(context, status):
+    assert {a.status for a in context.answers} == {status}, context.answers
+
+
+@then('each router goes on to send beacons without an error')
+def beacons_go_on(context):
+    sent = [router.beacons.sent for router in context.fleet.routers]
+    # Two rounds: the first one may already be under way.
+    green.sleep_ms(2 * context.fleet.routers[0].cfg.beacon_ms + 100)
+    for router, before in zip(context.fleet.routers, sent):
+        assert router.beacons.sent > before, router.cfg.name
+        assert not task_steps.error_count(router), router.cfg.name
+
+
 @when('a caller sends these headers')
 def send_headers(context):
     record_environs(context)
--- a/src/peridotmast/platform/caller_app.py
+++ b/src/peridotmast/platform/caller_app.py
@@ -36,6 +36,18 @@
 )
 """Headers that only routers may set; those of a caller are not trusted."""
 
+_MAX_DIGITS = 18
+"""Maximum number of digits of a number in a header: more may overflow the
+messages between routers, and Python refuses to convert thousands of them."""
+
+_MAX_INTEGER = 10**_MAX_DIGITS - 1
+
+_MAX_TOKENS = 10**9
+"""Maximum number of tokens of a request or of a part of its prompt. No engine
+has so much memory, and sums over many requests stay within 64 bits."""
+
+_TOKENS_OUT_OF_RANGE = 'tokens_out_of_range'
+
 _STATUS_BY_KIND = {
     failures.FailureKind.NOT_RUN: 503,
     failures.FailureKind.OUTCOME_UNKNOWN: 502,
@@ -43,6 +55,7 @@
 _STATUS_BY_REASON = {
     'no_route': 404,
     'no_key': 401,
+    _TOKENS_OUT_OF_RANGE: 400,
     'silent': 504,
     'timed_out': 504,
 }
@@ -90,6 +103,9 @@
             )
         except request_body.InvalidBodyError as exc:
             return self._refuse_body(start, exc, request_id)
+        prompt = _parse_prompt(headers)
+        if isinstance(prompt, failures.Failure):
+            return self._refuse_prompt(start, prompt, request_id)
         incoming = gateway_.IncomingRequest(
             id=request_id,
             method=environ['REQUEST_METHOD'],
@@ -102,7 +118,7 @@
             caller_timeout_ms=_parse_integer(
                 _get_header(headers, names.DEADLINE_MS)
             ),
-            prompt=_parse_prompt(headers),
+            prompt=prompt,
             resumes=_resumed_id(headers),
             caller=conn,
         )
@@ -136,6 +152,21 @@
         )
         return _send_refusal(start, status, error.reason, request_id, retry_ms)
 
+    def _refuse_prompt(
+        self,
+        start: ty.Callable[..., ty.Any],
+        failure: failures.Failure,
+        request_id: str,
+    ) -> ty.Iterable[bytes]:
+        self._decisions.note(
+            request_id,
+            'refused',
+            reason=failure.reason,
+            kind=failure.kind.value,
+            detail=failure.detail,
+        )
+        return self._refuse(start, failure, request_id)
+
     def _refuse(
         self,
         start: ty.Callable[..., ty.Any],
@@ -220,10 +251,24 @@
 
 
 def _parse_integer(text: str) -> int:
-    return int(text) if text.isascii() and text.isdigit() else 0
+    """Return a number of a header, at most `_MAX_DIGITS` nines; 0 if none."""
+    if not text.isascii() or not text.isdigit():
+        return 0
+    digits = text.lstrip('0')
+    return int(digits or 0) if len(digits) <= _MAX_DIGITS else _MAX_INTEGER
 
 
-def _parse_prompt(headers: ty.Iterable[tuple[str, str]]) -> exchange_.Prompt:
+def _parse_prompt(
+    headers: ty.Iterable[tuple[str, str]],
+) -> ty.Union[exchange_.Prompt, failures.Failure]:
+    """Return what a caller states about its prompt.
+
+    Returns
+    -------
+    Prompt or Failure
+        A failure if a number of tokens is out of range: the request would
+        count as such a number under its team's limit and in the demand.
+    """
     counts = _get_header(headers, names.TOKEN_COUNTS).split(',')
     tokens = [_parse_integer(count.strip()) for count in counts] + [0]
     parts = (
@@ -231,7 +276,7 @@
         for part in _get_header(headers, names.PROMPT_PARTS).split(',')
         if part.strip()
     )
-    return exchange_.Prompt(
+    prompt = exchange_.Prompt(
         model=_get_header(headers, names.MODEL),
         tokens_in=tokens[0],
         tokens_out=tokens[1],
@@ -240,3 +285,9 @@
             for name, _, size in parts
         ),
     )
+    sizes = [*tokens, *(part.tokens for part in prompt.parts)]
+    if max(sizes) > _MAX_TOKENS:
+        return failures.invalid(
+            _TOKENS_OUT_OF_RANGE, f'more than {_MAX_TOKENS}'
+        )
+    return prompt
