An entry among those of the routers is read only if a router wrote it

Callers would see: a router that starts and never registers, or one that sends no beacon any more.

Cause: the JSON reader of the messages raises errors of many types for values that do not fit (OverflowError, TypeError, SystemError), of which one was expected; the error ended the registration. An entry with a port beyond 65535 made each round of beacons fail, one with the name of another router replaced that router's entry.

Change: schema_json.parse raises one error for any value that does not fit; the registry, the state that a holder of the duties leaves and the chat API use it. An entry counts only if it bears the name of its object and its addresses can be sent to, as in a beacon.

--- a/features/foreign_entries.feature
+++ b/features/foreign_entries.feature
@@ -27,3 +27,23 @@
 
   Scenario: A configuration with an unreadable number
     Then a configuration with 400 digits in any of its numbers is rejected with findings
+
+  # Guards against a router that never registers, or sends no beacon any more: an entry among those of
+  # the routers did not fit into a message, or had an address to which no datagram can be sent.
+  Scenario Outline: One entry among those of the routers is no router's
+    When a router registers beside an entry of the routers with <value> for "<field>"
+    Then it is registered, and sends beacons to the other router only
+
+    Examples:
+      | field         | value             |
+      | name          | "b"               |
+      | name          | 7                 |
+      | incarnation   | 1e999             |
+      | incarnation   | {"a": 1}          |
+      | state         | 1e999             |
+      | beaconAddress | "10.0.0.1:99999"  |
+      | beaconAddress | "nowhere:1"       |
+      | beaconAddress | []                |
+
+  Scenario: Random entries among those of the routers
+    Then in 300 drawn stores a router registers, and knows no address that it can't send beacons to
--- a/features/steps/foreign_entry_steps.py
+++ b/features/steps/foreign_entry_steps.py
@@ -11,10 +11,14 @@
 import histories
 import hypothesis
 from hypothesis import strategies
+import memory_store
+import registry_steps
 import store_outage_steps
 
+from peridotmast import addresses
 from peridotmast import clock as clock_
 from peridotmast.coordination import kind_watch
+from peridotmast.coordination import registry as registry_
 from peridotmast.coordination import upstream_feed
 from peridotmast.platform import config_codec
 from peridotmast.platform import fields as fields_
@@ -181,3 +185,61 @@
             config_codec.read_config(document)
         except fields_.MalformedDocumentError as exc:
             assert all(found.place and found.text for found in exc.findings)
+
+
+MEMBER = {
+    'name': 'x',
+    'incarnation': '7',
+    'beaconAddress': '10.0.0.9:1',
+    'state': 'MEMBER_STATE_ALIVE',
+}
+
+
+def register_beside(spec):
+    """Return a router that registers beside `b` and a foreign entry."""
+    store = memory_store.MemoryStore()
+    registry_steps.StartingRouter(store, 'b', 2).registry.register()
+    store.write(registry_.KIND, 'x', spec, 0)
+    router = registry_steps.StartingRouter(store, 'a', 1)
+    assert router.registry.register(), 'not registered'
+    assert (registry_.KIND, 'a') in store.objects, store.objects
+    return router
+
+
+@when(
+    'a router registers beside an entry of the routers with {value} for'
+    ' "{field}"'
+)
+def register_beside_foreign(context, value, field):
+    context.router = register_beside({**MEMBER, field: json.loads(value)})
+
+
+@then('it is registered, and sends beacons to the other router only')
+def knows_other_only(context):
+    known = context.router.known
+    assert list(known) == ['b'], known
+    assert known['b'].beacon_address == '10.0.0.1:2', known
+
+
+@then(
+    'in {count:d} drawn stores a router registers, and knows no address that'
+    " it can't send beacons to"
+)
+def drawn_members(context, count):
+    paths = strategies.sampled_from(
+        sorted(entry_steps.value_paths(MEMBER), key=str)
+    )
+
+    @hypothesis.seed(67)
+    @histories.settings(count)
+    @hypothesis.given(paths, entry_steps.JSON)
+    def test(path, value):
+        router = register_beside(
+            entry_steps.with_value_at(MEMBER, path, value)
+        )
+        assert set(router.known) - {'x'} == {'b'}, router.known
+        for member in router.known.values():
+            address = member.beacon_address
+            assert not address or addresses.is_usable(address), address
+
+    test()
--- a/features/steps/registry_steps.py
+++ b/features/steps/registry_steps.py
@@ -13,6 +13,9 @@
 from peridotmast.schema import peridotmast_pb2 as pb
 
 
+_FIRST_PORT = 1000
+
+
 class StartingRouter:
     """The parts of a starting router that register it in the store."""
 
@@ -37,13 +40,13 @@
     context.count = count
     for number in range(count):
         assert StartingRouter(
-            context.store, f'r{number}', number
+            context.store, f'r{number}', _FIRST_PORT + number
         ).registry.register()
 
 
 @when('one of the registered routers restarts at its address')
 def restart_at_same_address(context):
-    restart_at_port(context, port=1)
+    restart_at_port(context, port=_FIRST_PORT + 1)
 
 
 @when('one of the registered routers restarts at another address')
--- a/src/peridotmast/coordination/beacon_check.py
+++ b/src/peridotmast/coordination/beacon_check.py
@@ -71,6 +71,13 @@
     return found
 
 
+def check_member(member: pb.Member) -> findings_.Findings:
+    """Return the findings on a router's entry; none if it is valid."""
+    found = findings_.Findings()
+    _check_member(found, 'member', member)
+    return found
+
+
 def _check_member(
     found: findings_.Findings, place: str, member: pb.Member
 ) -> None:
--- a/src/peridotmast/coordination/registry.py
+++ b/src/peridotmast/coordination/registry.py
@@ -6,11 +6,13 @@
 
 from google.protobuf import json_format
 
+from peridotmast.coordination import beacon_check
 from peridotmast.coordination import members as members_
 from peridotmast.coordination import objects
 from peridotmast import failures
 from peridotmast import logs
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast import schema_json
 
 KIND = 'peridotmast-members'
 """Kind of the entries, which only routers write."""
@@ -94,6 +96,12 @@
             member = _parse(stored)
             if member is not None:
                 self._members.merge_entry(member)
+            elif stored.spec is not None:
+                self._log.error(
+                    'member_malformed',
+                    member=stored.name,
+                    revision=stored.revision,
+                )
         return listing
 
 
@@ -106,9 +114,14 @@
 
 
 def _parse(stored: objects.StoredObject) -> ty.Optional[pb.Member]:
+    """Return the router in an entry; None if no router has written it.
+
+    An entry must neither pass for that of another router, nor have an address
+    to which no beacon can be sent.
+    """
     try:
-        return json_format.ParseDict(
-            stored.spec or {}, pb.Member(), ignore_unknown_fields=True
-        )
-    except json_format.ParseError:
+        member = schema_json.parse(stored.spec or {}, pb.Member())
+    except schema_json.SchemaError:
         return None
+    is_valid = not beacon_check.check_member(member)
+    return member if is_valid and member.name == stored.name else None
--- a/src/peridotmast/duties/duty_holder.py
+++ b/src/peridotmast/duties/duty_holder.py
@@ -13,6 +13,7 @@
 from peridotmast.duties import duty as duty_
 from peridotmast import logs
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast import schema_json
 
 _RENEW_FRACTION = 0.6
 """Remaining fraction of the lease at which it is renewed: early enough for two
@@ -236,10 +237,8 @@
     if state is None:
         return None
     try:
-        return json_format.ParseDict(
-            state, pb.DutiesLeft(), ignore_unknown_fields=True
-        )
-    except json_format.ParseError:
+        return schema_json.parse(state, pb.DutiesLeft())
+    except schema_json.SchemaError:
         return pb.DutiesLeft()
 
 
--- a/src/peridotmast/router/chat_api.py
+++ b/src/peridotmast/router/chat_api.py
@@ -8,7 +8,6 @@
 import typing as ty
 import uuid
 
-from google.protobuf import json_format
 
 from peridotmast import clock as clock_
 from peridotmast.coordination import config_feed as config_feed_
@@ -18,6 +17,7 @@
 from peridotmast import logs
 from peridotmast.router import chat_answers
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast import schema_json
 from peridotmast.serving import exchange as exchange_
 from peridotmast.serving import gateway as gateway_
 from peridotmast import tracing
@@ -253,14 +253,8 @@
     req: web.Request, message: ty.Any
 ) -> ty.Union[ty.Any, failures.Failure]:
     try:
-        data = json.loads(req.body or b'{}')
-        return json_format.ParseDict(data, message, ignore_unknown_fields=True)
-    except (
-        ValueError,
-        RecursionError,
-        AttributeError,
-        json_format.ParseError,
-    ) as exc:
+        return schema_json.parse(json.loads(req.body or b'{}'), message)
+    except (ValueError, RecursionError) as exc:
         return failures.invalid('malformed', str(exc)[:200])
 
 
