An entry with unbalanced brackets hides no other entry

Callers would see: requests at upstreams that have left, or upstreams that count as gone.

Cause: an answer of the store that is not JSON was split into its items by counting brackets. An entry that leaves one open made the whole answer unreadable, each time; one that closes one too many ended the list early, so that the upstreams after it were missing. Name and revision of an entry that is no JSON were the first ones in its text, which may be another object's.

Change: if the answer is no JSON once the items are left out, each item that is JSON is found by itself, and what lies between two of them is one that is not. Metadata are read as such, before the value or after it. The soak's foreign entries have one with a number of 400 digits.

--- a/features/foreign_entries.feature
+++ b/features/foreign_entries.feature
@@ -17,6 +17,16 @@
       | rollouts  | duration-s     | 400 digits  |
       | rollouts  | duration-s     | 5000 digits |
 
+  # Guards against upstreams that count as gone, or are not seen to leave, because another entry closes
+  # a bracket too many or too few, or holds what looks like the metadata of theirs.
+  Scenario Outline: An entry that is no JSON among others
+    Then no unreadable text at any place of an entry costs another of the <kind>
+
+    Examples:
+      | kind      |
+      | upstreams |
+      | rollouts  |
+
   Scenario Outline: Random entries among others
     Then <count> drawn entries cost no other of the <kind>
 
--- a/features/steps/foreign_entry_steps.py
+++ b/features/steps/foreign_entry_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 from unittest import mock
 
@@ -39,8 +40,13 @@
     '900 lists': '[' * 900 + ']' * 900,
 }
 """JSON texts of unreadable values by their names in the features."""
-UNREADABLE = ('nothing', '[1,]', '\0', '{"x":}')
-"""Texts that are no JSON."""
+UNREADABLE = (
+    'nothing', '[1,]', '\0', '{"x":}', '{"x":', '[[', '[]]', '}', '}}', '"x',
+    '{"name":"a","revision":99,"x":nothing}',
+    '{"metadata":{"name":"a","revision":99},"x":}',
+)  # fmt: skip
+"""Texts that are no JSON: with unbalanced brackets and quotes, and with what
+looks like the metadata of the other object."""
 
 
 class _Upstreams:
@@ -96,9 +102,10 @@
         return http_client.Response(200, [], self._bodies.pop(0))
 
 
-def item(name, revision, spec):
-    meta = {'name': name, names.REVISION: revision}
-    return f'{{"{names.SPEC}":{spec},"{names.META}":{json.dumps(meta)}}}'
+def item(name, revision, spec, is_meta_first):
+    meta = json.dumps({'name': name, names.REVISION: revision})
+    parts = f'"{names.META}":{meta}', f'"{names.SPEC}":{spec}'
+    return '{' + ','.join(parts if is_meta_first else reversed(parts)) + '}'
 
 
 def listing(*items):
@@ -117,14 +124,19 @@
     return f'{{"{names.EVENTS}":[{events}],"{names.AT_REVISION}":19}}'.encode()
 
 
-def read(kind, foreign):
+def read(kind, foreign, is_meta_first=False):
     """Read a listing and a change with a foreign entry before another one."""
     state = KINDS[kind]()
+    later = json.dumps(state.changed)
     store = entry_steps.make_answering_store(b'')
     store._http = _Answers(
-        listing(item('x', 5, foreign), item('a', 6, json.dumps(state.spec))),
+        listing(
+            item('x', 5, foreign, is_meta_first),
+            item('a', 6, json.dumps(state.spec), is_meta_first),
+        ),
         changes(
-            item('x', 15, foreign), item('a', 16, json.dumps(state.changed))
+            item('x', 15, foreign, is_meta_first),
+            item('a', 16, later, is_meta_first),
         ),
     )
     watch = kind_watch.KindWatch(
@@ -139,8 +151,7 @@
 
 @when('the {kind} are read beside an entry whose {field} is {value}')
 def read_beside(context, kind, field, value):
-    spec = {**KINDS[kind].spec, field: '?'}
-    text = json.dumps(spec).replace('"?"', VALUES[value])
+    text = with_field(KINDS[kind].spec, field, VALUES[value])
     context.was_known, context.is_changed = read(kind, text)
 
 
@@ -153,23 +164,46 @@
 @then('{count:d} drawn entries cost no other of the {kind}')
 def drawn_entries(context, count, kind):
     whole = KINDS[kind].spec
-    texts = strategies.one_of(
-        entry_steps.JSON.map(json.dumps),
-        strategies.sampled_from(sorted(VALUES.values())),
-        strategies.sampled_from(UNREADABLE),
-    )
+    texts = entry_steps.JSON.map(json.dumps)
 
     @hypothesis.seed(65)
     @histories.settings(count)
-    @hypothesis.given(strategies.sampled_from([None, *sorted(whole)]), texts)
-    def test(field, text):
-        if field is not None:
-            text = json.dumps({**whole, field: '?'}).replace('"?"', text)
-        assert read(kind, text) == (True, True)
+    @hypothesis.given(
+        strategies.sampled_from([None, *sorted(whole)]),
+        texts,
+        strategies.booleans(),
+    )
+    def test(field, text, is_meta_first):
+        value = with_field(whole, field, text)
+        assert read(kind, value, is_meta_first) == (True, True)
 
     test()
 
 
+def with_field(spec, field, text):
+    """Return a value's text with `text` as one of its fields, or as all."""
+    if field is None:
+        return text
+    return json.dumps({**spec, field: '?'}).replace('"?"', text)
+
+
+@then(
+    'no unreadable text at any place of an entry costs another of the {kind}'
+)
+def unreadable_texts(context, kind):
+    whole = KINDS[kind].spec
+    texts = itertools.product(
+        (*UNREADABLE, *VALUES.values()), (None, *whole), (False, True)
+    )
+    wrong = [
+        (text[:40], field, is_meta_first)
+        for text, field, is_meta_first in texts
+        if read(kind, with_field(whole, field, text), is_meta_first)
+        != (True, True)
+    ]
+    assert not wrong, wrong
+
+
 @then(
     'a configuration with 400 digits in any of its numbers is rejected with'
     ' findings'
--- a/src/peridotmast/platform/object_codec.py
+++ b/src/peridotmast/platform/object_codec.py
@@ -13,9 +13,20 @@
 from peridotmast.platform import fields as fields_
 from peridotmast.platform import names
 
-_NAME = re.compile(r'"name"\s*:\s*"([^"\\]+)"')
-_REVISION = re.compile(rf'"{names.REVISION}"\s*:\s*([0-9]+)')
+_META = re.compile(rf'"{names.META}"\s*:\s*(?=\{{)')
+_BEGINS_WITH_META = re.compile(
+    rf'\s*\{{(\s*"{names.DELETED}"\s*:\s*\w+\s*,)?'
+    rf'(\s*"{names.OBJECT}"\s*:\s*\{{)?\s*"{names.META}"'
+)
+_ITEM_START = re.compile(
+    r'\{\s*"('
+    + '|'.join((names.META, names.SPEC, names.STATUS))
+    + f'|{names.OBJECT}|{names.DELETED}'
+    + r')"\s*:'
+)
+"""Where an item of a list may begin; an object has few other fields."""
 _DELETED = re.compile(rf'"{names.DELETED}"\s*:\s*true')
+_DECODER = json.JSONDecoder()
 _RESPONSE_FIELD = re.compile(
     rf'"({names.HAS_MORE}|{names.AT_REVISION})"\s*:\s*(true|false|[0-9]+)'
 )
@@ -77,16 +88,52 @@
     start = re.search(rf'"{re.escape(key)}"\s*:\s*\[', text)
     if start is None:
         raise ValueError('list not found in response')
-    items, end = _split_list(text, start.end())
-    other_text = text[: start.start()] + text[end:]
+    before = text[: start.start()]
+    try:
+        items, end = _split_list(text, start.end())
+        # Brackets that an item does not close, or closes twice, move the end.
+        json.loads(text[: start.end()] + text[end - 1 :])
+        after = text[end:]
+    except (ValueError, RecursionError):
+        items, after = _split_by_objects(text, start.end())
     response: dict[str, ty.Any] = {
         name: json.loads(value)
-        for name, value in _RESPONSE_FIELD.findall(other_text)
+        for part in (after, before)
+        for name, value in _RESPONSE_FIELD.findall(part)
     }
     response[key] = [found for item in items if (found := _recover_item(item))]
     return response
 
 
+def _split_by_objects(text: str, at: int) -> tuple[list[str], str]:
+    """Return the items of a list with unbalanced brackets, and what follows.
+
+    Each item that is JSON is found by itself. What lies between two of them
+    is one that is not.
+    """
+    items, unread = [], at
+    while start := _ITEM_START.search(text, at):
+        end = _end_of_item(text, start.start())
+        if end is None:
+            at = start.end()
+            continue
+        items += [text[unread : start.start()], text[start.start() : end]]
+        at = unread = end
+    return [*items, text[unread:]], text[unread:]
+
+
+def _end_of_item(text: str, at: int) -> ty.Optional[int]:
+    """Return where the JSON item at an offset ends; None if there is none."""
+    try:
+        item, end = _DECODER.raw_decode(text, at)
+    except (ValueError, RecursionError):
+        return None
+    is_item = isinstance(item.get(names.META), dict) or isinstance(
+        item.get(names.OBJECT), dict
+    )
+    return end if is_item else None
+
+
 def _split_list(text: str, at: int) -> tuple[list[str], int]:
     """Return the items of a list that begins at `at`, and its end offset.
 
@@ -128,12 +175,32 @@
         return json.loads(text)
     except (ValueError, RecursionError):
         pass
-    name, revision = _NAME.search(text), _REVISION.search(text)
-    if name is None or revision is None:
+    meta = _find_meta(text)
+    if meta is None:
         return None
-    meta = {'name': name[1], names.REVISION: int(revision[1])}
     # The caller may expect an object or an event, so the result has the
     # fields of both.
     stub = {names.META: meta}
     deleted = _DELETED.search(text) is not None
     return {**stub, names.OBJECT: stub, names.DELETED: deleted}
+
+
+def _find_meta(text: str) -> ty.Optional[dict[str, ty.Any]]:
+    """Return the metadata of an item that is not JSON; None if unreadable.
+
+    The value may contain what looks like metadata of another object. The own
+    ones come before the value or after it.
+    """
+    found = []
+    for match in _META.finditer(text):
+        try:
+            meta, _ = _DECODER.raw_decode(text, match.end())
+        except (ValueError, RecursionError):
+            continue
+        found.append(meta)
+    if not found:
+        return None
+    meta = found[0 if _BEGINS_WITH_META.match(text) else -1]
+    return {
+        name: meta[name] for name in ('name', names.REVISION) if name in meta
+    }
--- a/src/peridotmast/platform/upstream_codec.py
+++ b/src/peridotmast/platform/upstream_codec.py
@@ -80,4 +80,5 @@
         [1, 2],
         {'service': service, 'addr': 'nowhere', 'capacity-slots': -5},
         {'service': service, 'addr': None, 'capacity-slots': 1e300},
+        {'service': service, 'addr': '127.0.0.1:9', 'seq': 10**400},
     ]
