--- a/features/steps/crash_part_steps.py
+++ b/features/steps/crash_part_steps.py
@@ -323,6 +323,7 @@
     context.stream = types.SimpleNamespace(
         service=types.SimpleNamespace(moves=True),
         is_migrating=False,
+        has_position=True,
         exchange=types.SimpleNamespace(id='request'),
         reader=types.SimpleNamespace(last_id=1),
         expected_end=lambda now: None,
