--- a/src/peridotmast/serving/dispatcher.py
+++ b/src/peridotmast/serving/dispatcher.py
@@ -189,6 +189,7 @@
             exchange.traceparent,
             upstream=reservation.view.name,
         )
+        began_at = self._clock.now()
         result: ty.Union[reply_.Reply, failures.Failure, None] = None
         try:
             result = self._send(state, reservation)
@@ -199,7 +200,7 @@
             if not is_streaming:
                 reservation.release()
             span.end()
-            self._log_attempt(state, reservation, result)
+            self._log_attempt(state, reservation, result, began_at)
         return result
 
     def _reserve(
@@ -519,6 +520,7 @@
         state: _RequestState,
         reservation: placement.Reservation,
         result: ty.Any,
+        began_at: int,
     ) -> None:
         failed = isinstance(result, failures.Failure)
         outcome = 'caller_left'
@@ -548,6 +550,8 @@
             outcome=outcome,
             framing='' if failed or not result else result.head.framing.value,
             detail=result.detail if failed else '',
+            ms=self._clock.now() - began_at,
+            left_ms=state.exchange.deadline - self._clock.now(),
         )
 
     def _log_forward(
--- a/src/peridotmast/serving/placement.py
+++ b/src/peridotmast/serving/placement.py
@@ -205,6 +205,19 @@
             and self._versions.may_go_on(name, exchange.version)
         )
 
+    def count_heard(self, service: str, at: int, avoid: str) -> int:
+        """Return how many live upstreams have sent data since `at`, in ms.
+
+        Parameters
+        ----------
+        avoid : str
+            Name of an upstream that is not counted.
+        """
+        return sum(
+            view.heard_at >= at and view.name != avoid
+            for view in self._table.live(service)
+        )
+
     def wait_ms(
         self,
         service: str,
--- a/src/peridotmast/serving/stream.py
+++ b/src/peridotmast/serving/stream.py
@@ -69,6 +69,9 @@
         """Whether the current attempt has sent a new event."""
         self.is_broken = False
         """Whether the stream was interrupted and could not be resumed."""
+        self.heard_at = clock.now()
+        """Time at which data of the current attempt was last received, or its
+        head, in ms."""
         self._clock = clock
         self._first: ty.Optional[tuple[int, int]] = None
         self._gap_start: ty.Optional[tuple[int, int]] = None
@@ -83,6 +86,7 @@
         Failure or None
             Why the stream is not complete although the body has ended.
         """
+        self.heard_at = self._clock.now()
         if not data:
             return self._end()
         last_id = self.reader.last_id
@@ -182,6 +186,7 @@
     def continue_from(self, sent: sender_.Sent) -> None:
         """Continue the stream from another attempt."""
         self.sent = sent
+        self.heard_at = self._clock.now()
         self.is_answering = False
         self._gap_start = None
         self._is_gap_taken = False
--- a/src/peridotmast/serving/stream_relay.py
+++ b/src/peridotmast/serving/stream_relay.py
@@ -30,6 +30,10 @@
 """Factor by which a stream through a peer may stall longer: the peer resumes
 it first, at another upstream."""
 
+_HEARD_AFTER_MS = 200
+"""Upstreams that all fall silent at once have sent their last data within
+this time, in ms."""
+
 _GAP_EVENTS = 6
 """Number of events after the first one from which the time between events is
 taken: a slow version is noticed long before its streams end."""
@@ -210,21 +214,13 @@
         return failure
 
     def _read_more(self, stream: stream_.Stream) -> None:
-        exchange = stream.exchange
         failure = first_failure = self._read(
             stream, self._stall_deadline(stream)
         )
         if failure is None:
             self._note_gap(stream, _GAP_EVENTS)
         while failure is not None:
-            self._decisions.note(
-                exchange.id,
-                'stream_broke',
-                upstream=stream.sent.reservation.view.name,
-                last_event=stream.reader.last_id,
-                reason=failure.reason,
-                detail=failure.detail,
-            )
+            self._note_interruption(stream, failure)
             migrated = self._resume_at_target(stream)
             if migrated is None:
                 if failure is first_failure:
@@ -236,6 +232,25 @@
                 migrated if isinstance(migrated, failures.Failure) else None
             )
 
+    def _note_interruption(
+        self, stream: stream_.Stream, failure: failures.Failure
+    ) -> None:
+        """Log an interruption, and whether other upstreams were silent too."""
+        name = stream.sent.reservation.view.name
+        heard_at = stream.heard_at
+        self._decisions.note(
+            stream.exchange.id,
+            'stream_broke',
+            upstream=name,
+            last_event=stream.reader.last_id,
+            reason=failure.reason,
+            detail=failure.detail,
+            silent_ms=self._clock.now() - heard_at,
+            heard_others=self._placement.count_heard(
+                stream.service.name, heard_at + _HEARD_AFTER_MS, name
+            ),
+        )
+
     def _note_failure(
         self, stream: stream_.Stream, failure: failures.Failure
     ) -> None:
--- a/src/peridotmast/serving/upstream_view.py
+++ b/src/peridotmast/serving/upstream_view.py
@@ -86,6 +86,8 @@
         any number."""
         self.speed = 1.0
         """Estimated speed of this run relative to its service."""
+        self.heard_at = 0
+        """Time at which data was last received from it, in ms; 0 if never."""
         self._rests_until = 0
         self._clock = clock
         self._busy = busy
@@ -139,7 +141,7 @@
         """Add the load of a request of this router."""
         if not self.local_load.running:
             # Silence before the first request is not a sign of a failure.
-            self.note_activity()
+            self._active_at = self._clock.now()
         self.local_load.add(load)
         self._total_load.add(load)
         self._busy.add(self)
@@ -173,7 +175,7 @@
 
     def note_activity(self) -> None:
         """Record that data was received from the upstream."""
-        self._active_at = self._clock.now()
+        self._active_at = self.heard_at = self._clock.now()
 
     def silent_ms(self) -> int:
         """Return for how long a request has waited without any data, in ms."""
