Silence ends an attempt only once another one has brought its answer

Cause: the relay closed a stream's attempt at four target gaps, the dispatcher one at its first-bytes limit, and only then asked for a retry, an upstream and a version. A router in its first 10 s has no retry, so that each silent stream was reset. Class: something that works is given up before what replaces it is there.

Change: serving.standby makes another attempt beside the silent one, at an upstream that is not silent, within attempts and budget; the silent one is closed as the other one brings its first event. If none can be made, or it is refused or fails, the silent one is waited for.

--- a/src/peridotmast/serving/dispatcher.py
+++ b/src/peridotmast/serving/dispatcher.py
@@ -22,6 +22,7 @@
 from peridotmast.serving import retry_budget
 from peridotmast.serving import sender as sender_
 from peridotmast.serving.speeds import speeds as speeds_
+from peridotmast.serving import standby as standby_
 from peridotmast.serving import stream_relay
 from peridotmast.serving import stream_versions as stream_versions_
 from peridotmast.serving import usage as usage_
@@ -42,7 +43,21 @@
 
 _FIRST_BYTES_SHARE = 0.5
 """Fraction of the remaining time that an attempt may take to send its first
-bytes if another attempt may follow."""
+bytes before another one is made beside it."""
+
+_CONNECT_WAIT_MS = 50
+"""Interval at which an attempt is checked that is not connected yet, in
+ms."""
+
+_UNRUN_OUTCOMES = frozenset(
+    (
+        peer_sender_.NO_CONNECTION,
+        'deadline',
+        dialect_.Verdict.NOT_RUN.value,
+        dialect_.Verdict.ELSEWHERE.value,
+    )
+)
+"""Outcomes of an attempt that did not run."""
 
 _MAX_CONNECT_FAILURES = 2
 """Number of upstreams that a request fails to connect to before it is offered
@@ -165,6 +180,8 @@
             result = self._attempt(state)
             if isinstance(result, reply_.Reply):
                 return result
+            if state.replacement is not None:
+                continue
             if not self._may_retry(state, result):
                 return state.fallback or self._final_failure(state, result)
 
@@ -172,18 +189,14 @@
         self, state: _RequestState
     ) -> ty.Union[reply_.Reply, failures.Failure]:
         exchange = state.exchange
-        retry_after_ms = self._crashes.retry_after_ms(exchange.crash_keys)
-        if retry_after_ms:
-            return failures.not_run(
-                crash_tracker_.BLOCK_REASON,
-                self._crashes.blocked_key(exchange.crash_keys),
-                retry_after_ms,
-            )
-        reservation = self._reserve(state)
-        if reservation is None:
-            return self._placement_failure(state)
-        state.tried.add(reservation.view.name)
-        self._check_invariants(state, reservation)
+        replacement, state.replacement = state.replacement, None
+        reservation = (
+            self._begin_attempt(state)
+            if replacement is None
+            else replacement.reservation
+        )
+        if isinstance(reservation, failures.Failure):
+            return reservation
         span = self._tracer.start(
             'router.attempt',
             exchange.traceparent,
@@ -192,8 +205,9 @@
         began_at = self._clock.now()
         result: ty.Union[reply_.Reply, failures.Failure, None] = None
         try:
-            result = self._send(state, reservation)
+            result = self._send(state, reservation, replacement)
         finally:
+            self._end_standby(state, result)
             is_streaming = isinstance(result, reply_.Reply) and not isinstance(
                 result.body, bytes
             )
@@ -203,6 +217,140 @@
             self._log_attempt(state, reservation, result, began_at)
         return result
 
+    def _begin_attempt(
+        self, state: _RequestState
+    ) -> ty.Union[placement.Reservation, failures.Failure]:
+        """Reserve where the request is sent next."""
+        exchange = state.exchange
+        retry_after_ms = self._crashes.retry_after_ms(exchange.crash_keys)
+        if retry_after_ms:
+            return failures.not_run(
+                crash_tracker_.BLOCK_REASON,
+                self._crashes.blocked_key(exchange.crash_keys),
+                retry_after_ms,
+            )
+        reservation = self._reserve(state)
+        if reservation is None:
+            return self._placement_failure(state)
+        state.tried.add(reservation.view.name)
+        self._check_invariants(state, reservation)
+        return reservation
+
+    def _start_standby(
+        self, state: _RequestState, reservation: placement.Reservation
+    ) -> None:
+        """Search for another attempt while this one brings nothing.
+
+        A peer does so itself.
+        """
+        state.heard_at = self._clock.now()
+        if reservation.view.is_peer or not self._may_search(state):
+            return
+        patience_ms = self._patience_ms(state)
+
+        def wait_ms() -> int:
+            if reservation.conn is None:
+                return _CONNECT_WAIT_MS
+            return state.heard_at + patience_ms - self._clock.now()
+
+        def replace() -> None:
+            if reservation.conn is not None:
+                reservation.conn.cancel(standby_.SILENT)
+
+        state.standby = standby_.Standby(
+            wait_ms,
+            lambda: self._search(state, patience_ms),
+            replace,
+            lambda sent: self._sender.discard(state.exchange, sent),
+        )
+
+    def _end_standby(
+        self,
+        state: _RequestState,
+        result: ty.Union[reply_.Reply, failures.Failure, None],
+    ) -> None:
+        """Take the attempt that replaces one that has failed."""
+        standby, state.standby = state.standby, None
+        if standby is None:
+            return
+        if isinstance(result, failures.Failure):
+            state.replacement = standby.take()
+        else:
+            standby.stop()
+
+    def _may_search(self, state: _RequestState) -> bool:
+        """Return whether an attempt may be made beside the current one."""
+        exchange = state.exchange
+        return exchange.may_repeat and state.runs + 1 < exchange.route.attempts
+
+    def _search(
+        self, state: _RequestState, patience_ms: int
+    ) -> ty.Optional[sender_.Sent]:
+        """Make another attempt while the current one is silent."""
+        exchange, service = state.exchange, state.service
+        if (
+            not self._may_search(state)
+            or self._crashes.retry_after_ms(exchange.crash_keys)
+            or not self._budget.has_left(service.name)
+        ):
+            return None
+        silent = self._placement.silent_names(service.name, patience_ms // 2)
+        reservation = self._placement.choose(
+            exchange, service, state.tried | silent
+        )
+        if reservation is None:
+            return None
+        self._budget.take(service.name, exchange.id)
+        state.tried.add(reservation.view.name)
+        self._check_invariants(state, reservation)
+        outcome = 'cut_off'
+        sent: ty.Union[sender_.Sent, failures.Failure, None] = None
+        try:
+            sent = self._sender.send(
+                exchange, reservation, patience_ms, state.resume_point
+            )
+            outcome = self._standby_outcome(state, sent, patience_ms)
+        finally:
+            is_run = outcome not in _UNRUN_OUTCOMES
+            state.runs += is_run and outcome != standby_.READY
+            if isinstance(sent, sender_.Sent):
+                if outcome != standby_.READY:
+                    self._sender.discard(exchange, sent)
+            else:
+                reservation.release()
+        self._decisions.note(
+            exchange.id,
+            'standby',
+            upstream=reservation.view.name,
+            service=service.name,
+            outcome=outcome,
+            silent_ms=self._clock.now() - state.heard_at,
+        )
+        if isinstance(sent, sender_.Sent) and outcome == standby_.READY:
+            return sent
+        return None
+
+    def _standby_outcome(
+        self,
+        state: _RequestState,
+        sent: ty.Union[sender_.Sent, failures.Failure],
+        patience_ms: int,
+    ) -> str:
+        """Return whether an attempt can replace a silent one, or why not."""
+        if isinstance(sent, failures.Failure):
+            return sent.reason
+        if sent.verdict is not Verdict.ANSWER:
+            return sent.verdict.value
+        if not (state.exchange.is_stream and sent.head.is_success):
+            return standby_.READY
+        deadline = self._clock.now() + patience_ms
+        failure = self._relay.await_event(
+            sent,
+            state.exchange.last_event,
+            min(state.exchange.deadline, deadline),
+        )
+        return standby_.READY if failure is None else failure.reason
+
     def _reserve(
         self, state: _RequestState
     ) -> ty.Optional[placement.Reservation]:
@@ -266,14 +414,20 @@
         )
 
     def _send(
-        self, state: _RequestState, reservation: placement.Reservation
+        self,
+        state: _RequestState,
+        reservation: placement.Reservation,
+        replacement: ty.Optional[sender_.Sent],
     ) -> ty.Union[reply_.Reply, failures.Failure]:
         exchange = state.exchange
-        first_bytes_ms = self._first_bytes_ms(state)
         sent_at = self._clock.now()
+        self._start_standby(state, reservation)
         try:
-            sent = self._sender.send(
-                exchange, reservation, first_bytes_ms, state.resume_point
+            sent = replacement or self._sender.send(
+                exchange,
+                reservation,
+                exchange.deadline - sent_at,
+                state.resume_point,
             )
         except BaseException:
             # The upstream may run a request that its caller no longer awaits.
@@ -288,6 +442,7 @@
                 self._note_end(state, reservation, sent_at, failed=True)
             return sent
         state.was_sent = True
+        state.heard_at = self._clock.now()
         if reservation.view.is_peer:
             state.note_peer_runs()
         if sent.verdict in (Verdict.NOT_RUN, Verdict.ELSEWHERE):
@@ -300,6 +455,7 @@
             and sent.head.is_success
         )
         if not is_streaming:
+            self._end_standby(state, None)
             self._count_started(state, sent.sent_at)
         if sent.verdict is Verdict.GARBLED:
             self._note_end(state, reservation, sent_at, failed=True)
@@ -308,7 +464,7 @@
             return failures.unknown('garbled', str(sent.head.status))
         try:
             if is_streaming:
-                return self._begin_stream(state, sent, first_bytes_ms)
+                return self._begin_stream(state, sent)
             return self._read_response(state, sent)
         except BaseException:
             self._sender.abandon(exchange, sent.reservation.view, sent.sent_at)
@@ -371,11 +527,9 @@
         return failures.not_run('upstream_refused', '', _RETRY_MS)
 
     def _begin_stream(
-        self, state: _RequestState, sent: sender_.Sent, first_bytes_ms: int
+        self, state: _RequestState, sent: sender_.Sent
     ) -> ty.Union[reply_.Reply, failures.Failure]:
-        stream = self._relay.begin(
-            state.exchange, state.service, sent, first_bytes_ms
-        )
+        stream = self._relay.begin(state.exchange, state.service, sent)
         if isinstance(stream, failures.Failure):
             sent.conn.close()
             self._count_unanswered(state, stream, sent.sent_at)
@@ -490,14 +644,10 @@
             return False
         return self._budget.take(state.service.name, exchange.id)
 
-    def _first_bytes_ms(self, state: _RequestState) -> int:
-        """Return how long the next attempt may take to respond, in ms."""
+    def _patience_ms(self, state: _RequestState) -> int:
+        """Return how long an attempt is silent before another one is made."""
         exchange = state.exchange
         left_ms = exchange.deadline - self._clock.now()
-        if not exchange.may_repeat:
-            return left_ms
-        if state.runs + 1 >= exchange.route.attempts:
-            return left_ms
         limit = 2 * exchange.route.target_ms
         return max(1, min(limit, int(left_ms * _FIRST_BYTES_SHARE)))
 
@@ -604,6 +754,13 @@
             else dialect_.ResumePoint(exchange.last_event)
         )
         """Where a stream that was interrupted at another router goes on."""
+        self.heard_at = 0
+        """Time at which the current attempt was sent or its head arrived, in
+        ms."""
+        self.standby: ty.Optional[standby_.Standby] = None
+        """Searches for another attempt while the current one is silent."""
+        self.replacement: ty.Optional[sender_.Sent] = None
+        """Attempt that has replaced a silent one."""
         self.counted = False
         """Whether the request was counted in `Usage`."""
         self.fallback: ty.Optional[reply_.Reply] = None
--- a/src/peridotmast/serving/placement.py
+++ b/src/peridotmast/serving/placement.py
@@ -15,6 +15,7 @@
 from peridotmast.serving import upstream_view
 from peridotmast.serving import upstreams as upstreams_
 from peridotmast.serving import version_gate
+from peridotmast.wire import connection as connection_
 
 Views = ty.Sequence[upstream_view.UpstreamView]
 
@@ -74,6 +75,8 @@
     ) -> None:
         self.view = view
         """The upstream."""
+        self.conn: ty.Optional[connection_.Connection] = None
+        """Connection of the attempt, once the request is sent."""
         self.selection = selection
         """Why the upstream was selected."""
         prompt = exchange.prompt
@@ -218,6 +221,20 @@
             for view in self._table.live(service)
         )
 
+    def silent_names(self, service: str, min_ms: int) -> set[str]:
+        """Return the names of live upstreams at which requests only wait.
+
+        Parameters
+        ----------
+        min_ms : int
+            Minimum time without any data from such an upstream, in ms.
+        """
+        return {
+            view.name
+            for view in self._table.live(service)
+            if view.silent_ms() >= min_ms
+        }
+
     def wait_ms(
         self,
         service: str,
--- a/src/peridotmast/serving/retry_budget.py
+++ b/src/peridotmast/serving/retry_budget.py
@@ -84,11 +84,7 @@
         requests = len(self._times_in_window(self._requests, service))
         retries = self._times_in_window(self._retries, service)
         share = self._usable_share()
-        run_ms = self._clock.now() - self._started_at
-        is_first_run = self.is_first_run()
-        is_usable = is_first_run or run_ms >= self._window_ms
-        allowed = self._ratio * requests + self._slack * share
-        granted = is_usable and len(retries) + 1 <= allowed * _USED_SHARE
+        granted = self.has_left(service)
         self._decisions.note(
             request_id,
             'retry',
@@ -97,13 +93,23 @@
             retries=len(retries),
             requests=requests,
             share=round(share, 3),
-            run_ms=run_ms,
-            first_run=is_first_run,
+            run_ms=self._clock.now() - self._started_at,
+            first_run=self.is_first_run(),
         )
         if granted:
             retries.append(self._clock.now())
         return granted
 
+    def has_left(self, service: str) -> bool:
+        """Return whether `take` would return True now."""
+        run_ms = self._clock.now() - self._started_at
+        if run_ms < self._window_ms and not self.is_first_run():
+            return False
+        requests = len(self._times_in_window(self._requests, service))
+        retries = len(self._times_in_window(self._retries, service))
+        allowed = self._ratio * requests + self._slack * self._usable_share()
+        return retries + 1 <= allowed * _USED_SHARE
+
     def tick(self) -> None:
         """Note the current share."""
         self._usable_share()
--- a/src/peridotmast/serving/sender.py
+++ b/src/peridotmast/serving/sender.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import typing as ty
 import weakref
@@ -63,6 +64,10 @@
     """Time at which the request was sent, in ms."""
     version: ids.SoftwareVersion
     """Software version of the upstream that answers."""
+    early: collections.deque[bytes] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    """Parts of the body that were read before the response is used."""
 
 
 class Sender:
@@ -151,6 +156,7 @@
             self._reach.note_connected(view)
         attempts = self._attempts.setdefault(view, weakref.WeakKeyDictionary())
         attempts[conn] = _Attempt(exchange.crash_keys)
+        reservation.conn = conn
         sent: ty.Union[Sent, failures.Failure, None] = None
         sent_at = self._clock.now()
         try:
@@ -221,6 +227,12 @@
             return
         self._abandoned.add(exchange.crash_keys, view, sent_at, was_answering)
 
+    def discard(self, exchange: exchange_.Exchange, sent: Sent) -> None:
+        """Cancel an attempt whose response is not used."""
+        self.abandon(exchange, sent.reservation.view, sent.sent_at)
+        sent.conn.close()
+        sent.reservation.release()
+
     def on_upstream_change(self, view: upstream_view.UpstreamView) -> None:
         """Decide on the abandoned attempts of an upstream that has ended.
 
--- a/src/peridotmast/serving/stream.py
+++ b/src/peridotmast/serving/stream.py
@@ -12,6 +12,7 @@
 from peridotmast.serving import exchange as exchange_
 from peridotmast.serving import placement
 from peridotmast.serving import sender as sender_
+from peridotmast.serving import standby as standby_
 from peridotmast.wire import event_reader
 from peridotmast.wire import framing
 
@@ -56,6 +57,8 @@
         """Names of the upstreams chosen to run the stream from its prompt."""
         self.runs = 1
         """Number of attempts of the request that ran or may have run."""
+        self.standby: ty.Optional[standby_.Standby] = None
+        """Searches for another attempt while the current one is silent."""
         self.unreached: set[str] = set()
         """Names of upstreams and peers that could not be connected to when the
         stream was resumed."""
--- a/src/peridotmast/serving/stream_relay.py
+++ b/src/peridotmast/serving/stream_relay.py
@@ -17,9 +17,12 @@
 from peridotmast.serving import reply as reply_
 from peridotmast.serving import retry_budget
 from peridotmast.serving import sender as sender_
+from peridotmast.serving import standby as standby_
 from peridotmast.serving import stream as stream_
 from peridotmast.serving import upstream_view
 from peridotmast.serving import version_gate
+from peridotmast.wire import event_reader
+from peridotmast.wire import framing
 
 _STALL_GAPS = 4
 """Multiple of the route's target gap after which a stream counts as stalled:
@@ -102,26 +105,57 @@
         exchange: exchange_.Exchange,
         service: pb.Service,
         sent: sender_.Sent,
-        first_event_ms: int,
     ) -> ty.Union[stream_.Stream, failures.Failure]:
         """Wait for the first event of a response whose head was read.
 
         The caller must pass a returned `Stream` to `close`.
-
-        Parameters
-        ----------
-        first_event_ms : int
-            Time limit for the first event, in ms.
         """
         stream = stream_.Stream(exchange, service, sent, self._clock)
         self._open.append(stream)
         failure: ty.Optional[failures.Failure] = failures.unknown('cut_off')
         try:
-            failure = self._first_event(stream, first_event_ms)
+            failure = self._first_event(stream)
         finally:
             if failure is not None:
                 self._open.remove(stream)
-        return stream if failure is None else failure
+        if failure is not None:
+            return failure
+        self._start_standby(stream)
+        return stream
+
+    def await_event(
+        self, sent: sender_.Sent, last_event: ty.Optional[int], deadline: int
+    ) -> ty.Optional[failures.Failure]:
+        """Read an attempt up to its first event, or to its stated end.
+
+        What is read is kept in the attempt.
+
+        Parameters
+        ----------
+        last_event : int or None
+            Id of the last event that the caller has; events up to it do not
+            count.
+        deadline : int
+            Time by which the event must arrive, in ms.
+        """
+        position = -1 if last_event is None else last_event
+        reader = event_reader.EventReader(position)
+        while not reader.has_event:
+            data = sent.conn.read_some(deadline)
+            if isinstance(data, failures.Failure):
+                return data
+            sent.reservation.view.note_activity()
+            sent.early.append(data)
+            if not data:
+                is_stated = (
+                    sent.head.framing is not framing.Framing.CONNECTION
+                    and not reader.is_inside_event
+                )
+                return None if is_stated else failures.unknown('cut_short')
+            reader.feed(data)
+            if reader.is_endless:
+                return failures.unknown('too_long', 'bytes without an event')
+        return None
 
     def events(self, stream: stream_.Stream) -> ty.Iterator[bytes]:
         """Yield the bytes of the response, in complete events only.
@@ -149,6 +183,8 @@
         """Release the resources of a stream, complete or not."""
         if stream in self._open:
             self._open.remove(stream)
+        if stream.standby is not None:
+            stream.standby.stop()
         stream.drop_migration()
         stream.sent.reservation.release()
         if stream.ended:
@@ -174,14 +210,11 @@
         stream.sent.conn.close()
 
     def _first_event(
-        self, stream: stream_.Stream, first_event_ms: int
+        self, stream: stream_.Stream
     ) -> ty.Optional[failures.Failure]:
-        deadline = self._clock.now() + first_event_ms
         # Comments begin no response: the upstream may send nothing else.
         while not stream.reader.has_event and not stream.ended:
-            failure = self._read(
-                stream, min(stream.exchange.deadline, deadline)
-            )
+            failure = self._read(stream)
             if failure is None:
                 continue
             migrated = self._resume_at_target(stream)
@@ -199,14 +232,18 @@
         stream.sent.reservation.view.health.record_success()
         return None
 
-    def _read(
-        self, stream: stream_.Stream, deadline: int
-    ) -> ty.Optional[failures.Failure]:
+    def _read(self, stream: stream_.Stream) -> ty.Optional[failures.Failure]:
         """Read the next bytes; return why the stream is interrupted."""
-        conn = stream.sent.conn
-        data = conn.read_some(deadline)
+        conn, early = stream.sent.conn, stream.sent.early
+        data = (
+            early.popleft()
+            if early
+            else conn.read_some(stream.exchange.deadline)
+        )
         if isinstance(data, failures.Failure):
             return data
+        if stream.standby is not None:
+            stream.standby.note_data()
         stream.sent.reservation.view.note_activity()
         failure = stream.feed(data)
         if failure is not None:
@@ -214,9 +251,7 @@
         return failure
 
     def _read_more(self, stream: stream_.Stream) -> None:
-        failure = first_failure = self._read(
-            stream, self._stall_deadline(stream)
-        )
+        failure = first_failure = self._read(stream)
         if failure is None:
             self._note_gap(stream, _GAP_EVENTS)
         while failure is not None:
@@ -227,7 +262,9 @@
                     # Later failures belong to attempts to resume at other
                     # upstreams, not to the previous one.
                     self._note_failure(stream, failure)
-                migrated = self._resume(stream, failure)
+                migrated = self._take_standby(stream) or self._resume(
+                    stream, failure
+                )
             failure = (
                 migrated if isinstance(migrated, failures.Failure) else None
             )
@@ -276,20 +313,106 @@
                 route, sent.reservation.view, sent.sent_at, gap_ms
             )
 
-    def _stall_deadline(self, stream: stream_.Stream) -> int:
-        """Return the time by which the next bytes must arrive, in ms.
-
-        A stalled stream is resumed at another upstream if possible. A stream
-        that can't be resumed is not ended because of a stall, as its upstream
-        may be recomputing the prefill.
-        """
-        exchange = stream.exchange
+    def _start_standby(self, stream: stream_.Stream) -> None:
+        """Search for another attempt whenever the current one is silent."""
+        if stream.standby is not None:
+            stream.standby.stop()
+        stream.standby = None
         if not stream.may_resume():
-            return exchange.deadline
-        stall_ms = _STALL_GAPS * exchange.route.target_gap_ms
+            return
+        stall_ms = _STALL_GAPS * stream.exchange.route.target_gap_ms
         if stream.sent.reservation.view.is_peer:
             stall_ms *= _PEER_STALL_FACTOR
-        return min(exchange.deadline, self._clock.now() + stall_ms)
+        stream.standby = standby_.Standby(
+            lambda: stream.heard_at + stall_ms - self._clock.now(),
+            lambda: self._search(stream, stall_ms),
+            lambda: stream.sent.conn.cancel(standby_.SILENT),
+            lambda sent: self._sender.discard(stream.exchange, sent),
+        )
+
+    def _search(
+        self, stream: stream_.Stream, stall_ms: int
+    ) -> ty.Optional[sender_.Sent]:
+        """Resume a silent stream elsewhere, up to its next event."""
+        exchange, service = stream.exchange, stream.service
+        reservation = self._choose_standby(stream, stall_ms // 2)
+        if reservation is None:
+            return None
+        outcome = 'cut_off'
+        sent: ty.Union[sender_.Sent, failures.Failure, None] = None
+        try:
+            sent = self._ask(
+                stream,
+                reservation,
+                dialect_.ResumePoint(stream.last_event),
+                2 * stall_ms,
+            )
+            outcome = self._standby_outcome(stream, sent, stall_ms)
+        finally:
+            is_unsent = outcome == peer_sender_.NO_CONNECTION
+            known = stream.unreached if is_unsent else stream.tried
+            known.add(reservation.view.name)
+            stream.runs += not is_unsent
+            if isinstance(sent, sender_.Sent) and outcome != standby_.READY:
+                self._sender.discard(exchange, sent)
+        self._decisions.note(
+            exchange.id,
+            'standby',
+            upstream=reservation.view.name,
+            service=service.name,
+            outcome=outcome,
+            silent_ms=self._clock.now() - stream.heard_at,
+        )
+        if isinstance(sent, sender_.Sent) and outcome == standby_.READY:
+            return sent
+        return None
+
+    def _standby_outcome(
+        self,
+        stream: stream_.Stream,
+        sent: ty.Union[sender_.Sent, failures.Failure],
+        stall_ms: int,
+    ) -> str:
+        """Return whether an attempt can replace a silent one, or why not."""
+        if isinstance(sent, failures.Failure):
+            return sent.reason
+        deadline = min(stream.exchange.deadline, self._clock.now() + stall_ms)
+        failure = self.await_event(sent, stream.last_event, deadline)
+        return standby_.READY if failure is None else failure.reason
+
+    def _choose_standby(
+        self, stream: stream_.Stream, silent_ms: int
+    ) -> ty.Optional[placement.Reservation]:
+        """Reserve where a silent stream may go on, and take a retry."""
+        exchange, service = stream.exchange, stream.service
+        if (
+            not stream.may_resume()
+            or not stream.has_position
+            or stream.is_migrating
+            or self._crashes.retry_after_ms(exchange.crash_keys)
+            or not self._budget.has_left(service.name)
+        ):
+            return None
+        silent = self._placement.silent_names(service.name, silent_ms)
+        avoid = stream.tried | stream.unreached
+        reservation = self._placement.choose(exchange, service, avoid | silent)
+        if reservation is None and silent <= avoid:
+            reservation = self._peers.choose(
+                exchange, service, avoid, exchange.route.attempts - 1
+            )
+        if reservation is not None:
+            self._budget.take(service.name, exchange.id)
+        return reservation
+
+    def _take_standby(
+        self, stream: stream_.Stream
+    ) -> ty.Optional[sender_.Sent]:
+        """Go on with the attempt that was found during a silence, if any."""
+        sent = stream.standby.take() if stream.standby is not None else None
+        if sent is not None:
+            stream.sent.reservation.release()
+            self._go_on(stream, sent, dialect_.ResumePoint(stream.last_event))
+        return sent
 
     def _resume_at_target(
         self, stream: stream_.Stream
@@ -364,12 +487,33 @@
         reservation: placement.Reservation,
         resume_point: dialect_.ResumePoint,
     ) -> ty.Union[sender_.Sent, failures.Failure]:
-        exchange = stream.exchange
-        stall_ms = 2 * _STALL_GAPS * exchange.route.target_gap_ms
+        # Silence ends this attempt only if another one may follow.
+        stall_ms = 2 * _STALL_GAPS * stream.exchange.route.target_gap_ms
+        can_retry = stream.may_resume() and self._budget.has_left(
+            stream.service.name
+        )
+        timeout_ms = (
+            stall_ms
+            if can_retry
+            else stream.exchange.deadline - self._clock.now()
+        )
+        result = self._ask(stream, reservation, resume_point, timeout_ms)
+        if isinstance(result, sender_.Sent):
+            self._go_on(stream, result, resume_point)
+        return result
+
+    def _ask(
+        self,
+        stream: stream_.Stream,
+        reservation: placement.Reservation,
+        resume_point: dialect_.ResumePoint,
+        timeout_ms: int,
+    ) -> ty.Union[sender_.Sent, failures.Failure]:
+        """Send a request to resume, and read the head of its response."""
         result: ty.Union[sender_.Sent, failures.Failure, None] = None
         try:
             result = self._sender.send(
-                exchange, reservation, stall_ms, resume_point
+                stream.exchange, reservation, timeout_ms, resume_point
             )
         finally:
             if not isinstance(result, sender_.Sent):
@@ -380,14 +524,24 @@
             reservation.release()
             result.conn.close()
             return failures.not_run(result.verdict.value)
-        stream.continue_from(result)
+        return result
+
+    def _go_on(
+        self,
+        stream: stream_.Stream,
+        sent: sender_.Sent,
+        resume_point: dialect_.ResumePoint,
+    ) -> None:
+        """Continue a stream from another attempt."""
+        stream.continue_from(sent)
+        self._start_standby(stream)
+        view = sent.reservation.view
         self._metrics.resumed_streams.labels(stream.service.name).inc()
         self._decisions.note(
-            exchange.id,
+            stream.exchange.id,
             'stream_goes_on',
-            upstream=reservation.view.name,
-            version=reservation.view.version,
+            upstream=view.name,
+            version=view.version,
             last_event=stream.reader.last_id,
             copy=resume_point.kv_location,
         )
-        return result
