Attempts beside silent ones are made in one place

The dispatcher and the relay chose, sent and judged such an attempt with the same steps. serving.second_attempts has them once. No change of what is sent; features silence and streams pass.

--- a/src/peridotmast/router/serving.py
+++ b/src/peridotmast/router/serving.py
@@ -26,6 +26,7 @@
 from peridotmast.serving import reachability
 from peridotmast.serving import retry_budget
 from peridotmast.serving.scarcity import control as scarcity_
+from peridotmast.serving import second_attempts
 from peridotmast.serving import sender as sender_
 from peridotmast.serving.speeds import speeds as speeds_
 from peridotmast.serving import stream_migrator as migrator_
@@ -174,6 +175,15 @@
         """Chooses an upstream for each request."""
         self.placement.brittle_wait_ms = self.brittleness.wait_ms
         self.placement.has_idle_connection = self.pool.has_idle
+        self._second_attempts = second_attempts.SecondAttempts(
+            clock,
+            self._sender,
+            self.placement,
+            self.peers,
+            self.retry_budget,
+            self.crashes,
+            self.decisions,
+        )
         self._relay = stream_relay.StreamRelay(
             clock,
             self._sender,
@@ -184,6 +194,7 @@
             self.versions,
             self._metrics,
             self.decisions,
+            self._second_attempts,
         )
         migrator = migrator_.StreamMigrator(
             clock,
@@ -278,6 +289,7 @@
             self.decisions,
             self._tracer,
             self._checks,
+            self._second_attempts,
         )
 
 
--- a/src/peridotmast/serving/dispatcher.py
+++ b/src/peridotmast/serving/dispatcher.py
@@ -20,6 +20,7 @@
 from peridotmast.serving import reachability
 from peridotmast.serving import reply as reply_
 from peridotmast.serving import retry_budget
+from peridotmast.serving import second_attempts
 from peridotmast.serving import sender as sender_
 from peridotmast.serving.speeds import speeds as speeds_
 from peridotmast.serving import standby as standby_
@@ -49,16 +50,6 @@
 """Interval at which an attempt is checked that is not connected yet, in
 ms."""
 
-_UNRUN_OUTCOMES = frozenset(
-    (
-        peer_sender_.NO_CONNECTION,
-        'deadline',
-        dialect_.Verdict.NOT_RUN.value,
-        dialect_.Verdict.ELSEWHERE.value,
-    )
-)
-"""Outcomes of an attempt that did not run."""
-
 _MAX_CONNECT_FAILURES = 2
 """Number of upstreams that a request fails to connect to before it is offered
 to a peer: a connection that hangs takes a large part of a short time limit."""
@@ -117,6 +108,8 @@
         Opens a span for each attempt.
     checks : invariants.Invariants
         Checks invariants at run time.
+    attempts : second_attempts.SecondAttempts
+        Makes attempts beside silent ones.
     """
 
     def __init__(
@@ -138,6 +131,7 @@
         decisions: decisions_.Decisions,
         tracer: tracing.Tracing,
         checks: invariants_.Invariants,
+        attempts: second_attempts.SecondAttempts,
     ) -> None:
         self._clock = clock
         self._sender = sender
@@ -156,6 +150,7 @@
         self._decisions = decisions
         self._tracer = tracer
         self._invariants = checks
+        self._second_attempts = attempts
 
     def answer(
         self, exchange: exchange_.Exchange, service: pb.Service
@@ -287,69 +282,30 @@
         self, state: _RequestState, patience_ms: int
     ) -> ty.Optional[sender_.Sent]:
         """Make another attempt while the current one is silent."""
-        exchange, service = state.exchange, state.service
-        if (
-            not self._may_search(state)
-            or self._crashes.retry_after_ms(exchange.crash_keys)
-            or not self._budget.has_left(service.name)
-        ):
+        if not self._may_search(state):
             return None
-        silent = self._placement.silent_names(service.name, patience_ms // 2)
-        reservation = self._placement.choose(
-            exchange, service, state.tried | silent
+        silence = second_attempts.Silence(
+            state.exchange,
+            state.service,
+            state.tried,
+            state.heard_at,
+            patience_ms,
+            state.resume_point,
+            state.exchange.last_event,
+        )
+        reservation = self._second_attempts.reserve(
+            silence, may_ask_peer=False
         )
         if reservation is None:
             return None
-        self._budget.take(service.name, exchange.id)
         state.tried.add(reservation.view.name)
         self._check_invariants(state, reservation)
-        outcome = 'cut_off'
-        sent: ty.Union[sender_.Sent, failures.Failure, None] = None
-        try:
-            sent = self._sender.send(
-                exchange, reservation, patience_ms, state.resume_point
-            )
-            outcome = self._standby_outcome(state, sent, patience_ms)
-        finally:
-            is_run = outcome not in _UNRUN_OUTCOMES
-            state.runs += is_run and outcome != standby_.READY
-            if isinstance(sent, sender_.Sent):
-                if outcome != standby_.READY:
-                    self._sender.discard(exchange, sent)
-            else:
-                reservation.release()
-        self._decisions.note(
-            exchange.id,
-            'standby',
-            upstream=reservation.view.name,
-            service=service.name,
-            outcome=outcome,
-            silent_ms=self._clock.now() - state.heard_at,
-        )
-        if isinstance(sent, sender_.Sent) and outcome == standby_.READY:
-            return sent
-        return None
-
-    def _standby_outcome(
-        self,
-        state: _RequestState,
-        sent: ty.Union[sender_.Sent, failures.Failure],
-        patience_ms: int,
-    ) -> str:
-        """Return whether an attempt can replace a silent one, or why not."""
-        if isinstance(sent, failures.Failure):
-            return sent.reason
-        if sent.verdict is not Verdict.ANSWER:
-            return sent.verdict.value
-        if not (state.exchange.is_stream and sent.head.is_success):
-            return standby_.READY
-        deadline = self._clock.now() + patience_ms
-        failure = self._relay.await_event(
-            sent,
-            state.exchange.last_event,
-            min(state.exchange.deadline, deadline),
-        )
-        return standby_.READY if failure is None else failure.reason
+        state.runs += 1
+        result = self._second_attempts.send(silence, reservation)
+        if result.sent is not None or not result.has_run:
+            # An attempt that replaces the current one is counted with it.
+            state.runs -= 1
+        return result.sent
 
     def _reserve(
         self, state: _RequestState
--- a/src/peridotmast/serving/standby.py
+++ b/src/peridotmast/serving/standby.py
@@ -10,9 +10,6 @@
 _RETRY_MS = 100
 """Pause after a search without a result, in ms."""
 
-READY = 'ready'
-"""Outcome of an attempt that can replace a silent one."""
-
 SILENT = 'silent'
 """Reason of the failure of an attempt that another one has replaced."""
 
--- a/src/peridotmast/serving/stream_relay.py
+++ b/src/peridotmast/serving/stream_relay.py
@@ -16,13 +16,12 @@
 from peridotmast.serving import placement
 from peridotmast.serving import reply as reply_
 from peridotmast.serving import retry_budget
+from peridotmast.serving import second_attempts
 from peridotmast.serving import sender as sender_
 from peridotmast.serving import standby as standby_
 from peridotmast.serving import stream as stream_
 from peridotmast.serving import upstream_view
 from peridotmast.serving import version_gate
-from peridotmast.wire import event_reader
-from peridotmast.wire import framing
 
 _STALL_GAPS = 4
 """Multiple of the route's target gap after which a stream counts as stalled:
@@ -65,6 +64,8 @@
         Counts resumed streams.
     decisions : decisions.Decisions
         Records interruptions and resumes of each request.
+    attempts : second_attempts.SecondAttempts
+        Makes attempts beside silent ones.
     """
 
     def __init__(
@@ -78,6 +79,7 @@
         versions: version_gate.VersionGate,
         metrics: metrics_.ServingMetrics,
         decisions: decisions_.Decisions,
+        attempts: second_attempts.SecondAttempts,
     ) -> None:
         self._clock = clock
         self._sender = sender
@@ -88,6 +90,7 @@
         self._versions = versions
         self._metrics = metrics
         self._decisions = decisions
+        self._second_attempts = attempts
         self._open: list[stream_.Stream] = []
 
     def streams_at(
@@ -123,40 +126,6 @@
         self._start_standby(stream)
         return stream
 
-    def await_event(
-        self, sent: sender_.Sent, last_event: ty.Optional[int], deadline: int
-    ) -> ty.Optional[failures.Failure]:
-        """Read an attempt up to its first event, or to its stated end.
-
-        What is read is kept in the attempt.
-
-        Parameters
-        ----------
-        last_event : int or None
-            Id of the last event that the caller has; events up to it do not
-            count.
-        deadline : int
-            Time by which the event must arrive, in ms.
-        """
-        position = -1 if last_event is None else last_event
-        reader = event_reader.EventReader(position)
-        while not reader.has_event:
-            data = sent.conn.read_some(deadline)
-            if isinstance(data, failures.Failure):
-                return data
-            sent.reservation.view.note_activity()
-            sent.early.append(data)
-            if not data:
-                is_stated = (
-                    sent.head.framing is not framing.Framing.CONNECTION
-                    and not reader.is_inside_event
-                )
-                return None if is_stated else failures.unknown('cut_short')
-            reader.feed(data)
-            if reader.is_endless:
-                return failures.unknown('too_long', 'bytes without an event')
-        return None
-
     def events(self, stream: stream_.Stream) -> ty.Iterator[bytes]:
         """Yield the bytes of the response, in complete events only.
 
@@ -334,75 +303,30 @@
         self, stream: stream_.Stream, stall_ms: int
     ) -> ty.Optional[sender_.Sent]:
         """Resume a silent stream elsewhere, up to its next event."""
-        exchange, service = stream.exchange, stream.service
-        reservation = self._choose_standby(stream, stall_ms // 2)
-        if reservation is None:
+        can_resume = stream.may_resume() and stream.has_position
+        if not can_resume or stream.is_migrating:
             return None
-        outcome = 'cut_off'
-        sent: ty.Union[sender_.Sent, failures.Failure, None] = None
-        try:
-            sent = self._ask(
-                stream,
-                reservation,
-                dialect_.ResumePoint(stream.last_event),
-                2 * stall_ms,
-            )
-            outcome = self._standby_outcome(stream, sent, stall_ms)
-        finally:
-            is_unsent = outcome == peer_sender_.NO_CONNECTION
-            known = stream.unreached if is_unsent else stream.tried
-            known.add(reservation.view.name)
-            stream.runs += not is_unsent
-            if isinstance(sent, sender_.Sent) and outcome != standby_.READY:
-                self._sender.discard(exchange, sent)
-        self._decisions.note(
-            exchange.id,
-            'standby',
-            upstream=reservation.view.name,
-            service=service.name,
-            outcome=outcome,
-            silent_ms=self._clock.now() - stream.heard_at,
+        silence = second_attempts.Silence(
+            stream.exchange,
+            stream.service,
+            stream.tried | stream.unreached,
+            stream.heard_at,
+            stall_ms,
+            dialect_.ResumePoint(stream.last_event),
+            stream.last_event,
         )
-        if isinstance(sent, sender_.Sent) and outcome == standby_.READY:
-            return sent
-        return None
-
-    def _standby_outcome(
-        self,
-        stream: stream_.Stream,
-        sent: ty.Union[sender_.Sent, failures.Failure],
-        stall_ms: int,
-    ) -> str:
-        """Return whether an attempt can replace a silent one, or why not."""
-        if isinstance(sent, failures.Failure):
-            return sent.reason
-        deadline = min(stream.exchange.deadline, self._clock.now() + stall_ms)
-        failure = self.await_event(sent, stream.last_event, deadline)
-        return standby_.READY if failure is None else failure.reason
-
-    def _choose_standby(
-        self, stream: stream_.Stream, silent_ms: int
-    ) -> ty.Optional[placement.Reservation]:
-        """Reserve where a silent stream may go on, and take a retry."""
-        exchange, service = stream.exchange, stream.service
-        if (
-            not stream.may_resume()
-            or not stream.has_position
-            or stream.is_migrating
-            or self._crashes.retry_after_ms(exchange.crash_keys)
-            or not self._budget.has_left(service.name)
-        ):
+        reservation = self._second_attempts.reserve(silence, may_ask_peer=True)
+        if reservation is None:
             return None
-        silent = self._placement.silent_names(service.name, silent_ms)
-        avoid = stream.tried | stream.unreached
-        reservation = self._placement.choose(exchange, service, avoid | silent)
-        if reservation is None and silent <= avoid:
-            reservation = self._peers.choose(
-                exchange, service, avoid, exchange.route.attempts - 1
-            )
-        if reservation is not None:
-            self._budget.take(service.name, exchange.id)
-        return reservation
+        name = reservation.view.name
+        stream.tried.add(name)
+        stream.runs += 1
+        result = self._second_attempts.send(silence, reservation)
+        if not result.was_sent:
+            stream.runs -= 1
+            stream.tried.remove(name)
+            stream.unreached.add(name)
+        return result.sent
 
     def _take_standby(
         self, stream: stream_.Stream
