A call to move a run is waited for as long as a sound engine may be silent

Callers saw (in the test): a stream that may not be resumed was broken off when its engine left and had been silent for over a second as it was asked to move the run. The call was given up after 1 s; the engine moved the run all the same when it went on, which stops its stream, and nobody knew the copy.

Change: the call waits 3 s, as connections do; a stream that could not go on otherwise waits for its move until its time is over.

--- a/features/silence.feature
+++ b/features/silence.feature
@@ -42,6 +42,13 @@
     When an upstream is silent for 1200 ms in the middle of a stream while the other upstream answers
     Then the silent upstream was closed within 200 ms of the first event of the other one
 
+  # Guards against streams that are lost with an announced leave: the call to move a run was given
+  # up after a second of silence, the run stopped all the same, and its copy was unknown.
+  Scenario: A stream is moved although its upstream is silent when it is asked to
+    Given a fleet of 1 routers with two scripted upstreams that count as silent after 400 ms
+    When the upstream of a stream that may not be resumed leaves, and is silent for 1600 ms when it is to move the stream
+    Then the answer is whole after less than 6000 ms, and the other upstream has ended it
+
   # Guards against answers that end for silence, are joined, or come twice, in any mix of upstreams.
   Scenario: Random silences of upstreams end no answer
     Then in 40 drawn worlds each answer of an upstream that goes on is whole
--- a/features/steps/incarnation_steps.py
+++ b/features/steps/incarnation_steps.py
@@ -161,7 +161,7 @@
 
 
 def fetch_remaining_ms(context, born):
-    control = engine_control.EngineControl(1000)
+    control = engine_control.EngineControl(1000, 1000)
     return control.remaining_ms(context.server.address, born)
 
 
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import json
 import re
 
 from behave import given
@@ -20,6 +21,7 @@
 from peridotmast.embedded import shape as shape_
 from peridotmast import green
 from peridotmast.platform import names
+from peridotmast.schema import peridotmast_pb2 as pb
 
 LAST = 5
 """Id of the last event of each stream."""
@@ -27,6 +29,9 @@
 SILENT_AFTER = 2
 """Id of the event after which an upstream is silent in a stream."""
 
+NOTICE_MS = 1200
+"""Time after which a leaving upstream is gone, in ms."""
+
 _numbers = itertools.count(1)
 
 
@@ -47,9 +52,19 @@
         self.began_at, self.closed_at = 0, 0
         """Time of the first event of the last stream, and of its close by the
         router."""
+        self.move_ms = 0
+        """Time for which it is silent when it is to move a run, in ms."""
+        self.is_moved = False
         self.raw = raw_upstream.RawUpstream(self._answer)
 
     def _answer(self, sock, request_id, number):
+        path = self.raw.requests[-1].split()[1].decode()
+        if path == names.REPORT_PATH:
+            return self._send_json(sock, {names.LEAVES_MS: NOTICE_MS})
+        if path == names.MOVE_PATH:
+            green.sleep_ms(self.move_ms)
+            self.is_moved = True
+            return self._send_json(sock, {names.HANDLE: 'h1'})
         if self.mode == 'refuses':
             lines = (f'{names.NOT_RUN}: 1', 'Content-Length: 0')
             status = '503 Service Unavailable'
@@ -81,13 +96,23 @@
         self.ids.append(request_id)
         return True
 
+    def _send_json(self, sock, fields):
+        body = json.dumps(fields)
+        lines = (f'Content-Length: {len(body)}',)
+        sock.sendall(upstream_steps.make_head('', *lines) + body.encode())
+        return True
+
     def _pause(self, sock, ms):
-        """Be silent, and note when the router closes the connection."""
-        if not ms:
-            return
-        with green.Timeout(ms / 1000, False):
-            if not sock.recv(1):
-                self.closed_at = clock_.SystemClock().now()
+        """Be silent, and note when the router closes the connection.
+
+        The stream ends there if its run is moved meanwhile.
+        """
+        for _ in range(0, ms, EVENT_MS):
+            with green.Timeout(EVENT_MS / 1000, False):
+                if not sock.recv(1):
+                    self.closed_at = clock_.SystemClock().now()
+                    raise ConnectionResetError
+            if self.is_moved:
                 raise ConnectionResetError
 
 
@@ -131,11 +156,12 @@
 
 def ask(context, path):
     router = context.fleet.running_routers()[0]
+    is_page = path.startswith('/pages')
     return helpers.send_request(
         router.address,
         path,
-        method='POST' if path.startswith('/chat') else 'GET',
-        body=b'letter %d' % next(_numbers) if path[1] == 'c' else b'',
+        method='GET' if is_page else 'POST',
+        body=b'' if is_page else b'letter %d' % next(_numbers),
         headers=[(names.TOKEN_COUNTS, '64,10')],
     )
 
@@ -232,6 +258,26 @@
     )
 
 
+@when(
+    'the upstream of a stream that may not be resumed leaves, and is silent'
+    ' for {ms:d} ms when it is to move the stream'
+)
+def leaves_and_is_silent(context, ms):
+    first, other = context.upstreams
+    first.silences, first.move_ms = {SILENT_AFTER + 1: 20_000}, ms
+    first.raw.register(context.fleet, shape_.ENGINE_SERVICE, first.name)
+    fleet_steps.wait_until_known(context, 1, shape_.ENGINE_SERVICE)
+    task = green.spawn(ask, context, '/once/x')
+    helpers.wait_until(lambda: first.began_at, 'the stream begins')
+    other.raw.register(context.fleet, shape_.ENGINE_SERVICE, other.name)
+    fleet_steps.wait_until_known(context, 2, shape_.ENGINE_SERVICE)
+    leaving = pb.UPSTREAM_STATE_LEAVING
+    first.raw.register(
+        context.fleet, shape_.ENGINE_SERVICE, first.name, state=leaving
+    )
+    context.answers = [task.wait()]
+
+
 SILENCES = strategies.dictionaries(
     strategies.sampled_from((0, 1, 3, 5)),
     strategies.sampled_from((150, 500, 900)),
--- a/features/steps/stream_steps.py
+++ b/features/steps/stream_steps.py
@@ -400,7 +400,7 @@
 
 @when('both streams are migrated to the third engine with equal handles')
 def migrate_both_streams(context):
-    control = engine_control.EngineControl(2000)
+    control = engine_control.EngineControl(2000, 2000)
     *sources, target = context.engines
     context.copies = {}
     for engine, name in zip(sources, context.bodies):
--- a/src/peridotmast/platform/engine_control.py
+++ b/src/peridotmast/platform/engine_control.py
@@ -20,18 +20,22 @@
 
     Parameters
     ----------
-    timeout_ms : int
-        Time-out of one call, in ms. Moving a run may take a large part of it.
+    report_timeout_ms : int
+        Time-out of reading a report, in ms.
+    move_timeout_ms : int
+        Time-out of moving a run, in ms. An engine that is silent may still
+        move it later, and what became of the run is then not known.
     """
 
-    def __init__(self, timeout_ms: int) -> None:
-        self._http = http_client.HttpClient(timeout_ms)
+    def __init__(self, report_timeout_ms: int, move_timeout_ms: int) -> None:
+        self._reports = http_client.HttpClient(report_timeout_ms)
+        self._moves = http_client.HttpClient(move_timeout_ms)
 
     def remaining_ms(
         self, address: str, born: int
     ) -> ty.Union[int, failures.Failure]:
         """Return the time until an engine leaves, in ms; 0 if unknown."""
-        response = self._http.request('GET', address, names.REPORT_PATH)
+        response = self._reports.request('GET', address, names.REPORT_PATH)
         if isinstance(response, failures.Failure):
             return response
         if response.status != 200:
@@ -59,7 +63,7 @@
             not accept the copy, the copy stays at the source.
         """
         body = {'id': request_id, names.TARGET: target, names.LAST: True}
-        response = self._http.request('POST', address, names.MOVE_PATH, body)
+        response = self._moves.request('POST', address, names.MOVE_PATH, body)
         if isinstance(response, failures.Failure):
             return failures.unknown(response.reason, response.detail)
         if response.status == _RUN_NOT_FOUND:
--- a/src/peridotmast/router/serving.py
+++ b/src/peridotmast/router/serving.py
@@ -41,8 +41,12 @@
 from peridotmast import tracing
 from peridotmast.wire import pool as pool_
 
-_KV_MOVE_TIMEOUT_MS = 1000
-"""Time-out of moving the KV cache of a stream to another engine."""
+_REPORT_TIMEOUT_MS = 1000
+"""Time-out of the report of an engine, in ms."""
+
+_KV_MOVE_TIMEOUT_MS = 3000
+"""Time-out of moving the KV cache of a stream to another engine, in ms. A
+sound engine may be silent for a second or two."""
 
 
 class Serving:
@@ -200,7 +204,9 @@
             clock,
             self._relay,
             self.placement,
-            engine_control.EngineControl(_KV_MOVE_TIMEOUT_MS),
+            engine_control.EngineControl(
+                _REPORT_TIMEOUT_MS, _KV_MOVE_TIMEOUT_MS
+            ),
             self.decisions,
             spawn,
             bounds.drain_ms,
--- a/src/peridotmast/serving/stream.py
+++ b/src/peridotmast/serving/stream.py
@@ -23,7 +23,8 @@
 """Reason why a stream whose events have no ids can't be resumed."""
 
 _MIGRATION_WAIT_MS = 1500
-"""Time limit for a migration to finish once its stream has stopped, in ms."""
+"""Time limit for a migration to finish once its stream has stopped, in ms, if
+the stream can also be resumed without it."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -221,7 +222,10 @@
         migration, migrated = self._migration, None
         if migration is None:
             return None
-        with green.Timeout(_MIGRATION_WAIT_MS / 1000, False):
+        wait_ms = max(0, self.exchange.deadline - self._clock.now())
+        if self.may_resume():
+            wait_ms = min(wait_ms, _MIGRATION_WAIT_MS)
+        with green.Timeout(wait_ms / 1000, False):
             migrated = migration.wait()
         self._migration = None
         return migrated
