One version alone counts only if it was alone for as long as callers wait

Cause: a stream without a record goes on at the only version that has served for as long as a stream may be taken up. That time was the time limit of the route, which an operator may have lowered, and which is no bound for a caller's tries. Records were kept for as long. So the old version had left, its stream was forgotten, and the new one counted as alone; after a restart of all routers the same, once they were up for that long. Class: a bound taken from a value that may change, or that another party sets.

Change: records and the observation that one version was alone last a minute, or the route's time limit if that is longer. What is not known stays refused.

Evidence: features/stream_versions.feature, 'A stream that is taken up after its route's time limit is not joined', with and without a restart of all routers: both failed before (events 1, 2 of v1 and 3 to 5 of v2, status 200, whole). The random histories of five routers draw 65 s too, and pass.

--- a/features/steps/stream_version_steps.py
+++ b/features/steps/stream_version_steps.py
@@ -327,3 +327,60 @@
 def go_on_at_theirs(context, version):
     found = {view.name for view in context.known.at_version('pool', version)}
     assert found == {'u-1', 'u-2'}, found
+
+
+@given(
+    'a fleet of {count:d} routers with scripted engines of versions'
+    ' "{versions}", and a time limit of {ms:d} ms'
+)
+def fleet_with_time_limit(context, count, versions, ms):
+    context.route_config = fleet_steps.replace_route_keys(
+        fleet_steps.CONFIG, 'chat', timeout_ms=ms, target_ms=200
+    )
+    fleet_of_versions(context, count, versions)
+    fleet_steps.change_config(context, context.route_config)
+
+
+@when(
+    'a stream of "{old}" is broken off, "{new}" replaces "{old_again}", and'
+    ' {what}'
+)
+def version_replaced(context, old, new, old_again, what):
+    (engine,) = context.engines
+    engine.breaks_at = lambda first: engine.streams > 0
+    engine.pause_ms = 100
+    context.begun = stream(context, context.fleet.routers[0])
+    assert helpers.event_ids(context.begun.body), context.begun
+    assert not context.begun.complete, context.begun
+    engine.register(context.fleet, pb.UPSTREAM_STATE_LEAVING)
+    context.engines.append(VersionEngine('raw-new', new))
+    context.closing.append(context.engines[-1].upstream.stop)
+    context.engines[-1].register(context.fleet)
+    fleet_steps.wait_until_known(context, 1, shape_.ENGINE_SERVICE)
+    if what == 'all routers are replaced':
+        for router in context.fleet.running_routers():
+            router.stop()
+        for router in list(context.fleet.routers):
+            context.fleet.restart_router(router)
+        fleet_steps.wait_until_known(context, 1, shape_.ENGINE_SERVICE)
+
+
+@when('its caller takes it up {ms:d} ms later')
+def take_up_later(context, ms):
+    green.sleep_ms(ms)
+    last = helpers.event_ids(context.begun.body)[-1]
+    headers = [
+        (names.LAST_EVENT, str(last)),
+        ('Resumes', context.begun.request_id),
+    ]
+    router = context.fleet.running_routers()[0]
+    context.last = stream(context, router, headers=headers)
+
+
+@then('it is refused, and no engine of "{version}" was asked')
+def refused_without_engine(context, version):
+    assert context.last.status == 503, context.last
+    asked = [
+        e.name for e in context.engines if e.version == version and e.streams
+    ]
+    assert not asked, asked
--- a/features/steps/version_model.py
+++ b/features/steps/version_model.py
@@ -33,7 +33,7 @@
 IDS = strategies.sampled_from(
     ['', 'x', 'x', 'X', 'y', 'é\udcff', 'long' * 5000, 'x\0y']
 )
-DURATIONS_MS = strategies.sampled_from([1, 100, 900, 4000, 17_000])
+DURATIONS_MS = strategies.sampled_from([1, 100, 900, 4000, 17_000, 65_000])
 
 
 @dataclasses.dataclass(frozen=True)
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -47,3 +47,16 @@
     Then streams of "v1" go on nowhere, and those of "v2" there
     When the entry of "v2" is missing too
     Then streams of "v1" go on at theirs
+
+  # Guards against one answer of two versions, joined by its caller: a version counted as the only one
+  # if it had served alone for as long as the route allows, though callers may wait for longer.
+  Scenario Outline: A stream that is taken up after its route's time limit <what> is not joined
+    Given a fleet of 2 routers with scripted engines of versions "v1", and a time limit of 700 ms
+    When a stream of "v1" is broken off, "v2" replaces "v1", and <what>
+    And its caller takes it up 2500 ms later
+    Then it is refused, and no engine of "v2" was asked
+
+    Examples:
+      | what                     |
+      | nothing else happens     |
+      | all routers are replaced |
--- a/src/peridotmast/serving/stream_versions.py
+++ b/src/peridotmast/serving/stream_versions.py
@@ -25,9 +25,14 @@
 """Time by which routers may learn later than others that a version ended, in
 ms."""
 
+_MIN_WINDOW_MS = 60_000
+"""Shortest time for which a stream may be taken up after it has begun, in ms.
+Callers do not state how long they wait over all their tries, and the time limit
+of a route may have been lowered since."""
+
 _MAX_RECORDS = 20_000
-"""Maximum number of records: 15 s of the streams that 64 routers of a large
-fleet begin. The oldest ones are dropped first."""
+"""Maximum number of records: a minute of the streams that 64 routers of a large
+fleet begin, with copies. The oldest ones are dropped first."""
 
 _KEY_BYTES = 8
 
@@ -285,7 +290,7 @@
 
 def _window_ms(route: pb.Route) -> int:
     """Return for how long a stream may be taken up after it has begun."""
-    return route.timeout_ms + _MARGIN_MS
+    return max(route.timeout_ms, _MIN_WINDOW_MS) + _MARGIN_MS
 
 
 def _key(service: str, team: str, request_id: str) -> int:
