--- a/src/peridotmast/serving/stream_versions.py
+++ b/src/peridotmast/serving/stream_versions.py
@@ -27,12 +27,12 @@
 
 _MIN_WINDOW_MS = 60_000
 """Shortest time for which a stream may be taken up after it has begun, in ms.
-Callers do not state how long they wait over all their tries, and the time limit
-of a route may have been lowered since."""
+Callers do not state how long they wait over all their tries, and the time
+limit of a route may have been lowered since."""
 
 _MAX_RECORDS = 20_000
-"""Maximum number of records: a minute of the streams that 64 routers of a large
-fleet begin, with copies. The oldest ones are dropped first."""
+"""Maximum number of records: a minute of the streams that 64 routers of a
+large fleet begin, with copies. The oldest ones are dropped first."""
 
 _KEY_BYTES = 8
 
