An unknown stream's version rests on the longest time limit of any route

Change: the longest time limit of any route of the configuration, and of former ones for as long as they were, in its place. A lowered limit of one route still joins no stream.

--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -462,6 +462,7 @@
     def _configure(self, config: pb.Config) -> None:
         if self.config.routes.version:
             self.serving.gateway.configure(config)
+            self.serving.stream_versions.configure(config.routes)
         self._http_servers.set_limits(config.limits)
         self._update_readiness()
 
--- a/src/peridotmast/serving/stream_versions.py
+++ b/src/peridotmast/serving/stream_versions.py
@@ -25,11 +25,6 @@
 """Time by which routers may learn later than others that a version ended, in
 ms."""
 
-_MIN_WINDOW_MS = 60_000
-"""Shortest time for which a stream may be taken up after it has begun, in ms.
-Callers do not state how long they wait over all their tries, and the time
-limit of a route may have been lowered since."""
-
 _MAX_RECORDS = 20_000
 """Maximum number of records: a minute of the streams that 64 routers of a
 large fleet begin, with copies. The oldest ones are dropped first."""
@@ -61,6 +56,15 @@
     """Runs of routers that were sent a copy."""
 
 
+@dataclasses.dataclass(frozen=True)
+class _FormerLimit:
+    """A time limit of routes that was lowered."""
+
+    ms: int
+    ends_at: int
+    """Time until which streams that began under it may be taken up, in ms."""
+
+
 class StreamVersions:
     """Keeps the version of each stream for as long as it may be taken up.
 
@@ -93,6 +97,8 @@
         self._decisions = decisions
         self._records: dict[int, Record] = {}
         self._longest_window_ms = 0
+        self._time_limit_ms = 0
+        self._former_limits: list[_FormerLimit] = []
         self.share: ty.Callable[[int, Record], None] = lambda key, rec: None
         """Sends copies of a record to other routers."""
         self.ask: ty.Callable[
@@ -107,6 +113,24 @@
     def __len__(self) -> int:
         return len(self._records)
 
+    def configure(self, routes: ty.Iterable[pb.Route]) -> None:
+        """Take the longest time limit of any route from a configuration.
+
+        Callers state no time limit of their own for all their tries. That of
+        their route may have been lowered since they began, so that one route
+        alone is no bound.
+        """
+        now, former_ms = self._clock.now(), self._time_limit_ms
+        limits = [route.timeout_ms for route in routes]
+        self._time_limit_ms = max(limits, default=0)
+        if former_ms > self._time_limit_ms:
+            # Streams that began before may be taken up for as long.
+            former = _FormerLimit(former_ms, now + former_ms + _MARGIN_MS)
+            self._former_limits.append(former)
+        self._former_limits = [
+            limit for limit in self._former_limits if limit.ends_at > now
+        ]
+
     def begin(
         self,
         exchange: exchange_.Exchange,
@@ -122,7 +146,7 @@
         if not version or not request_id or not exchange.route.resumable:
             return
         key = _key(service, exchange.team, request_id)
-        window_ms = _window_ms(exchange.route)
+        window_ms = self._window_ms(exchange.route)
         self._longest_window_ms = max(self._longest_window_ms, window_ms)
         record = self._merge(key, frozenset((version,)), window_ms)
         record.service = service
@@ -220,7 +244,7 @@
         record = self._valid(key) if exchange.resumes else None
         if record is not None:
             return record.versions, 'own', 0
-        window_ms = _window_ms(exchange.route)
+        window_ms = self._window_ms(exchange.route)
 
         def is_enough(answers: Answers) -> bool:
             if any(answer.versions for answer in answers):
@@ -253,6 +277,13 @@
         served |= _union(answer.served for answer in answers)
         return served, 'alone' if len(served) == 1 else 'several'
 
+    def _window_ms(self, route: pb.Route) -> int:
+        """Return for how long a stream may be taken up after its begin."""
+        now = self._clock.now()
+        former = (f.ms for f in self._former_limits if f.ends_at > now)
+        longest = max(route.timeout_ms, self._time_limit_ms, *former, 0)
+        return longest + _MARGIN_MS
+
     def _may_differ(self, service: str, window_ms: int) -> bool:
         """Return whether a stream may have begun at several versions."""
         if self._history.observed_ms(service) < window_ms:
@@ -288,11 +319,6 @@
     )
 
 
-def _window_ms(route: pb.Route) -> int:
-    """Return for how long a stream may be taken up after it has begun."""
-    return max(route.timeout_ms, _MIN_WINDOW_MS) + _MARGIN_MS
-
-
 def _key(service: str, team: str, request_id: str) -> int:
     """Return the key of a stream; ids of callers may be of any length."""
     text = '\0'.join((service, team, request_id))
