--- a/src/peridotmast/cli/load.py
+++ b/src/peridotmast/cli/load.py
@@ -10,6 +10,7 @@
 
 from peridotmast.cli import _program
 from peridotmast import green
+from peridotmast.load import brittle as brittle_
 from peridotmast.load import compare as compare_
 from peridotmast.load import config_run
 from peridotmast.load import diff
@@ -70,6 +71,29 @@
     _exit_with_result(broken, out)
 
 
+@main.command()
+@click.option('--routers', default=3, show_default=True)
+@click.option('--upstreams', default=6, show_default=True)
+@click.option('--slots', default=6, show_default=True)
+@click.option('--waiting', default=1, show_default=True)
+@click.option('--limit', default=3, show_default=True)
+@click.option('--work-ms', default=200.0, show_default=True)
+@click.option('--seconds', default=15.0, show_default=True)
+@click.option(
+    '--trouble',
+    default=brittle_.Trouble.NONE.value,
+    show_default=True,
+    type=click.Choice([t.value for t in brittle_.Trouble]),
+)
+@click.option('--leave-ms', default=0, help='Callers leave after this time.')
+@click.option('--at-once', is_flag=True, help='Callers ask again at once.')
+@_common_options
+def brittle(trouble: str, seed: int, out: str, **values: ty.Any) -> None:
+    """Press on upstreams that fall over if they must refuse too much."""
+    play = brittle_.Play(trouble=brittle_.Trouble(trouble), **values)
+    _exit_with_result(brittle_.run(play, seed, out, _progress), out)
+
+
 @main.command()
 @_common_options
 def compare(seed: int, out: str) -> None:
--- a/src/peridotmast/embedded/fleet.py
+++ b/src/peridotmast/embedded/fleet.py
@@ -183,7 +183,7 @@
         engine = engine_.Engine(
             name, next(self._ports), self.shape.engine_profile, self._seed
         )
-        return self._register(
+        return self.add_upstream(
             engine,
             domain,
             service,
@@ -203,7 +203,32 @@
         upstream = plain_service.PlainService(
             name, next(self._ports), seed=self._seed
         )
-        return self._register(upstream, domain, service, 16, False, version)
+        return self.add_upstream(upstream, domain, service, 16, False, version)
+
+    def add_upstream(
+        self,
+        upstream: ty.Any,
+        domain: str,
+        service: str,
+        slots: int,
+        reclaimable: bool = False,
+        version: str = '',
+    ) -> upstream_instance.UpstreamInstance:
+        """Write the store entry of an upstream that has been started."""
+        record = pb.UpstreamRecord(
+            upstream=pb.Upstream(
+                name=upstream.name,
+                address=upstream.address,
+                failure_domain=domain,
+                service=service,
+                slots=slots,
+                born=self.clock.wall_time(),
+                version=version or self.versions[service],
+            ),
+            state=pb.UPSTREAM_STATE_LIVE,
+            reclaimable=reclaimable,
+        )
+        return self._add_instance(record, upstream)
 
     def running_upstreams(
         self, service: str = ''
@@ -356,30 +381,6 @@
         """Return whether a router names all running routers to callers."""
         return len(router.members.serving()) >= len(self.running_routers())
 
-    def _register(
-        self,
-        upstream: ty.Any,
-        domain: str,
-        service: str,
-        slots: int,
-        reclaimable: bool,
-        version: str,
-    ) -> upstream_instance.UpstreamInstance:
-        record = pb.UpstreamRecord(
-            upstream=pb.Upstream(
-                name=upstream.name,
-                address=upstream.address,
-                failure_domain=domain,
-                service=service,
-                slots=slots,
-                born=self.clock.wall_time(),
-                version=version or self.versions[service],
-            ),
-            state=pb.UPSTREAM_STATE_LIVE,
-            reclaimable=reclaimable,
-        )
-        return self._add_instance(record, upstream)
-
     def _add_instance(
         self, record: pb.UpstreamRecord, upstream: ty.Any
     ) -> upstream_instance.UpstreamInstance:
