Log what a refusal of a brittle upstream is a sign of

Change: it states how many requests the router has at the upstream, its part of the slots, the routers that share them, attempts whose callers have left, and the times since a request ended there and since this one was sent.

--- a/src/peridotmast/serving/brittleness.py
+++ b/src/peridotmast/serving/brittleness.py
@@ -59,5 +59,9 @@
         """Return how long this router must not send to an upstream, in ms."""
         if not view.brittle_limit:
             return 0
-        share = max(1, view.slots // self.count_routers())
-        return _FULL_WAIT_MS if view.local_load.running >= share else 0
+        is_full = view.local_load.running >= self.share(view)
+        return _FULL_WAIT_MS if is_full else 0
+
+    def share(self, view: upstream_view.UpstreamView) -> int:
+        """Return how many slots of an upstream this router may use."""
+        return max(1, view.slots // self.count_routers())
--- a/src/peridotmast/serving/sender.py
+++ b/src/peridotmast/serving/sender.py
@@ -352,7 +352,9 @@
                 self._note_limit(exchange, reservation.view, head, now)
                 self._note_leaving(exchange, reservation.view, head)
                 self._note_rest(exchange, reservation.view, head)
-                self._note_brittle(exchange, reservation.view, head, verdict)
+                self._note_brittle(
+                    exchange, reservation.view, head, verdict, now
+                )
             if verdict is not Verdict.FOREIGN:
                 version = ids.SoftwareVersion(reservation.view.version)
                 return Sent(reservation, conn, head, verdict, now, version)
@@ -430,6 +432,7 @@
         view: upstream_view.UpstreamView,
         head: connection_.ResponseHead,
         verdict: Verdict,
+        sent_at: int,
     ) -> None:
         """Record how many refusals a second an upstream bears."""
         limit = self._dialect.brittle_limit(head)
@@ -450,6 +453,12 @@
                 born=view.born,
                 limit=limit,
                 refused=refused,
+                running=view.local_load.running,
+                share=self._brittleness.share(view),
+                routers=self._brittleness.count_routers(),
+                left_behind=len(self._abandoned.at(view)),
+                freed_ms=self._clock.now() - view.freed_at,
+                sent_ms=self._clock.now() - sent_at,
             )
         self._brittleness.note_answer(view, limit, refused)
 
--- a/src/peridotmast/serving/upstream_view.py
+++ b/src/peridotmast/serving/upstream_view.py
@@ -102,6 +102,9 @@
         """Estimated speed of this run relative to its service."""
         self.heard_at = 0
         """Time at which data was last received from it, in ms; 0 if never."""
+        self.freed_at = 0
+        """Time at which a request of this router last ended there, in ms; 0 if
+        never."""
         self.min_silence_ms = math.inf
         """Shortest silence that is kept in `silences`, in ms."""
         self._silences: collections.deque[Silence] = collections.deque(
@@ -167,6 +170,8 @@
 
     def remove_load(self, load: Load) -> None:
         """Remove all or part of the load of a request of this router."""
+        if load.running:
+            self.freed_at = self._clock.now()
         self.local_load.add(load, -1)
         self._total_load.add(load, -1)
         if not self.local_load.running:
