All routers know that a service is brittle, and share its slots out exactly

Upstreams that stated that they bear N refusals a second fell over: callers saw connections reset and their requests failed.

Cause: the sum over routers was bounded by nothing. Each router had a slot at least at each upstream, so that with more routers than slots there were always more requests than slots; and only a router that had itself read an answer of an upstream knew, so that one that had just started used what it liked. The two belong together: a router without a slot at an upstream never gets an answer of it. Class: a number that is shared out with a floor for each, and without those who were not told.

Change: the slots of an upstream are divided between the names of all known routers, without a remainder and without a floor (serving.limits.slot_shares). That a service is brittle is told to all routers at once and with each beacon, and holds for upstreams that have answered nothing yet. Before the first answer of a service a router keeps to its shares, and before that of a brittle upstream it sends one request there.

--- /dev/null
+++ b/features/brittle_upstreams.feature
@@ -0,0 +1,41 @@
+Feature: Upstreams that fall over if they must refuse too much
+
+  # Guards against a place for each router at each upstream: with more routers than slots, all
+  # routers together had more requests there than it had room for, and it fell over again and again.
+  Scenario Outline: The routers together use no more than the slots, and most of them
+    Given <routers> routers before <upstreams> upstreams of <slots> slots that bear <limit> refusals a second
+    When callers press on them for 10 s
+    Then no upstream falls over
+    And at least 0.8 of the slots are used
+
+    Examples:
+      | routers | upstreams | slots | limit |
+      | 3       | 6         | 6     | 3     |
+      | 8       | 6         | 4     | 3     |
+      | 20      | 4         | 8     | 2     |
+
+  # Guards against shares that add up to more than there is, or leave a slot to nobody.
+  Scenario: The shares of all routers add up to the slots
+    Then in 200 drawn fleets the shares of all routers add up to the slots of each upstream
+
+  # Guards against routers that know only what upstreams have answered to them: one that had just
+  # started used what it liked, and upstreams fell over at each start.
+  Scenario Outline: A router that starts keeps to its share from its first request on
+    Given 3 routers before 6 upstreams of 6 slots that bear 3 refusals a second
+    When callers press on them for 2 s
+    And <how>
+    Then no upstream falls over
+
+    Examples:
+      | how                                              |
+      | all routers are killed and started 3 times       |
+      | each router is killed and started, one by one    |
+
+  # Guards against a router whose previous run has left requests at a silent upstream: it sent as many
+  # again, and all of them arrived when the upstream went on.
+  Scenario: A router that starts while upstreams are silent sends them one request each
+    Given 1 routers before 6 upstreams of 5 slots that bear 3 refusals a second
+    When callers press on them for 2 s
+    And all upstreams fall silent for 1600 ms
+    And all routers are killed and started 1 times
+    Then no upstream falls over
--- /dev/null
+++ b/features/steps/brittle_steps.py
@@ -0,0 +1,110 @@
+"""Steps for upstreams that fall over if they must refuse too much."""
+
+from __future__ import annotations
+
+from behave import given
+from behave import then
+from behave import when
+import brittle_model
+import hypothesis
+from hypothesis import strategies
+
+from peridotmast import clock as clock_
+from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving.limits import slot_shares
+from peridotmast.serving import upstream_view
+
+BASE_FALLS = 2
+FALLS_SHARE = 0.1
+
+
+@given(
+    '{routers:d} routers before {upstreams:d} upstreams of {slots:d} slots'
+    ' that bear {limit:d} refusals a second'
+)
+def make_brittle_fleet(context, routers, upstreams, slots, limit):
+    context.brittle = brittle_model.Fleet(routers, upstreams, slots, limit, 7)
+
+
+@when('callers press on them for {seconds:d} s')
+def press(context, seconds):
+    context.pressed_ms = 1000 * seconds
+    context.brittle.run(context.pressed_ms)
+
+
+@when('all routers are killed and started {times:d} times')
+def restart_all(context, times):
+    for _ in range(times):
+        context.brittle.kill_all()
+        context.brittle.run(3000)
+
+
+@when('each router is killed and started, one by one')
+def restart_each(context):
+    for name in sorted(context.brittle.routers):
+        context.brittle.kill_router(name)
+        context.brittle.run(1500)
+
+
+@when('all upstreams fall silent for {ms:d} ms')
+def silence(context, ms):
+    context.brittle.silence(ms)
+
+
+@then('no upstream falls over')
+def check_no_fall(context):
+    assert context.brittle.falls == 0, context.brittle.falls
+
+
+@then('at least {share:g} of the slots are used')
+def check_use(context, share):
+    used = context.brittle.run_share(context.pressed_ms)
+    assert used >= share, used
+
+
+@then(
+    'in {count:d} drawn fleets the shares of all routers add up to the slots'
+    ' of each upstream'
+)
+def check_sums(context, count):
+    @hypothesis.settings(max_examples=count, deadline=None, derandomize=True)
+    @hypothesis.given(strategies.integers(1, 60), strategies.integers(1, 70))
+    def check(routers, slots):
+        clock = clock_.ManualClock()
+        names = [f'r-{number}' for number in range(routers)]
+        record = pb.UpstreamRecord(upstream=pb.Upstream(name='u', slots=slots))
+        total = 0
+        for name in names:
+            shares = slot_shares.SlotShares(clock, name)
+            shares.set_routers(names)
+            view = upstream_view.UpstreamView(record, clock, set())
+            total += shares.share(view)
+        assert total == slots
+
+    check()
+
+
+@then(
+    'in {count:d} random histories the upstreams fall over no more often than'
+    ' they may'
+)
+def check_histories(context, count):
+    @hypothesis.settings(max_examples=count, deadline=None, derandomize=True)
+    @hypothesis.given(
+        routers=strategies.integers(1, 12),
+        upstreams=strategies.integers(1, 6),
+        slots=strategies.integers(1, 8),
+        limit=strategies.integers(1, 3),
+        troubles=brittle_model.TROUBLES,
+        seed=strategies.integers(0, 1000),
+    )
+    def check(routers, upstreams, slots, limit, troubles, seed):
+        fleet = brittle_model.Fleet(routers, upstreams, slots, limit, seed)
+        for trouble, pause_ms in troubles:
+            fleet.run(pause_ms)
+            getattr(fleet, trouble)()
+        fleet.run(3000)
+        allowed = BASE_FALLS + int(FALLS_SHARE * upstreams)
+        assert fleet.counted_falls <= allowed, fleet.counted_falls
+
+    check()
--- a/features/steps/group_steps.py
+++ b/features/steps/group_steps.py
@@ -35,6 +35,8 @@
 from peridotmast.serving import crash_tracker as crash_tracker_
 from peridotmast.serving import decisions as decisions_
 from peridotmast.serving import demand as demand_
+from peridotmast.serving.limits import brittleness
+from peridotmast.serving.limits import slot_shares
 from peridotmast.serving import quota as quota_
 from peridotmast.serving import retry_budget
 from peridotmast.serving.speeds import speeds as speeds_
@@ -113,6 +115,11 @@
             ),
             crashes=crash_tracker_.CrashTracker(self.clock, self.name),
             limits=upstream_limits.UpstreamLimits(self.clock, self.name),
+            brittleness=brittleness.Brittleness(
+                self.clock,
+                self.name,
+                slot_shares.SlotShares(self.clock, self.name),
+            ),
             versions=version_gate.VersionGate(self.clock, self.name, False),
             speeds=speeds_.Speeds(
                 self.clock,
--- a/features/steps/helpers.py
+++ b/features/steps/helpers.py
@@ -17,6 +17,8 @@
 from peridotmast.platform import names
 from peridotmast.serving import crash_tracker
 from peridotmast.serving import decisions as decisions_
+from peridotmast.serving.limits import brittleness
+from peridotmast.serving.limits import slot_shares
 from peridotmast.serving import quota as quota_
 from peridotmast.serving import retry_budget
 from peridotmast.serving import upstream_limits
@@ -160,6 +162,9 @@
         ),
         crashes=crash_tracker.CrashTracker(clock, 'router-1'),
         limits=upstream_limits.UpstreamLimits(clock, 'router-1'),
+        brittleness=brittleness.Brittleness(
+            clock, 'router-1', slot_shares.SlotShares(clock, 'router-1')
+        ),
         versions=version_gate.VersionGate(clock, 'router-1', False),
     )
 
--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -21,6 +21,8 @@
 from peridotmast.serving import decisions as decisions_
 from peridotmast.serving import exchange as exchange_
 from peridotmast.serving import health as health_
+from peridotmast.serving.limits import brittleness
+from peridotmast.serving.limits import slot_shares
 from peridotmast.serving import placement
 from peridotmast.serving import policies
 from peridotmast.serving import quota as quota_
@@ -348,7 +350,10 @@
     clock = clock_.ManualClock()
     limits = upstream_limits.UpstreamLimits(clock, name)
     versions = version_gate.VersionGate(clock, name, False)
-    return placement.Placement(table, policy, name, limits, versions)
+    brittle = brittleness.Brittleness(
+        clock, name, slot_shares.SlotShares(clock, name)
+    )
+    return placement.Placement(table, policy, name, limits, brittle, versions)
 
 
 def make_scored_placement(table, router=0):
--- a/features/steps/statement_steps.py
+++ b/features/steps/statement_steps.py
@@ -162,7 +162,7 @@
 def hear_all(context):
     def has_heard(router):
         views = router.upstream_table.live(shape_.PLAIN_SERVICE)
-        return all(view.brittle_limit for view in views)
+        return all(map(router.serving.brittleness.limit, views))
 
     for router in context.fleet.routers:
         tasks = [
--- a/features/upstream_statements.feature
+++ b/features/upstream_statements.feature
@@ -50,3 +50,4 @@
       | routers | run |
       | 2       | 200 |
       | 6       | 200 |
+      | 12      | 200 |
--- a/src/peridotmast/coordination/beacon_check.py
+++ b/src/peridotmast/coordination/beacon_check.py
@@ -64,6 +64,8 @@
         _check_member(found, 'changed', member)
     for limit in beacon.upstream_limits:
         _check_limit(found, limit)
+    for brittle in beacon.brittle_services:
+        _check_brittle(found, brittle)
     for suspect in beacon.crash_suspects:
         _check_suspect(found, suspect)
     if any(number < 0 for number in _non_negative_numbers(beacon)):
@@ -113,6 +115,14 @@
         found.add('upstream_limits', 'must be finite and not negative')
 
 
+def _check_brittle(
+    found: findings_.Findings, brittle: pb.BrittleService
+) -> None:
+    _check_names(found, 'brittle_services', brittle.service)
+    if not 0 < brittle.limit < math.inf or brittle.ago_ms < 0:
+        found.add('brittle_services', 'must be finite and positive')
+
+
 def _check_suspect(
     found: findings_.Findings, suspect: pb.CrashSuspect
 ) -> None:
--- a/src/peridotmast/load/state_slopes.py
+++ b/src/peridotmast/load/state_slopes.py
@@ -9,6 +9,8 @@
 from peridotmast.load import profiling
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import exchange as exchange_
+from peridotmast.serving.limits import brittleness
+from peridotmast.serving.limits import slot_shares
 from peridotmast.serving import placement
 from peridotmast.serving import policies
 from peridotmast.serving import upstream_limits
@@ -57,12 +59,16 @@
         update = make_record(0)
         update.revision = count + 1
         update.state = pb.UPSTREAM_STATE_LEAVING
+        clock = clock_.SystemClock()
         placements = placement.Placement(
             table,
             policies.ScoredPolicy('region-1-fd-1'),
             'edge-1',
-            upstream_limits.UpstreamLimits(clock_.SystemClock(), 'edge-1'),
-            version_gate.VersionGate(clock_.SystemClock(), 'edge-1', True),
+            upstream_limits.UpstreamLimits(clock, 'edge-1'),
+            brittleness.Brittleness(
+                clock, 'edge-1', slot_shares.SlotShares(clock, 'edge-1')
+            ),
+            version_gate.VersionGate(clock, 'edge-1', True),
         )
         _choose_place(placements, service)
         steady_us = profiling.measure_cpu_us(
--- a/src/peridotmast/router/beacon_rounds.py
+++ b/src/peridotmast/router/beacon_rounds.py
@@ -18,6 +18,7 @@
 from peridotmast.router import update_beacons
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import crash_tracker as crash_tracker_
+from peridotmast.serving.limits import brittleness as brittleness_
 from peridotmast.serving import quota as quota_
 from peridotmast.serving import upstream_limits as upstream_limits_
 from peridotmast.serving import version_gate
@@ -57,6 +58,8 @@
         Tracks requests that crash upstreams.
     limits : upstream_limits.UpstreamLimits
         Splits the limits of upstreams between routers.
+    brittleness : brittleness.Brittleness
+        Knows which upstreams are brittle, and what they have refused.
     versions : version_gate.VersionGate
         Knows the roll-outs.
     totals : shared_totals.SharedTotals
@@ -80,6 +83,7 @@
         quota: quota_.Quota,
         crashes: crash_tracker_.CrashTracker,
         limits: upstream_limits_.UpstreamLimits,
+        brittleness: brittleness_.Brittleness,
         versions: version_gate.VersionGate,
         totals: shared_totals_.SharedTotals,
         lease: lease_.Lease,
@@ -94,6 +98,7 @@
         self._quota = quota
         self._crashes = crashes
         self._limits = limits
+        self._brittleness = brittleness
         self._versions = versions
         self._totals = totals
         self._lease = lease
@@ -147,6 +152,7 @@
         beacon.untold = self._quota.needs_levels()
         beacon.crash_suspects.extend(self._crashes.updates_for_peers())
         beacon.upstream_limits.extend(self._limits.updates_for_peers())
+        beacon.brittle_services.extend(self._brittleness.updates_for_peers())
         beacon.rollouts.extend(self._versions.states())
         hint, other = self._lease.hint(), self._random_peer()
         if hint is not None:
--- a/src/peridotmast/router/peering.py
+++ b/src/peridotmast/router/peering.py
@@ -115,6 +115,7 @@
             serving.quota,
             serving.crashes,
             serving.limits,
+            serving.brittleness,
             serving.versions,
             totals,
             lease,
@@ -168,10 +169,12 @@
         return [(pb.Beacon(load_news=load_news), self._members.live_peers())]
 
     def serving_beacons(self) -> beacons_.Round:
-        """Return crash and upstream limit updates for all peers."""
+        """Return updates on crashes and limits of upstreams for all peers."""
         crashes, limits = self._serving.crashes, self._serving.limits
         beacon = self.update_beacons.build_serving(
-            crashes.updates_for_peers(), limits.updates_for_peers()
+            crashes.updates_for_peers(),
+            limits.updates_for_peers(),
+            self._serving.brittleness,
         )
         return [(beacon, self._members.peers())]
 
@@ -199,6 +202,7 @@
             self._lease.receive_hint(beacon.lease)
         self._serving.crashes.merge_updates(beacon.crash_suspects)
         self._serving.limits.merge_updates(beacon.upstream_limits)
+        self._serving.brittleness.merge_updates(beacon.brittle_services)
         self.receive_rollouts(beacon)
         if beacon.news_only:
             self.update_beacons.receive(beacon)
@@ -223,7 +227,9 @@
         self._confirmations.tick()
         live = self._members.live_peers()
         quota = self._serving.quota
-        self._serving.limits.set_routers(self._members.limit_sharer_names())
+        sharers = self._members.limit_sharer_names()
+        self._serving.limits.set_routers(sharers)
+        self._serving.brittleness.shares.set_routers(sharers)
         quota.known_share = (
             1 + len(live)
         ) / self._members.limit_sharer_count()
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -205,6 +205,7 @@
         )
         self.serving.crashes.notify_peers = self._schedule_serving_update
         self.serving.limits.notify_peers = self._schedule_serving_update
+        self.serving.brittleness.notify_peers = self._schedule_serving_update
         self.serving.crashes.may_retry = self.lease.may_act
 
     def _create_rollouts(self) -> None:
--- a/src/peridotmast/router/serving.py
+++ b/src/peridotmast/router/serving.py
@@ -12,12 +12,13 @@
 from peridotmast.platform import engine_control
 from peridotmast.router import fleet_state as fleet_state_
 from peridotmast.schema import peridotmast_pb2 as pb
-from peridotmast.serving import brittleness
 from peridotmast.serving import crash_tracker as crash_tracker_
 from peridotmast.serving import decisions as decisions_
 from peridotmast.serving import demand as demand_
 from peridotmast.serving import dispatcher as dispatcher_
 from peridotmast.serving import gateway as gateway_
+from peridotmast.serving.limits import brittleness
+from peridotmast.serving.limits import slot_shares
 from peridotmast.serving import metrics as metrics_
 from peridotmast.serving import peer_sender
 from peridotmast.serving import placement
@@ -110,9 +111,10 @@
         """Tracks requests that crash upstreams."""
         self.limits = upstream_limits_.UpstreamLimits(clock, cfg.name)
         """Splits the limits of upstreams between routers."""
-        self.brittleness = brittleness.Brittleness(clock)
+        self.brittleness = brittleness.Brittleness(
+            clock, cfg.name, slot_shares.SlotShares(clock, cfg.name)
+        )
         """Spares upstreams that state that they are brittle."""
-        self.brittleness.count_routers = fleet_state.members.limit_sharer_count
         self.versions = version_gate.VersionGate(
             clock, cfg.name, bounds.expose_share > 0, bounds.rollback_ms
         )
@@ -174,10 +176,10 @@
             policies.POLICIES[cfg.policy](cfg.failure_domain),
             cfg.name,
             self.limits,
+            self.brittleness,
             self.versions,
         )
         """Chooses an upstream for each request."""
-        self.placement.brittle_wait_ms = self.brittleness.wait_ms
         self.placement.has_idle_connection = self.pool.has_idle
         self._second_attempts = second_attempts.SecondAttempts(
             clock,
--- a/src/peridotmast/router/update_beacons.py
+++ b/src/peridotmast/router/update_beacons.py
@@ -7,6 +7,7 @@
 from peridotmast.router import catch_up as catch_up_
 from peridotmast.router import fleet_state as fleet_state_
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving.limits import brittleness as brittleness_
 
 _MAX_RECORDS = 12
 """Maximum number of upstream records in an update beacon: the packed beacon
@@ -57,9 +58,11 @@
         self,
         suspects: ty.Iterable[pb.CrashSuspect],
         limits: ty.Iterable[pb.UpstreamLimit],
+        brittleness: brittleness_.Brittleness,
     ) -> pb.Beacon:
-        """Return a beacon with crash and upstream limit updates."""
+        """Return a beacon with updates on crashes and limits of upstreams."""
         beacon = empty_update(self._fleet_state)
+        beacon.brittle_services.extend(brittleness.updates_for_peers())
         beacon.crash_suspects.extend(suspects)
         beacon.upstream_limits.extend(limits)
         return beacon
--- a/src/peridotmast/serving/candidates.py
+++ b/src/peridotmast/serving/candidates.py
@@ -93,10 +93,15 @@
     return heapq.nsmallest(
         SUBSET_SIZE,
         views,
-        key=lambda view: _hash(f'{router}|{view.run}'),
+        key=lambda view: rank_hash(router, view),
     )
 
 
+def rank_hash(router: str, view: upstream_view.UpstreamView) -> int:
+    """Return the hash by which routers and upstreams select each other."""
+    return _hash(f'{router}|{view.run}')
+
+
 @functools.lru_cache(maxsize=_CACHED_HASHES)
 def _hash(name: str) -> int:
     digest = hashlib.blake2b(name.encode(), digest_size=_POINT_BYTES).digest()
--- /dev/null
+++ b/src/peridotmast/serving/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of upstreams that all routers together must keep."""
--- /dev/null
+++ b/src/peridotmast/serving/limits/brittleness.py
@@ -0,0 +1,179 @@
+"""Upstreams that fall over if too many requests are refused at them."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing as ty
+
+from peridotmast import clock as clock_
+from peridotmast import logs
+from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving.limits import slot_shares
+from peridotmast.serving import upstream_view
+
+_FULL_WAIT_MS = 100
+"""Time after which a place may be free at an upstream, in ms."""
+
+_UNANSWERED_SHARE = 1
+"""Slots of an upstream that a router uses before its first answer."""
+
+_REFRESH_MS = 1000
+"""Minimum interval between two refreshes of an unchanged statement, in ms."""
+
+_TOLD_MS = 60_000
+"""Time for which peers are told of a statement that is not renewed, in ms."""
+
+_MAX_SERVICES = 1024
+"""Maximum number of services whose statement is kept, about 200 bytes each."""
+
+
+@dataclasses.dataclass
+class _Statement:
+    """The newest statement that upstreams of a service are brittle."""
+
+    limit: float
+    """Refusals a second that an upstream bears."""
+    at: int
+    """Time at which it was made, in ms."""
+
+
+class Brittleness:
+    """Keeps requests from upstreams that would refuse them for want of room.
+
+    A brittle upstream states how many refusals a second it bears. While it
+    does, each router uses only its share of the slots, so that all routers
+    together have no more requests there than it has slots. The statement of
+    one upstream holds for all of its service at all routers, until an upstream
+    itself states otherwise. A router that has no answer of a service yet, and
+    knows no statement, keeps to its shares as well.
+
+    Parameters
+    ----------
+    clock : clock.Clock
+        Times statements and refusals.
+    router : str
+        Name of this router.
+    shares : slot_shares.SlotShares
+        Divides the slots between the routers.
+    """
+
+    def __init__(
+        self,
+        clock: clock_.Clock,
+        router: str,
+        shares: slot_shares.SlotShares,
+    ) -> None:
+        self._clock = clock
+        self.shares = shares
+        """Divides the slots between the routers."""
+        self._log = logs.get('brittleness', router=router)
+        self._statements: dict[str, _Statement] = {}
+        self._answered: set[str] = set()
+        """Services of which an answer was read."""
+        self.notify_peers: ty.Callable[[], None] = lambda: None
+        """Called when peers must be told at once, without waiting for the next
+        beacon."""
+
+    def note_answer(
+        self,
+        view: upstream_view.UpstreamView,
+        limit: float,
+        refused: bool,
+    ) -> None:
+        """Record what the head of an answer states.
+
+        Parameters
+        ----------
+        limit : float
+            Refusals a second that the upstream bears; 0 if it states none.
+        refused : bool
+            Whether the answer is a refusal.
+        """
+        now = self._clock.now()
+        self._answered.add(view.service)
+        view.brittle_limit, view.stated_at = limit, now
+        if not limit:
+            return
+        is_new = self._merge(view.service, limit, now)
+        if is_new:
+            self.notify_peers()
+
+    def limit(self, view: upstream_view.UpstreamView) -> float:
+        """Return how many refusals a second an upstream bears.
+
+        0 if it bears any number, as far as is known.
+        """
+        statement = self._statements.get(view.service)
+        if statement is None or statement.at <= view.stated_at:
+            return view.brittle_limit
+        return statement.limit
+
+    def wait_ms(self, view: upstream_view.UpstreamView) -> int:
+        """Return how long this router must not send to an upstream, in ms."""
+        limit = self.limit(view)
+        if not limit:
+            if view.service in self._answered:
+                return 0
+            return 0 if self._has_room(view) else _FULL_WAIT_MS
+        return 0 if self._has_room(view) else _FULL_WAIT_MS
+
+    def updates_for_peers(self) -> list[pb.BrittleService]:
+        """Return the statements to send to peers."""
+        now = self._clock.now()
+        return [
+            pb.BrittleService(
+                service=service,
+                limit=statement.limit,
+                ago_ms=now - statement.at,
+            )
+            for service, statement in self._statements.items()
+            if now - statement.at <= _TOLD_MS
+        ]
+
+    def merge_updates(
+        self,
+        services: ty.Iterable[pb.BrittleService],
+    ) -> None:
+        """Merge what another router has sent."""
+        now = self._clock.now()
+        for message in services:
+            self._merge(message.service, message.limit, now - message.ago_ms)
+
+    def _has_room(self, view: upstream_view.UpstreamView) -> bool:
+        """Return whether a slot of this router's share is free.
+
+        Other routers may use more than their shares until they know better.
+        """
+        used = view.local_load.running
+        share = self.shares.share(view)
+        if not view.stated_at:
+            # Requests of the router's previous run may still be there.
+            share = min(share, _UNANSWERED_SHARE)
+        if used >= share:
+            return False
+        by_peers = view.total_load().running - view.local_load.running
+        return used + by_peers < view.slots
+
+    def _merge(self, service: str, limit: float, at: int) -> bool:
+        """Merge a statement; return whether it changes what is known."""
+        known = self._statements.get(service)
+        if known is not None and at <= known.at:
+            return False
+        if known is not None and known.limit == limit:
+            if at - known.at >= _REFRESH_MS:
+                known.at = at
+            return False
+        if known is None and len(self._statements) >= _MAX_SERVICES:
+            oldest = min(
+                self._statements, key=lambda name: self._statements[name].at
+            )
+            del self._statements[oldest]
+        self._statements[service] = _Statement(limit, at)
+        self._log.info(
+            'brittle_service',
+            service=service,
+            limit=limit,
+            routers=self.shares.router_count,
+            age_ms=self._clock.now() - at,
+        )
+        return True
--- a/src/peridotmast/serving/placement.py
+++ b/src/peridotmast/serving/placement.py
@@ -10,6 +10,7 @@
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import candidates as candidates_
 from peridotmast.serving import exchange as exchange_
+from peridotmast.serving.limits import brittleness as brittleness_
 from peridotmast.serving import policies
 from peridotmast.serving import upstream_limits as upstream_limits_
 from peridotmast.serving import upstream_view
@@ -120,6 +121,8 @@
         Name of this router.
     limits : upstream_limits.UpstreamLimits
         Splits the request rate limits of upstreams between the routers.
+    brittleness : brittleness.Brittleness
+        Spares upstreams that fall over if they must refuse too much.
     versions : version_gate.VersionGate
         Selects the requests that try a version that is rolled out.
     """
@@ -130,12 +133,14 @@
         policy: policies.Policy,
         router: str,
         limits: upstream_limits_.UpstreamLimits,
+        brittleness: brittleness_.Brittleness,
         versions: version_gate.VersionGate,
     ) -> None:
         self._table = table
         self._policy = policy
         self._router = router
         self._limits = limits
+        self._brittleness = brittleness
         self._versions = versions
         self._candidates: dict[
             tuple[str, ty.Optional[str]], candidates_.Candidates
@@ -149,11 +154,6 @@
         enough to affect the selection of other routers."""
         self.has_idle_connection: ty.Callable[[str], bool] = lambda a: False
         """Returns whether there is an open connection to an address."""
-        self.brittle_wait_ms: ty.Callable[
-            [upstream_view.UpstreamView], int
-        ] = lambda view: 0
-        """Returns how long this router must not send to an upstream that may
-        fall over, in ms."""
 
     def choose(
         self,
@@ -360,5 +360,5 @@
         return max(
             view.rest_ms(),
             self._limits.wait_ms(view),
-            self.brittle_wait_ms(view),
+            self._brittleness.wait_ms(view),
         )
--- a/src/peridotmast/serving/sender.py
+++ b/src/peridotmast/serving/sender.py
@@ -11,12 +11,12 @@
 from peridotmast import failures
 from peridotmast import ids
 from peridotmast.serving import abandoned_attempts
-from peridotmast.serving import brittleness as brittleness_
 from peridotmast.serving import crash_keys as crash_keys_
 from peridotmast.serving import crash_tracker as crash_tracker_
 from peridotmast.serving import decisions as decisions_
 from peridotmast.serving import dialect as dialect_
 from peridotmast.serving import exchange as exchange_
+from peridotmast.serving.limits import brittleness as brittleness_
 from peridotmast.serving import peer_sender as peer_sender_
 from peridotmast.serving import placement
 from peridotmast.serving import reachability
@@ -454,8 +454,8 @@
                 limit=limit,
                 refused=refused,
                 running=view.local_load.running,
-                share=self._brittleness.share(view),
-                routers=self._brittleness.count_routers(),
+                share=self._brittleness.shares.share(view),
+                routers=self._brittleness.shares.router_count,
                 left_behind=len(self._abandoned.at(view)),
                 freed_ms=self._clock.now() - view.freed_at,
                 sent_ms=self._clock.now() - sent_at,
--- a/src/peridotmast/serving/upstream_view.py
+++ b/src/peridotmast/serving/upstream_view.py
@@ -98,6 +98,8 @@
         self.brittle_limit = 0.0
         """Refusals a second that it bears, as its last answer states; 0 for
         any number."""
+        self.stated_at = 0
+        """Time at which that answer was read, in ms; 0 if there was none."""
         self.speed = 1.0
         """Estimated speed of this run relative to its service."""
         self.heard_at = 0
