Refusals of a brittle upstream are counted over all routers

Where an upstream had less room than it states, it fell over.

Cause: each router rested by itself, for the number of routers divided by the limit, and knew nothing of the refusals of others: N + 1 routers were refused once each in the same second. Class: a sum over routers of which each sees its part.

Change: refusals are told to all routers within 20 ms and with each beacon. Once half of what an upstream bears is known, nobody sends to it for the rest of that second; a router that was refused uses one slot less there for 5 s, as its share was too large (serving.limits.refusals).

Measured: 'Refusals that one router reads keep all routers away' fails without either part.

--- a/features/brittle_upstreams.feature
+++ b/features/brittle_upstreams.feature
@@ -48,6 +48,14 @@
     And all upstreams are silent for 1600 ms, and a third of the callers leave every 400 ms
     Then no upstream falls over
 
+  # Guards against refusals of which each router knows its own only: as many routers as an upstream
+  # bears refusals were each refused once in the same second.
+  Scenario: Refusals that one router reads keep all routers away
+    Given 8 routers before 2 upstreams of 8 slots that bear 2 refusals a second
+    When callers press on them for 2 s
+    And each upstream has room for only half of its slots for 10 s
+    Then no upstream falls over
+
   # As the users count: a fall after which most refusals were those of routers in touch.
   Scenario: Random histories of routers, silences and callers that leave
     Then in 60 random histories the upstreams fall over no more often than they may
--- a/features/steps/brittle_model.py
+++ b/features/steps/brittle_model.py
@@ -176,7 +176,9 @@
         """Send statements and refusals to the peers."""
         for peer in self.model.reachable_from(self):
             peer.brittleness.merge_updates(
-                self.brittleness.updates_for_peers()
+                self.name,
+                self.brittleness.updates_for_peers(),
+                self.brittleness.refusals_for_peers(),
             )
 
     def beacon(self):
@@ -251,6 +253,7 @@
                 router.tells_at = 0
                 router.tell()
             if now % BEACON_MS == 0:
+                router.brittleness.tick()
                 router.beacon()
         if now % BEACON_MS == 0:
             self.share_names()
--- a/features/steps/brittle_steps.py
+++ b/features/steps/brittle_steps.py
@@ -63,6 +63,13 @@
     context.brittle.run(3000)
 
 
+@when('each upstream has room for only half of its slots for {seconds:d} s')
+def halve_room(context, seconds):
+    for upstream in context.brittle.upstreams:
+        upstream.slots //= 2
+    context.brittle.run(1000 * seconds)
+
+
 @then('no upstream falls over')
 def check_no_fall(context):
     assert context.brittle.falls == 0, context.brittle.falls
--- a/src/peridotmast/coordination/beacon_check.py
+++ b/src/peridotmast/coordination/beacon_check.py
@@ -66,6 +66,8 @@
         _check_limit(found, limit)
     for brittle in beacon.brittle_services:
         _check_brittle(found, brittle)
+    for refusals in beacon.refusals:
+        _check_refusals(found, refusals)
     for suspect in beacon.crash_suspects:
         _check_suspect(found, suspect)
     if any(number < 0 for number in _non_negative_numbers(beacon)):
@@ -123,6 +125,14 @@
         found.add('brittle_services', 'must be finite and positive')
 
 
+def _check_refusals(
+    found: findings_.Findings, refusals: pb.UpstreamRefusals
+) -> None:
+    _check_names(found, 'refusals', refusals.upstream)
+    if min((refusals.born, *refusals.ago_ms)) < 0:
+        found.add('refusals', 'must not be negative')
+
+
 def _check_suspect(
     found: findings_.Findings, suspect: pb.CrashSuspect
 ) -> None:
--- a/src/peridotmast/router/beacon_rounds.py
+++ b/src/peridotmast/router/beacon_rounds.py
@@ -153,6 +153,7 @@
         beacon.crash_suspects.extend(self._crashes.updates_for_peers())
         beacon.upstream_limits.extend(self._limits.updates_for_peers())
         beacon.brittle_services.extend(self._brittleness.updates_for_peers())
+        beacon.refusals.extend(self._brittleness.refusals_for_peers())
         beacon.rollouts.extend(self._versions.states())
         hint, other = self._lease.hint(), self._random_peer()
         if hint is not None:
--- a/src/peridotmast/router/peering.py
+++ b/src/peridotmast/router/peering.py
@@ -202,7 +202,9 @@
             self._lease.receive_hint(beacon.lease)
         self._serving.crashes.merge_updates(beacon.crash_suspects)
         self._serving.limits.merge_updates(beacon.upstream_limits)
-        self._serving.brittleness.merge_updates(beacon.brittle_services)
+        self._serving.brittleness.merge_updates(
+            member.name, beacon.brittle_services, beacon.refusals
+        )
         self.receive_rollouts(beacon)
         if beacon.news_only:
             self.update_beacons.receive(beacon)
--- a/src/peridotmast/router/serving.py
+++ b/src/peridotmast/router/serving.py
@@ -252,6 +252,7 @@
         self.crashes.tick()
         self._sender.tick()
         self.limits.tick()
+        self.brittleness.tick()
         self.scarcity.tick()
         self._team_log.tick()
         self.stream_versions.tick()
--- a/src/peridotmast/router/update_beacons.py
+++ b/src/peridotmast/router/update_beacons.py
@@ -63,6 +63,7 @@
         """Return a beacon with updates on crashes and limits of upstreams."""
         beacon = empty_update(self._fleet_state)
         beacon.brittle_services.extend(brittleness.updates_for_peers())
+        beacon.refusals.extend(brittleness.refusals_for_peers())
         beacon.crash_suspects.extend(suspects)
         beacon.upstream_limits.extend(limits)
         return beacon
--- a/src/peridotmast/serving/limits/brittleness.py
+++ b/src/peridotmast/serving/limits/brittleness.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import typing as ty
 
 from peridotmast import clock as clock_
 from peridotmast import logs
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving.limits import refusals as refusals_
 from peridotmast.serving.limits import slot_shares
 from peridotmast.serving import upstream_view
 
@@ -47,6 +49,10 @@
     itself states otherwise. A router that has no answer of a service yet, and
     knows no statement, keeps to its shares as well.
 
+    After a refusal, the router that was refused uses one slot less for a
+    while. Once the refusals that are known come near the limit, no router
+    sends anything to the upstream for the rest of their second.
+
     Parameters
     ----------
     clock : clock.Clock
@@ -66,6 +72,7 @@
         self._clock = clock
         self.shares = shares
         """Divides the slots between the routers."""
+        self._refusals = refusals_.Refusals(clock, router)
         self._log = logs.get('brittleness', router=router)
         self._statements: dict[str, _Statement] = {}
         self._answered: set[str] = set()
@@ -95,7 +102,9 @@
         if not limit:
             return
         is_new = self._merge(view.service, limit, now)
-        if is_new:
+        if refused:
+            self._refusals.note(view)
+        if is_new or refused:
             self.notify_peers()
 
     def limit(self, view: upstream_view.UpstreamView) -> float:
@@ -115,7 +124,10 @@
             if view.service in self._answered:
                 return 0
             return 0 if self._has_room(view) else _FULL_WAIT_MS
-        return 0 if self._has_room(view) else _FULL_WAIT_MS
+        wait_ms = self._refusal_wait_ms(view)
+        if wait_ms or self._has_room(view):
+            return wait_ms
+        return _FULL_WAIT_MS
 
     def updates_for_peers(self) -> list[pb.BrittleService]:
         """Return the statements to send to peers."""
@@ -130,14 +142,30 @@
             if now - statement.at <= _TOLD_MS
         ]
 
+    def refusals_for_peers(self) -> list[pb.UpstreamRefusals]:
+        """Return this router's recent refusals, to send to peers."""
+        return self._refusals.for_peers()
+
     def merge_updates(
         self,
+        router: str,
         services: ty.Iterable[pb.BrittleService],
+        refused: ty.Iterable[pb.UpstreamRefusals],
     ) -> None:
         """Merge what another router has sent."""
         now = self._clock.now()
         for message in services:
             self._merge(message.service, message.limit, now - message.ago_ms)
+        self._refusals.merge(router, refused)
+
+    def tick(self) -> None:
+        """Forget refusals that no longer count."""
+        self._refusals.tick()
+
+    def _refusal_wait_ms(self, view: upstream_view.UpstreamView) -> int:
+        """Return for how long refusals keep this router away, in ms."""
+        limit = self.limit(view)
+        return self._refusals.wait_ms(view, _bearable(limit)) if limit else 0
 
     def _has_room(self, view: upstream_view.UpstreamView) -> bool:
         """Return whether a slot of this router's share is free.
@@ -145,7 +173,7 @@
         Other routers may use more than their shares until they know better.
         """
         used = view.local_load.running + view.left_behind
-        share = self.shares.share(view)
+        share = self.shares.share(view) - self._refusals.withheld(view)
         if not view.stated_at:
             # Requests of the router's previous run may still be there.
             share = min(share, _UNANSWERED_SHARE)
@@ -177,3 +205,11 @@
             age_ms=self._clock.now() - at,
         )
         return True
+
+
+def _bearable(limit: float) -> int:
+    """Return how many refusals in a second end the sending of all routers.
+
+    Requests that are under way may be refused too.
+    """
+    return max(1, math.ceil(limit / 2))
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -1843,6 +1843,20 @@
         'if False',
         'brittle_upstreams',
     ),
+    Mutation(
+        'send to a brittle upstream whatever others were refused',
+        SERVING + 'limits/refusals.py',
+        'if len(known) < bearable:',
+        'if True:',
+        'brittle_upstreams',
+    ),
+    Mutation(
+        'use a slot again at which a request was refused',
+        SERVING + 'limits/refusals.py',
+        'return len(self._since(_WITHHELD_MS, times))',
+        'return 0',
+        'brittle_upstreams',
+    ),
     Mutation(
         'accept a forwarded request without a signature',
         ROUTER + 'forward_app.py',
