What a peer says has not run reaches callers of idempotent requests as not run

Callers of idempotent requests got 502 where a peer had refused the request and stated that it had not run.

Cause: the entry router took all attempts that it had left to the peer for made, whatever the peer said of them. The peer counts its own: if one of them may have run, its failure is of the other kind.

--- a/features/peer_ways.feature
+++ b/features/peer_ways.feature
@@ -157,6 +157,12 @@
     Given a router whose two peers reach one upstream, which refuses a request
     Then that request is refused as not run, and was forwarded once
 
+  # Guards against an outcome that is unknown though it is known: the peer's word that a request has not
+  # run reached callers of idempotent requests as 502.
+  Scenario: An idempotent request that a peer refused is refused as not run
+    Given a router whose two peers reach one upstream, which refuses all requests
+    Then an idempotent request is refused as not run
+
   # Guards against a planned stop that cuts off requests forwarded to a router whose leaving
   # its peers do not know yet.
   Scenario: A peer that has begun to drain leaves forwarded requests to another one
--- a/features/steps/peer_way_steps.py
+++ b/features/steps/peer_way_steps.py
@@ -533,6 +533,21 @@
     assert len(context.world.forwarded) == 1, context.world.forwarded
 
 
+@given(
+    'a router whose two peers reach one upstream, which refuses all requests'
+)
+def start_refusing_all(context):
+    start_refusing(context)
+    context.world._arrivals = itertools.repeat('refuse')
+
+
+@then('an idempotent request is refused as not run')
+def check_idempotent_refused(context):
+    got = context.world.routers['r-0'].ask('again', 'refused')
+    assert got.kind is failures.FailureKind.NOT_RUN, got
+    assert got.retry_after_ms, got
+
+
 @given('a router that reaches no upstream, and two peers, of which one drains')
 def start_draining(context):
     cuts = {'r-0': set(peer_model.UPSTREAMS), 'r-1': set(), 'r-2': set()}
--- a/src/peridotmast/serving/dispatcher.py
+++ b/src/peridotmast/serving/dispatcher.py
@@ -442,7 +442,8 @@
             return
         is_unknown = failure.kind is failures.FailureKind.OUTCOME_UNKNOWN
         state.is_final = not is_unknown
-        state.note_peer_runs()
+        if is_unknown:
+            state.note_peer_runs()
 
     def _count_started(self, state: _RequestState, started_at: int) -> None:
         """Count a request as started, at most once over all attempts."""
