A router whose shares are used sends requests through a peer that has room

Cause: with more routers than slots some routers have no slot at any upstream of a service: all their callers were refused, while slots of other routers stood empty.

Requests for which nobody has room are refused at once.

--- a/features/brittle_upstreams.feature
+++ b/features/brittle_upstreams.feature
@@ -12,7 +12,9 @@
       | routers | upstreams | slots | limit |
       | 3       | 6         | 6     | 3     |
       | 8       | 6         | 4     | 3     |
+      | 12      | 4         | 3     | 1     |
       | 20      | 4         | 8     | 2     |
+      | 29      | 4         | 6     | 1     |
 
   # Guards against shares that add up to more than there is, or leave a slot to nobody.
   Scenario: The shares of all routers add up to the slots
--- a/features/peer_ways.feature
+++ b/features/peer_ways.feature
@@ -163,6 +163,13 @@
     Given a router whose two peers reach one upstream, which refuses all requests
     Then an idempotent request is refused as not run
 
+  # Guards against routers without a slot at any upstream: each of their callers was refused, while
+  # other routers had slots that nobody used.
+  Scenario: A router without a share of a brittle upstream asks a peer that has one
+    Given 4 routers before one brittle upstream of 2 slots
+    Then a request at each of them is answered, through one of 2 routers
+    And while both slots are taken, requests are refused as not run and forwarded to nobody
+
   # Guards against a planned stop that cuts off requests forwarded to a router whose leaving
   # its peers do not know yet.
   Scenario: A peer that has begun to drain leaves forwarded requests to another one
--- a/features/steps/brittle_model.py
+++ b/features/steps/brittle_model.py
@@ -172,6 +172,18 @@
                 return True
         return False
 
+    def serve(self):
+        """Send a request, through a peer if this router may not."""
+        if self.take():
+            return True
+        views = list(self.views.values())
+        names = sorted(self.brittleness.peers_with_room(views))
+        peers = [
+            self.model.routers[n] for n in names if n in self.model.routers
+        ]
+        peers = [peer for peer in peers if not peer.is_frozen]
+        return bool(peers) and self.model.random.choice(peers).take()
+
     def tell(self):
         """Send statements and refusals to the peers."""
         for peer in self.model.reachable_from(self):
@@ -266,7 +278,7 @@
         idle = max(0, len(self.callers) - busy)
         asking = [at for at in sorted(self.callers)[:idle] if at <= now]
         for at in asking if running else ():
-            served = self.random.choice(running).take()
+            served = self.random.choice(running).serve()
             self.callers.remove(at)
             self.callers.append(now if served else now + RETRY_MS)
 
--- a/features/steps/peer_way_steps.py
+++ b/features/steps/peer_way_steps.py
@@ -21,6 +21,7 @@
 from peridotmast.serving import crash_keys
 from peridotmast.serving import peer_sender
 from peridotmast.serving import reachability
+from peridotmast.serving import upstream_view
 from peridotmast import signing
 from peridotmast.wire import connection as connection_
 
@@ -548,6 +549,70 @@
     assert got.retry_after_ms, got
 
 
+@given('{count:d} routers before one brittle upstream of {slots:d} slots')
+def start_brittle(context, count, slots):
+    cut = set(peer_model.UPSTREAMS) - {'u-1'}
+    names = [f'r-{number}' for number in range(count)]
+    context.world = peer_model.World({name: cut for name in names}, (), ())
+    for router in context.world.routers.values():
+        for name in cut:
+            record = pb.UpstreamRecord()
+            record.CopyFrom(router.table.get(name).record)
+            record.state, record.revision = pb.UPSTREAM_STATE_GONE, 2
+            router.table.merge(record)
+        router.table.get('u-1').slots = slots
+        router.serving.brittleness.shares.set_routers(names)
+    state_brittle(context.world)
+
+
+def state_brittle(world):
+    """Let all routers learn of a statement newer than any answer."""
+    world.clock.advance(10)
+    statement = pb.BrittleService(service=peer_model.SERVICE.name, limit=3)
+    for router in world.routers.values():
+        router.serving.brittleness.merge_updates('r-9', [statement], [])
+
+
+@then(
+    'a request at each of them is answered, through one of {count:d} routers'
+)
+def check_answered_by_owners(context, count):
+    world = context.world
+    for name, router in world.routers.items():
+        got = router.ask('once', f'at-{name}')
+        assert not isinstance(got, failures.Failure), (name, got)
+    owners = [
+        name
+        for name, router in world.routers.items()
+        if router.serving.brittleness.shares.share(router.table.get('u-1'))
+    ]
+    assert len(owners) == count, owners
+    assert len(world.forwarded) == len(world.routers) - count, world.forwarded
+
+
+@then(
+    'while both slots are taken, requests are refused as not run and forwarded'
+    ' to nobody'
+)
+def check_refused_when_full(context):
+    world = context.world
+    state_brittle(world)
+    before = len(world.forwarded)
+    for router in world.routers.values():
+        view = router.table.get('u-1')
+        share = router.serving.brittleness.shares.share(view)
+        view.add_load(upstream_view.Load(share))
+        for other in world.routers.values():
+            if other is not router:
+                load = upstream_view.Load(share)
+                other.table.get('u-1').set_peer_load(router.name, load)
+    for name, router in world.routers.items():
+        got = router.ask('once', f'full-at-{name}')
+        assert got.kind is failures.FailureKind.NOT_RUN, got
+        assert got.retry_after_ms, got
+    assert len(world.forwarded) == before, world.forwarded
+
+
 @given('a router that reaches no upstream, and two peers, of which one drains')
 def start_draining(context):
     cuts = {'r-0': set(peer_model.UPSTREAMS), 'r-1': set(), 'r-2': set()}
--- a/src/peridotmast/serving/dispatcher.py
+++ b/src/peridotmast/serving/dispatcher.py
@@ -56,6 +56,7 @@
 
 _FINAL_REASONS = frozenset(
     (
+        peer_sender_.NO_ROOM,
         peer_sender_.NO_UPSTREAM,
         peer_sender_.NO_VERSION,
         'upstream_limit',
@@ -317,18 +318,23 @@
             if peer is not None:
                 return peer
         reservation = self._placement.choose(exchange, service, state.tried)
-        if reservation is None and self._reach.has_unreachable(service.name):
+        if reservation is not None:
+            return reservation
+        if self._reach.has_unreachable(service.name):
             return self._choose_peer(state)
-        return reservation
+        peers = self._placement.peers_with_room(service.name, exchange.version)
+        return self._choose_peer(state, peers) if peers else None
 
     def _choose_peer(
-        self, state: _RequestState
+        self,
+        state: _RequestState,
+        among: ty.Optional[ty.Collection[str]] = None,
     ) -> ty.Optional[placement.Reservation]:
         # One attempt remains for this router, in case the peer is lost.
         is_last = state.runs + 1 >= state.exchange.route.attempts
         runs = state.runs if is_last else state.runs + 1
         return self._peers.choose(
-            state.exchange, state.service, state.tried, runs
+            state.exchange, state.service, state.tried, runs, among
         )
 
     def _must_ask_peer(self, state: _RequestState) -> bool:
@@ -345,7 +351,13 @@
         exchange, name = state.exchange, state.service.name
         wait_ms = self._placement.wait_ms(name, state.tried, exchange.version)
         if wait_ms:
-            return failures.not_run('upstream_limit', '', wait_ms)
+            return failures.not_run(
+                peer_sender_.NO_ROOM
+                if self._may_have_room_elsewhere(state)
+                else 'upstream_limit',
+                '',
+                wait_ms,
+            )
         reason = peer_sender_.NO_UPSTREAM
         if self._placement.lacks_version(exchange, name):
             reason = peer_sender_.NO_VERSION
@@ -354,6 +366,15 @@
             reason = 'upstream_refused'
         return failures.not_run(reason, '', _RETRY_MS)
 
+    def _may_have_room_elsewhere(self, state: _RequestState) -> bool:
+        """Return whether the sender of a request may ask another peer."""
+        exchange, name = state.exchange, state.service.name
+        return bool(
+            exchange.forwarded_by
+            and not state.was_sent
+            and self._placement.peers_with_room(name, exchange.version)
+        )
+
     def _check_invariants(
         self, state: _RequestState, reservation: placement.Reservation
     ) -> None:
--- a/src/peridotmast/serving/limits/brittleness.py
+++ b/src/peridotmast/serving/limits/brittleness.py
@@ -19,9 +19,6 @@
 _UNANSWERED_SHARE = 1
 """Slots of an upstream that a router uses before its first answer."""
 
-_REFRESH_MS = 1000
-"""Minimum interval between two refreshes of an unchanged statement, in ms."""
-
 _TOLD_MS = 60_000
 """Time for which peers are told of a statement that is not renewed, in ms."""
 
@@ -129,6 +126,20 @@
             return wait_ms
         return _FULL_WAIT_MS
 
+    def peers_with_room(
+        self, views: ty.Iterable[upstream_view.UpstreamView]
+    ) -> set[str]:
+        """Return peers that may send to some upstream when this router can't.
+
+        Empty if no upstream is kept from this router by the shares alone.
+        """
+        return {
+            name
+            for view in views
+            if self.wait_ms(view) and not self._refusal_wait_ms(view)
+            for name in self.shares.peers_with_room(view)
+        }
+
     def updates_for_peers(self) -> list[pb.BrittleService]:
         """Return the statements to send to peers."""
         now = self._clock.now()
@@ -188,8 +199,7 @@
         if known is not None and at <= known.at:
             return False
         if known is not None and known.limit == limit:
-            if at - known.at >= _REFRESH_MS:
-                known.at = at
+            known.at = at
             return False
         if known is None and len(self._statements) >= _MAX_SERVICES:
             oldest = min(
--- a/src/peridotmast/serving/limits/slot_shares.py
+++ b/src/peridotmast/serving/limits/slot_shares.py
@@ -76,6 +76,16 @@
             known.granted = share
         return known.granted
 
+    def peers_with_room(
+        self, view: upstream_view.UpstreamView
+    ) -> ty.Iterator[str]:
+        """Yield the peers that are not known to use their whole shares."""
+        return (
+            name
+            for name, share in self._get(view).shares.items()
+            if name != self._router and view.peer_running(name) < share
+        )
+
     def _get(self, view: upstream_view.UpstreamView) -> _Shares:
         """Return the shares of the known routers.
 
--- a/src/peridotmast/serving/peer_sender.py
+++ b/src/peridotmast/serving/peer_sender.py
@@ -45,10 +45,12 @@
 LEAVING = 'leaving'
 FULL = 'forwards_full'
 NO_UPSTREAM = 'no_upstream'
+NO_ROOM = 'no_room'
+"""Reason of a router whose shares of brittle upstreams are used."""
 NO_VERSION = 'no_version'
 """Reason for which a stream has ended: only upstreams of other versions than
 the one that began it are left."""
-_UNSENT_REASONS = frozenset((LEAVING, FULL, NO_UPSTREAM, NO_VERSION))
+_UNSENT_REASONS = frozenset((LEAVING, FULL, NO_UPSTREAM, NO_ROOM, NO_VERSION))
 """Reasons of a peer that has sent a request to no upstream."""
 
 _UNABLE_MS = 1000
@@ -165,6 +167,7 @@
         service: pb.Service,
         avoid: ty.Collection[str],
         runs: int,
+        among: ty.Optional[ty.Collection[str]] = None,
     ) -> ty.Optional[PeerReservation]:
         """Reserve a peer for a request, or return None if there is none.
 
@@ -174,6 +177,8 @@
             Names of upstreams and peers that the request was sent to.
         runs : int
             Number of attempts that ran or may have run.
+        among : collection of str, optional
+            Names of the peers that may be asked; by default all.
         """
         if exchange.forwarded_by:
             return None
@@ -185,6 +190,7 @@
             view
             for view in self._views.values()
             if view.name not in avoid
+            and (among is None or view.name in among)
             and view.health.allows_request()
             and self._unable_until.get((view.name, service.name), 0) <= now
         ]
--- a/src/peridotmast/serving/placement.py
+++ b/src/peridotmast/serving/placement.py
@@ -34,6 +34,9 @@
 good as comparing all upstreams; with stale data they are better (Mitzenmacher,
 2000). The third upstream is added because one of the three may be slow."""
 
+_SEARCHED_FOR_PEERS = 16
+"""Number of upstreams at which peers with room are searched."""
+
 LoadListener = ty.Callable[[upstream_view.UpstreamView], None]
 
 
@@ -255,6 +258,17 @@
             default=0,
         )
 
+    def peers_with_room(
+        self, service: str, version: ty.Optional[ids.SoftwareVersion]
+    ) -> set[str]:
+        """Return peers that may use upstreams of which this router may not.
+
+        Only a few upstreams are looked at.
+        """
+        live = self._live(service, version)
+        views = self._random.sample(live, min(len(live), _SEARCHED_FOR_PEERS))
+        return self._brittleness.peers_with_room(views)
+
     def _reserve(
         self,
         exchange: exchange_.Exchange,
--- a/src/peridotmast/serving/upstream_view.py
+++ b/src/peridotmast/serving/upstream_view.py
@@ -189,6 +189,11 @@
             self._peer_loads[router] = load
             self._total_load.add(load)
 
+    def peer_running(self, router: str) -> int:
+        """Return how many requests another router is known to run here."""
+        load = self._peer_loads.get(router)
+        return 0 if load is None else load.running
+
     def note_rest(self, ms: int) -> None:
         """Record that the upstream wants no requests of this router for `ms`.
 
