Routers that are out of step take no version for the only one

A stream that had begun at a version that had just started was taken up at a router that had been cut off together with others, and went on at another version: its caller would have joined one answer from two.

Cause: where no router that answers knew a stream, one version counted as the only one if two answers said so, or one, while the others were silent. The store counted as reached until its loss was noticed, a second later. Class: no news is taken for no change.

Change: silent routers count.

In the model the loss of the store is noticed after 1 s, as by the router; a router that has just started may refuse until the first round of beacons, as on the former code too.

--- a/features/steps/stream_version_steps.py
+++ b/features/steps/stream_version_steps.py
@@ -17,6 +17,7 @@
 
 from peridotmast import clock as clock_
 from peridotmast.embedded import shape as shape_
+from peridotmast import failures
 from peridotmast import green
 from peridotmast.platform import names
 from peridotmast.schema import peridotmast_pb2 as pb
@@ -384,3 +385,54 @@
         e.name for e in context.engines if e.version == version and e.streams
     ]
     assert not asked, asked
+
+
+@given(
+    '{routers:d} routers that know one version, of which {count:d} are cut off'
+    ' together'
+)
+def cut_off_together(context, routers, count):
+    assert routers == version_model.COUNT
+    context.history = version_model.VersionHistory()
+    context.apart = set(range(routers - count, routers))
+    context.history.cut_from_all(context.apart)
+
+
+@when('another version starts, and streams of it begin at the other routers')
+def begin_at_other_version(context):
+    context.history.pass_time(100)
+    context.history.set_version('b', 2)
+    context.begun = [f'stream-{number}' for number in range(20)]
+    for number, id_ in enumerate(context.begun):
+        router = context.history.routers[number % min(context.apart)]
+        router.versions.begin(
+            version_model.make_exchange(id_, None), version_model.SERVICE, 'b'
+        )
+
+
+@then('no stream goes on at another version at the routers that are cut off')
+def check_not_joined(context):
+    found = [take_up_at(context, n, i) for n, i in product_of(context)]
+    joined = [f for f in found if not isinstance(f, failures.Failure)]
+    assert set(joined) <= {'b'}, joined
+
+
+@then('with the store back, streams of the version that all know go on there')
+def check_go_on(context):
+    history = context.history
+    history.cut_from_all(set())
+    history.set_version('b', 0)
+    history.pass_time(2 * version_model.WINDOW_MS)
+    found = [take_up_at(context, n, i) for n, i in product_of(context)]
+    assert set(found) == {'a'}, found
+
+
+def product_of(context):
+    return itertools.product(sorted(context.apart), context.begun)
+
+
+def take_up_at(context, number, request_id):
+    return context.history.routers[number].versions.find(
+        version_model.make_exchange('again', request_id),
+        version_model.SERVICE,
+    )
--- a/features/steps/version_model.py
+++ b/features/steps/version_model.py
@@ -27,6 +27,10 @@
 ROUTERS = strategies.integers(0, COUNT - 1)
 MAX_LOSSES = 2
 """Number of lost routers that the version of a stream outlives."""
+OUTAGE_NOTICED_MS = 1000
+"""Time from the loss of the store until a router takes it for lost, in ms."""
+BEACON_MS = 500
+"""Interval of beacons, in ms: a router that starts hears no peer before."""
 CUT_MS = 6000
 """Time after which a cut no longer matters to a stream that begins, in ms."""
 VERSIONS = strategies.sampled_from(['a', 'b', 'c'])
@@ -56,6 +60,8 @@
         self.world, self.number = world, number
         clock = world.clock
         self.has_store = True
+        self.cut_at = 0
+        self.started_at = clock.now()
         self.member = pb.Member(
             name=f'r-{number}',
             incarnation=incarnation,
@@ -81,7 +87,19 @@
         self.exchange.answer_timeout_ms = 0.1
         self.versions.share = self.exchange.share
         self.versions.ask = self.exchange.ask
-        self.versions.is_store_lost = lambda: not self.has_store
+        self.versions.is_store_lost = self.has_noticed_loss
+        self.versions.is_current = self.read_store
+
+    def read_store(self):
+        """Read all entries; return whether the store answers."""
+        if self.has_store:
+            self.table.merge_all(self.world.records.values())
+        return self.has_store
+
+    def has_noticed_loss(self):
+        """Return whether calls to the store have failed for long enough."""
+        lost_ms = self.world.clock.now() - self.cut_at
+        return not self.has_store and lost_ms >= OUTAGE_NOTICED_MS
 
     def send(self, beacon, peers):
         for peer in peers:
@@ -122,7 +140,7 @@
     def pass_time(self, ms):
         end = self.clock.now() + ms
         while self.clock.now() < end:
-            self.clock.advance(min(500, end - self.clock.now()))
+            self.clock.advance(min(BEACON_MS, end - self.clock.now()))
             for router in self.routers.values():
                 peers = [
                     members_.Peer(r.member) for r in self.routers.values()
@@ -135,8 +153,7 @@
 
     def read_store(self):
         for router in self.routers.values():
-            if router.has_store:
-                router.table.merge_all(self.records.values())
+            router.read_store()
 
     def set_version(self, version, count):
         """Let so many upstreams of a version serve."""
@@ -189,7 +206,10 @@
         """Cut some routers from the others and from the store."""
         self.cut = numbers
         for number, router in self.routers.items():
-            router.has_store = number not in numbers
+            has_store = number not in numbers
+            if router.has_store and not has_store:
+                router.cut_at = self.clock.now()
+            router.has_store = has_store
         self.read_store()
         self.cut_at = self.clock.now() if numbers else self.cut_at
 
@@ -204,7 +224,7 @@
         if not versions:
             return
         version = data.draw(strategies.sampled_from(sorted(set(versions))))
-        router.versions.begin(_exchange(id_, None), SERVICE, version)
+        router.versions.begin(make_exchange(id_, None), SERVICE, version)
         has_copies = any(
             record.copied_to for _, record in router.versions.own_records()
         )
@@ -220,11 +240,14 @@
         if router is None or not self.streams:
             return
         stream = data.draw(strategies.sampled_from(self.streams))
-        found = router.versions.find(_exchange('again', stream.id), SERVICE)
+        found = router.versions.find(
+            make_exchange('again', stream.id), SERVICE
+        )
         is_refused = isinstance(found, failures.Failure)
         assert is_refused or found == stream.version, (found, stream)
         same = sum(s.id == stream.id for s in self.streams)
-        is_known = stream.has_copies and stream.id and same == 1
+        has_heard = self.clock.now() >= router.started_at + BEACON_MS
+        is_known = stream.has_copies and stream.id and same == 1 and has_heard
         if is_known and self.losses - stream.losses <= MAX_LOSSES:
             assert self.cut_at > stream.began_at - CUT_MS or not is_refused, (
                 found,
@@ -232,7 +255,7 @@
             )
 
 
-def _exchange(request_id, resumes):
+def make_exchange(request_id, resumes):
     return types.SimpleNamespace(
         id=request_id, resumes=resumes, team='t', route=ROUTE
     )
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -33,6 +33,21 @@
   Scenario: The version of a stream is known or refused, whatever happens to routers
     Then 150 random histories of streams that are taken up keep their versions
 
+  # Guards against one answer of two versions, joined at routers that are out of step: what they had not
+  # learned since the cut began did not exist for them, until they noticed that the store was lost.
+  Scenario Outline: Routers that have just been cut off take no version for the only one
+    Given 5 routers that know one version, of which <count> are cut off together
+    When another version starts, and streams of it begin at the other routers
+    Then no stream goes on at another version at the routers that are cut off
+    And with the store back, streams of the version that all know go on there
+
+    Examples:
+      | count |
+      | 1     |
+      | 2     |
+      | 3     |
+      | 4     |
+
   # Guards against a process that was upgraded under its id, and still counts as the version
   # that its entry stated first.
   Scenario: An upstream that is upgraded under its id goes on with none of its streams
--- a/src/peridotmast/coordination/kind_watch.py
+++ b/src/peridotmast/coordination/kind_watch.py
@@ -148,6 +148,30 @@
         green.sleep_ms(self._backoff_ms * self._jitter.uniform(0.7, 1.3))
         self._backoff_ms = min(_MAX_BACKOFF_MS, self._backoff_ms * 2)
 
+    def read_changes(self, known: int) -> bool:
+        """Process what has changed, without waiting for the watch.
+
+        Parameters
+        ----------
+        known : int
+            Revision up to which all objects are known, also from peers.
+
+        Returns
+        -------
+        bool
+            Whether the store has answered.
+        """
+        if not self._listed:
+            return False
+        since = max(known, self._revision)
+        changes = self._store.watch(self.kind, since, 0)
+        if isinstance(changes, failures.Failure):
+            return False
+        if changes.objects:
+            self._listener.on_changes(changes, self._is_outage_suspected())
+            self._on_change()
+        return True
+
     def on_peer_ahead(self) -> None:
         """Restart the watch: a peer has changes that the watch lacks.
 
--- a/src/peridotmast/router/fleet_state.py
+++ b/src/peridotmast/router/fleet_state.py
@@ -8,6 +8,7 @@
 
 from peridotmast import clock as clock_
 from peridotmast.coordination import config_feed
+from peridotmast.coordination import current_view
 from peridotmast.coordination import fleet_clock
 from peridotmast.coordination import groups as groups_
 from peridotmast.coordination import kind_watch
@@ -152,6 +153,11 @@
             feed.errors.on_error = on_error
         self._registry = registry_.Registry(self.store, self.members)
         self._watches: list[kind_watch.KindWatch] = []
+        self._upstream_watch: ty.Optional[kind_watch.KindWatch] = None
+        self.current_upstreams = current_view.CurrentView(
+            clock, self._read_upstream_changes
+        )
+        """Proves that all upstreams in the store are known."""
         self._is_registered = False
         self._probed_at = -_SHARED_PROBE_MS
         self._created_at = clock.now()
@@ -209,6 +215,8 @@
                 on_start=self._probe_beside_watch,
             )
             self._watches.append(watch)
+            if kind == names.UPSTREAM_KIND:
+                self._upstream_watch = watch
             tasks.supervise(f'watch_{kind}', watch.run)
         if self._has_rollouts:
             self._watch_rollouts(tasks)
@@ -286,6 +294,12 @@
         self._rollout_watch = watch
         tasks.supervise(f'watch_{names.ROLLOUT_KIND}', watch.run)
 
+    def _read_upstream_changes(self) -> bool:
+        watch = self._upstream_watch
+        return watch is not None and watch.read_changes(
+            self.upstream_table.revision
+        )
+
     def _probe_beside_watch(self) -> None:
         """Probe the store at the moment at which a watch is started.
 
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -195,6 +195,7 @@
         streams.share = self._version_exchange.share
         streams.ask = self._version_exchange.ask
         streams.is_store_lost = self._peering.is_outage_suspected
+        streams.is_current = self.fleet_state.current_upstreams.confirm
         self.serving.gateway.take_quota = self._peering.borrowing.acquire
         self.serving.gateway.config_is_stale = (
             self._catch_up.config_fetcher.is_outdated
--- a/src/peridotmast/router/version_exchange.py
+++ b/src/peridotmast/router/version_exchange.py
@@ -76,17 +76,19 @@
 
     def ask(
         self, ask: pb.VersionAsk, is_enough: stream_versions.Enough
-    ) -> ty.Optional[stream_versions.Answers]:
+    ) -> ty.Optional[stream_versions.Replies]:
         """Return the answers of other routers on a stream.
 
         Returns
         -------
-        list of VersionAnswer or None
+        Replies or None
             None if there are other routers and none has answered.
         """
         peers = self._ranked(ask.key)[:_ASKED]
         if not peers:
-            return None if self._members.peer_names() else []
+            if self._members.peer_names():
+                return None
+            return stream_versions.Replies([], is_complete=True)
         ask.number = next(self._numbers)
         ask.router = self._members.me.name
         ask.incarnation = self._members.me.incarnation
@@ -100,7 +102,14 @@
                     break
         finally:
             del self._pending[ask.number]
-        return list(question.answers.values()) or None
+        if not question.answers:
+            return None
+        live_count = len(self._members.live_peers())
+        all_live = live_count == len(self._members.peer_names())
+        return stream_versions.Replies(
+            list(question.answers.values()),
+            is_complete=all_live and not question.silent(),
+        )
 
     def receive(self, beacon: pb.Beacon) -> bool:
         """Process a beacon, and return whether it concerned versions."""
--- a/src/peridotmast/serving/stream_versions.py
+++ b/src/peridotmast/serving/stream_versions.py
@@ -31,14 +31,19 @@
 
 _KEY_BYTES = 8
 
-_CONFIRMATIONS = 2
-"""Number of routers that confirm that one version alone has served, so that
-those that are silent need not be waited for."""
-
 Versions = frozenset[ids.SoftwareVersion]
 Answers = list[pb.VersionAnswer]
 Enough = ty.Callable[[Answers], bool]
-"""Returns whether the answers so far suffice."""
+"""Returns whether the answers so far suffice, though others may follow."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Replies:
+    """What other routers have answered on a stream."""
+
+    answers: Answers
+    is_complete: bool
+    """Whether all that were asked have answered, and all routers are live."""
 
 
 @dataclasses.dataclass
@@ -102,10 +107,13 @@
         self.share: ty.Callable[[int, Record], None] = lambda key, rec: None
         """Sends copies of a record to other routers."""
         self.ask: ty.Callable[
-            [pb.VersionAsk, Enough], ty.Optional[Answers]
-        ] = lambda ask, is_enough: []
+            [pb.VersionAsk, Enough], ty.Optional[Replies]
+        ] = lambda ask, is_enough: Replies([], is_complete=True)
         """Asks other routers; returns None if there are some and none of them
         has answered."""
+        self.is_current: ty.Callable[[], bool] = lambda: False
+        """Returns whether all upstreams that were in the store at the time of
+        the call are known here; it may ask the store."""
         self.is_store_lost: ty.Callable[[], bool] = lambda: False
         """Returns whether new versions may be unknown here, because the store
         does not answer."""
@@ -246,22 +254,23 @@
             return record.versions, 'own', 0
         window_ms = self._window_ms(exchange.route)
 
-        def is_enough(answers: Answers) -> bool:
-            if any(answer.versions for answer in answers):
-                return True
-            versions, _ = self._served(service, window_ms, answers)
-            return len(versions) == 1 and len(answers) >= _CONFIRMATIONS
-
-        answers = self.ask(
+        replies = self.ask(
             pb.VersionAsk(key=key, service=service, window_ms=window_ms),
-            is_enough,
+            lambda answers: any(answer.versions for answer in answers),
         )
-        if answers is None:
+        if replies is None:
             return frozenset(), 'no_answer', 0
+        answers = replies.answers
         found = _union(answer.versions for answer in answers)
         if found and exchange.resumes:
             return found, 'peer', len(answers)
-        return *self._served(service, window_ms, answers), len(answers)
+        versions, source = self._served(service, window_ms, answers)
+        if len(versions) == 1 and not replies.is_complete:
+            # The routers that are silent may know of another version.
+            if not self.is_current():
+                return frozenset(), 'unconfirmed', len(answers)
+            versions, source = self._served(service, window_ms, answers)
+        return versions, source, len(answers)
 
     def _served(
         self, service: str, window_ms: int, answers: Answers
