Several unreadable entries in one page hide no other entry

Cause: entries of a page that is no JSON were told apart by brackets outside of strings. Two entries of another writer, each with an odd quote, enclosed what lay between them: an upstream was not known, or not seen to leave. Behind an entry that closes too few brackets, metadata in the value of the next one was taken for that of the entry itself. Class: repaired for one fault at a time.

Change: a part that is no JSON is cut again wherever an object follows another one; an object that is whole there is taken as a whole.

--- a/features/foreign_entries.feature
+++ b/features/foreign_entries.feature
@@ -35,6 +35,16 @@
       | 300   | upstreams |
       | 200   | rollouts  |
 
+  # Guards against a page of which one unreadable entry is recovered from, and several are not: the others
+  # were lost, or one of them was taken for another.
+  Scenario Outline: Several unreadable entries among others, in one page and in one change
+    Then in <count> drawn pages with up to 6 unreadable entries all other <kind> are known
+
+    Examples:
+      | count | kind      |
+      | 150   | upstreams |
+      | 60    | rollouts  |
+
   Scenario: A configuration with an unreadable number
     Then a configuration with 400 digits in any of its numbers is rejected with findings
 
--- a/features/steps/foreign_entry_steps.py
+++ b/features/steps/foreign_entry_steps.py
@@ -49,6 +49,24 @@
 looks like the metadata of the other object."""
 
 
+DEEP = 100_000
+"""Depth of nesting that no JSON parser of Python reads."""
+ODD_TEXTS = (
+    *UNREADABLE,
+    *VALUES.values(),
+    '[' * DEEP + ']' * DEEP,
+    '{"x":' * DEEP + '1' + '}' * DEEP,
+    '"\udcff\udcfe"',
+    '\udc80',
+    '1e999',
+    'NaN',
+    '-0',
+    '"10.0.0.1:70000"',
+)
+"""Texts with several of which at a time no other entry may be lost. Lone
+surrogates stand for bytes that are no UTF-8."""
+
+
 class _Upstreams:
     """The feed of upstreams, which reads entries of `a` and of another."""
 
@@ -113,7 +131,7 @@
     return (
         f'{{"{names.ITEMS}":[{text}],"{names.HAS_MORE}":false,'
         f'"{names.AT_REVISION}":9}}'
-    ).encode()
+    ).encode(errors='surrogateescape')
 
 
 def changes(*items):
@@ -121,23 +139,36 @@
         f'{{"{names.DELETED}":false,"{names.OBJECT}":{found}}}'
         for found in items
     )
-    return f'{{"{names.EVENTS}":[{events}],"{names.AT_REVISION}":19}}'.encode()
+    return f'{{"{names.EVENTS}":[{events}],"{names.AT_REVISION}":19}}'.encode(
+        errors='surrogateescape'
+    )
+
 
+def read(kind, foreign, is_meta_first=False, after=()):
+    """Read a listing and a change with foreign entries about another one.
 
-def read(kind, foreign, is_meta_first=False):
-    """Read a listing and a change with a foreign entry before another one."""
+    Parameters
+    ----------
+    foreign : str or sequence of str
+        Texts of the entries before it.
+    after : sequence of str
+        Texts of the entries after it.
+    """
     state = KINDS[kind]()
-    later = json.dumps(state.changed)
+    before = (foreign,) if isinstance(foreign, str) else tuple(foreign)
+
+    def page(spec, revision):
+        texts = [*before, json.dumps(spec), *after]
+        found = [f'x{number}' for number in range(len(texts))]
+        found[len(before)] = 'a'
+        return [
+            item(name, revision + number, text, is_meta_first)
+            for number, (name, text) in enumerate(zip(found, texts))
+        ]
+
     store = entry_steps.make_answering_store(b'')
     store._http = _Answers(
-        listing(
-            item('x', 5, foreign, is_meta_first),
-            item('a', 6, json.dumps(state.spec), is_meta_first),
-        ),
-        changes(
-            item('x', 15, foreign, is_meta_first),
-            item('a', 16, later, is_meta_first),
-        ),
+        listing(*page(state.spec, 1)), changes(*page(state.changed, 11))
     )
     watch = kind_watch.KindWatch(
         store, state.kind, state.listener, clock_.ManualClock()
@@ -161,6 +192,28 @@
     assert context.is_changed, 'the change was not read'
 
 
+@then(
+    'in {count:d} drawn pages with up to {most:d} unreadable entries all other'
+    ' {kind} are known'
+)
+def drawn_pages(context, count, most, kind):
+    whole = KINDS[kind].spec
+    unreadable = strategies.tuples(
+        strategies.sampled_from([None, *sorted(whole)]),
+        strategies.sampled_from(ODD_TEXTS),
+    ).map(lambda found: with_field(whole, *found))
+    half = strategies.lists(unreadable, max_size=most // 2)
+
+    @hypothesis.seed(72)
+    @histories.settings(count)
+    @hypothesis.given(half, half, strategies.booleans())
+    def test(before, after, is_meta_first):
+        known = read(kind, before, is_meta_first, after)
+        assert known == (True, True), known
+
+    test()
+
+
 @then('{count:d} drawn entries cost no other of the {kind}')
 def drawn_entries(context, count, kind):
     whole = KINDS[kind].spec
--- a/src/peridotmast/platform/object_codec.py
+++ b/src/peridotmast/platform/object_codec.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import re
 import typing as ty
@@ -25,6 +26,8 @@
     + r')"\s*:'
 )
 """Where an item of a list may begin; an object has few other fields."""
+_ITEM_BOUNDARY = re.compile(rf'\}}\s*,\s*(?={_ITEM_START.pattern})')
+"""Where an item follows another one."""
 _DELETED = re.compile(rf'"{names.DELETED}"\s*:\s*true')
 _DECODER = json.JSONDecoder()
 _RESPONSE_FIELD = re.compile(
@@ -101,10 +104,36 @@
         for part in (after, before)
         for name, value in _RESPONSE_FIELD.findall(part)
     }
-    response[key] = [found for item in items if (found := _recover_item(item))]
+    parts = itertools.chain.from_iterable(map(_split_joined, items))
+    response[key] = [found for item in parts if (found := _recover_item(item))]
     return response
 
 
+def _split_joined(text: str) -> list[str]:
+    """Return the items in a text that was taken for one.
+
+    Two items that are no JSON, each with an odd quote or bracket, enclose the
+    items between them.
+    """
+    try:
+        json.loads(text)
+        return [text]
+    except (ValueError, RecursionError):
+        pass
+    parts, unread = [], 0
+    for boundary in _ITEM_BOUNDARY.finditer(text):
+        if boundary.end() <= unread:
+            # Inside an item that was read as a whole.
+            continue
+        parts.append(text[unread : boundary.start() + 1])
+        unread = boundary.end()
+        end = _end_of_item(text, unread)
+        if end is not None:
+            parts.append(text[unread:end])
+            unread = end
+    return [part.lstrip(', \n') for part in (*parts, text[unread:])]
+
+
 def _split_by_objects(text: str, at: int) -> tuple[list[str], str]:
     """Return the items of a list with unbalanced brackets, and what follows.
 
