--- a/src/peridotmast/load/brittle.py
+++ b/src/peridotmast/load/brittle.py
@@ -5,6 +5,7 @@
 import dataclasses
 import enum
 import os
+import random
 import typing as ty
 
 from peridotmast import clock as clock_
@@ -33,6 +34,11 @@
 """An upstream may fall so often, and in addition once for this share of the
 upstreams: the rule of the users' platform."""
 _MIN_RUN_SHARE = 0.8
+_IGNORING_EVERY = 3
+"""In mixed troubles, one in so many upstreams goes on with requests whose
+callers have left."""
+_SILENCES = 3
+_KILLS_OF_ALL = 2
 
 
 class Trouble(enum.Enum):
@@ -49,6 +55,11 @@
     """Routers stand still, one by one."""
     LATE = 'late'
     """The upstreams become brittle while they are loaded."""
+    STOPS = 'stops'
+    """Routers are stopped as planned and started, one by one."""
+    MIXED = 'mixed'
+    """Drawn troubles, two at a time; some upstreams go on with requests whose
+    callers have left."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -91,12 +102,30 @@
     return broken
 
 
+_MIXED_TROUBLES = (
+    Trouble.SILENCE,
+    Trouble.RESTARTS,
+    Trouble.ALL_KILLED,
+    Trouble.FREEZES,
+    Trouble.STOPS,
+)
+
+
 class _Run:
     """One run with its fleet and its callers."""
 
     def __init__(self, play: Play, seed: int, folder: str) -> None:
         self._play = play
         self._clock = clock_.SystemClock()
+        self._random = random.Random(seed)
+        self._ends_at = 0
+        self._disturbed: set[str] = set()
+        """Names of the routers that are stopped, frozen or started."""
+        self._for_each: dict[Trouble, ty.Callable[[ty.Any], None]] = {
+            Trouble.RESTARTS: self._kill,
+            Trouble.FREEZES: self._freeze,
+            Trouble.STOPS: self._stop,
+        }
         self._fleet = process_fleet.ProcessFleet(
             shape_.FleetShape(routers=play.routers, engines=0, services=0),
             seed,
@@ -119,18 +148,18 @@
         try:
             self._fleet.start()
             began = self._clock.now()
-            ends_at = began + int(play.seconds * 1000)
+            self._ends_at = began + int(play.seconds * 1000)
             slots = play.upstreams * play.slots
             self._callers.start(
-                int(_CALLERS_PER_SLOT * slots), play.work_ms, ends_at
+                int(_CALLERS_PER_SLOT * slots), play.work_ms, self._ends_at
             )
             trouble = green.spawn(self._make_trouble)
-            while self._clock.now() < ends_at:
+            while not self._is_over():
                 green.sleep_ms(_PROGRESS_MS)
                 falls = sum(len(app.falls) for app in self._apps)
                 progress(f'{self._callers.counts} falls {falls}')
             report = self._report(began)
-            trouble.kill()
+            trouble.wait()
             self._callers.wait()
             return report
         finally:
@@ -159,44 +188,88 @@
     def _make_trouble(self) -> None:
         green.sleep_ms(_WARM_UP_MS)
         trouble = self._play.trouble
+        if trouble is Trouble.MIXED:
+            for app in self._apps[::_IGNORING_EVERY]:
+                app.ignores_closes = True
+            tasks = [green.spawn(self._draw_troubles) for _ in range(2)]
+            for task in tasks:
+                task.wait()
+        else:
+            self._make_one(trouble)
+
+    def _draw_troubles(self) -> None:
+        while not self._is_over():
+            green.sleep_ms(self._random.uniform(0, _STEP_MS))
+            self._make_one(self._random.choice(_MIXED_TROUBLES))
+
+    def _make_one(self, trouble: Trouble) -> None:
         if trouble is Trouble.SILENCE:
-            for _ in range(3):
-                for app in self._apps:
-                    app.be_silent(_SILENCE_MS)
-                green.sleep_ms(_SILENCE_GAP_MS)
-        elif trouble is Trouble.RESTARTS:
-            for router in self._fleet.running_routers():
-                green.sleep_ms(_STEP_MS)
-                self._restart([router])
+            self._repeat(_SILENCES, _SILENCE_GAP_MS, self._silence_all)
         elif trouble is Trouble.ALL_KILLED:
-            for _ in range(2):
-                green.sleep_ms(_STEP_MS)
-                self._restart(self._fleet.running_routers())
-                green.sleep_ms(_ALL_KILLED_GAP_MS)
-        elif trouble is Trouble.FREEZES:
-            for router in self._fleet.running_routers():
-                self._freeze(router)
-                green.sleep_ms(_STEP_MS)
+            self._repeat(_KILLS_OF_ALL, _ALL_KILLED_GAP_MS, self._kill_all)
         elif trouble is Trouble.LATE:
             green.sleep_ms(_LEARN_MS)
             for app in self._apps:
                 app.states_limit = True
+        elif trouble in self._for_each:
+            for router in self._fleet.running_routers():
+                self._disturb([router], self._for_each[trouble])
+                if self._sleep_until_over(_STEP_MS):
+                    return
+
+    def _repeat(
+        self, times: int, gap_ms: int, act: ty.Callable[[], None]
+    ) -> None:
+        for _ in range(times):
+            act()
+            if self._sleep_until_over(gap_ms):
+                return
+
+    def _is_over(self) -> bool:
+        return self._clock.now() >= self._ends_at
+
+    def _sleep_until_over(self, ms: int) -> bool:
+        """Sleep, and return whether the run is over."""
+        green.sleep_ms(max(0, min(ms, self._ends_at - self._clock.now())))
+        return self._is_over()
+
+    def _silence_all(self) -> None:
+        for app in self._apps:
+            app.be_silent(_SILENCE_MS)
+
+    def _kill_all(self) -> None:
+        self._disturb(self._fleet.running_routers(), self._kill)
+
+    def _disturb(
+        self,
+        routers: ty.Iterable[ty.Any],
+        act: ty.Callable[[ty.Any], None],
+    ) -> None:
+        """Act on routers at the same time, but on each only once at a time."""
+        free = [
+            router
+            for router in routers
+            if router.is_running and router.cfg.name not in self._disturbed
+        ]
+        self._disturbed |= {router.cfg.name for router in free}
+        tasks = [green.spawn(act, router) for router in free]
+        for task in tasks:
+            task.wait()
+        self._disturbed -= {router.cfg.name for router in free}
 
     def _freeze(self, router: ty.Any) -> None:
         router.freeze()
         green.sleep_ms(_FREEZE_MS)
         router.thaw()
 
-    def _restart(self, routers: ty.Sequence[ty.Any]) -> None:
-        for router in routers:
-            router.stop()
+    def _stop(self, router: ty.Any) -> None:
+        router.drain()
+        self._fleet.restart_router(router)
+
+    def _kill(self, router: ty.Any) -> None:
+        router.stop()
         green.sleep_ms(_RESTART_MS)
-        tasks = [
-            green.spawn(self._fleet.restart_router, router)
-            for router in routers
-        ]
-        for task in tasks:
-            task.wait()
+        self._fleet.restart_router(router)
 
     def _report(self, began: int) -> dict[str, ty.Any]:
         play, spent_ms = self._play, self._clock.now() - began
--- a/src/peridotmast/standin/brittle_service.py
+++ b/src/peridotmast/standin/brittle_service.py
@@ -84,6 +84,8 @@
         """Refusals in a second that it bears."""
         self.states_limit = True
         """Whether its answers state that it is brittle."""
+        self.ignores_closes = False
+        """Whether it goes on with a request whose caller has left."""
         self.falls: list[int] = []
         """Time of each fall, in ms."""
         self.completed = 0
@@ -132,7 +134,8 @@
         self._present += 1
         self._conns.add(conn)
         try:
-            conn.watch_for_close()
+            if not self.ignores_closes:
+                conn.watch_for_close()
             with self._slots_taken:
                 self.runs[request_id] += 1
                 spread = self._random.uniform(-_WORK_SPREAD, _WORK_SPREAD)
