--- a/features/steps/group_steps.py
+++ b/features/steps/group_steps.py
@@ -37,10 +37,10 @@
 from peridotmast.serving import demand as demand_
 from peridotmast.serving.limits import brittleness
 from peridotmast.serving.limits import slot_shares
+from peridotmast.serving.limits import upstream_limits
 from peridotmast.serving import quota as quota_
 from peridotmast.serving import retry_budget
 from peridotmast.serving.speeds import speeds as speeds_
-from peridotmast.serving import upstream_limits
 from peridotmast.serving import upstream_view
 from peridotmast.serving import upstreams as upstreams_
 from peridotmast.serving import usage as usage_
--- a/features/steps/helpers.py
+++ b/features/steps/helpers.py
@@ -19,9 +19,9 @@
 from peridotmast.serving import decisions as decisions_
 from peridotmast.serving.limits import brittleness
 from peridotmast.serving.limits import slot_shares
+from peridotmast.serving.limits import upstream_limits
 from peridotmast.serving import quota as quota_
 from peridotmast.serving import retry_budget
-from peridotmast.serving import upstream_limits
 from peridotmast.serving import version_gate
 from peridotmast.wire import connection as connection_
 
--- a/features/steps/limit_model.py
+++ b/features/steps/limit_model.py
@@ -9,7 +9,7 @@
 
 from peridotmast import clock as clock_
 from peridotmast.schema import peridotmast_pb2 as pb
-from peridotmast.serving import upstream_limits
+from peridotmast.serving.limits import upstream_limits
 from peridotmast.serving import upstream_view
 
 UPSTREAM = types.SimpleNamespace(
--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -23,11 +23,11 @@
 from peridotmast.serving import health as health_
 from peridotmast.serving.limits import brittleness
 from peridotmast.serving.limits import slot_shares
+from peridotmast.serving.limits import upstream_limits
 from peridotmast.serving import placement
 from peridotmast.serving import policies
 from peridotmast.serving import quota as quota_
 from peridotmast.serving import retry_budget
-from peridotmast.serving import upstream_limits
 from peridotmast.serving import upstream_view
 from peridotmast.serving import upstreams as upstreams_
 from peridotmast.serving import urgency
--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -25,8 +25,8 @@
 from peridotmast.duties import service_reconciler
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import demand as demand_
+from peridotmast.serving.limits import upstream_limits
 from peridotmast.serving import prefill_rate
-from peridotmast.serving import upstream_limits
 from peridotmast.serving import upstreams as upstreams_
 
 DOMAINS = ('a', 'b', 'c', 'd')
--- a/features/steps/upstream_limit_steps.py
+++ b/features/steps/upstream_limit_steps.py
@@ -17,7 +17,7 @@
 from peridotmast.embedded import shape as shape_
 from peridotmast import green
 from peridotmast.platform import names
-from peridotmast.serving import upstream_limits
+from peridotmast.serving.limits import upstream_limits
 
 TOKENS = [(names.TOKEN_COUNTS, '20,4')]
 WINDOW_MS = 4000
--- a/src/peridotmast/duties/scaler.py
+++ b/src/peridotmast/duties/scaler.py
@@ -12,7 +12,7 @@
 from peridotmast.duties import service_reconciler
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import demand as demand_
-from peridotmast.serving import upstream_limits as upstream_limits_
+from peridotmast.serving.limits import upstream_limits as upstream_limits_
 from peridotmast.serving import upstream_view
 from peridotmast.serving import upstreams as upstreams_
 
--- a/src/peridotmast/load/state_slopes.py
+++ b/src/peridotmast/load/state_slopes.py
@@ -11,9 +11,9 @@
 from peridotmast.serving import exchange as exchange_
 from peridotmast.serving.limits import brittleness
 from peridotmast.serving.limits import slot_shares
+from peridotmast.serving.limits import upstream_limits
 from peridotmast.serving import placement
 from peridotmast.serving import policies
-from peridotmast.serving import upstream_limits
 from peridotmast.serving import upstreams as upstreams_
 from peridotmast.serving import version_gate
 
--- a/src/peridotmast/router/beacon_rounds.py
+++ b/src/peridotmast/router/beacon_rounds.py
@@ -19,8 +19,8 @@
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import crash_tracker as crash_tracker_
 from peridotmast.serving.limits import brittleness as brittleness_
+from peridotmast.serving.limits import upstream_limits as upstream_limits_
 from peridotmast.serving import quota as quota_
-from peridotmast.serving import upstream_limits as upstream_limits_
 from peridotmast.serving import version_gate
 
 _ROUNDS_PER_BEACON = 2
--- a/src/peridotmast/router/serving.py
+++ b/src/peridotmast/router/serving.py
@@ -19,6 +19,7 @@
 from peridotmast.serving import gateway as gateway_
 from peridotmast.serving.limits import brittleness
 from peridotmast.serving.limits import slot_shares
+from peridotmast.serving.limits import upstream_limits as upstream_limits_
 from peridotmast.serving import metrics as metrics_
 from peridotmast.serving import peer_sender
 from peridotmast.serving import placement
@@ -35,7 +36,6 @@
 from peridotmast.serving import stream_versions
 from peridotmast.serving import team_limit_log
 from peridotmast.serving import tolerance as tolerance_
-from peridotmast.serving import upstream_limits as upstream_limits_
 from peridotmast.serving import usage as usage_
 from peridotmast.serving import version_gate
 from peridotmast.serving import version_history
--- a/src/peridotmast/serving/dispatcher.py
+++ b/src/peridotmast/serving/dispatcher.py
@@ -9,6 +9,8 @@
 from peridotmast import ids
 from peridotmast import invariants as invariants_
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving.attempts import attempt_log
+from peridotmast.serving.attempts import request_state
 from peridotmast.serving import crash_tracker as crash_tracker_
 from peridotmast.serving import decisions as decisions_
 from peridotmast.serving import demand as demand_
@@ -148,7 +150,7 @@
         self._versions = versions
         self._stream_versions = stream_versions
         self._metrics = metrics
-        self._decisions = decisions
+        self._log = attempt_log.AttemptLog(clock, metrics, decisions)
         self._tracer = tracer
         self._invariants = checks
         self._second_attempts = attempts
@@ -171,7 +173,7 @@
             if isinstance(version, failures.Failure):
                 return version
             exchange.version = version
-        state = _RequestState(exchange, service)
+        state = request_state.RequestState(exchange, service)
         while True:
             result = self._attempt(state)
             if isinstance(result, reply_.Reply):
@@ -182,7 +184,7 @@
                 return state.fallback or self._final_failure(state, result)
 
     def _attempt(
-        self, state: _RequestState
+        self, state: request_state.RequestState
     ) -> ty.Union[reply_.Reply, failures.Failure]:
         exchange = state.exchange
         replacement, state.replacement = state.replacement, None
@@ -210,11 +212,11 @@
             if not is_streaming:
                 reservation.release()
             span.end()
-            self._log_attempt(state, reservation, result, began_at)
+            self._log.note(state, reservation, result, began_at)
         return result
 
     def _begin_attempt(
-        self, state: _RequestState
+        self, state: request_state.RequestState
     ) -> ty.Union[placement.Reservation, failures.Failure]:
         """Reserve where the request is sent next."""
         exchange = state.exchange
@@ -233,7 +235,9 @@
         return reservation
 
     def _start_standby(
-        self, state: _RequestState, reservation: placement.Reservation
+        self,
+        state: request_state.RequestState,
+        reservation: placement.Reservation,
     ) -> None:
         """Search for another attempt while this one brings nothing.
 
@@ -262,7 +266,7 @@
 
     def _end_standby(
         self,
-        state: _RequestState,
+        state: request_state.RequestState,
         result: ty.Union[reply_.Reply, failures.Failure, None],
     ) -> None:
         """Take the attempt that replaces one that has failed."""
@@ -274,13 +278,13 @@
         else:
             standby.stop()
 
-    def _may_search(self, state: _RequestState) -> bool:
+    def _may_search(self, state: request_state.RequestState) -> bool:
         """Return whether an attempt may be made beside the current one."""
         exchange = state.exchange
         return exchange.may_repeat and state.runs + 1 < exchange.route.attempts
 
     def _search(
-        self, state: _RequestState, patience_ms: int
+        self, state: request_state.RequestState, patience_ms: int
     ) -> ty.Optional[sender_.Sent]:
         """Make another attempt while the current one is silent."""
         if not self._may_search(state):
@@ -309,7 +313,7 @@
         return result.sent
 
     def _reserve(
-        self, state: _RequestState
+        self, state: request_state.RequestState
     ) -> ty.Optional[placement.Reservation]:
         """Reserve an upstream, or a peer if this router can't reach one."""
         exchange, service = state.exchange, state.service
@@ -327,7 +331,7 @@
 
     def _choose_peer(
         self,
-        state: _RequestState,
+        state: request_state.RequestState,
         among: ty.Optional[ty.Collection[str]] = None,
     ) -> ty.Optional[placement.Reservation]:
         # One attempt remains for this router, in case the peer is lost.
@@ -337,7 +341,7 @@
             state.exchange, state.service, state.tried, runs, among
         )
 
-    def _must_ask_peer(self, state: _RequestState) -> bool:
+    def _must_ask_peer(self, state: request_state.RequestState) -> bool:
         """Return whether a request has waited enough for connections."""
         if not state.connect_failures:
             return False
@@ -346,7 +350,9 @@
             or self._reach.is_mostly_unreachable(state.service.name)
         )
 
-    def _placement_failure(self, state: _RequestState) -> failures.Failure:
+    def _placement_failure(
+        self, state: request_state.RequestState
+    ) -> failures.Failure:
         """Return why no upstream was selected, with a retry time."""
         exchange, name = state.exchange, state.service.name
         wait_ms = self._placement.wait_ms(name, state.tried, exchange.version)
@@ -366,7 +372,9 @@
             reason = 'upstream_refused'
         return failures.not_run(reason, '', _RETRY_MS)
 
-    def _may_have_room_elsewhere(self, state: _RequestState) -> bool:
+    def _may_have_room_elsewhere(
+        self, state: request_state.RequestState
+    ) -> bool:
         """Return whether the sender of a request may ask another peer."""
         exchange, name = state.exchange, state.service.name
         return bool(
@@ -376,7 +384,9 @@
         )
 
     def _check_invariants(
-        self, state: _RequestState, reservation: placement.Reservation
+        self,
+        state: request_state.RequestState,
+        reservation: placement.Reservation,
     ) -> None:
         """Check the invariants that must hold before a request is sent."""
         self._invariants.check(
@@ -392,7 +402,7 @@
 
     def _send(
         self,
-        state: _RequestState,
+        state: request_state.RequestState,
         reservation: placement.Reservation,
         replacement: ty.Optional[sender_.Sent],
     ) -> ty.Union[reply_.Reply, failures.Failure]:
@@ -450,7 +460,7 @@
 
     def _note_unsent(
         self,
-        state: _RequestState,
+        state: request_state.RequestState,
         reservation: placement.Reservation,
         failure: failures.Failure,
     ) -> None:
@@ -466,7 +476,9 @@
         if is_unknown:
             state.note_peer_runs()
 
-    def _count_started(self, state: _RequestState, started_at: int) -> None:
+    def _count_started(
+        self, state: request_state.RequestState, started_at: int
+    ) -> None:
         """Count a request as started, at most once over all attempts."""
         if not state.counted and not state.exchange.forwarded_by:
             state.counted = True
@@ -477,7 +489,10 @@
                 self._metrics.team_tokens.labels(team).inc(cost)
 
     def _count_unanswered(
-        self, state: _RequestState, failure: failures.Failure, sent_at: int
+        self,
+        state: request_state.RequestState,
+        failure: failures.Failure,
+        sent_at: int,
     ) -> None:
         """Count a request without a response as started when it was sent.
 
@@ -505,7 +520,7 @@
         return failures.not_run('upstream_refused', '', _RETRY_MS)
 
     def _begin_stream(
-        self, state: _RequestState, sent: sender_.Sent
+        self, state: request_state.RequestState, sent: sender_.Sent
     ) -> ty.Union[reply_.Reply, failures.Failure]:
         stream = self._relay.begin(state.exchange, state.service, sent)
         if isinstance(stream, failures.Failure):
@@ -527,7 +542,7 @@
         )
 
     def _note_version(
-        self, state: _RequestState, version: ids.SoftwareVersion
+        self, state: request_state.RequestState, version: ids.SoftwareVersion
     ) -> None:
         """Pin a stream to the version of its first event."""
         exchange = state.exchange
@@ -538,7 +553,9 @@
                 exchange, state.service.name, exchange.version
             )
 
-    def _note_prefill(self, state: _RequestState, sent: sender_.Sent) -> None:
+    def _note_prefill(
+        self, state: request_state.RequestState, sent: sender_.Sent
+    ) -> None:
         """Record the prefill time of an engine that had no other prefill."""
         reservation, prompt = sent.reservation, state.exchange.prompt
         if reservation.view.is_peer:
@@ -568,7 +585,7 @@
         self._demand.note_prefill(service, tokens, took_ms)
 
     def _read_response(
-        self, state: _RequestState, sent: sender_.Sent
+        self, state: request_state.RequestState, sent: sender_.Sent
     ) -> ty.Union[reply_.Reply, failures.Failure]:
         view = sent.reservation.view
         deadline = state.exchange.deadline
@@ -596,7 +613,7 @@
 
     def _note_end(
         self,
-        state: _RequestState,
+        state: request_state.RequestState,
         reservation: placement.Reservation,
         sent_at: int,
         failed: bool,
@@ -606,7 +623,7 @@
         self._versions.note_end(route, reservation.view, sent_at, failed)
 
     def _may_retry(
-        self, state: _RequestState, failure: failures.Failure
+        self, state: request_state.RequestState, failure: failures.Failure
     ) -> bool:
         exchange = state.exchange
         if state.is_final or self._clock.now() >= exchange.deadline:
@@ -622,7 +639,7 @@
             return False
         return self._budget.take(state.service.name, exchange.id)
 
-    def _patience_ms(self, state: _RequestState) -> int:
+    def _patience_ms(self, state: request_state.RequestState) -> int:
         """Return how long an attempt is silent before another one is made."""
         exchange = state.exchange
         left_ms = exchange.deadline - self._clock.now()
@@ -630,7 +647,7 @@
         return max(1, min(limit, int(left_ms * _FIRST_BYTES_SHARE)))
 
     def _final_failure(
-        self, state: _RequestState, failure: failures.Failure
+        self, state: request_state.RequestState, failure: failures.Failure
     ) -> failures.Failure:
         """Return the failure for the caller.
 
@@ -642,111 +659,3 @@
                 failure.reason, failure.detail, failure.retry_after_ms
             )
         return failure
-
-    def _log_attempt(
-        self,
-        state: _RequestState,
-        reservation: placement.Reservation,
-        result: ty.Any,
-        began_at: int,
-    ) -> None:
-        failed = isinstance(result, failures.Failure)
-        outcome = 'caller_left'
-        if result is not None:
-            outcome = result.reason if failed else str(result.head.status)
-        if reservation.view.is_peer:
-            self._log_forward(state, reservation, outcome, result)
-            return
-        self._metrics.attempts.labels(state.service.name, outcome).inc()
-        self._decisions.note(
-            state.exchange.id,
-            'attempt',
-            route=state.exchange.route.name,
-            fingerprint=state.exchange.fingerprint,
-            upstream=reservation.view.name,
-            born=reservation.view.born,
-            version=reservation.view.version,
-            number=len(state.tried),
-            revision=reservation.view.record.revision,
-            among=reservation.selection.compared,
-            home=reservation.selection.is_home,
-            tokens=state.exchange.prompt.tokens_in,
-            shared=sum(p.tokens for p in state.exchange.prompt.shared),
-            running=reservation.selection.running,
-            unread=reservation.selection.unread,
-            slots=reservation.view.slots,
-            outcome=outcome,
-            framing='' if failed or not result else result.head.framing.value,
-            detail=result.detail if failed else '',
-            ms=self._clock.now() - began_at,
-            left_ms=state.exchange.deadline - self._clock.now(),
-        )
-
-    def _log_forward(
-        self,
-        state: _RequestState,
-        reservation: placement.Reservation,
-        outcome: str,
-        result: ty.Any,
-    ) -> None:
-        failed = isinstance(result, failures.Failure)
-        self._metrics.forwarded.labels(state.service.name, outcome).inc()
-        self._decisions.note(
-            state.exchange.id,
-            'forwarded',
-            route=state.exchange.route.name,
-            service=state.service.name,
-            peer=reservation.view.name,
-            number=len(state.tried),
-            among=reservation.selection.compared,
-            connect_failures=state.connect_failures,
-            outcome=outcome,
-            detail=result.detail if failed else '',
-        )
-
-
-class _RequestState:
-    """Progress of one request over its attempts."""
-
-    def __init__(
-        self, exchange: exchange_.Exchange, service: pb.Service
-    ) -> None:
-        self.exchange = exchange
-        self.service = service
-        self.tried: set[str] = set()
-        self.accepted_by: set[str] = set()
-        """Upstreams that accepted the request."""
-        self.earlier_runs = exchange.earlier_runs
-        """Number of attempts that ran or may have run at other routers."""
-        self.runs = self.earlier_runs
-        """Number of attempts that ran or may have run."""
-        self.was_sent = False
-        """Whether an attempt was sent to an upstream."""
-        self.connect_failures = 0
-        """Number of upstreams that could not be connected to."""
-        self.is_final = False
-        """Whether a peer has refused the request for all routers."""
-        self.resume_point = (
-            None
-            if exchange.last_event is None
-            else dialect_.ResumePoint(exchange.last_event)
-        )
-        """Where a stream that was interrupted at another router goes on."""
-        self.heard_at = 0
-        """Time at which the current attempt was sent or its head arrived, in
-        ms."""
-        self.standby: ty.Optional[standby_.Standby] = None
-        """Searches for another attempt while the current one is silent."""
-        self.replacement: ty.Optional[sender_.Sent] = None
-        """Attempt that has replaced a silent one."""
-        self.counted = False
-        """Whether the request was counted in `Usage`."""
-        self.fallback: ty.Optional[reply_.Reply] = None
-        """Error response of an upstream, returned if all retries fail."""
-
-    def note_peer_runs(self) -> None:
-        """Record that a peer may have made all attempts left to it.
-
-        The current one is counted by the caller.
-        """
-        self.runs = max(self.runs, self.exchange.route.attempts - 2)
--- a/src/peridotmast/serving/placement.py
+++ b/src/peridotmast/serving/placement.py
@@ -11,8 +11,8 @@
 from peridotmast.serving import candidates as candidates_
 from peridotmast.serving import exchange as exchange_
 from peridotmast.serving.limits import brittleness as brittleness_
+from peridotmast.serving.limits import upstream_limits as upstream_limits_
 from peridotmast.serving import policies
-from peridotmast.serving import upstream_limits as upstream_limits_
 from peridotmast.serving import upstream_view
 from peridotmast.serving import upstreams as upstreams_
 from peridotmast.serving import version_gate
--- a/src/peridotmast/serving/sender.py
+++ b/src/peridotmast/serving/sender.py
@@ -19,10 +19,10 @@
 from peridotmast.serving import exchange as exchange_
 from peridotmast.serving.limits import brittleness as brittleness_
 from peridotmast.serving.limits import left_behind
+from peridotmast.serving.limits import upstream_limits as upstream_limits_
 from peridotmast.serving import peer_sender as peer_sender_
 from peridotmast.serving import placement
 from peridotmast.serving import reachability
-from peridotmast.serving import upstream_limits as upstream_limits_
 from peridotmast.serving import upstream_view
 from peridotmast.wire import connection as connection_
 from peridotmast.wire import pool as pool_
