All routers know when a service is not brittle any more

Cause: the statement on a service held at each router until every upstream had answered that router without one. An upstream at which a router has no slot never answers it, so that such routers would have used their shares only, and peers, for good.

Change: once answers without a statement have come for 3 s and none has renewed it, the statement is over; peers are told so for a minute.

--- a/features/brittle_upstreams.feature
+++ b/features/brittle_upstreams.feature
@@ -50,6 +50,15 @@
     And all upstreams are silent for 1600 ms, and a third of the callers leave every 400 ms
     Then no upstream falls over
 
+  # Guards against routers that keep away for good from upstreams at which they have no slot: none of
+  # these ever answers them that it is not brittle any more.
+  Scenario: All routers know when a service is not brittle any more
+    Given 29 routers before 4 upstreams of 6 slots that bear 1 refusals a second
+    When callers press on them for 2 s
+    Then all routers count each upstream as brittle
+    When no upstream states that it is brittle any more, and 5 s pass
+    Then no router counts an upstream as brittle that has not told it so
+
   # Guards against refusals of which each router knows its own only: as many routers as an upstream
   # bears refusals were each refused once in the same second.
   Scenario: Refusals that one router reads keep all routers away
--- a/features/steps/brittle_steps.py
+++ b/features/steps/brittle_steps.py
@@ -76,6 +76,36 @@
     context.brittle.run(1000 * seconds)
 
 
+@when('no upstream states that it is brittle any more, and {seconds:d} s pass')
+def end_brittleness(context, seconds):
+    context.brittle.limit = 0
+    context.brittle.run(1000 * seconds)
+
+
+@then('all routers count each upstream as brittle')
+def check_known(context):
+    assert all(brittle_limits(context))
+
+
+@then('no router counts an upstream as brittle that has not told it so')
+def check_ended(context):
+    wrong = [
+        (router.name, view.name)
+        for router in context.brittle.routers.values()
+        for view in router.views.values()
+        if router.brittleness.limit(view) and not view.stated_at
+    ]
+    assert not wrong, (len(wrong), wrong[:5])
+
+
+def brittle_limits(context):
+    return [
+        router.brittleness.limit(view)
+        for router in context.brittle.routers.values()
+        for view in router.views.values()
+    ]
+
+
 @then('no upstream falls over')
 def check_no_fall(context):
     assert context.brittle.falls == 0, context.brittle.falls
--- a/src/peridotmast/coordination/beacon_check.py
+++ b/src/peridotmast/coordination/beacon_check.py
@@ -121,8 +121,8 @@
     found: findings_.Findings, brittle: pb.BrittleService
 ) -> None:
     _check_names(found, 'brittle_services', brittle.service)
-    if not 0 < brittle.limit < math.inf or brittle.ago_ms < 0:
-        found.add('brittle_services', 'must be finite and positive')
+    if not 0 <= brittle.limit < math.inf or brittle.ago_ms < 0:
+        found.add('brittle_services', 'must be finite and not negative')
 
 
 def _check_refusals(
--- a/src/peridotmast/serving/limits/brittleness.py
+++ b/src/peridotmast/serving/limits/brittleness.py
@@ -22,6 +22,10 @@
 _TOLD_MS = 60_000
 """Time for which peers are told of a statement that is not renewed, in ms."""
 
+_RENEWED_MS = 3000
+"""Time in which answers of a brittle service renew its statement at all
+routers, in ms: in a large fleet it is relayed for up to 1.5 s."""
+
 _MAX_SERVICES = 1024
 """Maximum number of services whose statement is kept, about 200 bytes each."""
 
@@ -76,6 +80,11 @@
         """Returns whether there are peers, and none has told anything yet."""
         self._answered: set[str] = set()
         """Services of which an answer was read."""
+        self._unstated_at: dict[str, int] = {}
+        """Time of the last answer of a service that states nothing, in ms."""
+        self._ended_at: dict[str, int] = {}
+        """Time at which a statement on a service was found to be over, in
+        ms."""
         self.notify_peers: ty.Callable[[], None] = lambda: None
         """Called when peers must be told at once, without waiting for the next
         beacon."""
@@ -99,6 +108,7 @@
         self._answered.add(view.service)
         view.brittle_limit, view.stated_at = limit, now
         if not limit:
+            self._note_unstated(view.service, now)
             return
         is_new = self._merge(view.service, limit, now)
         if refused:
@@ -145,15 +155,20 @@
     def updates_for_peers(self) -> list[pb.BrittleService]:
         """Return the statements to send to peers."""
         now = self._clock.now()
-        return [
-            pb.BrittleService(
-                service=service,
-                limit=statement.limit,
-                ago_ms=now - statement.at,
-            )
+        stated = [
+            (service, statement.limit, statement.at)
             for service, statement in self._statements.items()
             if now - statement.at <= _TOLD_MS
         ]
+        over = [
+            (service, 0.0, self._unstated_at[service])
+            for service, ended_at in self._ended_at.items()
+            if now - ended_at <= _TOLD_MS
+        ]
+        return [
+            pb.BrittleService(service=service, limit=limit, ago_ms=now - at)
+            for service, limit, at in (*stated, *over)
+        ]
 
     def refusals_for_peers(self) -> list[pb.UpstreamRefusals]:
         """Return this router's recent refusals, to send to peers."""
@@ -168,12 +183,22 @@
         """Merge what another router has sent."""
         now = self._clock.now()
         for message in services:
-            self._merge(message.service, message.limit, now - message.ago_ms)
+            at = now - message.ago_ms
+            if message.limit:
+                self._merge(message.service, message.limit, at)
+            else:
+                self._note_unstated(message.service, at)
         self._refusals.merge(router, refused)
 
     def tick(self) -> None:
-        """Forget refusals that no longer count."""
+        """Forget what no longer counts."""
         self._refusals.tick()
+        oldest = self._clock.now() - _TOLD_MS
+        self._ended_at = {
+            service: at
+            for service, at in self._ended_at.items()
+            if at >= oldest
+        }
 
     def _refusal_wait_ms(self, view: upstream_view.UpstreamView) -> int:
         """Return for how long refusals keep this router away, in ms."""
@@ -195,11 +220,30 @@
         by_peers = view.total_load().running - view.local_load.running
         return used + by_peers < view.slots
 
+    def _note_unstated(self, service: str, at: int) -> None:
+        """Forget a statement that answers no longer renew, and tell peers.
+
+        An upstream at which a router has no slot never answers that router.
+        """
+        self._unstated_at[service] = max(at, self._unstated_at.get(service, 0))
+        statement = self._statements.get(service)
+        if statement is not None and self._is_over(service, statement.at):
+            del self._statements[service]
+            self._ended_at[service] = self._clock.now()
+            self.notify_peers()
+
+    def _is_over(self, service: str, at: int) -> bool:
+        """Return whether later answers have not renewed a statement."""
+        return self._unstated_at.get(service, 0) > at + _RENEWED_MS
+
     def _merge(self, service: str, limit: float, at: int) -> bool:
         """Merge a statement; return whether it changes what is known."""
         known = self._statements.get(service)
         if known is not None and at <= known.at:
             return False
+        if self._is_over(service, at):
+            # Peers still tell of it.
+            return False
         if known is not None and known.limit == limit:
             known.at = at
             return False
@@ -209,6 +253,7 @@
             )
             del self._statements[oldest]
         self._statements[service] = _Statement(limit, at)
+        self._ended_at.pop(service, None)
         self._log.info(
             'brittle_service',
             service=service,
