--- a/src/peridotmast/serving/limits/brittleness.py
+++ b/src/peridotmast/serving/limits/brittleness.py
@@ -19,8 +19,8 @@
 _UNANSWERED_SHARE = 1
 """Slots of a brittle upstream that a router uses before its first answer."""
 
-_TOLD_MS = 60_000
-"""Time for which peers are told of a statement that is not renewed, in ms."""
+_REPORTED_MS = 60_000
+"""Time for which a statement that is not renewed is sent to peers, in ms."""
 
 _RENEWED_MS = 3000
 """Time in which answers of a brittle service renew its statement at all
@@ -77,7 +77,7 @@
         self._log = logs.get('brittleness', router=router)
         self._statements: dict[str, _Statement] = {}
         self.awaits_peers: ty.Callable[[], bool] = lambda: False
-        """Returns whether there are peers, and none has told anything yet."""
+        """Returns whether there are peers, and none has sent a beacon yet."""
         self._answered: set[str] = set()
         """Services of which an answer was read."""
         self._unstated_at: dict[str, int] = {}
@@ -86,8 +86,8 @@
         """Time at which a statement on a service was found to be over, in
         ms."""
         self.notify_peers: ty.Callable[[], None] = lambda: None
-        """Called when peers must be told at once, without waiting for the next
-        beacon."""
+        """Called when a change must be sent to peers at once, without waiting
+        for the next beacon."""
 
     def note_answer(
         self,
@@ -158,12 +158,12 @@
         stated = [
             (service, statement.limit, statement.at)
             for service, statement in self._statements.items()
-            if now - statement.at <= _TOLD_MS
+            if now - statement.at <= _REPORTED_MS
         ]
         over = [
             (service, 0.0, self._unstated_at[service])
             for service, ended_at in self._ended_at.items()
-            if now - ended_at <= _TOLD_MS
+            if now - ended_at <= _REPORTED_MS
         ]
         return [
             pb.BrittleService(service=service, limit=limit, ago_ms=now - at)
@@ -193,7 +193,7 @@
     def tick(self) -> None:
         """Forget what no longer counts."""
         self._refusals.tick()
-        oldest = self._clock.now() - _TOLD_MS
+        oldest = self._clock.now() - _REPORTED_MS
         self._ended_at = {
             service: at
             for service, at in self._ended_at.items()
@@ -221,7 +221,7 @@
         return used + by_peers < view.slots
 
     def _note_unstated(self, service: str, at: int) -> None:
-        """Forget a statement that answers no longer renew, and tell peers.
+        """Forget a statement that answers no longer renew; notify peers.
 
         An upstream at which a router has no slot never answers that router.
         """
@@ -242,7 +242,7 @@
         if known is not None and at <= known.at:
             return False
         if self._is_over(service, at):
-            # Peers still tell of it.
+            # Peers still send it.
             return False
         if known is not None and known.limit == limit:
             known.at = at
--- a/src/peridotmast/serving/limits/refusals.py
+++ b/src/peridotmast/serving/limits/refusals.py
@@ -16,7 +16,7 @@
 """Time for which a router that was refused uses one slot less, in ms."""
 
 MAX_PER_ROUTER = 64
-"""Maximum number of upstreams of whose refusals one router tells."""
+"""Maximum number of upstreams whose refusals one router sends to peers."""
 
 _Times = dict[str, list[int]]
 """Times of refusals, in ms, by run of an upstream."""
@@ -50,7 +50,7 @@
         Parameters
         ----------
         bearable : int
-            Number of refusals of all routers from which on nobody sends.
+            Number of refusals of all routers at which all stop sending.
         """
         if not self._own and not self._of_peers:
             return 0
