Crowds of clients that do not behave, as tests with a router process

The users report that a trial of this system ended by such clients: a process ran out of memory. `peridotmast-load crowd` starts a router process with lowered limits, lets many clients press on one of its servers, and checks what does not depend on speed: the process lives, its memory (with the bytes that have arrived and are not read) and its descriptors stay under what the settings allow, an ordinary caller is answered beside the crowd and after it, readiness too. features/crowds.feature plays 24 such crowds, one at a time.

[machine] names what a process may use of its VM. The settings are checked; nothing reads them yet, so that the product behaves as before. The line `started` names all listening addresses.

Crowds and bounds are fixed here, before any change of the product.

--- /dev/null
+++ b/features/steps/crowd_steps.py
@@ -0,0 +1,70 @@
+"""Steps for crowds of clients that do not behave."""
+
+from __future__ import annotations
+
+from behave import given
+from behave import then
+from behave import when
+
+from peridotmast.load.crowds import crowd as crowd_
+from peridotmast.load.crowds import play as play_
+
+SEED = 75
+
+
+@given(
+    'a router process that may use {memory:d} MB and {descriptors:d}'
+    ' descriptors'
+)
+def set_limits(context, memory, descriptors):
+    context.limits = {'memory_mb': memory, 'descriptors': descriptors}
+
+
+def play(context, crowd, **values):
+    context.play = play_.Play(crowd, **context.limits, **values)
+    context.result = play_.run_play(context.play, SEED, context.folder)
+    context.broken = context.result.violations(context.play)
+
+
+@when(
+    '{clients:d} clients of the kind "{kind}" press on its server "{server}",'
+    ' and requests take {work:d} ms'
+)
+def press(context, clients, kind, server, work):
+    crowd = crowd_.Crowd(
+        crowd_.Kind(kind), clients, crowd_.Server[server.upper()]
+    )
+    play(context, crowd, work_ms=work)
+
+
+@when(
+    '{clients:d} clients connect {rounds:d} times each and send heads without'
+    ' end'
+)
+def reconnect(context, clients, rounds):
+    play(context, crowd_.Crowd(crowd_.Kind.HEADS, clients, rounds=rounds))
+
+
+@when(
+    '{clients:d} clients of the kind "{kind}" press on it, and it is stopped'
+)
+def press_and_stop(context, clients, kind):
+    play(context, crowd_.Crowd(crowd_.Kind(kind), clients), stops=True)
+
+
+@then('the process runs within its memory and its descriptors')
+def check_process(context):
+    result, bounds = context.result, context.play
+    assert result.lives, result
+    assert result.peak_mb <= bounds.memory_mb, result
+    assert result.descriptors <= bounds.descriptors, result
+
+
+@then('ordinary callers are answered beside the crowd and after it')
+def check_callers(context):
+    assert not context.broken, (context.broken, context.result)
+
+
+@then('the process ends by itself')
+def check_stopped(context):
+    assert not context.broken, (context.broken, context.result)
--- a/src/peridotmast/cli/load.py
+++ b/src/peridotmast/cli/load.py
@@ -13,6 +13,8 @@
 from peridotmast.load import brittle as brittle_
 from peridotmast.load import compare as compare_
 from peridotmast.load import config_run
+from peridotmast.load.crowds import crowd as crowd_
+from peridotmast.load.crowds import play as crowd_play
 from peridotmast.load import diff
 from peridotmast.load import event as event_
 from peridotmast.load import experiment
@@ -94,6 +96,44 @@
     _exit_with_result(brittle_.run(play, seed, out, _progress), out)
 
 
+@main.command()
+@click.option(
+    '--kind',
+    required=True,
+    type=click.Choice([kind.value for kind in crowd_.Kind]),
+    help='What the clients send.',
+)
+@click.option('--clients', default=160, show_default=True)
+@click.option(
+    '--server',
+    default='callers',
+    show_default=True,
+    type=click.Choice([server.name.lower() for server in crowd_.Server]),
+    help='Server of the router that they connect to.',
+)
+@click.option('--rounds', default=1, help='Times that each connects.')
+@click.option('--memory-mb', default=crowd_play.MEMORY_MB, show_default=True)
+@click.option('--descriptors', default=crowd_play.DESCRIPTORS)
+@click.option('--work-ms', default=20.0, help='Work of a request.')
+@click.option('--stops', is_flag=True, help='Stop the router meanwhile.')
+@_common_options
+def crowd(
+    kind: str,
+    clients: int,
+    server: str,
+    rounds: int,
+    seed: int,
+    out: str,
+    **values: ty.Any,
+) -> None:
+    """Play a crowd of clients that do not behave against a router."""
+    crowd = crowd_.Crowd(
+        crowd_.Kind(kind), clients, crowd_.Server[server.upper()], rounds
+    )
+    play = crowd_play.Play(crowd, **values)
+    _exit_with_result(crowd_play.run(play, seed, out, _progress), out)
+
+
 @main.command()
 @_common_options
 def compare(seed: int, out: str) -> None:
--- a/src/peridotmast/embedded/process_router.py
+++ b/src/peridotmast/embedded/process_router.py
@@ -57,17 +57,28 @@
                 stderr=subprocess.STDOUT,
             )
         try:
-            addresses = self._logged_addresses()
+            self.addresses = self._logged_addresses()
+            """Addresses that it listens on, by their names in its log."""
         except TimeoutError:
             self.stop()
             raise
-        self.address = addresses['address']
+        self.address = self.addresses['address']
         """Address for the platform's callers."""
-        self.chat_address = addresses['chat_address']
+        self.chat_address = self.addresses['chat_address']
         """Address of the chat API."""
-        self.peer_address = addresses['peer_address']
+        self.peer_address = self.addresses['peer_address']
         """Address of the gRPC services for peers and operators."""
 
+    @property
+    def pid(self) -> int:
+        """Id of the process."""
+        return self._process.pid
+
+    @property
+    def exit_code(self) -> ty.Optional[int]:
+        """Exit code of the process; None while it runs."""
+        return self._process.poll()
+
     @property
     def is_running(self) -> bool:
         """Whether the process has not ended."""
@@ -103,7 +114,12 @@
         line = self._wait_for(
             lambda: re.search('event=started .*', self.log()), _START_MS
         )
-        return dict(re.findall(r'(\w+)=(\S+)', line[0]))
+        values = dict(re.findall(r'(\w+)=(\S+)', line[0]))
+        return {
+            name: value
+            for name, value in values.items()
+            if name.endswith('address')
+        }
 
     def _wait_for(self, poll: ty.Callable[[], ty.Any], ms: int) -> ty.Any:
         for _ in range(ms // _POLL_INTERVAL_MS):
--- a/src/peridotmast/embedded/router_settings.py
+++ b/src/peridotmast/embedded/router_settings.py
@@ -50,6 +50,7 @@
         ),
         bounds=ini.defaults(pb.BoundsSettings, **shape.bounds),
         scarcity=ini.defaults(pb.ScarcitySettings, **shape.scarcity),
+        machine=ini.defaults(pb.MachineSettings, **shape.machine),
         telemetry=ini.defaults(
             pb.TelemetrySettings, trace_file=shape.trace_file
         ),
--- a/src/peridotmast/embedded/shape.py
+++ b/src/peridotmast/embedded/shape.py
@@ -106,6 +106,8 @@
     """Bounds that differ from the defaults."""
     scarcity: dict[str, ty.Any] = dataclasses.field(default_factory=dict)
     """Settings under scarcity that differ from the defaults."""
+    machine: dict[str, ty.Any] = dataclasses.field(default_factory=dict)
+    """What a router may use of its VM, where it differs from the defaults."""
     trace_file: str = ''
     chat: bool = True
     """Whether routers also serve the chat API."""
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -330,6 +330,11 @@
             address=self.address,
             chat_address=self.chat_address,
             peer_address=self.peer_address,
+            forward_address=self._http_servers.forward.address,
+            **{
+                f'{name}_address': server.address
+                for name, server in self._http_servers.auxiliary.items()
+            },
             incarnation=self.members.me.incarnation,
         )
 
