Connections have small receive buffers, and auxiliary servers take no bodies

What callers saw: a crowd that sent 4 MiB each to the directory took 310 MB of the 160 that the process may use, 194 of them in the kernel.

Cause: the kernel's receive buffer of a connection grows to megabytes for a client that sends faster than it is read, and what has arrived counts as the memory of the machine. The directory, readiness and metrics read bodies of up to 1 MiB which nobody may send them.

Change: the listening sockets state the size of the buffers of their connections, 32 KiB for what arrives (the send buffer had a size already). Readiness, directory and metrics answer 413 to any body. Reading the rest of a refused request lets the other tasks run.

--- a/src/peridotmast/platform/directory.py
+++ b/src/peridotmast/platform/directory.py
@@ -28,10 +28,10 @@
             members, _MAX_ADDRESSES
         )
         self._ttl_s = ttl_s
-        self.resolve_app = web.WebApp('directory')
+        self.resolve_app = web.WebApp('directory', max_body=0)
         """Returns the addresses of the routers to connect to."""
         self.resolve_app.route('GET', names.RESOLVE_PATH, self._on_resolve)
-        self.readiness_app = web.WebApp('readiness')
+        self.readiness_app = web.WebApp('readiness', max_body=0)
         """Reports whether this router accepts requests."""
         self.readiness_app.route('GET', names.READY_PATH, self._on_readiness)
 
--- a/src/peridotmast/router/http_servers.py
+++ b/src/peridotmast/router/http_servers.py
@@ -100,7 +100,11 @@
             for name, address, application in (
                 ('ready', cfg.ready_listen, directory.readiness_app),
                 ('directory', cfg.directory_listen, directory.resolve_app),
-                ('metrics', file.telemetry.metrics_listen, self._base_app()),
+                (
+                    'metrics',
+                    file.telemetry.metrics_listen,
+                    self._base_app(max_body=0),
+                ),
             )
             if address
         }
@@ -135,8 +139,8 @@
         servers = [self.platform, self.forward, *chat]
         return [*servers, *self.auxiliary.values()]
 
-    def _base_app(self) -> web.WebApp:
-        app = web.WebApp('http')
+    def _base_app(self, max_body: int = 1 << 20) -> web.WebApp:
+        app = web.WebApp('http', max_body)
         app.route('GET', '/metrics', self._show_metrics)
         app.route('GET', '/healthz', self._show_health)
         return app
--- a/src/peridotmast/wire/server.py
+++ b/src/peridotmast/wire/server.py
@@ -20,6 +20,10 @@
 SEND_BUFFER_BYTES = 65536
 """Size of the kernel's send buffer for a connection."""
 
+RECEIVE_BUFFER_BYTES = 32768
+"""Size of the kernel's receive buffer for a connection. By default it grows to
+megabytes for a client that sends faster than its requests are read."""
+
 Application = ty.Callable[..., ty.Iterable[bytes]]
 
 
@@ -80,11 +84,14 @@
             )
         except OSError as exc:
             raise OSError(f'cannot listen on {address}: {exc}') from exc
-        # Accepted connections inherit the size. It limits the kernel memory
-        # for a caller that reads nothing, which could be megabytes otherwise.
+        # Accepted connections inherit the sizes. They limit the kernel memory
+        # for a client that reads nothing, or sends without end.
         self._sock.setsockopt(
             socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
         )
+        self._sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
         bound = self._sock.getsockname()
         self.address = ids.Address(f'{host}:{bound[1]}')
         """Listening address, with the actual port."""
--- a/src/peridotmast/wire/strict_protocol.py
+++ b/src/peridotmast/wire/strict_protocol.py
@@ -19,6 +19,8 @@
 connection with unread bytes resets it, and the reset can discard the response
 before the caller has read it."""
 
+_READ_BYTES = 65536
+
 TARGET = 'peridotmast.target'
 """Key of the raw request target in the WSGI environment."""
 
@@ -196,8 +198,12 @@
             self.connection.settimeout(LINGER_MS / 1000)
             remaining = LINGER_BYTES
             with green.Timeout(LINGER_MS / 1000, False):
-                while remaining > 0 and (data := self.connection.recv(65536)):
+                while remaining > 0 and (
+                    data := self.connection.recv(_READ_BYTES)
+                ):
                     remaining -= len(data)
+                    # More bytes may always be there already.
+                    green.sleep_ms(0)
         except OSError:
             # The connection is closed already.
             pass
