Requests whose bytes never run out are read in turns, and their lines end

What callers saw: while 16 clients sent trailers without end, or 48 sent chunk extensions, no ordinary caller was answered, and a planned stop had not ended 5 s after its grace; 24 bodies in chunks of two bytes took 241 MB of the 160 that the process may use.

Cause, one loop: reading a body let other tasks run only where the socket had nothing more, which a fast client never lets happen; extensions and trailers had no bound; and a list entry and an object were kept for each chunk, whatever its size.

`ProcessorTurns` gives one reader a turn in each round of the event loop, over all servers of the process, so that a crowd of readers delays the others no more than one does. Lines of a head count too. Extensions and trailers together may take as many bytes as a head (`max_header_bytes`); more is refused with 413.

The two parts are one commit because they are the same loop.

--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -334,3 +334,24 @@
     ]
     assert runs == ['raw-1'], runs
     assert context.raw.count(b' 200 OK') == 1, context.raw
+
+
+@when(
+    'a caller sends a body in {count:d} chunks with extensions of'
+    ' {extension:d} bytes and {trailers:d} trailers of {size:d} bytes'
+)
+def send_extensions(context, count, extension, trailers, size):
+    head = (
+        'POST /holds/x HTTP/1.1',
+        f'Host: {shape_.HOST}',
+        f'Authorization: {helpers.KEY}',
+        'Transfer-Encoding: chunked',
+        'Connection: close',
+    )
+    chunk = '1' + (';' + 'x' * (extension - 1) if extension else '')
+    trailer = 'a: '.ljust(size - 2, 'x')
+    lines = [*head, '', *[chunk, 'a'] * count, '0', *[trailer] * trailers]
+    context.raw = helpers.raw_exchange(
+        fleet_steps.router_address(context),
+        '\r\n'.join([*lines, '', '']).encode(),
+    )
--- a/features/strict.feature
+++ b/features/strict.feature
@@ -59,3 +59,16 @@
   Scenario: A request smuggled in the body of another request is not run
     When a caller sends a body that looks like a request
     Then exactly one request was run
+
+  # Guards against chunk extensions and trailers without end, which were read for ever; and against a
+  # bound that a caller inside the limits meets.
+  Scenario Outline: Extensions and trailers of a body are bounded together
+    When a caller sends a body in 40 chunks with extensions of <extension> bytes and <trailers> trailers of 100 bytes
+    Then the raw response starts with "HTTP/1.1 <status>" and the connection is closed
+
+    Examples:
+      | extension | trailers | status |
+      | 100       | 40       | 200    |
+      | 220       | 70       | 200    |
+      | 220       | 90       | 413    |
+      | 0         | 400      | 413    |
--- a/src/peridotmast/router/http_servers.py
+++ b/src/peridotmast/router/http_servers.py
@@ -16,6 +16,7 @@
 from peridotmast.router import serving as serving_
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast import web
+from peridotmast.wire.overload import processor_turns
 from peridotmast.wire import server as server_
 
 _RESOLVE_TTL_S = 2.0
@@ -58,11 +59,12 @@
         self._fleet_state = fleet_state
         self._registry = registry
         self._limits = server_.ServerLimits(write_timeout_ms=cfg.write_ms)
+        turns = processor_turns.ProcessorTurns()
         application = caller_app.PlatformCallerApp(
             clock, serving.gateway, self._limits, serving.decisions
         )
         self.platform = server_.HttpServer(
-            cfg.listen, application, self._limits
+            cfg.listen, application, self._limits, turns
         )
         """Server for callers of the platform."""
         self.platform.retry_after_ms = serving.gateway.retry_ms
@@ -77,6 +79,7 @@
                 secret,
             ),
             server_.ServerLimits(write_timeout_ms=cfg.write_ms),
+            turns,
         )
         """Server for requests that peers forward."""
         self.chat: ty.Optional[server_.HttpServer] = None
@@ -90,13 +93,13 @@
                 fleet_state.members,
                 int(_RESOLVE_TTL_S * 1000),
             ).add_routes(app)
-            self.chat = server_.HttpServer(cfg.chat_listen, app)
+            self.chat = server_.HttpServer(cfg.chat_listen, app, turns=turns)
         directory = directory_.PlatformDirectory(
             fleet_state.members,
             min(_RESOLVE_TTL_S, file.bounds.resolve_ttl_s),
         )
         self.auxiliary = {
-            name: server_.HttpServer(address, application)
+            name: server_.HttpServer(address, application, turns=turns)
             for name, address, application in (
                 ('ready', cfg.ready_listen, directory.readiness_app),
                 ('directory', cfg.directory_listen, directory.resolve_app),
--- a/src/peridotmast/wire/caller_connection.py
+++ b/src/peridotmast/wire/caller_connection.py
@@ -66,13 +66,18 @@
             If the body is too large, late, malformed or incomplete.
         """
         reader = self._protocol.environ['eventlet.input']
+        server = self._protocol.http_server
         self._sock.settimeout(idle_timeout_ms / 1000)
         try:
-            if reader.chunked_input:
-                body = request_body.read_chunks(reader, max_bytes)
-                reader.chunk_length = 0
-            else:
-                body = request_body.read_length(reader, max_bytes)
+            body = request_body.BodyReader(
+                reader,
+                request_body.BodyLimits(
+                    max_bytes, server.limits.max_header_bytes
+                ),
+                self._protocol.turn,
+            ).read()
+            # The server must not look for a rest of the body.
+            reader.chunk_length = 0
             return body
         except TimeoutError:
             raise self._refuse(408, 'body_late') from None
--- /dev/null
+++ b/src/peridotmast/wire/overload/__init__.py
@@ -0,0 +1,1 @@
+"""What all connections of a process share: processor, memory, descriptors."""
--- a/src/peridotmast/wire/request_body.py
+++ b/src/peridotmast/wire/request_body.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import dataclasses
 import re
 import typing as ty
 
+from peridotmast.wire.overload import processor_turns
+
 MAX_LINE_BYTES = 8192
 """Maximum length of a request line and of a trailer line."""
 
@@ -16,7 +19,11 @@
 )
 """Pattern of a header line with its line end."""
 
-_CHUNK_SIZE = re.compile(rb'([0-9A-Fa-f]{1,8})(?:;[^\r\n]*)?\r\n')
+_CHUNK_SIZE = re.compile(rb'([0-9A-Fa-f]{1,8})(;[^\r\n]*)?\r\n')
+
+_MAX_CHUNK_LINE_BYTES = 256
+
+_READ_BYTES = 65536
 
 
 class InvalidBodyError(Exception):
@@ -36,40 +43,111 @@
         self.reason = reason
 
 
-def read_length(reader: ty.Any, max_bytes: int) -> bytes:
-    """Read a body of the length stated in ``Content-Length``."""
-    length = reader.content_length or 0
-    if length > max_bytes:
-        raise InvalidBodyError(413, 'body_too_large')
-    body = reader.read(length)
-    if len(body) < length:
-        raise InvalidBodyError(400, 'body_broken')
-    return body
-
-
-def read_chunks(reader: ty.Any, max_bytes: int) -> bytes:
-    """Read a chunked body; only strictly valid syntax is accepted."""
-    if reader.should_send_hundred_continue:
-        reader.send_hundred_continue_response()
-        reader.is_hundred_continue_response_sent = True
-    file = reader.rfile
-    parts: list[bytes] = []
-    remaining = max_bytes
-    while True:
-        head = _CHUNK_SIZE.fullmatch(file.readline(256))
-        if head is None:
-            raise InvalidBodyError(400, 'bad_chunk')
-        size = int(head[1], 16)
-        if not size:
-            break
-        remaining -= size
-        if remaining < 0:
+@dataclasses.dataclass(frozen=True)
+class BodyLimits:
+    """Limits on one request body."""
+
+    max_bytes: int
+    """Maximum size of the body."""
+    max_extra_bytes: int
+    """Maximum size of all chunk extensions and trailers, which are
+    discarded."""
+
+
+class BodyReader:
+    """Reads one request body; only strictly valid syntax is accepted.
+
+    Parameters
+    ----------
+    reader : eventlet.wsgi.Input
+        Input of the request.
+    limits : BodyLimits
+        Limits on the body.
+    turn : processor_turns.TurnCounter
+        Counts the work, so that other tasks run meanwhile.
+    """
+
+    def __init__(
+        self,
+        reader: ty.Any,
+        limits: BodyLimits,
+        turn: processor_turns.TurnCounter,
+    ) -> None:
+        self._reader = reader
+        self._file = reader.rfile
+        self._limits = limits
+        self._turn = turn
+        self._extra_bytes_left = limits.max_extra_bytes
+        # A list of parts would take more memory than the body where these
+        # have a few bytes.
+        self._body = bytearray()
+
+    def read(self) -> bytes:
+        """Return the whole body.
+
+        Raises
+        ------
+        InvalidBodyError
+            If it is too large, malformed or incomplete.
+        """
+        if self._reader.chunked_input:
+            self._read_chunks()
+        else:
+            self._read_length()
+        return bytes(self._body)
+
+    def _read_length(self) -> None:
+        length = self._reader.content_length or 0
+        if length > self._limits.max_bytes:
             raise InvalidBodyError(413, 'body_too_large')
-        data = file.read(size + 2)
-        if len(data) < size + 2 or data[-2:] != b'\r\n':
+        if length:
+            self._continue()
+            self._read_bytes(length, 'body_broken')
+            self._reader.position = length
+
+    def _read_chunks(self) -> None:
+        self._continue()
+        while size := self._read_chunk_size():
+            if len(self._body) + size > self._limits.max_bytes:
+                raise InvalidBodyError(413, 'body_too_large')
+            self._read_bytes(size, 'bad_chunk')
+            if self._file.read(2) != b'\r\n':
+                raise InvalidBodyError(400, 'bad_chunk')
+        self._read_trailers()
+
+    def _read_chunk_size(self) -> int:
+        self._turn.count()
+        line = self._file.readline(_MAX_CHUNK_LINE_BYTES)
+        head = _CHUNK_SIZE.fullmatch(line)
+        if head is None:
             raise InvalidBodyError(400, 'bad_chunk')
-        parts.append(data[:-2])
-    while (line := file.readline(MAX_LINE_BYTES)) != b'\r\n':
-        if HEADER.fullmatch(line) is None:
-            raise InvalidBodyError(400, 'bad_trailer')
-    return b''.join(parts)
+        self._count_extra(len(head[2] or b''))
+        return int(head[1], 16)
+
+    def _read_bytes(self, size: int, reason: str) -> None:
+        """Append the next `size` bytes of the connection to the body."""
+        while size:
+            data = self._file.read1(min(size, _READ_BYTES))
+            if not data:
+                raise InvalidBodyError(400, reason)
+            self._body += data
+            size -= len(data)
+            self._turn.count()
+
+    def _read_trailers(self) -> None:
+        while (line := self._file.readline(MAX_LINE_BYTES)) != b'\r\n':
+            if HEADER.fullmatch(line) is None:
+                raise InvalidBodyError(400, 'bad_trailer')
+            self._count_extra(len(line))
+            self._turn.count()
+
+    def _count_extra(self, size: int) -> None:
+        self._extra_bytes_left -= size
+        if self._extra_bytes_left < 0:
+            raise InvalidBodyError(413, 'body_lines_too_large')
+
+    def _continue(self) -> None:
+        """Tell a caller that waits for it that its body may be sent."""
+        if self._reader.should_send_hundred_continue:
+            self._reader.send_hundred_continue_response()
+            self._reader.is_hundred_continue_response_sent = True
--- a/src/peridotmast/wire/server.py
+++ b/src/peridotmast/wire/server.py
@@ -11,6 +11,7 @@
 
 from peridotmast import green
 from peridotmast import ids
+from peridotmast.wire.overload import processor_turns
 from peridotmast.wire import request_body
 from peridotmast.wire import strict_protocol
 
@@ -54,6 +55,8 @@
         A WSGI application.
     limits : ServerLimits, optional
         May be changed while the server runs.
+    turns : processor_turns.ProcessorTurns, optional
+        Turns of requests that are read, shared by the servers of a process.
 
     Raises
     ------
@@ -66,8 +69,11 @@
         address: str,
         app: Application,
         limits: ty.Optional[ServerLimits] = None,
+        turns: ty.Optional[processor_turns.ProcessorTurns] = None,
     ) -> None:
         self._app = app
+        self.turns = turns or processor_turns.ProcessorTurns()
+        """Turns of requests that are read."""
         self.limits = limits or ServerLimits()
         """Limits on requests; changes apply from the next request on."""
         host, _, port = address.rpartition(':')
--- a/src/peridotmast/wire/strict_protocol.py
+++ b/src/peridotmast/wire/strict_protocol.py
@@ -11,6 +11,7 @@
 
 from peridotmast import green
 from peridotmast.wire import caller_connection
+from peridotmast.wire.overload import processor_turns
 from peridotmast.wire import request_body
 
 LINGER_BYTES = 16 << 20
@@ -48,6 +49,8 @@
     close_connection: int = 0
     was_reset = False
     lingers_on_close = False
+    turn: processor_turns.TurnCounter
+    """Counts the work on the current request."""
     _header_timer: ty.Any = None
 
     def _read_request_line(self) -> bytes:
@@ -78,6 +81,7 @@
 
     def handle_one_request(self) -> None:
         self._header_timer = None
+        self.turn = processor_turns.TurnCounter(self.http_server.turns)
         try:
             super().handle_one_request()
         except green.Timeout as exc:
@@ -141,6 +145,7 @@
         # The limits of the wrapper would hide which limit was exceeded.
         file: ty.Any = getattr(self.rfile, 'fp', self.rfile)
         while (raw := file.readline(max(2, remaining + 1))) != b'\r\n':
+            self.turn.count()
             remaining -= len(raw)
             if remaining < 0:
                 return _HEADERS_TOO_LARGE
