The memory of all requests of a process is counted against one budget

What callers saw: 160 clients with a body of 1 MiB each, inside the limits and short of its end, took 236 to 247 MB of the 160 that the process may use, at the callers' port, the port for peers and the chat API; 400 heads of empty headers 188 MB, 160 whole ones 215 MB. On a machine of 300 MB the process is killed.

Cause: each request was held only to its own limits. Nothing counted what all connections of a process hold together, and each header line became objects before its head had ended.

Change: `MemoryBudget` (a share of `[machine] memory_mb`, or of what the control group or the machine has) counts heads, bodies and answers of all servers of a router. While there is room, each request may use what its own limits allow, and one that is alone always may. When there is none, memory is taken from bodies that have held the most for the longest time without being whole (503, not run) and from answers without progress for a second; a request that may run keeps its own. A head is kept as its bytes until it is whole. A peer that refuses for lack of memory has sent the request to no upstream, so another peer may be asked.

--- /dev/null
+++ b/features/steps/request_memory_steps.py
@@ -0,0 +1,244 @@
+"""Steps for the memory of requests."""
+
+from __future__ import annotations
+
+import gc
+import weakref
+
+from behave import given
+from behave import then
+from behave import when
+import fleet_steps
+import helpers
+import hypothesis
+from hypothesis import strategies
+
+from peridotmast.embedded import shape as shape_
+from peridotmast import green
+from peridotmast.serving import exchange as exchange_
+from peridotmast.wire.overload import events as events_
+from peridotmast.wire.overload import memory_budget
+
+Phase = memory_budget.Phase
+MAX_BYTES = 1_000_000
+LARGE_BYTES = 400_000
+
+
+class ManualClock:
+    def __init__(self):
+        self.ms = 0
+
+    def now(self):
+        return self.ms
+
+
+class Body:
+    """Stands for a body; can be referenced weakly."""
+
+
+def make_budget(context, max_bytes):
+    context.clock = ManualClock()
+    context.events = events_.OverloadEvents()
+    context.budget = memory_budget.MemoryBudget(
+        context.clock, context.events, max_bytes
+    )
+
+
+@when('a task is cancelled before it begins, in a frame that holds a body')
+def cancel_task(context):
+    gc.collect()
+    gc.disable()
+
+    def handle():
+        body = Body()
+        task = green.spawn_after_ms(60_000, print)
+        task.kill()
+        return weakref.ref(body)
+
+    context.body = handle()
+
+
+@then('the body is released without a garbage collection')
+def check_released(context):
+    is_released = context.body() is None
+    gc.enable()
+    assert is_released
+
+
+@when('a caller sends a body of {size:d} bytes and does not read the answer')
+def send_unread(context, size):
+    head = (
+        'POST /pages/a HTTP/1.1',
+        f'Host: {shape_.HOST}',
+        f'Authorization: {helpers.KEY}',
+        f'Content-Length: {size}',
+    )
+    sock = helpers.raw_connect(fleet_steps.router_address(context))
+    context.closing.append(sock.close)
+    gc.collect()
+    gc.disable()
+    sock.sendall('\r\n'.join((*head, '', '')).encode() + b'a' * size)
+    helpers.wait_until(
+        lambda: sum(
+            guest.upstream.app.runs.total() for guest in guests(context)
+        ),
+        'a run',
+    )
+    green.sleep_ms(500)
+
+
+def guests(context):
+    return context.fleet.running_upstreams(shape_.PLAIN_SERVICE)
+
+
+@then('the router has released the body without a garbage collection')
+def check_body(context):
+    held = [
+        found
+        for found in gc.get_objects()
+        if isinstance(found, exchange_.Exchange) and found.body
+    ]
+    gc.enable()
+    assert not held, held
+
+
+@given('a budget of {size:d} bytes')
+def given_budget(context, size):
+    make_budget(context, size)
+
+
+@when('a request alone charges {size:d} bytes')
+def charge_alone(context, size):
+    context.first = context.budget.open()
+    context.first.phase = Phase.BODY
+    for _ in range(5):
+        context.first.charge(size // 5)
+
+
+@then('it is not refused')
+def check_not_refused(context):
+    assert not context.events.counts, context.events.counts
+
+
+def is_refused(account, size):
+    try:
+        account.charge(size)
+    except memory_budget.OverloadedError:
+        return True
+    return False
+
+
+@then('a second request is refused as long as the first one runs')
+def check_second(context):
+    context.first.phase = Phase.RUNNING
+    second = context.budget.open()
+    assert is_refused(second, 10)
+    context.first.close()
+    assert not is_refused(second, 10)
+
+
+@when(
+    'bodies of {sizes} bytes have been read for {ages} ms',
+)
+def read_bodies(context, sizes, ages):
+    add_accounts(context, sizes, ages, Phase.BODY)
+
+
+@when('answers of {sizes} bytes have made no progress for {ages} ms')
+def send_answers(context, sizes, ages):
+    add_accounts(context, sizes, ages, Phase.ANSWER)
+
+
+def add_accounts(context, sizes, ages, phase):
+    context.accounts = []
+    context.clock.ms = 10_000
+    for size, age in zip(numbers(sizes), numbers(ages)):
+        account = context.budget.open()
+        account.phase = phase
+        account.charge(size)
+        account.began_at = account.progressed_at = context.clock.ms - age
+        context.accounts.append(account)
+
+
+def numbers(text):
+    return [int(part) for part in text.replace(' and ', ',').split(',')]
+
+
+@when('another request charges {size:d} bytes')
+def charge_another(context, size):
+    account = context.budget.open()
+    account.phase = Phase.BODY
+    account.charge(size)
+
+
+@then('only the first body is evicted')
+@then('only the first answer is broken off')
+def check_first_evicted(context):
+    evicted = [account.is_evicted for account in context.accounts]
+    assert evicted == [True] + [False] * (len(evicted) - 1), evicted
+
+
+ACTIONS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(('open', 'charge', 'run', 'answer', 'close')),
+        strategies.integers(0, 7),
+        strategies.integers(1, LARGE_BYTES),
+        strategies.integers(0, 1500),
+    ),
+    max_size=60,
+)
+
+
+@then(
+    'in {count:d} random histories the memory in use is what open requests'
+    ' hold, and within the budget'
+)
+def check_histories(context, count):
+    context.lost = []
+
+    @hypothesis.settings(max_examples=count, deadline=None, database=None)
+    @hypothesis.seed(75)
+    @hypothesis.given(ACTIONS)
+    def check(actions):
+        play_history(context, actions)
+
+    check()
+
+
+def play_history(context, actions):
+    make_budget(context, MAX_BYTES)
+    accounts = []
+    for action, number, size, pause in actions:
+        context.clock.ms += pause
+        if action == 'open':
+            accounts.append(context.budget.open())
+            accounts[-1].phase = Phase.BODY
+        elif accounts:
+            act(context, accounts, action, number % len(accounts), size)
+        held = [account.held_bytes for account in accounts]
+        assert context.budget.used_bytes == sum(held), held
+        context.lost += [
+            account
+            for account in accounts
+            if account.is_evicted and account.phase is Phase.RUNNING
+        ]
+
+
+def act(context, accounts, action, number, size):
+    account = accounts[number]
+    used, was_body = context.budget.used_bytes, account.phase is Phase.BODY
+    if action == 'charge' and was_body and not is_refused(account, size):
+        is_alone = context.budget.used_bytes == account.held_bytes
+        assert context.budget.used_bytes <= MAX_BYTES or is_alone, used
+    elif action == 'run' and was_body and not account.is_evicted:
+        account.phase = Phase.RUNNING
+    elif action == 'answer' and account.phase is Phase.RUNNING:
+        account.begin_answer(size)
+    elif action == 'close':
+        account.close()
+        del accounts[number]
+
+
+@then('no request that may run is evicted')
+def check_none_lost(context):
+    assert not context.lost, context.lost
--- a/src/peridotmast/platform/caller_app.py
+++ b/src/peridotmast/platform/caller_app.py
@@ -145,7 +145,9 @@
         # A newer configuration may allow larger bodies, so the caller may
         # retry once this router has it.
         is_too_large = error.status == _TOO_LARGE
-        retry_ms = self._gateway.retry_ms() if is_too_large else 0
+        retry_ms = error.retry_after_ms
+        if is_too_large:
+            retry_ms = self._gateway.retry_ms()
         status = 503 if retry_ms else error.status
         self._decisions.note(
             request_id, 'refused', reason=error.reason, status=status
--- a/src/peridotmast/router/forward_app.py
+++ b/src/peridotmast/router/forward_app.py
@@ -19,6 +19,7 @@
 from peridotmast.serving import upstreams as upstreams_
 from peridotmast import signing
 from peridotmast.wire import caller_connection
+from peridotmast.wire.overload import memory_budget
 from peridotmast.wire import request_body
 from peridotmast.wire import server as server_
 from peridotmast.wire import strict_protocol
@@ -81,8 +82,16 @@
                 self._limits.max_body_bytes + _OVERHEAD_BYTES,
                 self._limits.idle_timeout_ms,
             )
+            # The parsed message holds the body once more.
+            conn.account.charge(len(data))
         except request_body.InvalidBodyError as exc:
-            return self._refuse(start, failures.invalid(exc.reason))
+            return self._refuse(start, _refusal(exc))
+        except memory_budget.OverloadedError:
+            failure = failures.not_run(
+                caller_connection.OVERLOADED,
+                retry_after_ms=memory_budget.RETRY_MS,
+            )
+            return self._refuse(start, failure)
         signature = environ.get(_SIGNATURE_KEY, '')
         message = self._parse(environ[strict_protocol.TARGET], data, signature)
         if isinstance(message, failures.Failure):
@@ -235,3 +244,12 @@
         ]
         start(response_body.status_line(_REFUSED_STATUS), headers)
         return [failure.reason.encode()]
+
+
+def _refusal(error: request_body.InvalidBodyError) -> failures.Failure:
+    """Return the failure of a request whose body was not read."""
+    if error.retry_after_ms:
+        return failures.not_run(
+            error.reason, retry_after_ms=error.retry_after_ms
+        )
+    return failures.invalid(error.reason)
--- a/src/peridotmast/router/http_servers.py
+++ b/src/peridotmast/router/http_servers.py
@@ -8,6 +8,7 @@
 
 from peridotmast import clock as clock_
 from peridotmast.coordination import members as members_
+from peridotmast import machine
 from peridotmast.platform import caller_app
 from peridotmast.platform import directory as directory_
 from peridotmast.router import chat_api
@@ -16,7 +17,7 @@
 from peridotmast.router import serving as serving_
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast import web
-from peridotmast.wire.overload import processor_turns
+from peridotmast.wire.overload import shared_resources
 from peridotmast.wire import server as server_
 
 _RESOLVE_TTL_S = 2.0
@@ -59,12 +60,16 @@
         self._fleet_state = fleet_state
         self._registry = registry
         self._limits = server_.ServerLimits(write_timeout_ms=cfg.write_ms)
-        turns = processor_turns.ProcessorTurns()
+        memory_bytes = machine.memory_bytes(file.machine.memory_mb)
+        self.shared = shared_resources.SharedResources(
+            clock, int(memory_bytes * file.machine.request_share)
+        )
+        """What all servers share."""
         application = caller_app.PlatformCallerApp(
             clock, serving.gateway, self._limits, serving.decisions
         )
         self.platform = server_.HttpServer(
-            cfg.listen, application, self._limits, turns
+            cfg.listen, application, self._limits, self.shared
         )
         """Server for callers of the platform."""
         self.platform.retry_after_ms = serving.gateway.retry_ms
@@ -79,7 +84,7 @@
                 secret,
             ),
             server_.ServerLimits(write_timeout_ms=cfg.write_ms),
-            turns,
+            self.shared,
         )
         """Server for requests that peers forward."""
         self.chat: ty.Optional[server_.HttpServer] = None
@@ -93,13 +98,15 @@
                 fleet_state.members,
                 int(_RESOLVE_TTL_S * 1000),
             ).add_routes(app)
-            self.chat = server_.HttpServer(cfg.chat_listen, app, turns=turns)
+            self.chat = server_.HttpServer(
+                cfg.chat_listen, app, shared=self.shared
+            )
         directory = directory_.PlatformDirectory(
             fleet_state.members,
             min(_RESOLVE_TTL_S, file.bounds.resolve_ttl_s),
         )
         self.auxiliary = {
-            name: server_.HttpServer(address, application, turns=turns)
+            name: server_.HttpServer(address, application, shared=self.shared)
             for name, address, application in (
                 ('ready', cfg.ready_listen, directory.readiness_app),
                 ('directory', cfg.directory_listen, directory.resolve_app),
--- a/src/peridotmast/serving/peer_sender.py
+++ b/src/peridotmast/serving/peer_sender.py
@@ -25,6 +25,7 @@
 from peridotmast.serving import upstream_view
 from peridotmast.serving import upstreams as upstreams_
 from peridotmast import signing
+from peridotmast.wire import caller_connection
 from peridotmast.wire import connection as connection_
 from peridotmast.wire import pool as pool_
 
@@ -50,7 +51,10 @@
 NO_VERSION = 'no_version'
 """Reason for which a stream has ended: only upstreams of other versions than
 the one that began it are left."""
-_UNSENT_REASONS = frozenset((LEAVING, FULL, NO_UPSTREAM, NO_ROOM, NO_VERSION))
+_UNSENT_REASONS = frozenset((
+    LEAVING, FULL, NO_UPSTREAM, NO_ROOM, NO_VERSION,
+    caller_connection.OVERLOADED,
+))  # fmt: skip
 """Reasons of a peer that has sent a request to no upstream."""
 
 _UNABLE_MS = 1000
--- a/src/peridotmast/web.py
+++ b/src/peridotmast/web.py
@@ -170,7 +170,12 @@
         try:
             body = conn.read_body(self._max_body, self._body_timeout_ms)
         except request_body.InvalidBodyError as exc:
-            return error_response(exc.status, exc.reason, 'body not taken')
+            return error_response(
+                exc.status,
+                exc.reason,
+                'body not taken',
+                retry_after_ms=exc.retry_after_ms,
+            )
         conn.watch_for_close()
         req = Request(
             environ['REQUEST_METHOD'],
--- a/src/peridotmast/wire/caller_connection.py
+++ b/src/peridotmast/wire/caller_connection.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import socket
 import struct
 import typing as ty
 
 from peridotmast import green
+from peridotmast.wire.overload import memory_budget
 from peridotmast.wire import request_body
 
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -15,6 +17,9 @@
 """SO_LINGER values with which closing a socket resets its connection, or ends
 it orderly."""
 
+OVERLOADED = 'overloaded'
+"""Reason of a refusal for lack of memory."""
+
 _CHUNKED_VERSION = 'HTTP/1.1'
 
 
@@ -35,6 +40,9 @@
         self._protocol = protocol
         self._sock = protocol.connection
         self._read_watch: ty.Optional[green.ReadWatch] = None
+        self.account: memory_budget.MemoryAccount = protocol.account
+        """Memory that the request holds."""
+        self.account.abort = self._abort
 
     def fileno(self) -> int:
         """Return the socket's descriptor."""
@@ -63,7 +71,8 @@
         Raises
         ------
         InvalidBodyError
-            If the body is too large, late, malformed or incomplete.
+            If the body is too large, late, malformed or incomplete, or if
+            there is no memory for it.
         """
         reader = self._protocol.environ['eventlet.input']
         server = self._protocol.http_server
@@ -75,6 +84,7 @@
                     max_bytes, server.limits.max_header_bytes
                 ),
                 self._protocol.turn,
+                self.account,
             ).read()
             # The server must not look for a rest of the body.
             reader.chunk_length = 0
@@ -85,6 +95,10 @@
             raise self._refuse(400, 'body_broken') from None
         except request_body.InvalidBodyError as exc:
             raise self._refuse(exc.status, exc.reason) from None
+        except memory_budget.OverloadedError:
+            raise self._refuse(
+                503, OVERLOADED, memory_budget.RETRY_MS
+            ) from None
         finally:
             self._sock.settimeout(self._protocol.server.socket_timeout)
 
@@ -151,8 +165,18 @@
         )
         os.close(self._sock.fd.detach())
 
+    def _abort(self) -> None:
+        """Break the response off; its task ends at its next write."""
+        if self._sock.fileno() < 0:
+            return
+        self._sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+        )
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+
     def _refuse(
-        self, status: int, reason: str
+        self, status: int, reason: str, retry_after_ms: int = 0
     ) -> request_body.InvalidBodyError:
         self._protocol.lingers_on_close = True
         self._protocol.close_connection = 1
@@ -160,4 +184,4 @@
         reader = self._protocol.environ['eventlet.input']
         reader.chunked_input = False
         reader.position = reader.content_length or 0
-        return request_body.InvalidBodyError(status, reason)
+        return request_body.InvalidBodyError(status, reason, retry_after_ms)
--- a/src/peridotmast/wire/request_body.py
+++ b/src/peridotmast/wire/request_body.py
@@ -6,6 +6,7 @@
 import re
 import typing as ty
 
+from peridotmast.wire.overload import memory_budget
 from peridotmast.wire.overload import processor_turns
 
 MAX_LINE_BYTES = 8192
@@ -25,6 +26,8 @@
 
 _READ_BYTES = 65536
 
+_CHARGE_STEP_BYTES = 16384
+
 
 class InvalidBodyError(Exception):
     """Raised for a request body that can't be accepted.
@@ -35,12 +38,17 @@
         HTTP status of the response to the caller.
     reason : str
         Short machine-readable cause.
+    retry_after_ms : int
+        Time after which the caller may retry, in ms; 0 if it is final.
     """
 
-    def __init__(self, status: int, reason: str) -> None:
+    def __init__(
+        self, status: int, reason: str, retry_after_ms: int = 0
+    ) -> None:
         super().__init__(reason)
         self.status = status
         self.reason = reason
+        self.retry_after_ms = retry_after_ms
 
 
 @dataclasses.dataclass(frozen=True)
@@ -65,6 +73,8 @@
         Limits on the body.
     turn : processor_turns.TurnCounter
         Counts the work, so that other tasks run meanwhile.
+    account : memory_budget.MemoryAccount
+        Counts the memory, and collects the body.
     """
 
     def __init__(
@@ -72,15 +82,18 @@
         reader: ty.Any,
         limits: BodyLimits,
         turn: processor_turns.TurnCounter,
+        account: memory_budget.MemoryAccount,
     ) -> None:
         self._reader = reader
         self._file = reader.rfile
         self._limits = limits
         self._turn = turn
         self._extra_bytes_left = limits.max_extra_bytes
+        self._account = account
         # A list of parts would take more memory than the body where these
         # have a few bytes.
-        self._body = bytearray()
+        self._body = account.body
+        self._charged_bytes = 0
 
     def read(self) -> bytes:
         """Return the whole body.
@@ -89,12 +102,24 @@
         ------
         InvalidBodyError
             If it is too large, malformed or incomplete.
+        OverloadedError
+            If there is no memory for it.
         """
+        self._account.phase = memory_budget.Phase.BODY
+        with self._account.eviction:
+            self._read()
+        if self._account.is_evicted:
+            raise memory_budget.OverloadedError
+        self._account.phase = memory_budget.Phase.RUNNING
+        body = bytes(self._body)
+        self._body.clear()
+        return body
+
+    def _read(self) -> None:
         if self._reader.chunked_input:
             self._read_chunks()
         else:
             self._read_length()
-        return bytes(self._body)
 
     def _read_length(self) -> None:
         length = self._reader.content_length or 0
@@ -130,10 +155,19 @@
             data = self._file.read1(min(size, _READ_BYTES))
             if not data:
                 raise InvalidBodyError(400, reason)
+            self._charge(len(self._body) + len(data), size)
             self._body += data
             size -= len(data)
             self._turn.count()
 
+    def _charge(self, needed: int, expected: int) -> None:
+        """Count memory for `needed` bytes, in steps up to what is expected."""
+        missing = needed - self._charged_bytes
+        if missing > 0:
+            step = max(missing, min(expected, _CHARGE_STEP_BYTES))
+            self._account.charge(step)
+            self._charged_bytes += step
+
     def _read_trailers(self) -> None:
         while (line := self._file.readline(MAX_LINE_BYTES)) != b'\r\n':
             if HEADER.fullmatch(line) is None:
--- a/src/peridotmast/wire/server.py
+++ b/src/peridotmast/wire/server.py
@@ -11,7 +11,7 @@
 
 from peridotmast import green
 from peridotmast import ids
-from peridotmast.wire.overload import processor_turns
+from peridotmast.wire.overload import shared_resources
 from peridotmast.wire import request_body
 from peridotmast.wire import strict_protocol
 
@@ -55,8 +55,8 @@
         A WSGI application.
     limits : ServerLimits, optional
         May be changed while the server runs.
-    turns : processor_turns.ProcessorTurns, optional
-        Turns of requests that are read, shared by the servers of a process.
+    shared : shared_resources.SharedResources, optional
+        What the servers of a process share; unlimited by default.
 
     Raises
     ------
@@ -69,11 +69,11 @@
         address: str,
         app: Application,
         limits: ty.Optional[ServerLimits] = None,
-        turns: ty.Optional[processor_turns.ProcessorTurns] = None,
+        shared: ty.Optional[shared_resources.SharedResources] = None,
     ) -> None:
         self._app = app
-        self.turns = turns or processor_turns.ProcessorTurns()
-        """Turns of requests that are read."""
+        self.shared = shared or shared_resources.SharedResources()
+        """What the servers of a process share."""
         self.limits = limits or ServerLimits()
         """Limits on requests; changes apply from the next request on."""
         host, _, port = address.rpartition(':')
--- a/src/peridotmast/wire/strict_protocol.py
+++ b/src/peridotmast/wire/strict_protocol.py
@@ -11,6 +11,7 @@
 
 from peridotmast import green
 from peridotmast.wire import caller_connection
+from peridotmast.wire.overload import memory_budget
 from peridotmast.wire.overload import processor_turns
 from peridotmast.wire import request_body
 
@@ -21,6 +22,9 @@
 before the caller has read it."""
 
 _READ_BYTES = 65536
+_HEAD_STEP_BYTES = 4096
+_HEADER_BYTES = 250
+"""Memory of a parsed header beside its text, in bytes."""
 
 TARGET = 'peridotmast.target'
 """Key of the raw request target in the WSGI environment."""
@@ -51,6 +55,8 @@
     lingers_on_close = False
     turn: processor_turns.TurnCounter
     """Counts the work on the current request."""
+    account: memory_budget.MemoryAccount
+    """Memory that the current request holds."""
     _header_timer: ty.Any = None
 
     def _read_request_line(self) -> bytes:
@@ -81,7 +87,8 @@
 
     def handle_one_request(self) -> None:
         self._header_timer = None
-        self.turn = processor_turns.TurnCounter(self.http_server.turns)
+        self.turn = processor_turns.TurnCounter(self.http_server.shared.turns)
+        self.account = self.http_server.shared.memory.open()
         try:
             super().handle_one_request()
         except green.Timeout as exc:
@@ -96,10 +103,18 @@
                 raise
         finally:
             self._cancel_timer()
+            self.account.close()
 
     def parse_request(self) -> bool:
         """Parse the request head; send an error response if it is invalid."""
-        status = self._parse_head()
+        try:
+            status = self._parse_head()
+        except memory_budget.OverloadedError:
+            self._cancel_timer()
+            self._send_error(
+                503, 'Service Unavailable', memory_budget.RETRY_MS
+            )
+            return False
         if status:
             self._cancel_timer()
             # A newer configuration may allow larger heads, so the caller may
@@ -144,18 +159,31 @@
         remaining = self.http_server.limits.max_header_bytes - len(line[0])
         # The limits of the wrapper would hide which limit was exceeded.
         file: ty.Any = getattr(self.rfile, 'fp', self.rfile)
+        # Until the head is whole, only its bytes are kept: a header in parsed
+        # form takes many times the memory of a short line.
+        lines = bytearray()
+        charged_bytes = 0
         while (raw := file.readline(max(2, remaining + 1))) != b'\r\n':
             self.turn.count()
             remaining -= len(raw)
             if remaining < 0:
                 return _HEADERS_TOO_LARGE
-            header = request_body.HEADER.fullmatch(raw)
-            if header is None:
+            if request_body.HEADER.fullmatch(raw) is None:
                 return 400
+            lines += raw
+            if len(lines) > charged_bytes:
+                self.account.charge(_HEAD_STEP_BYTES)
+                charged_bytes += _HEAD_STEP_BYTES
+        self._parse_headers(bytes(lines))
+        return self._check_framing()
+
+    def _parse_headers(self, lines: bytes) -> None:
+        self.account.charge(lines.count(b'\n') * _HEADER_BYTES)
+        for header in request_body.HEADER.finditer(lines):
+            self.turn.count()
             self.headers[header[1].decode('ascii')] = header[2].decode(
                 'latin-1'
             )
-        return self._check_framing()
 
     def _check_framing(self) -> int:
         lengths = self.headers.get_all('Content-Length', [])
