A task that is cancelled before it begins releases the frames of its caller

What callers saw: 160 whole bodies took 464 MB, and most of it stayed for seconds after they were answered.

Cause: each attempt starts a delayed task that would look for another upstream, and kills it when it is not needed. Eventlet keeps the exception of a task that is killed before it begins, with the traceback: all frames of the request, and in them its body, until the garbage collector's oldest generation runs. Seen by following the references to a body (list in the postmortem). An `Interrupt` kept its last traceback in the same way.

Change: `spawn_after_ms` returns a `DelayedTask`, of which only a timer is cancelled; an interrupt drops its traceback.

Evidence: the scenario fails with eventlet's own delayed task and passes.

--- a/features/request_memory.feature
+++ b/features/request_memory.feature
@@ -1,5 +1,11 @@
 Feature: Memory of all requests of a process is counted together
 
+  # Guards against a request that is kept with its body until the garbage collector runs: a killed
+  # task of eventlet holds the frames of its caller.
+  Scenario: A task that is cancelled before it begins keeps nothing of its caller
+    When a task is cancelled before it begins, in a frame that holds a body
+    Then the body is released without a garbage collection
+
   # Guards against counts that drift, and against a request that may run and loses its memory.
   Scenario: Random histories of requests keep to the budget
     Then in 300 random histories the memory in use is what open requests hold, and within the budget
--- a/src/peridotmast/green.py
+++ b/src/peridotmast/green.py
@@ -79,11 +79,46 @@
     hubs.get_hub().loop.call_later(ms / 1000, callback)
 
 
+class DelayedTask:
+    """A task that begins after a delay.
+
+    A task of eventlet that is killed before it begins keeps the exception
+    with all frames of the caller, and with them a request and its body, until
+    the garbage collector finds it. Here only a timer is cancelled.
+
+    Parameters
+    ----------
+    ms : float
+        Delay, in ms.
+    func : callable
+        Run with `args` in a new task.
+    """
+
+    def __init__(
+        self, ms: float, func: ty.Callable[..., ty.Any], *args: ty.Any
+    ) -> None:
+        self._task: ty.Any = None
+        self._timer = hubs.get_hub().loop.call_later(
+            ms / 1000, self._begin, func, args
+        )
+
+    def kill(self) -> None:
+        """End the task, or keep it from beginning."""
+        self._timer.cancel()
+        if self._task is not None:
+            self._task.kill()
+
+    def _begin(
+        self, func: ty.Callable[..., ty.Any], args: tuple[ty.Any, ...]
+    ) -> None:
+        self._task = spawn(func, *args)
+
+
 def spawn_after_ms(
     ms: float, func: ty.Callable[..., ty.Any], *args: ty.Any
-) -> ty.Any:
+) -> DelayedTask:
     """Run ``func(*args)`` in a new task after `ms` milliseconds."""
-    return eventlet.spawn_after(ms / 1000, func, *args)
+    return DelayedTask(ms, func, *args)
 
 
 def on_signal(
@@ -264,6 +299,8 @@
 
     def __exit__(self, kind: ty.Any, exc: ty.Any, trace: ty.Any) -> bool:
         self._task = None
+        # The frames that it passed must not live as long as this object.
+        self.__traceback__ = None
         return exc is self
 
     def fire(self) -> None:
