A body is released once its answer is whole

What callers saw: callers that read no answers made a process hold both their bodies and the answers to them, 167 MB of 160 with the budget in force.

Cause: what counts the end of an answer holds the request with its body, for metrics and logs, until the answer was sent.

Change: the request drops its body as soon as its answer is whole, since no further attempt can follow; the account then counts the answer alone.

Evidence: the scenario failed before.

--- a/features/request_memory.feature
+++ b/features/request_memory.feature
@@ -6,6 +6,12 @@
     When a task is cancelled before it begins, in a frame that holds a body
     Then the body is released without a garbage collection
 
+  # Guards against bodies that are held while callers do not read their answers.
+  Scenario: A body is released once its answer is whole
+    Given a fleet of 1 routers
+    When a caller sends a body of 200000 bytes and does not read the answer
+    Then the router has released the body without a garbage collection
+
   # Guards against counts that drift, and against a request that may run and loses its memory.
   Scenario: Random histories of requests keep to the budget
     Then in 300 random histories the memory in use is what open requests hold, and within the budget
--- a/src/peridotmast/serving/exchange.py
+++ b/src/peridotmast/serving/exchange.py
@@ -115,6 +115,12 @@
         """Whether the response is a stream of events."""
         return self.route.kind == pb.RequestKind.STREAMING
 
+    def drop_body(self) -> None:
+        """Release the body once no further attempt can follow."""
+        # They are computed from the body, and needed until the end.
+        _ = self.crash_keys
+        self.body = b''
+
     @functools.cached_property
     def crash_keys(self) -> crash_keys_.CrashKeys:
         """What crashes of upstreams are recorded for."""
--- a/src/peridotmast/serving/gateway.py
+++ b/src/peridotmast/serving/gateway.py
@@ -301,6 +301,8 @@
             waited_ms / 1000
         )
         close = reply.close
+        if isinstance(reply.body, bytes):
+            exchange.drop_body()
 
         def close_and_count() -> None:
             close()
