Connections are limited over all servers, and no error of accept ends a loop

What callers saw: 300 clients that connect and send nothing, or a part of a body, while the process may use 128 descriptors: no caller was answered beside them or after they had left, until a restart.

Cause: nothing counted connections, so that descriptors ran out; the loop of the WSGI server ends at the first error of accept, for good.

Change: an accept loop of our own around the same server pauses after an error and goes on. `[machine] caller_share` of the descriptors is for connections, divided between callers, chat, peers, directory, readiness and metrics, so that a crowd at one server leaves the others theirs. When a server has no room, the connections that have waited longest for a request are closed, then those whose request has been read for the longest time without being whole; a request that may run keeps its connection, and if all have one, a new connection is answered 503 with Retry-After at once. A router that has no descriptor for an upstream reports that nothing was sent.

Five kinds of errors of accept, three in a row: the server goes on; in the first two scenarios of features/connections the oldest connection alone is closed.

--- /dev/null
+++ b/features/connections.feature
@@ -0,0 +1,39 @@
+Feature: Connections of a server are limited, and those in use are kept
+
+  Background:
+    Given a server for 4 connections whose requests take 400 ms
+
+  # Guards against clients that connect and send nothing: they kept all others away.
+  Scenario: The connection that has waited longest is closed for a new one
+    When 4 clients connect, and one after the other sends a request
+    And another client sends a request
+    Then it is answered with 200
+    And only the first of the clients is disconnected
+
+  # Guards against bodies that never end, on all connections.
+  Scenario: The request that is read for the longest time is closed for a new one
+    When 4 clients send a part of a body
+    And another client sends a request
+    Then it is answered with 200
+    And only the first of the clients is disconnected
+
+  # Guards against answers that are cut for others.
+  Scenario: A connection whose request runs is kept, and a new one is refused
+    When 4 clients send a request that runs
+    And another client sends a request
+    Then it is answered with 503 and a retry time
+    And all 4 clients are answered with 200
+
+  # Guards against a server that accepts nothing any more after one error.
+  Scenario Outline: A server goes on to accept after errors of accept
+    When accept fails 3 times with <error>
+    And another client sends a request
+    Then it is answered with 200
+
+    Examples:
+      | error        |
+      | EMFILE       |
+      | ENFILE       |
+      | ENOBUFS      |
+      | ECONNABORTED |
+      | EPERM        |
--- /dev/null
+++ b/features/steps/connection_steps.py
@@ -0,0 +1,120 @@
+"""Steps for the connections of a server."""
+
+from __future__ import annotations
+
+import errno
+import os
+
+from behave import given
+from behave import then
+from behave import when
+import helpers
+
+from peridotmast import green
+from peridotmast.wire import server as server_
+from peridotmast.wire import strict_protocol
+
+REQUEST = b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
+PART = b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc'
+WAIT_MS = 1000
+
+
+@given('a server for {count:d} connections whose requests take {work_ms:d} ms')
+def start_server(context, count, work_ms):
+    def app(environ, start):
+        conn = environ[strict_protocol.CONNECTION]
+        conn.read_body(100, 60_000)
+        green.sleep_ms(work_ms)
+        start('200 OK', [('Content-Length', '0')])
+        return [b'']
+
+    context.server = server_.HttpServer(
+        '127.0.0.1:0', app, max_connections=count
+    )
+    context.server.start()
+    context.closing.append(context.server.stop)
+
+
+def connect(context, count, data=b''):
+    context.clients = []
+    for _ in range(count):
+        sock = helpers.raw_connect(context.server.address)
+        sock.sendall(data)
+        context.clients.append(sock)
+        # The server must see them one after the other.
+        green.sleep_ms(20)
+    context.closing += [sock.close for sock in context.clients]
+
+
+@when('{count:d} clients connect, and one after the other sends a request')
+def connect_and_ask(context, count):
+    connect(context, count)
+    for sock in context.clients:
+        sock.sendall(REQUEST)
+        assert sock.recv(1000).startswith(b'HTTP/1.1 200')
+
+
+@when('{count:d} clients send a part of a body')
+def send_parts(context, count):
+    connect(context, count, PART)
+
+
+@when('{count:d} clients send a request that runs')
+def send_requests(context, count):
+    connect(context, count, REQUEST)
+
+
+@when('another client sends a request')
+def send_another(context):
+    context.raw = helpers.raw_exchange(
+        context.server.address, REQUEST, WAIT_MS
+    )
+
+
+@when('accept fails {times:d} times with {error}')
+def fail_accept(context, times, error):
+    real = context.server._sock.accept
+    code = getattr(errno, error)
+    left = [times]
+
+    def accept():
+        if left[0]:
+            left[0] -= 1
+            raise OSError(code, os.strerror(code))
+        return real()
+
+    context.server._sock.accept = accept
+    # The call that already waits is not affected.
+    helpers.raw_connect(context.server.address).close()
+    helpers.wait_until(lambda: not left[0], 'errors of accept')
+
+
+@then('it is answered with {status:d}')
+def check_status(context, status):
+    assert context.raw.startswith(b'HTTP/1.1 %d' % status), context.raw
+
+
+@then('it is answered with {status:d} and a retry time')
+def check_refused(context, status):
+    check_status(context, status)
+    assert b'\r\nRetry-After: 1\r\n' in context.raw, context.raw
+
+
+@then('only the first of the clients is disconnected')
+def check_first(context):
+    closed = [is_closed(sock) for sock in context.clients]
+    assert closed == [True] + [False] * (len(closed) - 1), closed
+
+
+def is_closed(sock):
+    with green.Timeout(0.1, False):
+        return not sock.recv(1000)
+    return False
+
+
+@then('all {count:d} clients are answered with {status:d}')
+def check_all(context, count, status):
+    answers = [sock.recv(1000) for sock in context.clients]
+    assert len(answers) == count
+    for answer in answers:
+        assert answer.startswith(b'HTTP/1.1 %d' % status), answers
--- a/src/peridotmast/router/http_servers.py
+++ b/src/peridotmast/router/http_servers.py
@@ -12,6 +12,7 @@
 from peridotmast.platform import caller_app
 from peridotmast.platform import directory as directory_
 from peridotmast.router import chat_api
+from peridotmast.router import connection_shares
 from peridotmast.router import fleet_state as fleet_state_
 from peridotmast.router import forward_app
 from peridotmast.router import serving as serving_
@@ -65,11 +66,22 @@
             clock, int(memory_bytes * file.machine.request_share)
         )
         """What all servers share."""
+        shares = connection_shares.ConnectionShares(
+            int(
+                machine.descriptors(file.machine.descriptors)
+                * file.machine.caller_share
+            ),
+            bool(cfg.chat_listen),
+        )
         application = caller_app.PlatformCallerApp(
             clock, serving.gateway, self._limits, serving.decisions
         )
         self.platform = server_.HttpServer(
-            cfg.listen, application, self._limits, self.shared
+            cfg.listen,
+            application,
+            self._limits,
+            self.shared,
+            shares.of('platform'),
         )
         """Server for callers of the platform."""
         self.platform.retry_after_ms = serving.gateway.retry_ms
@@ -85,6 +97,7 @@
             ),
             server_.ServerLimits(write_timeout_ms=cfg.write_ms),
             self.shared,
+            shares.of('forward'),
         )
         """Server for requests that peers forward."""
         self.chat: ty.Optional[server_.HttpServer] = None
@@ -106,7 +119,12 @@
             min(_RESOLVE_TTL_S, file.bounds.resolve_ttl_s),
         )
         self.auxiliary = {
-            name: server_.HttpServer(address, application, shared=self.shared)
+            name: server_.HttpServer(
+                address,
+                application,
+                shared=self.shared,
+                max_connections=shares.of(name),
+            )
             for name, address, application in (
                 ('ready', cfg.ready_listen, directory.readiness_app),
                 ('directory', cfg.directory_listen, directory.resolve_app),
--- a/src/peridotmast/wire/connection.py
+++ b/src/peridotmast/wire/connection.py
@@ -113,7 +113,11 @@
     def connect(self, timeout_ms: int) -> ty.Optional[failures.Failure]:
         """Open the connection; a failure means that nothing was sent."""
         family = socket.AF_INET6 if ':' in self._host else socket.AF_INET
-        sock = socket.socket(family, socket.SOCK_STREAM)
+        try:
+            sock = socket.socket(family, socket.SOCK_STREAM)
+        except OSError as exc:
+            # Without a free descriptor nothing can be sent.
+            return failures.not_run('no_connection', f'error {exc.errno}')
         sock.setblocking(False)
         _set_options(sock)
         self._sock = sock
--- /dev/null
+++ b/src/peridotmast/wire/overload/connection_table.py
@@ -0,0 +1,153 @@
+"""Connections of one server, and which of them may be closed for others."""
+
+from __future__ import annotations
+
+import heapq
+import select
+import socket
+import typing as ty
+
+from peridotmast import clock as clock_
+from peridotmast.wire.overload import events as events_
+from peridotmast.wire.overload import memory_budget
+
+_CLOSED_SHARE = 0.05
+"""Share of the connections that are closed at once when there is no room, so
+that not each further connection has to search for one."""
+
+
+class ConnectionEntry:
+    """State of one connection.
+
+    Parameters
+    ----------
+    sock : eventlet.greenio.GreenSocket
+        Its socket.
+    now : int
+        Time at which it was accepted, in ms.
+    """
+
+    def __init__(self, sock: ty.Any, now: int) -> None:
+        self.sock = sock
+        self.since = now
+        """Time at which its wait or its request began, in ms."""
+        self.account: ty.Optional[memory_budget.MemoryAccount] = None
+        """Account of the current request; None between two requests."""
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether it has a request that may run, or is answered."""
+        phases = (memory_budget.Phase.HEAD, memory_budget.Phase.BODY)
+        return self.account is not None and self.account.phase not in phases
+
+
+class ConnectionTable:
+    """Limits the connections of one server.
+
+    When there is no room, the connections are closed that have waited longest
+    for a request, and if there are none, those whose requests have been read
+    for the longest time without being whole. A request that may run keeps its
+    connection.
+
+    Parameters
+    ----------
+    clock : clock.Clock
+        Times connections.
+    events : events.OverloadEvents
+        Counts closed connections.
+    max_connections : int
+        Maximum number of connections.
+    """
+
+    def __init__(
+        self,
+        clock: clock_.Clock,
+        events: events_.OverloadEvents,
+        max_connections: int,
+    ) -> None:
+        self._clock = clock
+        self._events = events
+        self.max_connections = max_connections
+        """Maximum number of connections."""
+        self._entries: dict[ty.Any, ConnectionEntry] = {}
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    @property
+    def is_full(self) -> bool:
+        """Whether there is no room for another connection."""
+        return len(self._entries) >= self.max_connections
+
+    def add(self, sock: ty.Any) -> None:
+        """Add an accepted connection."""
+        self._entries[sock] = ConnectionEntry(sock, self._clock.now())
+
+    def remove(self, sock: ty.Any) -> None:
+        """Forget a connection that is closed."""
+        self._entries.pop(sock, None)
+
+    def begin_wait(self, sock: ty.Any) -> None:
+        """Record that a connection waits for its next request."""
+        self._set(sock, None)
+
+    def begin_request(
+        self, sock: ty.Any, account: memory_budget.MemoryAccount
+    ) -> None:
+        """Record that a request has begun on a connection."""
+        self._set(sock, account)
+
+    def idle(self) -> list[ConnectionEntry]:
+        """Return the connections that wait for a request."""
+        return [e for e in self._entries.values() if e.account is None]
+
+    def close_some(self) -> None:
+        """Close connections so that others find room."""
+        count = max(1, int(_CLOSED_SHARE * len(self._entries)))
+        closed = self._close_oldest(
+            count,
+            [e for e in self.idle() if not has_unread_bytes(e.sock)],
+            events_.OverloadEvent.CLOSED_IDLE,
+        )
+        if not closed:
+            self._close_oldest(
+                count,
+                [e for e in self._entries.values() if not e.is_busy],
+                events_.OverloadEvent.CLOSED_READING,
+            )
+
+    def _close_oldest(
+        self,
+        count: int,
+        entries: ty.Iterable[ConnectionEntry],
+        event: events_.OverloadEvent,
+    ) -> int:
+        oldest = heapq.nsmallest(count, entries, key=lambda e: e.since)
+        for entry in oldest:
+            self._events.note(event)
+            shutdown(entry.sock)
+        return len(oldest)
+
+    def _set(
+        self, sock: ty.Any, account: ty.Optional[memory_budget.MemoryAccount]
+    ) -> None:
+        entry = self._entries.get(sock)
+        if entry is not None:
+            entry.account = account
+            entry.since = self._clock.now()
+
+
+def has_unread_bytes(sock: ty.Any) -> bool:
+    """Return whether a connection has unread bytes or was closed."""
+    poller = select.poll()
+    poller.register(sock.fileno(), select.POLLIN)
+    return bool(poller.poll(0))
+
+
+def shutdown(sock: ty.Any) -> None:
+    """End both directions of a connection; its task closes it."""
+    try:
+        sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        # The client has closed the connection already.
+        pass
--- a/src/peridotmast/wire/overload/events.py
+++ b/src/peridotmast/wire/overload/events.py
@@ -16,6 +16,14 @@
     """A body that was being read was discarded, and answered with 503."""
     ABORTED_ANSWER = 'aborted_answer'
     """An answer was broken off whose caller did not read it."""
+    CLOSED_IDLE = 'closed_idle'
+    """A connection without a request was closed to make room for others."""
+    CLOSED_READING = 'closed_reading'
+    """A connection was closed whose request was not whole, to make room."""
+    REFUSED_CONNECTION = 'refused_connection'
+    """A connection was answered with 503 as all others were busy."""
+    ACCEPT_ERROR = 'accept_error'
+    """A connection could not be accepted."""
 
 
 class OverloadEvents:
--- a/src/peridotmast/wire/overload/shared_resources.py
+++ b/src/peridotmast/wire/overload/shared_resources.py
@@ -31,7 +31,9 @@
         """Counts what is done against overload."""
         self.turns = processor_turns.ProcessorTurns()
         """Turns of requests that are read."""
+        self.clock = clock or clock_.SystemClock()
+        """Times requests and connections."""
         self.memory = memory_budget.MemoryBudget(
-            clock or clock_.SystemClock(), self.events, request_bytes
+            self.clock, self.events, request_bytes
         )
         """Memory of requests."""
--- a/src/peridotmast/wire/server.py
+++ b/src/peridotmast/wire/server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import select
 import socket
 import typing as ty
 
@@ -11,12 +10,29 @@
 
 from peridotmast import green
 from peridotmast import ids
+from peridotmast.wire.overload import connection_table
+from peridotmast.wire.overload import events as events_
 from peridotmast.wire.overload import shared_resources
 from peridotmast.wire import request_body
 from peridotmast.wire import strict_protocol
 
 MAX_CONNECTIONS = 20_000
-"""Maximum number of connections; small VMs run out of descriptors earlier."""
+"""Maximum number of connections of a server that is given no other."""
+
+_ACCEPT_PAUSE_MS = 50
+"""Pause after an error of ``accept``, such as a lack of descriptors, which the
+next call would meet again."""
+
+_CLOSE_ROUNDS = 3
+"""Rounds of the event loop in which connections that make room are closed."""
+
+_REFUSAL = (
+    b'HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n'
+    b'Retry-After: 1\r\nContent-Length: 0\r\n\r\n'
+)
+"""Answer on a connection for which there is no room: nothing is read."""
+
+_DRAIN_BYTES = 65536
 
 SEND_BUFFER_BYTES = 65536
 """Size of the kernel's send buffer for a connection."""
@@ -57,6 +73,8 @@
         May be changed while the server runs.
     shared : shared_resources.SharedResources, optional
         What the servers of a process share; unlimited by default.
+    max_connections : int, optional
+        Maximum number of connections.
 
     Raises
     ------
@@ -70,6 +88,7 @@
         app: Application,
         limits: ty.Optional[ServerLimits] = None,
         shared: ty.Optional[shared_resources.SharedResources] = None,
+        max_connections: int = MAX_CONNECTIONS,
     ) -> None:
         self._app = app
         self.shared = shared or shared_resources.SharedResources()
@@ -102,6 +121,10 @@
         self.address = ids.Address(f'{host}:{bound[1]}')
         """Listening address, with the actual port."""
         self._pool = green.GreenPool(MAX_CONNECTIONS)
+        self.connections = connection_table.ConnectionTable(
+            self.shared.clock, self.shared.events, max_connections
+        )
+        """Connections that are open."""
         self.idle_sockets: set[ty.Any] = set()
         """Sockets of connections that wait for their next request."""
         self.is_closing = False
@@ -125,9 +148,9 @@
         for sock in list(self.idle_sockets):
             # A request that has arrived is still served, even if no byte of
             # it has been read.
-            if not _has_unread_bytes(sock):
+            if not connection_table.has_unread_bytes(sock):
                 self.idle_sockets.discard(sock)
-                _shutdown(sock)
+                connection_table.shutdown(sock)
 
     def stop(self) -> None:
         """Stop accepting and close every connection."""
@@ -143,35 +166,69 @@
             (strict_protocol.StrictProtocol,),
             {'http_server': self},
         )
-        try:
-            wsgi.server(
-                self._sock,
-                self._app,
-                log=_DiscardLog(),
-                protocol=protocol,
-                custom_pool=self._pool,
-                log_output=False,
-                debug=False,
-                socket_timeout=self.limits.write_timeout_ms / 1000,
-                url_length_limit=request_body.MAX_LINE_BYTES,
-            )
-        except green.GreenletExit:
-            pass
-
-
-def _has_unread_bytes(sock: ty.Any) -> bool:
-    """Return whether a connection has unread bytes or was closed."""
-    poller = select.poll()
-    poller.register(sock.fileno(), select.POLLIN)
-    return bool(poller.poll(0))
-
-
-def _shutdown(sock: ty.Any) -> None:
+        wsgi_server = wsgi.Server(
+            self._sock,
+            self._sock.getsockname(),
+            self._app,
+            _DiscardLog(),
+            protocol=protocol,
+            log_output=False,
+            debug=False,
+            socket_timeout=self.limits.write_timeout_ms / 1000,
+            url_length_limit=request_body.MAX_LINE_BYTES,
+        )
+        while True:
+            try:
+                sock, address = self._sock.accept()
+            except OSError:
+                self._handle_accept_error()
+                continue
+            if self._has_room():
+                sock.settimeout(wsgi_server.socket_timeout)
+                self.connections.add(sock)
+                state = [address, sock, wsgi.STATE_IDLE]
+                task = self._pool.spawn(wsgi_server.process_request, state)
+                task.link(self._remove, sock)
+            else:
+                self.shared.events.note(
+                    events_.OverloadEvent.REFUSED_CONNECTION
+                )
+                _refuse(sock)
+
+    def _handle_accept_error(self) -> None:
+        """Make room after an error, and pause: the loop must go on."""
+        self.shared.events.note(events_.OverloadEvent.ACCEPT_ERROR)
+        self.connections.close_some()
+        green.sleep_ms(_ACCEPT_PAUSE_MS)
+
+    def _has_room(self) -> bool:
+        """Return whether there is room, after closing other connections."""
+        if self.connections.is_full:
+            self.connections.close_some()
+            for _ in range(_CLOSE_ROUNDS):
+                green.sleep_ms(0)
+        return not self.connections.is_full
+
+    def _remove(self, task: ty.Any, sock: ty.Any) -> None:
+        """Close a connection whose task has ended."""
+        self.connections.remove(sock)
+        connection_table.shutdown(sock)
+        sock.close()
+
+
+def _refuse(sock: ty.Any) -> None:
+    """Answer that there is no room, without waiting, and close."""
+    raw = sock.fd
     try:
-        sock.shutdown(socket.SHUT_RDWR)
+        raw.send(_REFUSAL, socket.MSG_DONTWAIT)
+        raw.shutdown(socket.SHUT_WR)
+        # Closing with unread bytes would reset the connection, and could
+        # discard the answer.
+        raw.recv(_DRAIN_BYTES, socket.MSG_DONTWAIT)
     except OSError:
-        # The caller has closed the connection already.
+        # The client has sent nothing yet, or has left.
         pass
+    sock.close()
 
 
 class _DiscardLog:
--- a/src/peridotmast/wire/strict_protocol.py
+++ b/src/peridotmast/wire/strict_protocol.py
@@ -68,6 +68,7 @@
         if is_kept_alive:
             # A new connection is not idle: its first request is on the way.
             self.http_server.idle_sockets.add(sock)
+        self.http_server.connections.begin_wait(sock)
         try:
             sock.settimeout(limits.idle_timeout_ms / 1000)
             first = self.rfile.peek(1)
@@ -82,6 +83,7 @@
             # A request that arrived after the shutdown can't be answered, so
             # it must not be read.
             return b''
+        self.http_server.connections.begin_request(sock, self.account)
         self._header_timer = green.Timeout(limits.header_timeout_ms / 1000)
         return self.rfile.readline(request_body.MAX_LINE_BYTES)
 
