--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -49,3 +49,10 @@
       | bodies in large chunks  | large-chunks | 160     |
       | bodies in small chunks  | small-chunks | 24      |
       | trailers without end    | trailers     | 16      |
+
+  # Guards against refusals that operators can't see, and against a line for each of them.
+  Scenario: What is refused and closed for overload is counted and logged in bounds
+    Given a router process that may use 160 MB and 128 descriptors
+    When 300 clients of the kind "length" press on its server "callers", and requests take 20 ms
+    Then its metrics count connections closed for others, and memory below the budget
+    And its log has at most one line "overload" a second
--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+import datetime
+import itertools
+import pathlib
+import re
+
 from behave import given
 from behave import then
 from behave import when
@@ -10,6 +15,8 @@
 from peridotmast.load.crowds import play as play_
 
 SEED = 75
+MIN_GAP = datetime.timedelta(milliseconds=900)
+"""Time between two lines, less what the clocks and timers may differ."""
 
 
 @given(
@@ -68,3 +75,31 @@
 @then('the process ends by itself')
 def check_stopped(context):
     assert not context.broken, (context.broken, context.result)
+
+
+@then(
+    'its metrics count connections closed for others, and memory below the'
+    ' budget'
+)
+def check_metrics(context):
+    closed = 'peridotmast_overload_total{action="closed_reading"}'
+    metrics = context.result.metrics
+    assert metrics[closed] >= 1, metrics
+    budget = metrics['peridotmast_request_memory_max_bytes']
+    assert metrics['peridotmast_request_memory_bytes'] <= budget, metrics
+
+
+@then('its log has at most one line "overload" a second')
+def check_log(context):
+    log = '\n'.join(
+        path.read_text() for path in pathlib.Path(context.folder).glob('*.log')
+    )
+    times = [
+        datetime.datetime.fromisoformat(found)
+        for found in re.findall(
+            r'^timestamp=(\S+) \S+ event=overload ', log, re.MULTILINE
+        )
+    ]
+    assert times, log[-2000:]
+    gaps = [after - before for before, after in itertools.pairwise(times)]
+    assert all(gap >= MIN_GAP for gap in gaps), gaps
--- a/src/peridotmast/load/crowds/play.py
+++ b/src/peridotmast/load/crowds/play.py
@@ -15,6 +15,7 @@
 from peridotmast.embedded import shape as shape_
 from peridotmast import green
 from peridotmast.load.crowds import crowd as crowd_
+from peridotmast.load.crowds import metrics_reader
 from peridotmast.load.crowds import ordinary_caller
 from peridotmast.load.crowds import process_watch
 from peridotmast.load import driver as driver_
@@ -73,6 +74,8 @@
     """Clients that have sent all that they meant to."""
     closed: int = 0
     """Connections that the router has closed."""
+    metrics: dict[str, float] = dataclasses.field(default_factory=dict)
+    """Values of the router's metrics after the crowd has left."""
 
     def violations(self, play: Play) -> list[str]:
         """Return what does not hold."""
@@ -107,7 +110,11 @@
         'clients': crowd.clients,
         'server': crowd.server.name.lower(),
         'violations': broken,
-        **dataclasses.asdict(result),
+        **{
+            name: value
+            for name, value in dataclasses.asdict(result).items()
+            if name != 'metrics'
+        },
     }
     report_.write(folder, report)
     return broken
@@ -163,6 +170,7 @@
         result.answered_after = ordinary.is_answered()
         result.ready_after = readiness.is_answered()
         result.lives = router.is_running
+        result.metrics = metrics_reader.read(router.addresses['chat_address'])
     if router.is_running:
         result.after_mb = watch.current_mb()
     watch.stop()
--- a/src/peridotmast/router/http_servers.py
+++ b/src/peridotmast/router/http_servers.py
@@ -15,6 +15,7 @@
 from peridotmast.router import connection_shares
 from peridotmast.router import fleet_state as fleet_state_
 from peridotmast.router import forward_app
+from peridotmast.router import overload_report
 from peridotmast.router import serving as serving_
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast import web
@@ -137,12 +138,19 @@
             if address
         }
         """Readiness, directory and metrics servers by name."""
+        self._overload = overload_report.OverloadReport(
+            cfg.name, clock, self.shared, self._by_name(), registry
+        )
 
     def start(self) -> None:
         """Start to accept connections."""
         for server in self._servers():
             server.start()
 
+    def tick(self) -> None:
+        """Report what was done against overload."""
+        self._overload.tick()
+
     def stop(self) -> None:
         """Stop all servers at once."""
         for server in self._servers():
@@ -162,10 +170,17 @@
             self._limits.header_timeout_ms = limits.header_timeout_ms
             self._limits.idle_timeout_ms = limits.idle_timeout_ms
 
-    def _servers(self) -> list[server_.HttpServer]:
-        chat = [self.chat] if self.chat else []
-        servers = [self.platform, self.forward, *chat]
-        return [*servers, *self.auxiliary.values()]
+    def _servers(self) -> ty.Iterable[server_.HttpServer]:
+        return self._by_name().values()
+
+    def _by_name(self) -> dict[str, server_.HttpServer]:
+        chat = {'chat': self.chat} if self.chat else {}
+        return {
+            'platform': self.platform,
+            'forward': self.forward,
+            **chat,
+            **self.auxiliary,
+        }
 
     def _base_app(self, max_body: int = 1 << 20) -> web.WebApp:
         app = web.WebApp('http', max_body)
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -478,6 +478,7 @@
         self._peering.tick()
         self._catch_up.tick()
         self.serving.tick()
+        self._http_servers.tick()
         self._version_exchange.tick()
         self._update_readiness()
 
