A body that is not whole at its caller's deadline is refused as late

What callers saw: nothing, but a client that sends a byte now and then holds a request, its memory and its connection for as long as it likes.

Cause: only the gap between two reads was limited (`idle-timeout-ms`), not the whole.

Change: where a caller states how long it waits, its body has that long; then it is refused with 408, as not run. Without a stated time limit a body is held until its memory or its connection is needed for others.

--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -355,3 +355,28 @@
         fleet_steps.router_address(context),
         '\r\n'.join([*lines, '', '']).encode(),
     )
+
+
+@when(
+    'a caller with a deadline of {deadline_ms:d} ms sends a byte of its body'
+    ' every {pause_ms:d} ms'
+)
+def trickle(context, deadline_ms, pause_ms):
+    head = (
+        'POST /holds/x HTTP/1.1',
+        f'Host: {shape_.HOST}',
+        f'Authorization: {helpers.KEY}',
+        f'{names.DEADLINE_MS}: {deadline_ms}',
+        'Content-Length: 60',
+    )
+    sock = helpers.raw_connect(fleet_steps.router_address(context))
+    sock.sendall('\r\n'.join((*head, '', '')).encode())
+
+    def send():
+        for _ in range(60):
+            sock.sendall(b'a')
+            green.sleep_ms(pause_ms)
+
+    task = green.spawn(send)
+    context.raw = helpers.read_rest(sock, 5000)
+    task.kill()
--- a/features/strict.feature
+++ b/features/strict.feature
@@ -72,3 +72,9 @@
       | 220       | 70       | 200    |
       | 220       | 90       | 413    |
       | 0         | 400      | 413    |
+
+  # Guards against bodies that are held for ever by a byte now and then: only gaps were limited.
+  Scenario: A body that is not whole at the caller's deadline is refused as late
+    When a caller with a deadline of 500 ms sends a byte of its body every 100 ms
+    Then the raw response starts with "HTTP/1.1 408" and the connection is closed
+    And no upstream received a request
--- a/src/peridotmast/platform/caller_app.py
+++ b/src/peridotmast/platform/caller_app.py
@@ -60,6 +60,8 @@
     'timed_out': 504,
 }
 _TEAM_LIMIT_STATUS = 429
+_MAX_BODY_MS = 86_400_000
+"""Largest time limit of a body that is measured: a day."""
 _TOO_LARGE = 413
 
 
@@ -97,9 +99,15 @@
         arrived_at = self._clock.now()
         headers = environ['headers_raw']
         request_id = _get_header(headers, names.REQUEST_ID)
+        caller_timeout_ms = _parse_integer(
+            _get_header(headers, names.DEADLINE_MS)
+        )
         try:
+            # Nobody waits for an answer to a body that arrives later.
             body = conn.read_body(
-                self._limits.max_body_bytes, self._limits.idle_timeout_ms
+                self._limits.max_body_bytes,
+                self._limits.idle_timeout_ms,
+                min(caller_timeout_ms, _MAX_BODY_MS),
             )
         except request_body.InvalidBodyError as exc:
             return self._refuse_body(start, exc, request_id)
@@ -115,9 +123,7 @@
             headers=_forwarded_headers(headers),
             body=body,
             arrived_at=arrived_at,
-            caller_timeout_ms=_parse_integer(
-                _get_header(headers, names.DEADLINE_MS)
-            ),
+            caller_timeout_ms=caller_timeout_ms,
             prompt=prompt,
             resumes=_resumed_id(headers),
             caller=conn,
--- a/src/peridotmast/wire/caller_connection.py
+++ b/src/peridotmast/wire/caller_connection.py
@@ -58,7 +58,9 @@
         except OSError:
             return True
 
-    def read_body(self, max_bytes: int, idle_timeout_ms: int) -> bytes:
+    def read_body(
+        self, max_bytes: int, idle_timeout_ms: int, timeout_ms: int = 0
+    ) -> bytes:
         """Read the whole body of the request.
 
         Parameters
@@ -67,6 +69,8 @@
             Maximum size of the body.
         idle_timeout_ms : int
             Maximum time without a byte of the body, in ms.
+        timeout_ms : int, optional
+            Maximum time for the whole body, in ms; 0 for no maximum.
 
         Raises
         ------
@@ -77,6 +81,7 @@
         reader = self._protocol.environ['eventlet.input']
         server = self._protocol.http_server
         self._sock.settimeout(idle_timeout_ms / 1000)
+        timer = green.Timeout(timeout_ms / 1000 if timeout_ms else None)
         try:
             body = request_body.BodyReader(
                 reader,
@@ -91,6 +96,10 @@
             return body
         except TimeoutError:
             raise self._refuse(408, 'body_late') from None
+        except green.Timeout as exc:
+            if exc is not timer:
+                raise
+            raise self._refuse(408, 'body_late') from None
         except OSError:
             raise self._refuse(400, 'body_broken') from None
         except request_body.InvalidBodyError as exc:
@@ -100,6 +109,7 @@
                 503, OVERLOADED, memory_budget.RETRY_MS
             ) from None
         finally:
+            timer.cancel()
             self._sock.settimeout(self._protocol.server.socket_timeout)
 
     def watch_for_close(self) -> None:
