--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -30,6 +30,11 @@
       | bodies announced far over the limit             | announced     | callers   | 400     | 160    | 1024        | 20   |
       | bodies far over the limit in chunks             | overlong      | callers   | 300     | 160    | 1024        | 20   |
       | thousands of pipelined requests                 | pipelined     | callers   | 300     | 160    | 1024        | 3000 |
+      | hundreds of bodies short of their end           | large-chunks  | callers   | 600     | 160    | 4100        | 20   |
+      | hundreds of whole bodies                        | whole-bodies  | callers   | 600     | 160    | 4100        | 3000 |
+      | bodies that go on by single bytes               | trickle       | callers   | 160     | 160    | 1024        | 20   |
+      | requests that wait to send their bodies         | continue      | callers   | 300     | 160    | 1024        | 20   |
+      | callers that read no streams                    | streams       | callers   | 160     | 160    | 1024        | 20   |
 
   # Guards against state that connections leave behind when they end early.
   Scenario: A router survives clients that connect again and again
--- a/src/peridotmast/load/crowds/crowd.py
+++ b/src/peridotmast/load/crowds/crowd.py
@@ -28,6 +28,7 @@
 _HUGE_BYTES = 1 << 30
 _OVER_BYTES = 4 << 20
 _PIPELINED = 5000
+_STREAM_TOKENS = 100_000
 _LONG_TEXT_BYTES = 3000
 _DIFFERENT_REQUESTS = 100
 
@@ -43,6 +44,7 @@
     PEERS = 'forward_address'
     DIRECTORY = 'directory_address'
     READY = 'ready_address'
+    RPC = 'peer_address'
 
 
 class Kind(enum.Enum):
@@ -74,6 +76,12 @@
     """A body far over the limit, in chunks."""
     PIPELINED = 'pipelined'
     """Thousands of requests at once on one connection."""
+    CONTINUE = 'continue'
+    """The head of a request that waits to be told to send its body."""
+    STREAMS = 'streams'
+    """A request whose answer is a long stream."""
+    TRICKLE = 'trickle'
+    """A body that goes on by one byte at a time, without a time limit."""
     DIFFERENT = 'different'
     """Requests whose id, host, path, key and prompt are long and new."""
 
@@ -179,6 +187,27 @@
     yield _head(number, 'Content-Length: 0') * _PIPELINED
 
 
+def _continue(number: int) -> Sent:
+    yield _head(
+        number, 'Expect: 100-continue', f'Content-Length: {MAX_BODY_BYTES}'
+    )
+
+
+def _stream(number: int) -> Sent:
+    head = _head(
+        number,
+        f'{names.TOKEN_COUNTS}: 10,{_STREAM_TOKENS}',
+        'Content-Length: 1',
+    )
+    yield head.replace(b' /pages/a ', b' /chat/a ') + b'a'
+
+
+def _trickle(number: int) -> Sent:
+    yield _head(number, f'Content-Length: {MAX_BODY_BYTES}')
+    yield b'a' * (MAX_BODY_BYTES // 2)
+    yield from itertools.repeat(b'a', 400)
+
+
 def _different(number: int) -> Sent:
     for turn in range(_DIFFERENT_REQUESTS):
         text = f'{number}-{turn}-'.ljust(_LONG_TEXT_BYTES, 'x')
@@ -210,5 +239,8 @@
     Kind.ANNOUNCED: _announced,
     Kind.OVERLONG: _overlong,
     Kind.PIPELINED: _pipelined,
+    Kind.CONTINUE: _continue,
+    Kind.STREAMS: _stream,
+    Kind.TRICKLE: _trickle,
     Kind.DIFFERENT: _different,
 }
--- a/src/peridotmast/load/crowds/play.py
+++ b/src/peridotmast/load/crowds/play.py
@@ -21,6 +21,7 @@
 from peridotmast.load import driver as driver_
 from peridotmast.load import report as report_
 from peridotmast.platform import names
+from peridotmast.standin import engine as engine_
 from peridotmast.standin import plain_service
 
 MEMORY_MB = 160.0
@@ -125,7 +126,8 @@
     shape = shape_.FleetShape(
         routers=1,
         domains=1,
-        engines=0,
+        engines=int(play.crowd.kind is crowd_.Kind.STREAMS),
+        engine_profile=engine_.EngineProfile(batch_size=_SLOTS),
         services=0,
         config=_CONFIG,
         machine={'memory_mb': play.memory_mb, 'descriptors': play.descriptors},
--- a/src/peridotmast/router/connection_shares.py
+++ b/src/peridotmast/router/connection_shares.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from peridotmast import machine
+from peridotmast.schema import peridotmast_pb2 as pb
+
 _SHARES = {
     'platform': 0.7,
     'forward': 0.14,
@@ -17,6 +20,29 @@
 
 _MIN_CONNECTIONS = 2
 
+_CONNECTION_BYTES = 57_344
+"""Memory of a connection: its task and its buffers, and what may have arrived
+on it without being read, in bytes."""
+
+_MEMORY_SHARE = 0.3
+"""Share of the memory for connections, beside that for requests."""
+
+
+def total_connections(file: pb.RouterFile) -> int:
+    """Return the number of connections of all servers of a router.
+
+    Parameters
+    ----------
+    file : pb.RouterFile
+        Checked settings.
+    """
+    cfg = file.machine
+    by_descriptors = cfg.caller_share * machine.descriptors(cfg.descriptors)
+    by_memory = (
+        _MEMORY_SHARE * machine.memory_bytes(cfg.memory_mb) / _CONNECTION_BYTES
+    )
+    return int(min(by_descriptors, by_memory))
+
 
 class ConnectionShares:
     """Divides the connections between the servers.
--- a/src/peridotmast/router/http_servers.py
+++ b/src/peridotmast/router/http_servers.py
@@ -68,10 +68,7 @@
         )
         """What all servers share."""
         shares = connection_shares.ConnectionShares(
-            int(
-                machine.descriptors(file.machine.descriptors)
-                * file.machine.caller_share
-            ),
+            connection_shares.total_connections(file),
             bool(cfg.chat_listen),
         )
         application = caller_app.PlatformCallerApp(
