The stand-in of a forwarded call has an account of its memory

The model of ways through a peer answers forwarded calls with the real application, which counts the memory of each since the budget; its stand-in of the connection had no account (14 scenarios raised an error). The checks are as they were; 28 scenarios pass.

--- a/features/steps/peer_model.py
+++ b/features/steps/peer_model.py
@@ -33,6 +33,7 @@
 from peridotmast import tracing
 from peridotmast.wire import connection as connection_
 from peridotmast.wire import framing as framing_
+from peridotmast.wire.overload import shared_resources
 from peridotmast.wire import server as server_
 from peridotmast.wire import strict_protocol
 
@@ -337,6 +338,7 @@
                 framing_.Framing.CONNECTION
             ),
             close_orderly=lambda: None,
+            account=shared_resources.SharedResources().memory.open(),
         )
         self.framing = framing_.Framing.CHUNKS
         environ = {
