An entry of nested fields with known names is read in bounded work

What callers saw: while a router reads a page of entries it serves nobody. One entry of another writer with 50,000 nested fields "metadata" took 3.4 s of the processor for each page that holds it, one of "spec" without an end 3.1 s; a plain nested one 0.02 to 0.07 s (measured on this machine).

Cause: each place at which the metadata of an item, or an item itself, may begin was parsed, and a try in an item that is nested too deeply goes down a thousand levels before it fails.

Change: the metadata is looked for from the end at which it is, at no more than 64 places; an object that is the value of a field begins no item of a list.

--- a/features/foreign_entries.feature
+++ b/features/foreign_entries.feature
@@ -67,3 +67,18 @@
 
   Scenario: Random entries among those of the routers
     Then in 300 drawn stores a router registers, and knows no address that it can't send beacons to
+
+  # Guards against an entry that stops its readers for seconds: each of thousands of nested fields with
+  # a known name was parsed to its end.
+  Scenario Outline: An entry of nested fields is given up after a bounded number of tries
+    When an entry has <depth> nested fields "<field>", which <end>
+    Then the other entries of its page are read
+    And no more than <tries> places of the page were tried
+
+    Examples:
+      | depth | field    | end            | tries |
+      | 50000 | metadata | end            | 300   |
+      | 50000 | metadata | do not end     | 300   |
+      | 50000 | spec     | end            | 300   |
+      | 50000 | spec     | do not end     | 300   |
+      | 50000 | object   | do not end     | 300   |
--- a/features/steps/foreign_entry_steps.py
+++ b/features/steps/foreign_entry_steps.py
@@ -24,6 +24,7 @@
 from peridotmast.platform import config_codec
 from peridotmast.platform import fields as fields_
 from peridotmast.platform import names
+from peridotmast.platform import object_codec
 from peridotmast.platform import rollout_orders
 from peridotmast.platform import upstream_codec
 from peridotmast.serving import upstreams as upstreams_
@@ -330,3 +331,34 @@
             assert not address or addresses.is_usable(address), address
 
     test()
+
+
+@when('an entry has {depth:d} nested fields "{field}", which {end}')
+def parse_nested(context, depth, field, end):
+    value = f'{{"{field}":' * depth + '1' + '}' * depth * (end == 'end')
+    texts = [
+        f'{{"metadata":{{"name":"{name}","revision":{number}}},"spec":{spec}}}'
+        for number, (name, spec) in enumerate(
+            (('a', '{}'), ('odd', value), ('b', '{}')), 1
+        )
+    ]
+    page = f'{{"{names.ITEMS}":[{",".join(texts)}],"{names.AT_REVISION}":9}}'
+    decoder = mock.Mock(wraps=object_codec._DECODER)
+    with mock.patch.object(object_codec, '_DECODER', decoder):
+        context.page = object_codec.parse_list(page.encode(), names.ITEMS)
+    context.tries = decoder.raw_decode.call_count
+
+
+@then('the other entries of its page are read')
+def check_others(context):
+    found = {
+        item[names.META]['name']
+        for item in context.page[names.ITEMS]
+        if isinstance(item.get(names.META), dict)
+    }
+    assert {'a', 'b'} <= found, found
+
+
+@then('no more than {count:d} places of the page were tried')
+def check_tries(context, count):
+    assert context.tries <= count, context.tries
--- a/src/peridotmast/platform/object_codec.py
+++ b/src/peridotmast/platform/object_codec.py
@@ -30,6 +30,11 @@
 """Where an item follows another one."""
 _DELETED = re.compile(rf'"{names.DELETED}"\s*:\s*true')
 _DECODER = json.JSONDecoder()
+_MAX_TRIES = 64
+"""Maximum number of places at which the metadata of an item is looked for. A
+try in an item that is nested too deeply takes a thousand levels."""
+_FIELD_VALUE_BYTES = 8
+"""Length of the text before a place that is searched for a colon."""
 _RESPONSE_FIELD = re.compile(
     rf'"({names.HAS_MORE}|{names.AT_REVISION})"\s*:\s*(true|false|[0-9]+)'
 )
@@ -142,7 +147,9 @@
     """
     items, unread = [], at
     while start := _ITEM_START.search(text, at):
-        end = _end_of_item(text, start.start())
+        end = None
+        if not _is_field_value(text, start.start()):
+            end = _end_of_item(text, start.start())
         if end is None:
             at = start.end()
             continue
@@ -151,6 +158,15 @@
     return [*items, text[unread:]], text[unread:]
 
 
+def _is_field_value(text: str, at: int) -> bool:
+    """Return whether what begins at an offset is the value of a field.
+
+    An item of a list is none; a thousand levels of nested objects are.
+    """
+    before = text[max(0, at - _FIELD_VALUE_BYTES) : at]
+    return before.rstrip().endswith(':')
+
+
 def _end_of_item(text: str, at: int) -> ty.Optional[int]:
     """Return where the JSON item at an offset ends; None if there is none."""
     try:
@@ -220,16 +236,17 @@
     The value may contain what looks like metadata of another object. The own
     ones come before the value or after it.
     """
-    found = []
-    for match in _META.finditer(text):
+    places = [match.end() for match in _META.finditer(text)]
+    if not _BEGINS_WITH_META.match(text):
+        places.reverse()
+    for place in places[:_MAX_TRIES]:
         try:
-            meta, _ = _DECODER.raw_decode(text, match.end())
+            meta, _ = _DECODER.raw_decode(text, place)
         except (ValueError, RecursionError):
             continue
-        found.append(meta)
-    if not found:
-        return None
-    meta = found[0 if _BEGINS_WITH_META.match(text) else -1]
-    return {
-        name: meta[name] for name in ('name', names.REVISION) if name in meta
-    }
+        return {
+            name: meta[name]
+            for name in ('name', names.REVISION)
+            if name in meta
+        }
+    return None
