A request whose connection was closed for others does not run

What callers saw: nothing yet; found by reading the new limit on connections. A body whose end has arrived, but is not read yet when its connection is closed to make room, was passed on, and its answer could not be sent.

Change: a request whose connection is closed in this way is refused, and a connection that was closed while it waited reads no request. Only requests that are being read are closed when none is idle, not one that has just arrived. The accept loop goes on after any error, not only those of the kernel.

Evidence: the two scenarios (a part of a head, a part of a body) fail without it and pass.

--- a/features/connections.feature
+++ b/features/connections.feature
@@ -37,3 +37,14 @@
       | ENOBUFS      |
       | ECONNABORTED |
       | EPERM        |
+
+  # Guards against requests that run although their connection was closed for others in the same moment:
+  # their callers never get the answer.
+  Scenario Outline: A request whose end arrives as its connection is closed does not run
+    When a client has sent <before>, and the rest as its connection is closed for others
+    Then nothing has run
+
+    Examples:
+      | before            |
+      | a part of a head  |
+      | a part of a body  |
--- a/features/steps/connection_steps.py
+++ b/features/steps/connection_steps.py
@@ -21,9 +21,11 @@
 
 @given('a server for {count:d} connections whose requests take {work_ms:d} ms')
 def start_server(context, count, work_ms):
+    context.runs = []
+
     def app(environ, start):
         conn = environ[strict_protocol.CONNECTION]
-        conn.read_body(100, 60_000)
+        context.runs.append(conn.read_body(100, 60_000))
         green.sleep_ms(work_ms)
         start('200 OK', [('Content-Length', '0')])
         return [b'']
@@ -118,3 +120,27 @@
     assert len(answers) == count
     for answer in answers:
         assert answer.startswith(b'HTTP/1.1 %d' % status), answers
+
+
+BEFORE = {
+    'a part of a head': b'POST / HTT',
+    'a part of a body': PART[:-3],
+}
+
+
+@when(
+    'a client has sent {before}, and the rest as its connection is closed for'
+    ' others'
+)
+def close_while_sending(context, before):
+    first = BEFORE[before]
+    connect(context, 1, first)
+    # It has arrived, but the task of the connection has not read it yet.
+    context.clients[0].fd.send((PART + b'defghij')[len(first) :])
+    context.server.connections.close_some()
+    green.sleep_ms(100)
+
+
+@then('nothing has run')
+def check_no_runs(context):
+    assert not context.runs, context.runs
--- a/src/peridotmast/wire/overload/connection_table.py
+++ b/src/peridotmast/wire/overload/connection_table.py
@@ -33,12 +33,15 @@
         """Time at which its wait or its request began, in ms."""
         self.account: ty.Optional[memory_budget.MemoryAccount] = None
         """Account of the current request; None between two requests."""
+        self.was_shut = False
+        """Whether it was closed for others: what still arrives on it can't be
+        answered, and must not run."""
 
     @property
-    def is_busy(self) -> bool:
-        """Whether it has a request that may run, or is answered."""
+    def is_reading(self) -> bool:
+        """Whether it has a request that is not whole, and so can't run."""
         phases = (memory_budget.Phase.HEAD, memory_budget.Phase.BODY)
-        return self.account is not None and self.account.phase not in phases
+        return self.account is not None and self.account.phase in phases
 
 
 class ConnectionTable:
@@ -97,6 +100,11 @@
         """Record that a request has begun on a connection."""
         self._set(sock, account)
 
+    def was_shut(self, sock: ty.Any) -> bool:
+        """Return whether a connection was closed to make room."""
+        entry = self._entries.get(sock)
+        return entry is not None and entry.was_shut
+
     def idle(self) -> list[ConnectionEntry]:
         """Return the connections that wait for a request."""
         return [e for e in self._entries.values() if e.account is None]
@@ -112,7 +120,7 @@
         if not closed:
             self._close_oldest(
                 count,
-                [e for e in self._entries.values() if not e.is_busy],
+                [e for e in self._entries.values() if e.is_reading],
                 events_.OverloadEvent.CLOSED_READING,
             )
 
@@ -122,9 +130,13 @@
         entries: ty.Iterable[ConnectionEntry],
         event: events_.OverloadEvent,
     ) -> int:
-        oldest = heapq.nsmallest(count, entries, key=lambda e: e.since)
+        open_entries = [entry for entry in entries if not entry.was_shut]
+        oldest = heapq.nsmallest(count, open_entries, key=lambda e: e.since)
         for entry in oldest:
             self._events.note(event)
+            entry.was_shut = True
+            if entry.account is not None:
+                entry.account.evict()
             shutdown(entry.sock)
         return len(oldest)
 
@@ -139,6 +151,8 @@
 
 def has_unread_bytes(sock: ty.Any) -> bool:
     """Return whether a connection has unread bytes or was closed."""
+    if sock.fileno() < 0:
+        return True
     poller = select.poll()
     poller.register(sock.fileno(), select.POLLIN)
     return bool(poller.poll(0))
--- a/src/peridotmast/wire/server.py
+++ b/src/peridotmast/wire/server.py
@@ -179,27 +179,29 @@
         )
         while True:
             try:
-                sock, address = self._sock.accept()
-            except OSError:
-                self._handle_accept_error()
-                continue
-            if self._has_room():
-                sock.settimeout(wsgi_server.socket_timeout)
-                self.connections.add(sock)
-                state = [address, sock, wsgi.STATE_IDLE]
-                task = self._pool.spawn(wsgi_server.process_request, state)
-                task.link(self._remove, sock)
-            else:
-                self.shared.events.note(
-                    events_.OverloadEvent.REFUSED_CONNECTION
-                )
-                _refuse(sock)
-
-    def _handle_accept_error(self) -> None:
-        """Make room after an error, and pause: the loop must go on."""
-        self.shared.events.note(events_.OverloadEvent.ACCEPT_ERROR)
-        self.connections.close_some()
-        green.sleep_ms(_ACCEPT_PAUSE_MS)
+                self._accept(wsgi_server)
+            except Exception:
+                # The loop must go on after any error.
+                self.shared.events.note(events_.OverloadEvent.ACCEPT_ERROR)
+                green.sleep_ms(_ACCEPT_PAUSE_MS)
+
+    def _accept(self, wsgi_server: wsgi.Server) -> None:
+        """Accept one connection, and serve or refuse it."""
+        try:
+            sock, address = self._sock.accept()
+        except OSError:
+            # There may be no descriptor for it.
+            self.connections.close_some()
+            raise
+        if not self._has_room():
+            self.shared.events.note(events_.OverloadEvent.REFUSED_CONNECTION)
+            _refuse(sock)
+            return
+        sock.settimeout(wsgi_server.socket_timeout)
+        self.connections.add(sock)
+        state = [address, sock, wsgi.STATE_IDLE]
+        task = self._pool.spawn(wsgi_server.process_request, state)
+        task.link(self._remove, sock)
 
     def _has_room(self) -> bool:
         """Return whether there is room, after closing other connections."""
--- a/src/peridotmast/wire/strict_protocol.py
+++ b/src/peridotmast/wire/strict_protocol.py
@@ -79,6 +79,7 @@
                 is_kept_alive and sock not in self.http_server.idle_sockets
             )
             self.http_server.idle_sockets.discard(sock)
+        was_shut = was_shut or self.http_server.connections.was_shut(sock)
         if was_shut or not first:
             # A request that arrived after the shutdown can't be answered, so
             # it must not be read.
