After a refusal for lack of room, connections end with their answers

What callers saw: 300 clients that send thousands of requests each, one after the other, on all connections of a server: no ordinary caller was answered beside them.

Cause: a connection whose request may run is kept, and pipelined requests follow each other without a moment in which a connection waits.

Change: for a second after a connection was refused, each answer ends its connection, with `Connection: close`, so that others get their turn. What was pipelined behind it is not read and has not run.

--- a/features/steps/peer_model.py
+++ b/features/steps/peer_model.py
@@ -338,6 +338,7 @@
                 framing_.Framing.CONNECTION
             ),
             close_orderly=lambda: None,
+            close_if_pressed=lambda: None,
             account=shared_resources.SharedResources().memory.open(),
         )
         self.framing = framing_.Framing.CHUNKS
--- a/src/peridotmast/serving/response_body.py
+++ b/src/peridotmast/serving/response_body.py
@@ -68,6 +68,7 @@
             for name, value in reply.head.headers
             if name.lower() not in HOP_BY_HOP
         ]
+        conn.close_if_pressed()
         if self._ends_with_connection:
             conn.end_with_connection()
         elif isinstance(body, bytes):
--- a/src/peridotmast/web.py
+++ b/src/peridotmast/web.py
@@ -152,6 +152,7 @@
         headers = [('Content-Type', response.content_type), *response.headers]
         if response.ends_with_connection:
             conn.end_with_connection()
+        conn.close_if_pressed()
         start(status, headers)
         if isinstance(response.body, bytes) and not (
             response.ends_with_connection
--- a/src/peridotmast/wire/caller_connection.py
+++ b/src/peridotmast/wire/caller_connection.py
@@ -155,6 +155,11 @@
         """Close a connection that marks the end of its response."""
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
 
+    def close_if_pressed(self) -> None:
+        """Close the connection after the response if others need room."""
+        if self._protocol.http_server.connections.is_pressed:
+            self.close_after()
+
     def close_after(self) -> None:
         """Close the connection after the current response."""
         self._protocol.close_connection = 1
--- a/src/peridotmast/wire/overload/connection_table.py
+++ b/src/peridotmast/wire/overload/connection_table.py
@@ -15,6 +15,9 @@
 """Share of the connections that are closed at once when there is no room, so
 that not each further connection has to search for one."""
 
+_PRESSED_MS = 1000
+"""Time after a refusal in which connections end with their answers."""
+
 
 class ConnectionEntry:
     """State of one connection.
@@ -73,6 +76,7 @@
         self.max_connections = max_connections
         """Maximum number of connections."""
         self._entries: dict[ty.Any, ConnectionEntry] = {}
+        self._refused_at: ty.Optional[int] = None
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -82,6 +86,23 @@
         """Whether there is no room for another connection."""
         return len(self._entries) >= self.max_connections
 
+    @property
+    def is_pressed(self) -> bool:
+        """Whether others were refused, and connections are to end soon.
+
+        Clients that send one request after the other on all connections would
+        keep all others away otherwise.
+        """
+        return (
+            self._refused_at is not None
+            and self._clock.now() - self._refused_at <= _PRESSED_MS
+        )
+
+    def note_refused(self) -> None:
+        """Record that there was no room for a connection."""
+        self._events.note(events_.OverloadEvent.REFUSED_CONNECTION)
+        self._refused_at = self._clock.now()
+
     def add(self, sock: ty.Any) -> None:
         """Add an accepted connection."""
         self._entries[sock] = ConnectionEntry(sock, self._clock.now())
--- a/src/peridotmast/wire/server.py
+++ b/src/peridotmast/wire/server.py
@@ -194,7 +194,7 @@
             self.connections.close_some()
             raise
         if not self._has_room():
-            self.shared.events.note(events_.OverloadEvent.REFUSED_CONNECTION)
+            self.connections.note_refused()
             _refuse(sock)
             return
         sock.settimeout(wsgi_server.socket_timeout)
