--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -30,7 +30,7 @@
 from peridotmast.serving import upstreams as upstreams_
 from peridotmast.wire import connection as connection_
 from peridotmast.wire import http_client
-from peridotmast.wire import server as server_
+from peridotmast.wire.overload import connection_table
 
 
 def resolve(router, domain='fd-1'):
@@ -158,10 +158,10 @@
 )
 def send_request_after_shutdown(context):
     open_kept_alive(context)
-    real = server_._shutdown
-    context.closing.append(lambda: setattr(server_, '_shutdown', real))
+    real = connection_table.shutdown
+    context.closing.append(lambda: setattr(connection_table, 'shutdown', real))
     # The kernel may still accept bytes after the shutdown, but sends none.
-    server_._shutdown = lambda sock: sock.shutdown(socket.SHUT_WR)
+    connection_table.shutdown = lambda sock: sock.shutdown(socket.SHUT_WR)
     context.fleet.routers[0]._http_servers.close_idle()
     send_on_kept_alive(context, 'crossing-2')
 
