The chat server has its share of the connections

What callers saw: 300 silent connections at the chat API took 123 of the 128 descriptors that the process may use; what was left for callers, peers and upstreams depended on errors of accept.

Cause: the server of the chat API was created without its limit, so that it had the default of 20,000, although the page for operators names its share. Found by reading the change; the metric of the limit shows it too.

Change: it gets its share like the other servers.

--- a/features/connections.feature
+++ b/features/connections.feature
@@ -48,3 +48,8 @@
       | before            |
       | a part of a head  |
       | a part of a body  |
+
+  # Guards against a server that is left out: its clients took the descriptors of all others.
+  Scenario: The servers of a router together keep to the descriptors
+    Given a router with the chat API that may use 1000 descriptors
+    Then its servers together may have at most 600 connections
--- a/features/steps/connection_steps.py
+++ b/features/steps/connection_steps.py
@@ -144,3 +144,20 @@
 @then('nothing has run')
 def check_no_runs(context):
     assert not context.runs, context.runs
+
+
+@given('a router with the chat API that may use {count:d} descriptors')
+def start_router(context, count):
+    helpers.start_fleet(
+        context, routers=1, engines=0, machine={'descriptors': count}
+    )
+
+
+@then('its servers together may have at most {count:d} connections')
+def check_total(context, count):
+    servers = context.fleet.routers[0]._http_servers._by_name()
+    limits = {
+        name: server.connections.max_connections
+        for name, server in servers.items()
+    }
+    assert 'chat' in limits and sum(limits.values()) <= count, limits
--- a/src/peridotmast/router/http_servers.py
+++ b/src/peridotmast/router/http_servers.py
@@ -110,7 +110,10 @@
                 int(_RESOLVE_TTL_S * 1000),
             ).add_routes(app)
             self.chat = server_.HttpServer(
-                cfg.chat_listen, app, shared=self.shared
+                cfg.chat_listen,
+                app,
+                shared=self.shared,
+                max_connections=shares.of('chat'),
             )
         directory = directory_.PlatformDirectory(
             fleet_state.members,
