--- a/src/peridotmast/platform/caller_app.py
+++ b/src/peridotmast/platform/caller_app.py
@@ -61,7 +61,7 @@
 }
 _TEAM_LIMIT_STATUS = 429
 _MAX_BODY_MS = 86_400_000
-"""Largest time limit of a body that is measured: a day."""
+"""Longest time limit of a body, in ms: a caller may state any number."""
 _TOO_LARGE = 413
 
 
--- a/src/peridotmast/wire/overload/memory_budget.py
+++ b/src/peridotmast/wire/overload/memory_budget.py
@@ -100,7 +100,7 @@
         self.progressed_at = self._budget.now()
 
     def evict(self) -> None:
-        """Discard the body, or break the answer off; called by the budget."""
+        """Discard the body, or break the answer off, for other requests."""
         self.is_evicted = True
         if self.phase is Phase.BODY:
             self.body.clear()
@@ -188,8 +188,8 @@
     def _evict_until(self, used_bytes: float, spared: MemoryAccount) -> None:
         """Evict until no more than `used_bytes` are in use.
 
-        A request whose body is read is spared from those that have less
-        claim to the memory than itself.
+        Bodies that weigh less than the request that needs the memory keep
+        theirs.
         """
         now = self.now()
         found = [
