The watch of a connection ends with its request, however that ends

What was seen: "A planned stop of a peer lets forwarded streams end" failed in its first step now and then, last beside five other runs of tests: a request to a sound fleet had no answer in 8 s.

Reproduced: the two scenarios before it and itself, in four processes at once: it failed in all four, at the same request, and in none of ten later plays. The router had sent it to an upstream, and no byte came back.

Cause: a request watches its caller's connection, and only some ways out of it ended the watch. A killed task, or an error in the handler, left it: the descriptor was closed while the hub's loop still had it registered. asyncio does not register a number again if it knows it with the same events, so a transport that got this descriptor next was never told that it could be read. Transports of asyncio are the proxies of tests and of the soak; the servers of a router replace such a registration, so that its callers did not see this. A play with one such descriptor and one proxy: 200 without, silent with it, each time.

Change: the protocol ends the watch together with its request, in one place for all applications and all ways out.

Measured: the new scenarios failed before (handler fails, server stops). The two scenarios that kill a peer left one such descriptor before, none in three plays now.

--- a/features/connections.feature
+++ b/features/connections.feature
@@ -49,6 +49,17 @@
       | a part of a head  |
       | a part of a body  |
 
+  # Guards against a descriptor that is watched after it was closed: what waited for the next connection
+  # with its number was not told that it could be read.
+  Scenario Outline: The watch of a connection ends with its request, also if <end>
+    When a request whose connection is watched runs, and <end>
+    Then the descriptor of its connection is not watched
+
+    Examples:
+      | end               |
+      | its handler fails |
+      | its server stops  |
+
   # Guards against a server that is left out: its clients took the descriptors of all others.
   Scenario: The servers of a router together keep to the descriptors
     Given a router with the chat API that may use 1000 descriptors
--- a/features/steps/connection_steps.py
+++ b/features/steps/connection_steps.py
@@ -8,6 +8,7 @@
 from behave import given
 from behave import then
 from behave import when
+from eventlet import hubs
 import helpers
 
 from peridotmast import green
@@ -161,3 +162,33 @@
         for name, server in servers.items()
     }
     assert 'chat' in limits and sum(limits.values()) <= count, limits
+
+
+@when('a request whose connection is watched runs, and {end}')
+def end_watched_request(context, end):
+    context.watched = []
+
+    def app(environ, start):
+        conn = environ[strict_protocol.CONNECTION]
+        conn.watch_for_close()
+        context.watched.append(conn.fileno())
+        green.sleep_ms(100)
+        raise ValueError('injected')
+
+    server = server_.HttpServer('127.0.0.1:0', app)
+    server.start()
+    context.closing.append(server.stop)
+    sock = helpers.raw_connect(server.address)
+    context.closing.append(sock.close)
+    sock.sendall(REQUEST)
+    helpers.wait_until(lambda: context.watched, 'a request that runs')
+    assert context.watched[0] in hubs.get_hub().listeners[hubs.hub.READ]
+    if end == 'its server stops':
+        server.stop()
+    green.sleep_ms(200)
+
+
+@then('the descriptor of its connection is not watched')
+def check_not_watched(context):
+    listeners = hubs.get_hub().listeners[hubs.hub.READ]
+    assert context.watched[0] not in listeners, listeners
--- a/src/peridotmast/wire/strict_protocol.py
+++ b/src/peridotmast/wire/strict_protocol.py
@@ -58,6 +58,7 @@
     account: memory_budget.MemoryAccount
     """Memory that the current request holds."""
     _header_timer: ty.Any = None
+    _caller: ty.Optional[caller_connection.CallerConnection] = None
 
     def _read_request_line(self) -> bytes:
         limits = self.http_server.limits
@@ -106,6 +107,7 @@
                 raise
         finally:
             self._cancel_timer()
+            self._stop_watching()
             self.account.close()
 
     def parse_request(self) -> bool:
@@ -139,7 +141,8 @@
             self.close_connection = 1
         env = super().get_environ()
         env[TARGET] = self.path
-        env[CONNECTION] = caller_connection.CallerConnection(self)
+        self._caller = caller_connection.CallerConnection(self)
+        env[CONNECTION] = self._caller
         return env
 
     def finish(self) -> None:
@@ -244,6 +247,16 @@
             # The connection is closed already.
             pass
 
+    def _stop_watching(self) -> None:
+        """End the watch of the connection, however its request has ended.
+
+        A descriptor that is watched after its close hides the events of the
+        next connection with its number from asyncio's transports.
+        """
+        if self._caller is not None:
+            self._caller.stop_watching()
+            self._caller = None
+
     def _cancel_timer(self) -> None:
         if self._header_timer is not None:
             self._header_timer.cancel()
