Crowds that ask for large answers, and crowds at the gRPC port

The watch of a process counts what is unread on all of its connections now, also on those to upstreams: a stricter measure for all crowds.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -35,6 +35,11 @@
       | bodies that go on by single bytes               | trickle       | callers   | 160     | 160    | 1024        | 20   |
       | requests that wait to send their bodies         | continue      | callers   | 300     | 160    | 1024        | 20   |
       | callers that read no streams                    | streams       | callers   | 160     | 160    | 1024        | 20   |
+      | callers that read no large answers              | large-answers | callers   | 400     | 160    | 1024        | 20   |
+      | callers that read large answers slowly          | slow-readers  | callers   | 400     | 160    | 1024        | 20   |
+      | chat callers that read no large answers         | chat-answers  | chat      | 400     | 160    | 1024        | 20   |
+      | bodies that peers forward                       | forwarded     | peers     | 160     | 160    | 1024        | 3000 |
+      | silent connections for gRPC                     | silent        | rpc       | 300     | 160    | 128         | 20   |
 
   # Guards against state that connections leave behind when they end early.
   Scenario: A router survives clients that connect again and again
@@ -43,6 +48,20 @@
     Then the process runs within its memory and its descriptors
     And ordinary callers are answered beside the crowd and after it
 
+  # Guards against what a change of the limits, or an upstream that leaves, does beside a crowd: requests
+  # move and are sent again while others hold the memory.
+  Scenario Outline: A router survives <crowd> beside a reclaim and a change of the limits
+    Given a router process that may use 160 MB and 1024 descriptors
+    When 160 clients of the kind "<kind>" press on it beside a reclaim and a change of the limits
+    Then the process runs within its memory and its descriptors
+    And ordinary callers are answered beside the crowd and after it
+
+    Examples:
+      | crowd          | kind          |
+      | whole bodies   | whole-bodies  |
+      | large answers  | large-answers |
+      | unread streams | streams       |
+
   # Guards against a planned stop that waits for clients, or that they keep from its turn.
   Scenario Outline: A router stops as planned beside <crowd>
     Given a router process that may use 1000 MB and 1024 descriptors
--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -15,6 +15,7 @@
 from peridotmast.load.crowds import play as play_
 
 SEED = 75
+TROUBLED_WORK_MS = 1000
 MIN_GAP = datetime.timedelta(milliseconds=900)
 """Time between two lines, less what the clocks and timers may differ."""
 
@@ -59,6 +60,15 @@
     play(context, crowd_.Crowd(crowd_.Kind(kind), clients), stops=True)
 
 
+@when(
+    '{clients:d} clients of the kind "{kind}" press on it beside a reclaim and'
+    ' a change of the limits'
+)
+def press_beside_troubles(context, clients, kind):
+    crowd = crowd_.Crowd(crowd_.Kind(kind), clients)
+    play(context, crowd, work_ms=TROUBLED_WORK_MS, troubles=True)
+
+
 @then('the process runs within its memory and its descriptors')
 def check_process(context):
     result, bounds = context.result, context.play
--- a/src/peridotmast/cli/load.py
+++ b/src/peridotmast/cli/load.py
@@ -116,6 +116,11 @@
 @click.option('--descriptors', default=crowd_play.DESCRIPTORS)
 @click.option('--work-ms', default=20.0, help='Work of a request.')
 @click.option('--stops', is_flag=True, help='Stop the router meanwhile.')
+@click.option(
+    '--troubles',
+    is_flag=True,
+    help='Change the limits and reclaim an upstream meanwhile.',
+)
 @_common_options
 def crowd(
     kind: str,
--- a/src/peridotmast/load/crowds/crowd.py
+++ b/src/peridotmast/load/crowds/crowd.py
@@ -5,10 +5,15 @@
 import dataclasses
 import enum
 import itertools
+import json
 import typing as ty
 
 from peridotmast.embedded import shape as shape_
 from peridotmast.platform import names
+from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import peer_sender
+from peridotmast import signing
+from peridotmast.standin import plain_service
 
 MAX_BODY_BYTES = 1 << 20
 """Limit on a body in the configuration of the crowd's fleet, in bytes."""
@@ -31,6 +36,8 @@
 _STREAM_TOKENS = 100_000
 _LONG_TEXT_BYTES = 3000
 _DIFFERENT_REQUESTS = 100
+_FORWARDED_MS = 8000
+_ATTEMPTS = 3
 
 Sent = ty.Iterator[bytes]
 """Parts that one client sends in order."""
@@ -48,7 +55,7 @@
 
 
 class Kind(enum.Enum):
-    """What each client of a crowd does; it reads no answers."""
+    """What each client of a crowd does; all but one read no answers."""
 
     LARGE_CHUNKS = 'large-chunks'
     """A body in chunks of 64 KiB that stops short of its end."""
@@ -84,6 +91,14 @@
     """A body that goes on by one byte at a time, without a time limit."""
     DIFFERENT = 'different'
     """Requests whose id, host, path, key and prompt are long and new."""
+    LARGE_ANSWERS = 'large-answers'
+    """A short request whose answer is large."""
+    SLOW_READERS = 'slow-readers'
+    """A short request whose answer is large, and is read slowly."""
+    CHAT_ANSWERS = 'chat-answers'
+    """A short call of the chat API whose answer is large."""
+    FORWARDED = 'forwarded'
+    """A request with a body of the largest size, as a peer forwards it."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -97,6 +112,11 @@
     """Number of times that each client connects, sends and disconnects; after
     the last time it stays connected."""
 
+    @property
+    def reads_slowly(self) -> bool:
+        """Whether the clients read their answers, a few bytes at a time."""
+        return self.kind is Kind.SLOW_READERS
+
     def sent_by(self, number: int) -> Sent:
         """Return what the client with this number sends."""
         return _SENT[self.kind](number)
@@ -225,6 +245,45 @@
         yield '\r\n'.join((*lines, '', '')).encode()
 
 
+def _large_answer(number: int) -> Sent:
+    head = _head(number, 'Content-Length: 0')
+    yield head.replace(
+        b'/pages/a ', f'/pages/{plain_service.LARGE_NAME} '.encode()
+    )
+
+
+def _chat_answer(number: int) -> Sent:
+    body = json.dumps({'payload': ''}).encode()
+    head = _head(number, f'Content-Length: {len(body)}')
+    path = f'/v1/services/{shape_.PLAIN_SERVICE}/{plain_service.LARGE_NAME} '
+    yield head.replace(b'/pages/a ', path.encode()) + body
+
+
+def _forwarded(number: int) -> Sent:
+    data = pb.ForwardedRequest(
+        id=f'crowd-{number}',
+        router='router-2',
+        method='POST',
+        target='/pages/a',
+        body=b'a' * _ANSWERED_BODY_BYTES,
+        route=pb.Route(
+            name='pages',
+            kind=pb.IDEMPOTENT,
+            timeout_ms=_FORWARDED_MS,
+            attempts=_ATTEMPTS,
+        ),
+        service=pb.Service(name=shape_.PLAIN_SERVICE),
+        left_ms=_FORWARDED_MS,
+    ).SerializeToString()
+    signature = signing.sign(b'', data).hex()
+    yield (
+        f'POST {peer_sender.PATH} HTTP/1.1\r\nHost: a\r\n'
+        f'{peer_sender.SIGNATURE_HEADER}: {signature}\r\n'
+        f'Content-Length: {len(data)}\r\n\r\n'
+    ).encode()
+    yield data
+
+
 _SENT: dict[Kind, ty.Callable[[int], Sent]] = {
     Kind.LARGE_CHUNKS: _large_chunks,
     Kind.ONE_CHUNK: _one_chunk,
@@ -243,4 +302,8 @@
     Kind.STREAMS: _stream,
     Kind.TRICKLE: _trickle,
     Kind.DIFFERENT: _different,
+    Kind.LARGE_ANSWERS: _large_answer,
+    Kind.SLOW_READERS: _large_answer,
+    Kind.CHAT_ANSWERS: _chat_answer,
+    Kind.FORWARDED: _forwarded,
 }
--- a/src/peridotmast/load/crowds/play.py
+++ b/src/peridotmast/load/crowds/play.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import os
 import resource
@@ -36,6 +37,11 @@
 """Time from then to the ordinary request beside the crowd."""
 _AFTER_MS = 500
 _RECEIVE_BUFFER_BYTES = 4096
+_SLOW_READ_BYTES = 1024
+_SLOW_READ_MS = 100
+_LOWER_BODY_BYTES = crowd_.MAX_BODY_BYTES // 2
+_NOTICE_MS = 1000
+_TROUBLE_MS = 1500
 
 
 @dataclasses.dataclass(frozen=True)
@@ -49,6 +55,9 @@
     """Time that the upstream takes for each request."""
     stops: bool = False
     """Whether the router is stopped as planned while the crowd is there."""
+    troubles: bool = False
+    """Whether the limits on requests change and an upstream is reclaimed while
+    the crowd is there."""
 
 
 @dataclasses.dataclass
@@ -140,16 +149,47 @@
         fleet.add_upstream(
             service, fleet.domains[0], shape_.PLAIN_SERVICE, _SLOTS
         )
+        if play.troubles:
+            _add_reclaimable(fleet, play.work_ms)
         fleet.start()
         router: ty.Any = fleet.routers[0]
         limits = (play.descriptors, play.descriptors)
         resource.prlimit(router.pid, resource.RLIMIT_NOFILE, limits)
-        return _play(play, router)
+        return _play(play, router, fleet)
     finally:
         fleet.stop()
 
 
-def _play(play: Play, router: process_router.ProcessRouter) -> Result:
+def _add_reclaimable(
+    fleet: process_fleet.ProcessFleet, work_ms: float
+) -> None:
+    """Add an upstream that can be reclaimed while requests run there."""
+    service = plain_service.PlainService(
+        'service-2', work_ms=work_ms, slots=_SLOTS
+    )
+    fleet.add_upstream(
+        service,
+        fleet.domains[0],
+        shape_.PLAIN_SERVICE,
+        _SLOTS,
+        reclaimable=True,
+    )
+
+
+def _begin_troubles(fleet: process_fleet.ProcessFleet) -> None:
+    """Lower a limit on requests, and reclaim an upstream, at once."""
+    fleet.write_config(
+        shape_.CONFIG + f'max_body_bytes = {_LOWER_BODY_BYTES}\n'
+    )
+    fleet.reclaim(fleet.domains[0], _NOTICE_MS)
+    green.sleep_ms(_TROUBLE_MS)
+
+
+def _play(
+    play: Play,
+    router: process_router.ProcessRouter,
+    fleet: process_fleet.ProcessFleet,
+) -> Result:
     result = Result()
     ordinary = ordinary_caller.OrdinaryCaller(router.address)
     readiness = ordinary_caller.OrdinaryCaller(
@@ -160,6 +200,8 @@
     result.rest_mb = watch.current_mb()
     clients = _Clients(play.crowd, router.addresses[play.crowd.server.value])
     clients.send()
+    if play.troubles:
+        _begin_troubles(fleet)
     if play.stops:
         result.lives = _has_stopped(router)
     else:
@@ -201,6 +243,7 @@
         self._address = host, int(port)
         self._socks: list[ty.Any] = []
         self._tasks: list[ty.Any] = []
+        self._readers: list[ty.Any] = []
         self.sent_whole = 0
 
     def send(self) -> None:
@@ -215,7 +258,7 @@
 
     def leave(self) -> int:
         """Close all connections; return how many were closed already."""
-        for task in self._tasks:
+        for task in (*self._tasks, *self._readers):
             task.kill()
         closed = sum(_is_closed(sock) for sock in self._socks)
         for sock in self._socks:
@@ -235,6 +278,8 @@
                     # waiting.
                     green.sleep_ms(0)
                 self.sent_whole += 1
+                if self._crowd.reads_slowly:
+                    self._readers.append(green.spawn(_read_slowly, sock))
             except OSError:
                 # The router has closed the connection.
                 pass
@@ -256,6 +301,13 @@
         return sock
 
 
+def _read_slowly(sock: ty.Any) -> None:
+    """Read a few bytes at a time until the end."""
+    with contextlib.suppress(OSError):
+        while sock.recv(_SLOW_READ_BYTES):
+            green.sleep_ms(_SLOW_READ_MS)
+
+
 def _is_closed(sock: ty.Any) -> bool:
     """Return whether the other side has closed, past what it has sent."""
     flags = socket.MSG_DONTWAIT
--- a/src/peridotmast/load/crowds/process_watch.py
+++ b/src/peridotmast/load/crowds/process_watch.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import typing as ty
 
 from peridotmast import green
 
 _INTERVAL_MS = 50
+_SOCKET = 'socket:['
 _KB = 1024
 _MB = 1_000_000
 
@@ -21,7 +23,7 @@
         Id of the process.
     addresses : list of str
         Addresses it listens on; bytes that wait there to be read count as its
-        memory.
+        memory, and so do those on its other connections.
     """
 
     def __init__(self, pid: int, addresses: ty.Iterable[str]) -> None:
@@ -54,14 +56,14 @@
 
     def _sample(self) -> None:
         try:
-            open_fds = len(os.listdir(f'/proc/{self._pid}/fd'))
+            links = self._open_files()
             resident_mb = self.current_mb()
             high_mb = self._status_kb('VmHWM') * _KB / _MB
         except (OSError, LookupError):
             # The process has ended.
             return
-        unread_mb = self._unread_bytes() / _MB
-        self.descriptors = max(self.descriptors, open_fds)
+        unread_mb = self._unread_bytes(links) / _MB
+        self.descriptors = max(self.descriptors, len(links))
         self.unread_mb = max(self.unread_mb, unread_mb)
         self.resident_mb = max(self.resident_mb, high_mb)
         self.peak_mb = max(self.peak_mb, high_mb, resident_mb + unread_mb)
@@ -71,14 +73,32 @@
             lines = dict(line.split(':', 1) for line in file)
         return int(lines[field].split()[0])
 
-    def _unread_bytes(self) -> int:
-        """Return the bytes that wait on connections to the addresses."""
+    def _open_files(self) -> list[str]:
+        """Return what the descriptors of the process stand for."""
+        folder = f'/proc/{self._pid}/fd'
+        links = []
+        for name in os.listdir(folder):
+            with contextlib.suppress(FileNotFoundError):
+                links.append(os.readlink(f'{folder}/{name}'))
+        return links
+
+    def _unread_bytes(self, links: ty.Iterable[str]) -> int:
+        """Return the bytes that wait on the connections of the process.
+
+        A connection that it has not accepted yet belongs to no descriptor.
+        """
+        inodes = {
+            link.removeprefix(_SOCKET).rstrip(']')
+            for link in links
+            if link.startswith(_SOCKET)
+        }
         with open('/proc/net/tcp', encoding='ascii') as file:
             rows = [line.split() for line in file][1:]
         return sum(
             int(row[4].partition(':')[2], 16)
             for row in rows
-            if row[1] in self._locals and row[3] != _LISTEN
+            if row[3] != _LISTEN
+            and (row[1] in self._locals or row[9] in inodes)
         )
 
 
--- a/src/peridotmast/standin/plain_service.py
+++ b/src/peridotmast/standin/plain_service.py
@@ -9,6 +9,14 @@
 from peridotmast.standin import upstream_app
 from peridotmast.wire import strict_protocol
 
+LARGE_NAME = 'large'
+"""Last part of the paths whose answers are large."""
+
+LARGE_BYTES = (1 << 20) - 1024
+"""Size of a large answer, in bytes: within the limit of a router."""
+
+_LARGE_ANSWER = b'a' * LARGE_BYTES
+
 
 class PlainService(http_standin.HttpStandin['_PlainApp']):
     """One incarnation of a plain service's upstream.
@@ -58,9 +66,14 @@
         body: bytes,
         start: ty.Callable[..., ty.Any],
     ) -> ty.Iterable[bytes]:
-        """Echo the request body after the processing time."""
+        """Echo the request body after the processing time.
+
+        The answer is large instead for a path that asks for it.
+        """
         green.sleep_ms(self._work_ms * self.delay_factor(environ))
         payload = b'done:' + body
+        if environ['PATH_INFO'].endswith(f'/{LARGE_NAME}'):
+            payload = _LARGE_ANSWER
         headers = [
             *self.answer_headers(request_id),
             ('Content-Type', 'text/plain'),
