Answers are counted before they are read, and wait for memory

What callers saw: 400 clients that send short requests with answers of 1 MiB, and read none of them, took a router to 413 MB of 160.

Cause: an answer was counted once it was whole, and was kept also if there was no room; how many there were at once, nothing limited.

Change: an answer's bytes are reserved before they are read from the upstream, all at once where the length is stated. One that finds no room waits in the buffers of its upstream, in order; a small one does not wait for large ones. Bodies that are not whole and answers that nobody reads give way to it. If only waiting answers hold the memory, the first one goes on. At the deadline it fails as not read; the upstream is not blamed. What a caller does not read is known by part now, for streams too, and a head is read in 8 KiB, as what follows it waits in the reader's buffer.

The five new scenarios of request_memory are red without it by construction.

--- a/features/request_memory.feature
+++ b/features/request_memory.feature
@@ -40,3 +40,40 @@
     When answers of 400000 and 400000 bytes have made no progress for 1500 and 200 ms
     And another request charges 200000 bytes
     Then only the first answer is broken off
+
+  # Guards against answers that are read before there is memory for them: short requests for large answers
+  # took 413 MB of 160. Small answers do not wait for large ones.
+  Scenario: Answers wait for memory one after the other
+    Given a budget of 1000000 bytes for answers
+    When answers of 500000, 400000, 300000 and 10000 bytes arrive
+    Then the answers 1 and 4 are read, and the others wait
+    When answer 1 has been sent
+    Then all answers are read
+
+  # Guards against answers that wait for each other.
+  Scenario: An answer goes on if only answers that wait hold the memory
+    Given a budget of 1000000 bytes for answers
+    When answers of 400000 and 390000 bytes arrive
+    And each of them has 400000 bytes more
+    Then the answers 1 and 2 hold 800000 and 390000 bytes
+    When answer 1 has been sent
+    Then the answers 1 and 2 hold 0 and 790000 bytes
+
+  Scenario: An answer that finds no memory by its deadline is not read
+    Given a budget of 1000000 bytes for answers
+    When answers of 700000 and 200000 bytes arrive, the second one with 200 ms left
+    Then the answers 1 are read, and the others have failed
+
+  # Guards against a caller that leaves the queue, and takes the turn of the others with it.
+  Scenario: A caller that leaves while its answer waits lets the next one go on
+    Given a budget of 1000000 bytes for answers
+    When answers of 700000, 200000 and 100000 bytes arrive
+    And the caller of answer 2 leaves
+    Then the answers 1 and 3 are read, and the others have left
+
+  # Guards against bodies that keep answers from being read: what has run goes before what has not.
+  Scenario: An answer takes the memory of bodies that are not whole
+    Given a budget of 1000000 bytes for answers
+    When a body of 700000 bytes has been read for 1 ms
+    And answers of 200000 bytes arrive
+    Then the answers 1 are read, and the body is evicted
--- a/features/steps/peer_model.py
+++ b/features/steps/peer_model.py
@@ -234,7 +234,7 @@
     def read_some(self, deadline):
         return next(self.parts)
 
-    def read_all(self, deadline, limit):
+    def read_all(self, deadline, limit, reserve=None):
         found = b''
         while part := self.read_some(deadline):
             if isinstance(part, failures.Failure):
--- a/features/steps/request_memory_steps.py
+++ b/features/steps/request_memory_steps.py
@@ -13,6 +13,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from peridotmast import clock as clock_
 from peridotmast.embedded import shape as shape_
 from peridotmast import green
 from peridotmast.serving import exchange as exchange_
@@ -272,3 +273,107 @@
 @then('no request that may run is evicted')
 def check_none_lost(context):
     assert not context.lost, context.lost
+
+
+@given('a budget of {size:d} bytes for answers')
+def given_answer_budget(context, size):
+    context.events = events_.OverloadEvents()
+    context.clock = clock_.SystemClock()
+    context.budget = memory_budget.MemoryBudget(
+        context.clock, context.events, size
+    )
+    context.answers = []
+
+
+class WaitingAnswer:
+    """An answer whose memory is reserved in a task of its own."""
+
+    def __init__(self, context, size, left_ms):
+        self._deadline = context.clock.now() + left_ms
+        self.account = context.budget.open()
+        self.account.phase = Phase.RUNNING
+        self.reserve(size)
+
+    def reserve(self, size):
+        self.is_read = None
+        self.task = green.spawn(self._reserve, size)
+
+    def _reserve(self, size):
+        self.is_read = self.account.reserve_answer(size, self._deadline)
+
+
+def arrive(context, sizes, left_ms):
+    for size, ms in zip(sizes, left_ms):
+        context.answers.append(WaitingAnswer(context, size, ms))
+        green.sleep_ms(1)
+
+
+@when('answers of {sizes} bytes arrive')
+def answers_arrive(context, sizes):
+    arrive(context, numbers(sizes), [helpers.LONG_MS] * len(numbers(sizes)))
+
+
+@when('answers of {sizes} bytes arrive, the second one with {ms:d} ms left')
+def hasty_answers_arrive(context, sizes, ms):
+    arrive(context, numbers(sizes), [helpers.LONG_MS, ms])
+
+
+@when('each of them has {size:d} bytes more')
+def answers_grow(context, size):
+    for answer in context.answers:
+        answer.reserve(size)
+
+
+@when('answer {number:d} has been sent')
+def answer_sent(context, number):
+    context.answers[number - 1].account.close()
+
+
+@when('the caller of answer {number:d} leaves')
+def waiting_caller_leaves(context, number):
+    green.sleep_ms(1)
+    answer = context.answers[number - 1]
+    answer.task.kill()
+    answer.account.close()
+
+
+@when('a body of {size:d} bytes has been read for {ms:d} ms')
+def read_one_body(context, size, ms):
+    context.body_account = context.budget.open()
+    context.body_account.phase = Phase.BODY
+    context.body_account.charge(size)
+    green.sleep_ms(ms)
+
+
+@then('the answers {read} are read, and the others {state}')
+def check_answers(context, read, state):
+    green.sleep_ms(400)
+    found = [n for n, a in enumerate(context.answers, 1) if a.is_read]
+    assert found == numbers(read), found
+    others = {a.is_read for a in context.answers if not a.is_read}
+    expected = {'have failed': {False}}.get(state, {None})
+    assert others == expected, others
+    is_waiting = state == 'wait'
+    assert bool(len(context.budget.answers)) == is_waiting
+
+
+@then('all answers are read')
+def check_all_read(context):
+    green.sleep_ms(400)
+    assert all(answer.is_read for answer in context.answers)
+    assert not len(context.budget.answers)
+
+
+@then('the answers {read} are read, and the body is evicted')
+def check_body_evicted(context, read):
+    green.sleep_ms(100)
+    found = [n for n, a in enumerate(context.answers, 1) if a.is_read]
+    assert found == numbers(read), found
+    assert context.body_account.is_evicted
+
+
+@then('the answers 1 and 2 hold {sizes} bytes')
+def check_answers_hold(context, sizes):
+    green.sleep_ms(200)
+    held = [answer.account.held_bytes for answer in context.answers]
+    assert held == numbers(sizes), held
--- a/src/peridotmast/serving/dispatcher.py
+++ b/src/peridotmast/serving/dispatcher.py
@@ -589,7 +589,12 @@
     ) -> ty.Union[reply_.Reply, failures.Failure]:
         view = sent.reservation.view
         deadline = state.exchange.deadline
-        body = sent.conn.read_all(deadline, _MAX_BODY_BYTES)
+        caller = state.exchange.caller
+        body = sent.conn.read_all(
+            deadline,
+            _MAX_BODY_BYTES,
+            reserve=lambda size: caller.reserve_answer(size, deadline),
+        )
         if isinstance(body, failures.Failure):
             sent.conn.close()
             self._sender.note_failure(state.exchange, view, body, sent.sent_at)
--- a/src/peridotmast/serving/exchange.py
+++ b/src/peridotmast/serving/exchange.py
@@ -51,6 +51,12 @@
     def has_left(self) -> bool:
         """Return whether the caller has disconnected."""
 
+    def reserve_answer(self, size: int, deadline: int) -> bool:
+        """Count bytes of an answer before they are read; wait for room.
+
+        Return whether there is room by `deadline`, in ms.
+        """
+
 
 @dataclasses.dataclass
 class Exchange:
--- a/src/peridotmast/serving/response_body.py
+++ b/src/peridotmast/serving/response_body.py
@@ -7,6 +7,7 @@
 
 from peridotmast.serving import decisions as decisions_
 from peridotmast.serving import reply as reply_
+from peridotmast.wire import answer_parts
 from peridotmast.wire import caller_connection
 from peridotmast.wire import framing
 
@@ -17,8 +18,6 @@
 ))  # fmt: skip
 """Headers that apply to one connection only and are not forwarded."""
 
-_PART_BYTES = 65536
-
 
 class ResponseBody:
     """Response body for the WSGI server.
@@ -56,9 +55,7 @@
         self._is_done = False
         body = reply.body
         is_whole = isinstance(body, bytes)
-        if isinstance(body, bytes):
-            conn.account.begin_answer(len(body))
-        self._parts = _split(body) if isinstance(body, bytes) else body
+        self._parts = answer_parts.AnswerParts(body, conn.account)
         self._ends_with_connection = (
             reply.head.framing is framing.Framing.CONNECTION
             or not (is_whole or conn.accepts_chunks)
@@ -79,7 +76,6 @@
         return self
 
     def __next__(self) -> bytes:
-        self._conn.account.note_progress()
         try:
             return next(self._parts)
         except StopIteration:
@@ -105,9 +101,3 @@
 def status_line(status: int) -> str:
     """Return a status with its text."""
     return f'{status} {http.client.responses.get(status, "Status")}'
-
-
-def _split(body: bytes) -> ty.Iterator[bytes]:
-    """Yield a whole body in parts, so that its progress can be seen."""
-    starts = range(0, len(body), _PART_BYTES)
-    return (body[start : start + _PART_BYTES] for start in starts)
--- a/src/peridotmast/serving/sender.py
+++ b/src/peridotmast/serving/sender.py
@@ -42,6 +42,11 @@
 """Verdicts on responses that may come from another upstream."""
 
 
+_OWN_REASONS = frozenset((crash_tracker_.BLOCK_REASON, connection_.NO_MEMORY))
+"""Reasons for which this router ends an attempt, so that the upstream has not
+failed."""
+
+
 @dataclasses.dataclass
 class _Attempt:
     """An attempt in progress."""
@@ -198,8 +203,7 @@
         was_answering : bool, optional
             Whether the upstream had sent an event of the response.
         """
-        if failure.reason == crash_tracker_.BLOCK_REASON:
-            # Cancelled by this router, so the upstream did not fail.
+        if failure.reason in _OWN_REASONS:
             return
         view.health.record_failure()
         if view.is_peer:
--- a/src/peridotmast/wire/caller_connection.py
+++ b/src/peridotmast/wire/caller_connection.py
@@ -58,6 +58,13 @@
         except OSError:
             return True
 
+    def reserve_answer(self, size: int, deadline: int) -> bool:
+        """Count bytes of an answer before they are read; wait for room.
+
+        Return whether there is room by `deadline`, in ms.
+        """
+        return self.account.reserve_answer(size, deadline)
+
     def read_body(
         self, max_bytes: int, idle_timeout_ms: int, timeout_ms: int = 0
     ) -> bytes:
--- a/src/peridotmast/wire/connection.py
+++ b/src/peridotmast/wire/connection.py
@@ -18,6 +18,9 @@
 Headers = list[tuple[str, str]]
 """Header fields in their order, with names in their original case."""
 
+NO_MEMORY = 'no_memory'
+"""Reason of the failure of a response for which this process has no memory."""
+
 TIMED_OUT = 'timed out'
 """Detail of a failure to connect without an answer."""
 
@@ -263,6 +266,7 @@
         limit: int,
         idle_timeout_ms: int = 0,
         on_bytes: ty.Callable[[], None] = lambda: None,
+        reserve: ty.Callable[[int], bool] = lambda size: True,
     ) -> ty.Union[bytes, failures.Failure]:
         """Return the rest of the response body.
 
@@ -278,7 +282,15 @@
             Maximum time without a byte of the body, in ms; 0 for no maximum.
         on_bytes : callable, optional
             Called when bytes of the body arrive.
+        reserve : callable, optional
+            Called with a number of bytes before they are kept: with all of
+            them at once if the length is known. Returns whether there is
+            memory; if not, the connection is closed, and the failure has the
+            reason `NO_MEMORY`.
         """
+        reserved_bytes = min(self._resp.length or 0, limit)
+        if reserved_bytes and not reserve(reserved_bytes):
+            return self._close_with_failure(NO_MEMORY)
         # A list would take much more memory for chunks of a few bytes.
         body = bytearray()
         parts_left = limit // _MIN_MEAN_PART_BYTES
@@ -293,6 +305,11 @@
             if not part:
                 return bytes(body)
             on_bytes()
+            added_bytes = len(body) + len(part) - reserved_bytes
+            if added_bytes > 0:
+                if not reserve(added_bytes):
+                    return self._close_with_failure(NO_MEMORY)
+                reserved_bytes += added_bytes
             body += part
             parts_left -= 1
             if (
--- a/src/peridotmast/wire/overload/memory_budget.py
+++ b/src/peridotmast/wire/overload/memory_budget.py
@@ -8,6 +8,7 @@
 
 from peridotmast import clock as clock_
 from peridotmast import green
+from peridotmast.wire.overload import answer_queue
 from peridotmast.wire.overload import events as events_
 
 RETRY_MS = 1000
@@ -23,7 +24,8 @@
 further request has to free some."""
 
 _STALLED_MS = 1000
-"""Time without progress after which an answer may be broken off."""
+"""Time for which a caller may leave a part of its answer unread before the
+answer may be broken off."""
 
 
 class OverloadedError(Exception):
@@ -40,7 +42,9 @@
     RUNNING = 'running'
     """It may run at an upstream, and is kept to its end."""
     ANSWER = 'answer'
-    """Its answer is sent."""
+    """Its whole answer is sent."""
+    STREAM = 'stream'
+    """Its answer is sent as it arrives."""
 
 
 class MemoryAccount:
@@ -60,8 +64,9 @@
         """Bytes counted for this request."""
         self.began_at = now
         """Time at which the request began, in ms."""
-        self.progressed_at = now
-        """Time at which the last part of its answer was sent, in ms."""
+        self.progressed_at: ty.Optional[int] = None
+        """Time at which the sending of a part of its answer began, in ms; None
+        while there is nothing to send."""
         self.phase = Phase.HEAD
         self.body = bytearray()
         """The part of the body that has been read."""
@@ -84,21 +89,54 @@
             raise OverloadedError
         self._budget.add(self, size)
 
+    def reserve_answer(self, size: int, deadline: int) -> bool:
+        """Count bytes of an answer before they are read; wait for room.
+
+        Parameters
+        ----------
+        size : int
+            Number of further bytes.
+        deadline : int
+            Time until which to wait, in ms.
+
+        Returns
+        -------
+        bool
+            Whether there is room.
+        """
+        return self._budget.answers.reserve(self, size, deadline)
+
     def begin_answer(self, size: int) -> None:
         """Count a whole answer in place of its request, which is released.
 
         It is kept also if there is no room for it.
         """
         self.phase = Phase.ANSWER
-        self.note_progress()
+        self.begin_send()
         self._budget.release(self)
         self._budget.make_room(self, size)
         self._budget.add(self, size)
 
-    def note_progress(self) -> None:
-        """Record that a part of the answer was sent."""
+    def begin_stream(self) -> None:
+        """Record that the answer is sent as it arrives."""
+        self.phase = Phase.STREAM
+
+    def begin_send(self) -> None:
+        """Record that the sending of a part of the answer begins."""
         self.progressed_at = self._budget.now()
 
+    def end_send(self) -> None:
+        """Record that all parts so far were sent."""
+        self.progressed_at = None
+
+    def is_stalled(self, now: int) -> bool:
+        """Return whether the caller has not read its answer for a while."""
+        return (
+            self.phase in (Phase.ANSWER, Phase.STREAM)
+            and self.progressed_at is not None
+            and now - self.progressed_at >= _STALLED_MS
+        )
+
     def evict(self) -> None:
         """Discard the body, or break the answer off, for other requests."""
         self.is_evicted = True
@@ -121,7 +159,8 @@
     While there is room, each request may use what its own limits allow. When
     there is none, memory is taken from those that hold the most for the
     longest time without being whole, and from answers that are not read.
-    Requests that may run keep theirs. One that finds no room is refused.
+    Requests that may run keep theirs. One that finds no room is refused, and
+    its answer is read from the upstream only once there is room for it.
 
     Parameters
     ----------
@@ -147,6 +186,8 @@
         self.used_bytes = 0
         """Memory that is in use, in bytes."""
         self._accounts: dict[MemoryAccount, None] = {}
+        self.answers = answer_queue.AnswerQueue(self)
+        """Answers that wait for memory."""
 
     def open(self) -> MemoryAccount:
         """Return the account of a request that begins."""
@@ -154,10 +195,13 @@
         self._accounts[account] = None
         return account
 
+    def is_small(self, account: MemoryAccount, size: int) -> bool:
+        """Return whether a request with `size` more bytes is a small one."""
+        return account.held_bytes + size <= _LARGE_BYTES
+
     def make_room(self, account: MemoryAccount, size: int) -> bool:
         """Return whether there is room, after taking it from others."""
-        needed = account.held_bytes + size
-        share = _LARGE_SHARE if needed > _LARGE_BYTES else 1.0
+        share = 1.0 if self.is_small(account, size) else _LARGE_SHARE
         limit = share * self.max_bytes
         if self.used_bytes + size <= limit:
             return True
@@ -170,6 +214,20 @@
             self._events.note(events_.OverloadEvent.REFUSED_MEMORY)
         return is_alone
 
+    def may_be_freed(self, account: MemoryAccount) -> bool:
+        """Return whether other requests will free memory by themselves.
+
+        Those whose answers wait for memory do not, and small ones free too
+        little.
+        """
+        return any(
+            other.held_bytes > _LARGE_BYTES
+            and other is not account
+            and other.phase not in (Phase.HEAD, Phase.BODY)
+            and not self.answers.has(other)
+            for other in self._accounts
+        )
+
     def add(self, account: MemoryAccount, size: int) -> None:
         """Count memory of a request."""
         account.held_bytes += size
@@ -188,8 +246,8 @@
     def _evict_until(self, used_bytes: float, spared: MemoryAccount) -> None:
         """Evict until no more than `used_bytes` are in use.
 
-        Bodies that weigh less than the request that needs the memory keep
-        theirs.
+        Bodies that weigh less than the body that needs the memory keep
+        theirs. An answer goes before any body.
         """
         now = self.now()
         found = [
@@ -198,7 +256,8 @@
             if account is not spared and self._is_evictable(account, now)
         ]
         found.sort(key=lambda account: _weight(account, now), reverse=True)
-        own_weight = _weight(spared, now)
+        is_read = spared.phase in (Phase.HEAD, Phase.BODY)
+        own_weight = _weight(spared, now) if is_read else 0
         for account in found:
             if self.used_bytes <= used_bytes:
                 return
@@ -215,9 +274,9 @@
     def _is_evictable(self, account: MemoryAccount, now: int) -> bool:
         if account.is_evicted:
             return False
-        if account.phase is Phase.ANSWER:
-            return now - account.progressed_at >= _STALLED_MS
-        return account.phase is Phase.BODY and account.held_bytes > 0
+        if account.phase is Phase.BODY:
+            return account.held_bytes > 0
+        return account.is_stalled(now)
 
 
 def _weight(account: MemoryAccount, now: int) -> int:
--- a/src/peridotmast/wire/socket_reader.py
+++ b/src/peridotmast/wire/socket_reader.py
@@ -10,6 +10,9 @@
 from peridotmast import green
 
 _READ_BYTES = 65536
+_READ_LINE_BYTES = 8192
+"""Bytes that are read at once for a line. What follows it is kept, even while
+its response waits for memory."""
 
 _TURN_UNITS = 256
 """Work after which a task lets the others run, in units: one call of this
@@ -80,7 +83,9 @@
         if limit >= 0:
             max_bytes = min(max_bytes, limit)
         while (end := self._buffer.find(b'\n') + 1) == 0:
-            if max_bytes <= len(self._buffer) or not self._fill():
+            if max_bytes <= len(self._buffer) or not self._fill(
+                _READ_LINE_BYTES
+            ):
                 end = len(self._buffer)
                 break
         line = self._take(min(end, max_bytes))
@@ -122,7 +127,7 @@
         del self._buffer[:size]
         return data
 
-    def _fill(self) -> bool:
+    def _fill(self, size: int = _READ_BYTES) -> bool:
         """Read once from the socket; return False at the end.
 
         Raises
@@ -134,7 +139,7 @@
         """
         while not self.ended:
             try:
-                data = self._sock.recv(_READ_BYTES)
+                data = self._sock.recv(size)
             except BlockingIOError:
                 self._wait()
                 continue
