Connections of answers that nobody reads are closed for others

What callers saw: no ordinary caller was answered beside 400 clients that read their answers at 10 KB/s.

Cause: a connection whose request may run was kept to the end of its answer, also if its client left the answer unread: such clients held all connections.

Change: when there is neither an idle connection nor one whose request is not whole, those are closed whose clients have read nothing of a part of their answers for a second.

--- a/src/peridotmast/wire/overload/connection_table.py
+++ b/src/peridotmast/wire/overload/connection_table.py
@@ -46,14 +46,18 @@
         phases = (memory_budget.Phase.HEAD, memory_budget.Phase.BODY)
         return self.account is not None and self.account.phase in phases
 
+    def is_stalled(self, now: int) -> bool:
+        """Return whether the client has not read its answer for a while."""
+        return self.account is not None and self.account.is_stalled(now)
+
 
 class ConnectionTable:
     """Limits the connections of one server.
 
     When there is no room, the connections are closed that have waited longest
     for a request, and if there are none, those whose requests have been read
-    for the longest time without being whole. A request that may run keeps its
-    connection.
+    for the longest time without being whole, and then those that do not read
+    their answers. A request that may run keeps its connection until then.
 
     Parameters
     ----------
@@ -138,11 +142,17 @@
             [e for e in self.idle() if not has_unread_bytes(e.sock)],
             events_.OverloadEvent.CLOSED_IDLE,
         )
+        closed = closed or self._close_oldest(
+            count,
+            [e for e in self._entries.values() if e.is_reading],
+            events_.OverloadEvent.CLOSED_READING,
+        )
         if not closed:
+            now = self._clock.now()
             self._close_oldest(
                 count,
-                [e for e in self._entries.values() if e.is_reading],
-                events_.OverloadEvent.CLOSED_READING,
+                [e for e in self._entries.values() if e.is_stalled(now)],
+                events_.OverloadEvent.ABORTED_ANSWER,
             )
 
     def _close_oldest(
