Answers of the chat API are counted like all others

What callers saw: 400 clients with short calls of the chat API whose answers are large, and not read, took a router to 247 MB of 160.

Cause: the chat API passes whole answers to the server as they are, so that neither their memory nor whether they are read was known. A completion that is not streamed was collected without any count, and parsed as a whole.

Change: the answers of all web applications go through `AnswerParts`. A completion's text is collected event by event, and each is reserved before it is kept.

--- a/src/peridotmast/router/chat_answers.py
+++ b/src/peridotmast/router/chat_answers.py
@@ -8,21 +8,39 @@
 from peridotmast import failures
 from peridotmast.serving import reply as reply_
 from peridotmast import web
+from peridotmast.wire import connection
 
 EVENT_STREAM = 'text/event-stream'
 """Content type of event streams."""
 
+_TEXT_BYTES = 64
+"""Memory of a short text beside its characters, in bytes."""
+
+Reserve = ty.Callable[[int], bool]
+
 
 def read_body(
-    reply: reply_.Reply,
+    reply: reply_.Reply, reserve: Reserve
 ) -> ty.Union[bytes, failures.Failure]:
-    """Return the complete body of an answer."""
+    """Return the complete body of an answer.
+
+    Parameters
+    ----------
+    reserve : callable
+        Called with a number of bytes before they are kept; returns whether
+        there is memory for them.
+    """
     if isinstance(reply.body, bytes):
         return reply.body
+    body = bytearray()
     try:
-        return b''.join(reply.body)
+        for part in reply.body:
+            if not reserve(len(part)):
+                return _no_memory()
+            body += part
     except reply_.BrokenAnswer as exc:
         return failures.unknown('broke_off', str(exc))
+    return bytes(body)
 
 
 class ChatAnswer:
@@ -34,12 +52,20 @@
         The engine's answer.
     request_id, model : str
         Id and model that are stated in the completion.
+    reserve : callable
+        Called with a number of bytes before they are kept; returns whether
+        there is memory for them.
     """
 
     def __init__(
-        self, reply: reply_.Reply, request_id: str, model: str
+        self,
+        reply: reply_.Reply,
+        request_id: str,
+        model: str,
+        reserve: Reserve,
     ) -> None:
         self._reply = reply
+        self._reserve = reserve
         self._id = request_id
         self._model = model
         self._last_event_id = 0
@@ -56,18 +82,17 @@
     def completion(self) -> web.Response:
         """Return the complete answer as one chat completion."""
         try:
-            body = read_body(self._reply)
+            text = self._read_text()
         finally:
             self.close()
-        if isinstance(body, failures.Failure):
-            return web.failure_response(body, self._id)
+        if isinstance(text, failures.Failure):
+            return web.failure_response(text, self._id)
         if self.has_failed:
             failure = failures.unknown(
                 'engine_failed', str(self._reply.head.status)
             )
             return web.failure_response(failure, self._id)
-        texts = [text for _, text in _parse_events(body)]
-        message = {'role': 'assistant', 'content': ''.join(texts)}
+        message = {'role': 'assistant', 'content': text}
         choice = {'index': 0, 'message': message, 'finish_reason': 'stop'}
         response = web.json_response(
             {
@@ -82,11 +107,8 @@
 
     def event_stream(self) -> ty.Iterator[bytes]:
         """Yield a successful answer as server-sent events."""
-        parts = self._reply.body
-        if isinstance(parts, bytes):
-            parts = iter((parts,))
         try:
-            for data in parts:
+            for data in self._parts():
                 chunks = [
                     self._chunk(number, {'content': text}, None)
                     for number, text in _parse_events(data)
@@ -99,6 +121,23 @@
             self._chunk(self._last_event_id, {}, 'stop') + b'data: [DONE]\n\n'
         )
 
+    def _parts(self) -> ty.Iterator[bytes]:
+        body = self._reply.body
+        return iter((body,)) if isinstance(body, bytes) else body
+
+    def _read_text(self) -> ty.Union[str, failures.Failure]:
+        """Return the text of all events; each part holds whole events."""
+        texts = []
+        try:
+            for data in self._parts():
+                for _, text in _parse_events(data):
+                    if not self._reserve(len(text) + _TEXT_BYTES):
+                        return _no_memory()
+                    texts.append(text)
+        except reply_.BrokenAnswer as exc:
+            return failures.unknown('broke_off', str(exc))
+        return ''.join(texts)
+
     def _chunk(
         self, number: int, delta: dict[str, str], reason: ty.Optional[str]
     ) -> bytes:
@@ -122,6 +161,10 @@
         return b'data: ' + json.dumps({'error': error}).encode() + b'\n\n'
 
 
+def _no_memory() -> failures.Failure:
+    return failures.unknown(connection.NO_MEMORY)
+
+
 def _parse_events(data: bytes) -> ty.Iterator[tuple[int, str]]:
     """Yield the id and the text of each complete event in `data`."""
     for event in data.replace(b'\r\n', b'\n').split(b'\n\n'):
--- a/src/peridotmast/router/chat_api.py
+++ b/src/peridotmast/router/chat_api.py
@@ -92,7 +92,9 @@
             return web.failure_response(
                 reply, incoming.id, _http_status(reply)
             )
-        answer = chat_answers.ChatAnswer(reply, incoming.id, body.model)
+        answer = chat_answers.ChatAnswer(
+            reply, incoming.id, body.model, _reserve_until_deadline(incoming)
+        )
         if answer.has_failed or not body.stream:
             return answer.completion()
         headers = [
@@ -119,7 +121,9 @@
                 reply, incoming.id, _http_status(reply)
             )
         try:
-            body = chat_answers.read_body(reply)
+            body = chat_answers.read_body(
+                reply, _reserve_until_deadline(incoming)
+            )
         finally:
             reply.close()
         if isinstance(body, failures.Failure):
@@ -249,6 +253,14 @@
         )
 
 
+def _reserve_until_deadline(
+    incoming: gateway_.IncomingRequest,
+) -> chat_answers.Reserve:
+    """Return what reserves memory for the answer to a request."""
+    deadline = incoming.arrived_at + incoming.caller_timeout_ms
+    return lambda size: incoming.caller.reserve_answer(size, deadline)
+
+
 def _parse(
     req: web.Request, message: ty.Any
 ) -> ty.Union[ty.Any, failures.Failure]:
--- a/src/peridotmast/web.py
+++ b/src/peridotmast/web.py
@@ -11,6 +11,7 @@
 from peridotmast import failures
 from peridotmast import green
 from peridotmast import logs
+from peridotmast.wire import answer_parts
 from peridotmast.wire import caller_connection
 from peridotmast.wire import request_body
 from peridotmast.wire import strict_protocol
@@ -152,14 +153,15 @@
         headers = [('Content-Type', response.content_type), *response.headers]
         if response.ends_with_connection:
             conn.end_with_connection()
+        elif isinstance(response.body, bytes):
+            headers.append(('Content-Length', str(len(response.body))))
         conn.close_if_pressed()
         start(status, headers)
         if isinstance(response.body, bytes) and not (
             response.ends_with_connection
         ):
+            # A caller that only ends its sending side still gets the answer.
             conn.stop_watching()
-            response.close()
-            return [response.body]
         environ['eventlet.minimum_write_chunk_size'] = 1
         return _Body(response, conn)
 
@@ -210,7 +212,7 @@
 
 
 class _Body:
-    """Streamed response body; its `close` also closes the response."""
+    """Response body; its `close` also closes the response."""
 
     def __init__(
         self, response: Response, conn: caller_connection.CallerConnection
@@ -218,14 +220,16 @@
         self._response = response
         self._conn = conn
         body = response.body
-        self._chunks = iter([body] if isinstance(body, bytes) else body)
+        self._parts = answer_parts.AnswerParts(
+            body if isinstance(body, bytes) else iter(body), conn.account
+        )
 
     def __iter__(self) -> ty.Iterator[bytes]:
         return self
 
     def __next__(self) -> bytes:
         try:
-            return ty.cast(bytes, next(self._chunks))
+            return next(self._parts)
         except StopIteration:
             if self._response.ends_with_connection:
                 self._conn.close_orderly()
@@ -235,8 +239,7 @@
         """Release the resources of the response; called by the server."""
         self._conn.stop_watching()
         self._response.close()
-        if hasattr(self._chunks, 'close'):
-            self._chunks.close()
+        self._parts.close()
 
 
 def failure_status(failure: failures.Failure) -> int:
