Connections for gRPC are limited

What callers saw: beside 300 silent connections to the gRPC port no ordinary caller was answered, at 128 descriptors, until they left.

Cause: only the HTTP servers counted their connections.

Change: the gRPC server accepts a share of the descriptors, and closes a further connection at once; one that has not begun to speak HTTP/2 after 5 s is closed. Both shares together may be 0.95 of the descriptors; more is a finding. The maximum is a metric (the library does not tell the number), and so are the answers that wait for memory.

--- a/features/settings.feature
+++ b/features/settings.feature
@@ -93,3 +93,28 @@
       | priority | maybe  | 2    | must be true or false                            |
       |          | true   | 2    | [scarcity] order: must be one of slack, priority |
       | priority | true   | 0    | no findings                                      |
+
+  # Guards against shares that leave no descriptor for upstreams and the platform.
+  Scenario Outline: Shares of the descriptors for connections
+    When the router program checks these settings
+      """
+      [router]
+      name = a
+      listen = 127.0.0.1:0
+      peer_listen = 127.0.0.1:0
+      failure_domain = fd-1
+      [platform]
+      objects = 127.0.0.1:1
+      cloud = 127.0.0.1:2
+      [machine]
+      caller_share = <callers>
+      peer_share = <peers>
+      """
+    Then the router program exits with <code>
+    And its output contains "router.ini" and "<text>"
+
+    Examples:
+      | callers | peers | code | text                                            |
+      | 0.8     | 0.3   | 2    | [machine] peer_share: at most 0.95 with caller_ |
+      | 0.6     | 0.7   | 2    | peer_share                                      |
+      | 0.6     | 0.35  | 0    | no findings                                     |
--- a/src/peridotmast/cli/_program.py
+++ b/src/peridotmast/cli/_program.py
@@ -27,6 +27,9 @@
 _LOG_FLUSH_MS = 100
 """Time for which log lines are buffered: at most ten writes a second."""
 
+_MAX_CONNECTION_SHARE = 0.95
+"""Largest share of the descriptors for connections of clients and peers."""
+
 M = ty.TypeVar('M', bound=message.Message)
 
 
@@ -66,6 +69,12 @@
         elif scarcity.refuse and scarcity.order != scarcity_order.PRIORITY:
             needed = scarcity_order.PRIORITY
             found.add(path, f'[scarcity] refuse: needs order = {needed}')
+    machine = getattr(settings, 'machine', None)
+    if machine is not None:
+        share = machine.caller_share + machine.peer_share
+        if share > _MAX_CONNECTION_SHARE:
+            text = f'at most {_MAX_CONNECTION_SHARE} with caller_share'
+            found.add(path, f'[machine] peer_share: {text}')
     return settings, found
 
 
--- a/src/peridotmast/router/connection_shares.py
+++ b/src/peridotmast/router/connection_shares.py
@@ -44,6 +44,19 @@
     return int(min(by_descriptors, by_memory))
 
 
+def rpc_connections(file: pb.RouterFile) -> int:
+    """Return the number of gRPC connections of peers and operators.
+
+    Parameters
+    ----------
+    file : pb.RouterFile
+        Checked settings.
+    """
+    cfg = file.machine
+    share = int(cfg.peer_share * machine.descriptors(cfg.descriptors))
+    return max(_MIN_CONNECTIONS, share)
+
+
 class ConnectionShares:
     """Divides the connections between the servers.
 
--- a/src/peridotmast/router/http_servers.py
+++ b/src/peridotmast/router/http_servers.py
@@ -139,7 +139,12 @@
         }
         """Readiness, directory and metrics servers by name."""
         self._overload = overload_report.OverloadReport(
-            cfg.name, clock, self.shared, self._by_name(), registry
+            cfg.name,
+            clock,
+            self.shared,
+            self._by_name(),
+            registry,
+            connection_shares.rpc_connections(file),
         )
 
     def start(self) -> None:
--- a/src/peridotmast/router/overload_report.py
+++ b/src/peridotmast/router/overload_report.py
@@ -33,6 +33,9 @@
         The servers by name.
     registry : prometheus_client.CollectorRegistry
         Registry of the metrics.
+    rpc_connections : int
+        Maximum number of gRPC connections, which the library keeps to; it
+        does not tell how many there are.
     """
 
     def __init__(
@@ -42,6 +45,7 @@
         shared: shared_resources.SharedResources,
         servers: ty.Mapping[str, server_.HttpServer],
         registry: prometheus_client.CollectorRegistry,
+        rpc_connections: int,
     ) -> None:
         self._clock = clock
         self._shared = shared
@@ -57,7 +61,7 @@
             ['action'],
             registry=registry,
         )
-        self._create_gauges(registry)
+        self._create_gauges(registry, rpc_connections)
 
     def tick(self) -> None:
         """Count new actions, and log them at most once a second."""
@@ -87,7 +91,9 @@
         return self._servers.values()
 
     def _create_gauges(
-        self, registry: prometheus_client.CollectorRegistry
+        self,
+        registry: prometheus_client.CollectorRegistry,
+        rpc_connections: int,
     ) -> None:
         memory = self._shared.memory
         self._gauge(
@@ -113,6 +119,12 @@
             table = server.connections
             connections.labels(name).set_function(table.__len__)
             limits.labels(name).set(table.max_connections)
+        limits.labels('rpc').set(rpc_connections)
+        self._gauge(
+            'answers_waiting',
+            'Answers of upstreams that wait for memory.',
+            registry,
+        ).set_function(memory.answers.__len__)
 
     def _gauge(
         self,
--- a/src/peridotmast/router/router.py
+++ b/src/peridotmast/router/router.py
@@ -23,6 +23,7 @@
 from peridotmast.rollout import rollout_duty
 from peridotmast.rollout import rollout_inputs
 from peridotmast.router import catch_up as catch_up_
+from peridotmast.router import connection_shares
 from peridotmast.router import drain as drain_
 from peridotmast.router import fleet_state as fleet_state_
 from peridotmast.router import http_servers as http_servers_
@@ -144,7 +145,9 @@
 
     def _create_peering(self, secret: bytes) -> None:
         cfg, tls = self.cfg, self._file.tls
-        self._rpc = rpc.RpcServer(cfg.peer_listen, tls)
+        self._rpc = rpc.RpcServer(
+            cfg.peer_listen, tls, connection_shares.rpc_connections(self._file)
+        )
         self._peers = rpc.RpcClient(pb_grpc.PeerStub, tls)
         self._operators = rpc.RpcClient(pb_grpc.OperatorsStub, tls)
         me = self.members.me
--- a/src/peridotmast/rpc.py
+++ b/src/peridotmast/rpc.py
@@ -22,6 +22,12 @@
 )
 
 
+_MAX_CONNECTIONS = 20_000
+
+_HANDSHAKE_MS = 5000
+"""Time in which a client must begin to speak HTTP/2, in ms."""
+
+
 class RpcServer:
     """Serves gRPC at one address; handlers run as green tasks.
 
@@ -31,13 +37,20 @@
         ``IP:port``; port 0 selects a free port.
     tls : pb.TlsSettings, optional
         Certificate, key and trusted authorities; unencrypted by default.
+    max_connections : int, optional
+        Maximum number of connections; a further one is closed at once.
     """
 
     def __init__(
-        self, address: str, tls: ty.Optional[pb.TlsSettings] = None
+        self,
+        address: str,
+        tls: ty.Optional[pb.TlsSettings] = None,
+        max_connections: int = _MAX_CONNECTIONS,
     ) -> None:
         self._listen_address = address
         self._tls = tls
+        self.max_connections = max_connections
+        """Maximum number of connections."""
         self._server: ty.Any = None
         self._log = logs.get('rpc')
         self.address = address
@@ -61,10 +74,17 @@
         if self._server is not None:
             green.wait_for(self._server.stop(grace_ms / 1000))
 
+    def _options(self) -> ty.Sequence[tuple[str, int]]:
+        return (
+            *_CHANNEL_OPTIONS,
+            ('grpc.max_allowed_incoming_connections', self.max_connections),
+            ('grpc.server_handshake_timeout_ms', _HANDSHAKE_MS),
+        )
+
     async def _start(
         self, services: ty.Iterable[tuple[ty.Callable[..., None], ty.Any]]
     ) -> ty.Any:
-        server = grpc.aio.server(options=_CHANNEL_OPTIONS)
+        server = grpc.aio.server(options=self._options())
         for register, service in services:
             register(_GreenServicer(service, self._log), server)
         host = self._listen_address.rpartition(':')[0]
