Connections to upstreams and peers have small receive buffers

What callers would see: memory that nothing counts. An answer that waits for memory fills the receive buffer of its connection, whose size the kernel chooses: 128 KB each here, megabytes for one that is read for a while.

Change: 32 KiB, as for callers. The platform's store and operators keep the kernel's choice, as their answers are large and few.

The scenario failed before: 131,072 bytes.

--- a/features/connections.feature
+++ b/features/connections.feature
@@ -64,3 +64,8 @@
   Scenario: The servers of a router together keep to the descriptors
     Given a router with the chat API that may use 1000 descriptors
     Then its servers together may have at most 600 connections
+
+  # Guards against kernel memory for answers that wait for memory: it grows to megabytes by default.
+  Scenario: Connections to upstreams and peers have small receive buffers
+    Given a router with the chat API that may use 1000 descriptors
+    Then its connections to upstreams and peers take in at most 65536 bytes that it has not read
--- a/features/steps/connection_steps.py
+++ b/features/steps/connection_steps.py
@@ -4,6 +4,7 @@
 
 import errno
 import os
+import socket
 
 from behave import given
 from behave import then
@@ -192,3 +193,17 @@
 def check_not_watched(context):
     listeners = hubs.get_hub().listeners[hubs.hub.READ]
     assert context.watched[0] not in listeners, listeners
+
+
+@then(
+    'its connections to upstreams and peers take in at most {most:d} bytes'
+    ' that it has not read'
+)
+def check_receive_buffers(context, most):
+    router = context.fleet.routers[0]
+    pools = (router.serving.pool, router.serving.peers._pool)
+    for pool in pools:
+        conn = pool.acquire(router.address)
+        sock = conn._sock
+        assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF) <= most
+        conn.close()
--- a/src/peridotmast/router/serving.py
+++ b/src/peridotmast/router/serving.py
@@ -45,6 +45,10 @@
 _REPORT_TIMEOUT_MS = 1000
 """Time-out of the report of an engine, in ms."""
 
+_RECEIVE_BUFFER_BYTES = 32768
+"""Size of the receive buffer of a connection to an upstream or a peer, in
+bytes: an answer that waits for memory fills it."""
+
 _KV_MOVE_TIMEOUT_MS = 3000
 """Time-out of moving the KV cache of a stream to another engine, in ms. A
 sound engine may be silent for a second or two."""
@@ -122,14 +126,16 @@
         table = fleet_state.upstream_table
         table.select_versions = self.versions.select
         self.versions.on_change = table.update_versions
-        self.pool = pool_.ConnectionPool(clock, cfg.connect_ms)
+        self.pool = pool_.ConnectionPool(
+            clock, cfg.connect_ms, _RECEIVE_BUFFER_BYTES
+        )
         """Connections to upstreams."""
         self._reach = reachability.Reachability(
             clock, self.pool, table, cfg.name, spawn
         )
         self.peers = peer_sender.PeerSender(
             clock,
-            pool_.ConnectionPool(clock, cfg.connect_ms),
+            pool_.ConnectionPool(clock, cfg.connect_ms, _RECEIVE_BUFFER_BYTES),
             cfg.name,
             self.crashes,
             table,
--- a/src/peridotmast/wire/connection.py
+++ b/src/peridotmast/wire/connection.py
@@ -84,12 +84,21 @@
         ``IP:port`` of the upstream.
     clock : clock.Clock
         Measures the time-outs.
+    receive_buffer_bytes : int, optional
+        Size of the kernel's receive buffer; 0 for the kernel's own choice,
+        which grows to megabytes.
     """
 
-    def __init__(self, address: str, clock: clock_.Clock) -> None:
+    def __init__(
+        self,
+        address: str,
+        clock: clock_.Clock,
+        receive_buffer_bytes: int = 0,
+    ) -> None:
         host, _, port = address.rpartition(':')
         self._host, self._port = host.strip('[]'), int(port)
         self._clock = clock
+        self._receive_buffer_bytes = receive_buffer_bytes
         self._sock: ty.Any = None
         self._reader: ty.Any = None
         self._http_socket: ty.Any = None
@@ -123,6 +132,10 @@
             return failures.not_run('no_connection', f'error {exc.errno}')
         sock.setblocking(False)
         _set_options(sock)
+        if self._receive_buffer_bytes:
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, self._receive_buffer_bytes
+            )
         self._sock = sock
         sock.connect_ex((self._host, self._port))
         try:
--- a/src/peridotmast/wire/pool.py
+++ b/src/peridotmast/wire/pool.py
@@ -32,12 +32,20 @@
         Measures idle times.
     connect_ms : int
         Time-out for connecting, in ms.
+    receive_buffer_bytes : int, optional
+        Size of the kernel's receive buffers; 0 for the kernel's own choice.
     """
 
-    def __init__(self, clock: clock_.Clock, connect_ms: int) -> None:
+    def __init__(
+        self,
+        clock: clock_.Clock,
+        connect_ms: int,
+        receive_buffer_bytes: int = 0,
+    ) -> None:
         self._clock = clock
         self.connect_ms = connect_ms
         """Time-out for connecting, in ms."""
+        self._receive_buffer_bytes = receive_buffer_bytes
         self._idle: dict[str, collections.deque[connection_.Connection]] = {}
         self.opened = 0
         """Number of connections opened so far."""
@@ -60,9 +68,7 @@
             if self._is_fresh(conn) and conn.is_clean():
                 return conn
             conn.close()
-        conn = connection_.Connection(
-            self.connect_address(address), self._clock
-        )
+        conn = self._new(address)
         self.opened += 1
         failure = conn.connect(self.connect_ms)
         return conn if failure is None else failure
@@ -76,9 +82,7 @@
 
     def open_idle(self, address: str) -> ty.Optional[failures.Failure]:
         """Open a connection and keep it for reuse, or return a failure."""
-        conn = connection_.Connection(
-            self.connect_address(address), self._clock
-        )
+        conn = self._new(address)
         failure = conn.connect(self.connect_ms)
         if failure is None:
             self.opened += 1
@@ -114,6 +118,13 @@
         for address in list(self._idle):
             self.close_idle(address)
 
+    def _new(self, address: str) -> connection_.Connection:
+        return connection_.Connection(
+            self.connect_address(address),
+            self._clock,
+            self._receive_buffer_bytes,
+        )
+
     def _is_fresh(self, conn: connection_.Connection) -> bool:
         max_idle_ms = (
             conn.keep_alive_ms * KEEP_ALIVE_SHARE or DEFAULT_KEEP_ALIVE_MS
