A crowd that reads no streams and holds all connections

Red on the code as it stands, once: beside 400 callers that read nothing of their streams no ordinary caller was answered within 10 s; 121 were refused, and the others had all connections. With 160 of them it holds.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -39,6 +39,7 @@
       | callers that read large answers slowly          | slow-readers  | callers   | 400     | 160    | 1024        | 20   |
       | chat callers that read no large answers         | chat-answers  | chat      | 400     | 160    | 1024        | 20   |
       | bodies that peers forward                       | forwarded     | peers     | 160     | 160    | 1024        | 3000 |
+      | hundreds of callers that read no streams        | streams       | callers   | 400     | 160    | 1024        | 20   |
       | silent connections for gRPC                     | silent        | rpc       | 300     | 160    | 128         | 20   |
 
   # Guards against state that connections leave behind when they end early.
