Connections whose clients read nothing of their streams are closed for others

What callers saw: beside 400 clients that read nothing of their streams no ordinary caller was answered.

Cause: whether an answer is read was seen by writes that wait. The kernel's buffers take in the events of a stream for minutes before a write waits, so that such streams counted as requests in progress and kept all connections.

Change: while all connections are busy and a new one comes, at most five times a second, the kernel is asked what each client has acknowledged. One that has bytes waiting and has acknowledged nothing for a second gives way. A client that reads slowly keeps its stream.

The scenario with four connections failed before: nothing was closed.

--- a/features/connections.feature
+++ b/features/connections.feature
@@ -24,6 +24,13 @@
     Then it is answered with 503 and a retry time
     And all 4 clients are answered with 200
 
+  # Guards against clients that hold all connections with streams that they don't read: the kernel's
+  # buffers take in the events for minutes. One that reads slowly keeps its stream.
+  Scenario: A client that reads nothing of its stream is closed for a new one
+    When 4 clients ask for streams, and the first one does not read
+    And other clients send requests until one is answered
+    Then only the first of the streams has ended
+
   # Guards against a server that accepts nothing any more after one error.
   Scenario Outline: A server goes on to accept after errors of accept
     When accept fails 3 times with <error>
--- a/features/steps/connection_steps.py
+++ b/features/steps/connection_steps.py
@@ -9,10 +9,12 @@
 from behave import given
 from behave import then
 from behave import when
+from eventlet.green import socket as green_socket
 from eventlet import hubs
 import helpers
 
 from peridotmast import green
+from peridotmast.wire import answer_parts
 from peridotmast.wire import server as server_
 from peridotmast.wire import strict_protocol
 
@@ -28,6 +30,10 @@
     def app(environ, start):
         conn = environ[strict_protocol.CONNECTION]
         context.runs.append(conn.read_body(100, 60_000))
+        if environ['PATH_INFO'] == '/stream':
+            environ['eventlet.minimum_write_chunk_size'] = 1
+            start('200 OK', [])
+            return answer_parts.AnswerParts(events(), conn.account)
         green.sleep_ms(work_ms)
         start('200 OK', [('Content-Length', '0')])
         return [b'']
@@ -39,6 +45,13 @@
     context.closing.append(context.server.stop)
 
 
+def events():
+    """Yield parts of a stream: too few to fill the kernel's buffers soon."""
+    for _ in range(1000):
+        green.sleep_ms(20)
+        yield b'a' * 200
+
+
 def connect(context, count, data=b''):
     context.clients = []
     for _ in range(count):
@@ -58,6 +71,36 @@
         assert sock.recv(1000).startswith(b'HTTP/1.1 200')
 
 
+@when('{count:d} clients ask for streams, and the first one does not read')
+def ask_for_streams(context, count):
+    context.clients, context.readers = [], []
+    for number in range(count):
+        sock = green_socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+        host, port = context.server.address.rsplit(':', 1)
+        sock.connect((host, int(port)))
+        sock.sendall(REQUEST.replace(b'GET /', b'GET /stream'))
+        context.clients.append(sock)
+        context.closing.append(sock.close)
+        if number:
+            context.readers.append(green.spawn(read_stream, sock))
+
+
+def read_stream(sock):
+    """Read less at once than arrives meanwhile."""
+    while sock.recv(1500):
+        green.sleep_ms(100)
+
+
+@when('other clients send requests until one is answered')
+def send_until_answered(context):
+    def is_answered():
+        raw = helpers.raw_exchange(context.server.address, REQUEST, WAIT_MS)
+        return raw.startswith(b'HTTP/1.1 200')
+
+    helpers.wait_until(is_answered, 'an answer')
+
+
 @when('{count:d} clients send a part of a body')
 def send_parts(context, count):
     connect(context, count, PART)
@@ -116,6 +159,26 @@
     return False
 
 
+@then('only the first of the streams has ended')
+def check_first_stream(context):
+    for reader in context.readers:
+        reader.kill()
+    ended = [has_ended(sock) for sock in context.clients]
+    assert ended == [True] + [False] * (len(ended) - 1), ended
+
+
+def has_ended(sock):
+    """Return whether a connection is closed, past what has arrived."""
+    try:
+        while sock.fd.recv(65536, socket.MSG_DONTWAIT):
+            pass
+    except BlockingIOError:
+        return False
+    except ConnectionResetError:
+        pass
+    return True
+
+
 @then('all {count:d} clients are answered with {status:d}')
 def check_all(context, count, status):
     answers = [sock.recv(1000) for sock in context.clients]
--- a/src/peridotmast/wire/overload/connection_table.py
+++ b/src/peridotmast/wire/overload/connection_table.py
@@ -10,11 +10,16 @@
 from peridotmast import clock as clock_
 from peridotmast.wire.overload import events as events_
 from peridotmast.wire.overload import memory_budget
+from peridotmast.wire.overload import read_progress
 
 _CLOSED_SHARE = 0.05
 """Share of the connections that are closed at once when there is no room, so
 that not each further connection has to search for one."""
 
+_SAMPLE_MS = 200
+"""Minimum time between two looks for answers that are not read, in ms: each
+takes two system calls a connection."""
+
 _PRESSED_MS = 1000
 """Time after a refusal in which connections end with their answers."""
 
@@ -36,6 +41,7 @@
         """Time at which its wait or its request began, in ms."""
         self.account: ty.Optional[memory_budget.MemoryAccount] = None
         """Account of the current request; None between two requests."""
+        self._progress = read_progress.ReadProgress(sock)
         self.was_shut = False
         """Whether it was closed for others: what still arrives on it can't be
         answered, and must not run."""
@@ -48,7 +54,9 @@
 
     def is_stalled(self, now: int) -> bool:
         """Return whether the client has not read its answer for a while."""
-        return self.account is not None and self.account.is_stalled(now)
+        if self.account is None or not self.account.is_answering:
+            return False
+        return self.account.is_stalled(now) or self._progress.is_stalled(now)
 
 
 class ConnectionTable:
@@ -81,6 +89,7 @@
         """Maximum number of connections."""
         self._entries: dict[ty.Any, ConnectionEntry] = {}
         self._refused_at: ty.Optional[int] = None
+        self._sampled_at: ty.Optional[int] = None
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -148,13 +157,20 @@
             events_.OverloadEvent.CLOSED_READING,
         )
         if not closed:
-            now = self._clock.now()
             self._close_oldest(
                 count,
-                [e for e in self._entries.values() if e.is_stalled(now)],
+                self._find_stalled(),
                 events_.OverloadEvent.ABORTED_ANSWER,
             )
 
+    def _find_stalled(self) -> list[ConnectionEntry]:
+        """Return the connections whose clients do not read their answers."""
+        now, sampled_at = self._clock.now(), self._sampled_at
+        if sampled_at is not None and now - sampled_at < _SAMPLE_MS:
+            return []
+        self._sampled_at = now
+        return [e for e in self._entries.values() if e.is_stalled(now)]
+
     def _close_oldest(
         self,
         count: int,
--- a/src/peridotmast/wire/overload/memory_budget.py
+++ b/src/peridotmast/wire/overload/memory_budget.py
@@ -10,6 +10,7 @@
 from peridotmast import green
 from peridotmast.wire.overload import answer_queue
 from peridotmast.wire.overload import events as events_
+from peridotmast.wire.overload import read_progress
 
 RETRY_MS = 1000
 """Retry time for requests that are refused for lack of memory, in ms."""
@@ -23,10 +24,6 @@
 """Share of a limit down to which memory is freed at once, so that not each
 further request has to free some."""
 
-_STALLED_MS = 1000
-"""Time for which a caller may leave a part of its answer unread before the
-answer may be broken off."""
-
 
 class OverloadedError(Exception):
     """Raised for a request for which there is no memory."""
@@ -129,12 +126,17 @@
         """Record that all parts so far were sent."""
         self.progressed_at = None
 
+    @property
+    def is_answering(self) -> bool:
+        """Whether an answer is sent."""
+        return self.phase in (Phase.ANSWER, Phase.STREAM)
+
     def is_stalled(self, now: int) -> bool:
         """Return whether the caller has not read its answer for a while."""
         return (
-            self.phase in (Phase.ANSWER, Phase.STREAM)
+            self.is_answering
             and self.progressed_at is not None
-            and now - self.progressed_at >= _STALLED_MS
+            and now - self.progressed_at >= read_progress.STALLED_MS
         )
 
     def evict(self) -> None:
