What is sent to a peer is released once it is sent

What callers would see: memory that nothing counts. A request that goes through a peer is encoded with its body; the first router held this copy, beside the counted body, until the answer came.

Change: the copy belongs to the function that sends it.

Measured: the new scenario found it in the function that awaits the answer, and does not now. While it is sent it is still held twice.

--- a/features/peer_ways.feature
+++ b/features/peer_ways.feature
@@ -102,6 +102,14 @@
     And a request that may run once runs through a peer, and that peer is killed
     Then its caller gets 502, and it has run once
 
+  # Guards against the copy that is sent to a peer: the first router held it until the answer came, and
+  # counted it nowhere.
+  Scenario: A forwarded request is held once while its answer is awaited
+    Given a fleet of 3 routers whose links to the upstreams can be cut
+    When 1 routers are cut from all upstreams, reset
+    And a body of 300000 bytes passes through a peer
+    Then no function of the first router holds more than it while it awaits the answer
+
   # Guards against a planned stop that cuts off what peers have forwarded.
   Scenario: A planned stop of a peer lets forwarded streams end
     Given a fleet of 3 routers whose links to the upstreams can be cut
--- a/features/steps/peer_way_steps.py
+++ b/features/steps/peer_way_steps.py
@@ -4,7 +4,9 @@
 
 import collections
 import itertools
+import sys
 import types
+from unittest import mock
 
 from behave import given
 from behave import then
@@ -649,3 +651,45 @@
 def check_forwards(context, count):
     assert context.world.routers['r-0'].ask('once', 'next')[0] == 200
     assert len(context.world.forwarded) == count, context.world.forwarded
+
+
+@when('a body of {size:d} bytes passes through a peer')
+def forward_body(context, size):
+    context.sent_bytes, context.copies = size, []
+    context.awaited = 0
+    real = connection_.Connection.read_head
+
+    def read_head(conn, method, deadline):
+        context.awaited += 1
+        context.copies += local_copies(sys._getframe(1), size)
+        return real(conn, method, deadline)
+
+    with mock.patch.object(connection_.Connection, 'read_head', read_head):
+        answer = helpers.send_request(
+            context.cut_routers[0].address, '/pages/a', body=b'a' * size
+        )
+    assert answer.status == 200, answer
+
+
+def local_copies(frame, size):
+    """Return the functions that hold more bytes than `size` at once."""
+    found = []
+    while frame is not None:
+        found += [
+            frame.f_code.co_qualname
+            for value in frame.f_locals.values()
+            if isinstance(value, bytes) and len(value) > size
+        ]
+        frame = frame.f_back
+    return found
+
+
+@then(
+    'no function of the first router holds more than it while it awaits the'
+    ' answer'
+)
+def check_no_copies(context):
+    # The caller's own call, the one to the peer, and the one to the upstream.
+    assert context.awaited >= 3, context.awaited
+    held = [name for name in context.copies if name.startswith('PeerSender')]
+    assert not held, held
--- a/src/peridotmast/serving/peer_sender.py
+++ b/src/peridotmast/serving/peer_sender.py
@@ -287,11 +287,7 @@
         if now >= exchange.deadline:
             conn.close()
             return failures.not_run('deadline', 'passed before forwarding')
-        data = self._encode(exchange, reservation, now, resume)
-        signature = signing.sign(self._secret, data).hex()
-        headers = [('Host', view.address), (SIGNATURE_HEADER, signature)]
-        view.health.record_sent()
-        failure = conn.send('POST', PATH, headers, data, exchange.deadline)
+        failure = self._send(exchange, reservation, conn, now, resume)
         if failure is not None:
             return self._lose(view, conn, failure)
         head = conn.read_head('POST', exchange.deadline)
@@ -313,6 +309,22 @@
         version = ids.SoftwareVersion(result.version)
         return PeerSent(conn, _answer_head(head), _verdict(head), now, version)
 
+    def _send(
+        self,
+        exchange: exchange_.Exchange,
+        reservation: PeerReservation,
+        conn: connection_.Connection,
+        now: int,
+        resume: ty.Optional[dialect_.ResumePoint],
+    ) -> ty.Optional[failures.Failure]:
+        """Send a request; what is sent, a copy of it, is released here."""
+        view = reservation.view
+        data = self._encode(exchange, reservation, now, resume)
+        signature = signing.sign(self._secret, data).hex()
+        headers = [('Host', view.address), (SIGNATURE_HEADER, signature)]
+        view.health.record_sent()
+        return conn.send('POST', PATH, headers, data, exchange.deadline)
+
     def _lose(
         self,
         view: upstream_view.UpstreamView,
