No answer has a body where HTTP has no place for one

Cause: the WSGI server adds no framing for a body to answers to HEAD, 204 and 304, but writes what the application gives it, and all of ours gave a body.

Change: one middleware for the applications of all servers drops it.

--- a/src/peridotmast/serving/response_body.py
+++ b/src/peridotmast/serving/response_body.py
@@ -9,6 +9,7 @@
 from peridotmast.serving import reply as reply_
 from peridotmast.wire import answer_parts
 from peridotmast.wire import caller_connection
+from peridotmast.wire import connection as connection_
 from peridotmast.wire import framing
 
 HOP_BY_HOP = frozenset((
@@ -18,6 +19,8 @@
 ))  # fmt: skip
 """Headers that apply to one connection only and are not forwarded."""
 
+_LENGTH = 'Content-Length'
+
 
 class ResponseBody:
     """Response body for the WSGI server.
@@ -69,7 +72,7 @@
         if self._ends_with_connection:
             conn.end_with_connection()
         elif isinstance(body, bytes):
-            headers.append(('Content-Length', str(len(body))))
+            headers += _length_header(reply.head, body, conn.is_head)
         start(status_line(reply.head.status), headers)
 
     def __iter__(self) -> ty.Iterator[bytes]:
@@ -101,3 +104,17 @@
 def status_line(status: int) -> str:
     """Return a status with its text."""
     return f'{status} {http.client.responses.get(status, "Status")}'
+
+
+def _length_header(
+    head: connection_.ResponseHead, body: bytes, is_head: bool
+) -> connection_.Headers:
+    """Return the header with the length of a whole body.
+
+    An answer to HEAD states the length that the upstream states for GET, if
+    any; a peer that has passed it on states 0 for what it has itself sent.
+    """
+    if not is_head:
+        return [(_LENGTH, str(len(body)))]
+    length = head.get(_LENGTH)
+    return [(_LENGTH, length)] if length.strip('0') else []
--- a/src/peridotmast/wire/caller_connection.py
+++ b/src/peridotmast/wire/caller_connection.py
@@ -140,6 +140,11 @@
             self._read_watch.cancel()
             self._read_watch = None
 
+    @property
+    def is_head(self) -> bool:
+        """Whether the request is a HEAD, whose answer has no body."""
+        return bool(self._protocol.command == 'HEAD')
+
     @property
     def accepts_chunks(self) -> bool:
         """Whether the caller's version of HTTP has chunks."""
--- a/src/peridotmast/wire/server.py
+++ b/src/peridotmast/wire/server.py
@@ -10,6 +10,7 @@
 
 from peridotmast import green
 from peridotmast import ids
+from peridotmast.wire import bodyless
 from peridotmast.wire.overload import connection_table
 from peridotmast.wire.overload import events as events_
 from peridotmast.wire.overload import shared_resources
@@ -41,8 +42,6 @@
 """Size of the kernel's receive buffer for a connection. By default it grows to
 megabytes for a client that sends faster than its requests are read."""
 
-Application = ty.Callable[..., ty.Iterable[bytes]]
-
 
 @dataclasses.dataclass
 class ServerLimits:
@@ -85,12 +84,12 @@
     def __init__(
         self,
         address: str,
-        app: Application,
+        app: bodyless.Application,
         limits: ty.Optional[ServerLimits] = None,
         shared: ty.Optional[shared_resources.SharedResources] = None,
         max_connections: int = MAX_CONNECTIONS,
     ) -> None:
-        self._app = app
+        self._app = bodyless.BodylessAnswers(app)
         self.shared = shared or shared_resources.SharedResources()
         """What the servers of a process share."""
         self.limits = limits or ServerLimits()
