--- a/features/steps/peer_model.py
+++ b/features/steps/peer_model.py
@@ -334,6 +334,7 @@
             stop_watching=lambda: None,
             reset=lambda: None,
             accepts_chunks=True,
+            is_head=False,
             end_with_connection=lambda: self.note_framing(
                 framing_.Framing.CONNECTION
             ),
