Heads of answers are read strictly

What callers saw: a 200 where the head of the upstream's answer held a line that is no header (a blank or a control byte in the name, a blank before the colon, no colon, a bare CR), with that line passed on, or with a body that was not the upstream's; the same with a status line such as "+200" or "2_00".

Cause: http.client reads heads with the parser for mail. A line that is no header ends the head, and the lines after it are dropped, Content-Length and Transfer-Encoding with them, so that the body is framed by what stood before. A bare CR ends a line, and int() reads signs and underscores.

Change: wire.response_head reads heads with the patterns that requests are held to, now in wire.syntax; a head is valid as a whole or not at all. All answers that a router reads come through it: upstreams, peers, store, cloud API, engines, and the caller library. http.client only writes requests. Heads with line feeds alone as line ends are still read, if all lines have them.

Evidence: the new scenarios failed before. Sound answers of unusual form passed before and pass now (24 kinds, direct and through a peer).

A header line is matched without backtracking: blanks are stripped after it.

--- /dev/null
+++ b/features/broken_answers.feature
@@ -0,0 +1,51 @@
+Feature: A broken answer of an upstream reaches no caller as an answer
+
+  # Guards against heads that are taken for answers though a line in them is no field: what followed
+  # the line was dropped, the length with it, so that callers got a 200 whose body was not the
+  # upstream's, or the line itself.
+  Scenario Outline: A line that is no field, anywhere in a head, for <way>
+    Given a fleet of <routers> routers, and upstreams with scripted answers
+    When <way> are answered with each line that is no field, at each place, with each framing
+    Then no caller gets a success, and each gets a 502
+
+    Examples:
+      | routers | way                        |
+      | 1       | requests that may run once |
+      | 1       | streams                    |
+      | 2       | requests through a peer    |
+      | 2       | streams through a peer     |
+
+  Scenario Outline: A line that is no field, in a head before that of the answer
+    Given a fleet of 1 routers, and upstreams with scripted answers
+    When <way> are answered with an interim head that has a line that is no field
+    Then no caller gets a success, and each gets a 502
+
+    Examples:
+      | way                        |
+      | requests that may run once |
+      | streams                    |
+
+  # Guards against status lines that are read as numbers in Python are.
+  Scenario: A status line that is none
+    Given a fleet of 1 routers, and upstreams with scripted answers
+    When requests that may run once are answered with each status line that is none, with each framing
+    Then no caller gets a success, and each gets a 502
+
+  # Guards against answers of the store, the cloud API, engines and peers, which the same client reads.
+  Scenario: A call of a router fails if its answer is broken
+    Given an upstream whose answers are scripted
+    Then a call fails whatever broken answer it gets, and succeeds with each sound one
+
+  # Guards against a reader that refuses what the protocol allows.
+  Scenario Outline: Sound answers of unusual form are passed on whole
+    Given a fleet of <routers> routers, and upstreams with scripted answers
+    Then <way> get each sound answer of unusual form whole
+
+    Examples:
+      | routers | way                        |
+      | 1       | requests that may run once |
+      | 2       | requests through a peer    |
+
+  # Guards against a head that takes a router a long time to refuse.
+  Scenario: A long line of blanks is read in little time
+    Then a field of 100000 blanks and its line without an end are read in little time
--- a/src/peridotmast/wire/bodyless.py
+++ b/src/peridotmast/wire/bodyless.py
@@ -5,9 +5,8 @@
 import http
 import typing as ty
 
-_STATUSES = frozenset(
-    (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
-)
+from peridotmast.wire import framing
+
 _WITHOUT_LENGTH = frozenset((http.HTTPStatus.NO_CONTENT,))
 """Statuses whose answers state no length either."""
 
@@ -58,7 +57,9 @@
         """Send status and headers, as WSGI's ``start_response``."""
         code = int(status.split(' ', 1)[0])
         self.is_started = True
-        self.is_bodyless = self.is_bodyless or code in _STATUSES
+        self.is_bodyless = (
+            self.is_bodyless or code in framing.BODYLESS_STATUSES
+        )
         if code in _WITHOUT_LENGTH:
             headers = [h for h in headers if h[0].lower() != _LENGTH]
         return self._start(status, list(headers), exc_info)
--- a/src/peridotmast/wire/connection.py
+++ b/src/peridotmast/wire/connection.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import dataclasses
 import http.client
+import re
 import select
 import socket
 import struct
@@ -12,11 +12,13 @@
 from peridotmast import clock as clock_
 from peridotmast import failures
 from peridotmast import green
-from peridotmast.wire import framing as framing_
+from peridotmast.wire import content_reader
+from peridotmast.wire import response_head
 from peridotmast.wire import socket_reader
+from peridotmast.wire import syntax
 
-Headers = list[tuple[str, str]]
-"""Header fields in their order, with names in their original case."""
+Headers = response_head.Headers
+ResponseHead = response_head.ResponseHead
 
 NO_MEMORY = 'no_memory'
 """Reason of the failure of a response for which this process has no memory."""
@@ -52,27 +54,15 @@
 read for seconds, and no time would be left for another attempt."""
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 """SO_LINGER value with which closing a socket resets its connection."""
-_CONNECTION_ERRORS = (http.client.HTTPException, OSError, ValueError)
-
-
-@dataclasses.dataclass(frozen=True)
-class ResponseHead:
-    """Status and headers of a response."""
-
-    status: int
-    headers: Headers
-    framing: framing_.Framing = framing_.Framing.LENGTH
-    """What marks the end of the body."""
-
-    @property
-    def is_success(self) -> bool:
-        """Whether the status is 2xx."""
-        return 200 <= self.status < 300
-
-    def get(self, name: str) -> str:
-        """Return the first header called `name`, or an empty string."""
-        wanted = name.lower()
-        return next((v for n, v in self.headers if n.lower() == wanted), '')
+_SECONDS = re.compile(r'[0-9]{1,9}')
+_SEND_ERRORS = (http.client.HTTPException, OSError, ValueError)
+_READ_ERRORS = (
+    syntax.MalformedError,
+    syntax.CutShortError,
+    socket_reader.LinesTooLongError,
+    OSError,
+    ValueError,
+)
 
 
 class Connection:
@@ -102,7 +92,8 @@
         self._sock: ty.Any = None
         self._reader: ty.Any = None
         self._http_socket: ty.Any = None
-        self._resp: ty.Any = None
+        self._head: ty.Optional[ResponseHead] = None
+        self._content: ty.Optional[content_reader.ContentReader] = None
         self._body_sent = True
         self._cancelled = ''
         self.idle_since = 0
@@ -217,7 +208,7 @@
         """
         self.requests += 1
         self._reader.deadline = deadline
-        self._resp = None
+        self._head = self._content = None
         self._is_unanswered = True
         self._body_sent = True
         conn = http.client.HTTPConnection(self._host, self._port)
@@ -233,7 +224,7 @@
             conn.endheaders(body or None)
         except _EarlyResponse:
             self._body_sent = False
-        except _CONNECTION_ERRORS as exc:
+        except _SEND_ERRORS as exc:
             return self._close_with_failure('broke_off', repr(exc)[:200])
         return None
 
@@ -246,9 +237,12 @@
         self._reader.deadline = deadline
         self._reader.line_bytes_left = _MAX_HEAD_BYTES
         try:
-            head = self._read_head(method)
-        except _CONNECTION_ERRORS as exc:
+            head = response_head.read_head(self._reader, method)
+        except _READ_ERRORS as exc:
             return self._close_after_error(exc)
+        self._head = head
+        self._content = content_reader.ContentReader(self._reader, head)
+        self._read_keep_alive(head)
         return self._unless_cancelled(head)
 
     def read_some(self, deadline: int) -> ty.Union[bytes, failures.Failure]:
@@ -257,19 +251,11 @@
             return self._close_with_failure(self._cancelled)
         self._reader.deadline = deadline
         self._reader.line_bytes_left = _MAX_CHUNK_LINES_BYTES
-        resp = self._resp
+        assert self._content is not None
         try:
-            data = resp.read1(_READ_BYTES)
-        except _CONNECTION_ERRORS as exc:
+            data = self._content.read_some(_READ_BYTES)
+        except _READ_ERRORS as exc:
             return self._close_after_error(exc)
-        if not data and resp.length:
-            return self._close_with_failure(
-                'cut_short', f'{resp.length} bytes'
-            )
-        if not data and resp.chunked and self._reader.ended:
-            # The library takes the end of the connection for that of the
-            # trailer, and a part of the last chunk's size for the whole.
-            return self._close_with_failure('cut_short', 'trailer')
         self._is_unanswered = bool(data)
         return self._unless_cancelled(data)
 
@@ -301,7 +287,8 @@
             memory; if not, the connection is closed, and the failure has the
             reason `NO_MEMORY`.
         """
-        reserved_bytes = min(self._resp.length or 0, limit)
+        assert self._content is not None
+        reserved_bytes = min(self._content.stated_bytes_left, limit)
         if reserved_bytes and not reserve(reserved_bytes):
             return self._close_with_failure(NO_MEMORY)
         # A list would take much more memory for chunks of a few bytes.
@@ -339,8 +326,10 @@
             self._sock is not None
             and self._body_sent
             and not self._cancelled
-            and self._resp is not None
-            and not self._resp.will_close
+            and self._head is not None
+            and not self._head.closes
+            and self._content is not None
+            and self._content.is_complete
             and self.is_clean()
         )
 
@@ -357,6 +346,8 @@
         self._is_unanswered = False
         if isinstance(error, socket_reader.LinesTooLongError):
             return self._close_with_failure('too_long', str(error))
+        if isinstance(error, syntax.CutShortError):
+            return self._close_with_failure('cut_short', str(error))
         return self._close_with_failure('broke_off', repr(error)[:200])
 
     def _close_with_failure(
@@ -370,43 +361,14 @@
         self.close()
         return failures.unknown(self._cancelled or reason, detail)
 
-    def _read_head(self, method: str) -> ResponseHead:
-        while True:
-            resp = _Response(self._http_socket, method=method)
-            resp.begin()
-            if self._reader.ended:
-                # The library takes the end of the connection for that of the
-                # head.
-                raise http.client.HTTPException('head cut short')
-            if resp.status >= 200:
-                break
-        self._resp = resp
-        framing = framing_.Framing.of_response(resp)
-        self._read_keep_alive(resp)
-        return ResponseHead(resp.status, list(resp.headers.items()), framing)
-
-    def _read_keep_alive(self, resp: ty.Any) -> None:
-        text = resp.headers.get('Keep-Alive', '').replace(' ', '')
+    def _read_keep_alive(self, head: ResponseHead) -> None:
+        text = head.get('Keep-Alive').replace(' ', '')
         for part in text.split(','):
             name, _, value = part.partition('=')
-            if name.lower() == 'timeout' and value.isdigit():
+            if name.lower() == 'timeout' and _SECONDS.fullmatch(value):
                 self.keep_alive_ms = int(value) * 1000
 
 
-class _Response(http.client.HTTPResponse):
-    """Response whose chunks have no negative size.
-
-    The library takes what follows such a chunk for a body without end.
-    """
-
-    def _read_next_chunk_size(self) -> int:
-        parent: ty.Any = super()
-        size: int = parent._read_next_chunk_size()
-        if size < 0:
-            raise http.client.HTTPException(f'chunk size {size}')
-        return size
-
-
 class _EarlyResponse(Exception):
     """Raised if the response begins while the body is being sent."""
 
@@ -424,10 +386,6 @@
         self._reader = reader
         self._clock = clock
 
-    def makefile(self, mode: str) -> socket_reader.SocketReader:
-        """Return the reader of the connection."""
-        return self._reader
-
     def sendall(self, data: ty.Any) -> None:
         """Send `data`; raise `_EarlyResponse` if a response begins."""
         view = memoryview(data)
--- a/src/peridotmast/wire/framing.py
+++ b/src/peridotmast/wire/framing.py
@@ -2,10 +2,21 @@
 
 from __future__ import annotations
 
+import dataclasses
 import enum
-import http.client
+import http
 import typing as ty
 
+from peridotmast.wire import syntax
+
+if ty.TYPE_CHECKING:
+    from peridotmast.wire import response_head
+
+BODYLESS_STATUSES = frozenset(
+    (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
+)
+"""Statuses whose responses have no body."""
+
 
 class Framing(enum.Enum):
     """What marks the end of the body of a response."""
@@ -16,29 +27,46 @@
     """Neither a length nor chunks: the body ends with its connection, so that
     its end doesn't show whether it is complete."""
 
-    @classmethod
-    def of_response(cls, resp: ty.Any) -> Framing:
-        """Return the framing of a response whose head was read.
-
-        Raises
-        ------
-        http.client.HTTPException
-            If the framing is ambiguous.
-        """
-        codings = resp.headers.get_all('Transfer-Encoding', [])
-        lengths = set(resp.headers.get_all('Content-Length', []))
-        if codings and [text.lower() for text in codings] != ['chunked']:
-            raise http.client.HTTPException(
-                f'invalid Transfer-Encoding {codings}'
-            )
-        if len(lengths) > 1 or codings and lengths:
-            raise http.client.HTTPException(
-                f'invalid Content-Length {lengths}'
-            )
-        if any(not (text.isascii() and text.isdigit()) for text in lengths):
-            raise http.client.HTTPException(
-                f'invalid Content-Length {lengths}'
-            )
-        if resp.chunked:
-            return cls.CHUNKS
-        return cls.CONNECTION if resp.length is None else cls.LENGTH
+
+@dataclasses.dataclass(frozen=True)
+class Frame:
+    """Framing of one body."""
+
+    framing: Framing
+    length: int = 0
+    """Length of the body in bytes, where it marks the end."""
+
+
+_EMPTY = Frame(Framing.LENGTH)
+
+
+def of_response(method: str, head: response_head.ResponseHead) -> Frame:
+    """Return the framing of the body of a response.
+
+    Parameters
+    ----------
+    method : str
+        Method of the request.
+    head : response_head.ResponseHead
+        Status and headers of the response.
+
+    Raises
+    ------
+    MalformedError
+        If the framing is ambiguous.
+    """
+    codings = head.get_all('Transfer-Encoding')
+    lengths = set(head.get_all('Content-Length'))
+    if codings and [text.lower() for text in codings] != ['chunked']:
+        raise syntax.MalformedError(f'Transfer-Encoding {codings}')
+    if len(lengths) > 1 or codings and lengths:
+        raise syntax.MalformedError(f'Content-Length {lengths}')
+    if any(not (text.isascii() and text.isdigit()) for text in lengths):
+        raise syntax.MalformedError(f'Content-Length {lengths}')
+    if method == 'HEAD' or head.status in BODYLESS_STATUSES:
+        return _EMPTY
+    if codings:
+        return Frame(Framing.CHUNKS)
+    if lengths:
+        return Frame(Framing.LENGTH, int(lengths.pop()))
+    return Frame(Framing.CONNECTION)
--- a/src/peridotmast/wire/request_body.py
+++ b/src/peridotmast/wire/request_body.py
@@ -8,18 +8,11 @@
 
 from peridotmast.wire.overload import memory_budget
 from peridotmast.wire.overload import processor_turns
+from peridotmast.wire import syntax
 
 MAX_LINE_BYTES = 8192
 """Maximum length of a request line and of a trailer line."""
 
-TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
-"""Pattern of a method or a header name."""
-
-HEADER = re.compile(
-    rb'(' + TOKEN + rb'):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*?)[ \t]*\r\n'
-)
-"""Pattern of a header line with its line end."""
-
 _CHUNK_SIZE = re.compile(rb'([0-9A-Fa-f]{1,8})(;[^\r\n]*)?\r\n')
 
 _MAX_CHUNK_LINE_BYTES = 256
@@ -178,7 +171,7 @@
 
     def _read_trailers(self) -> None:
         while (line := self._file.readline(MAX_LINE_BYTES)) != b'\r\n':
-            if HEADER.fullmatch(line) is None:
+            if syntax.HEADER.fullmatch(line) is None:
                 raise InvalidBodyError(400, 'bad_trailer')
             self._count_extra(len(line))
             self._turn.count()
--- a/src/peridotmast/wire/socket_reader.py
+++ b/src/peridotmast/wire/socket_reader.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import http.client
 import socket
 import typing as ty
 
@@ -26,12 +25,12 @@
 chunks of 64 bytes; what arrives without end is not."""
 
 
-class LinesTooLongError(http.client.HTTPException):
+class LinesTooLongError(Exception):
     """Raised if a head, chunk-size line or trailer exceeds its limit."""
 
 
 class SocketReader:
-    """File object for `http.client` that reads from a non-blocking socket.
+    """File object that reads from a non-blocking socket.
 
     One reader serves all responses of a connection, so that bytes after the
     end of a response are detected and not lost. A connection reset raises an
--- a/src/peridotmast/wire/strict_protocol.py
+++ b/src/peridotmast/wire/strict_protocol.py
@@ -14,6 +14,7 @@
 from peridotmast.wire.overload import memory_budget
 from peridotmast.wire.overload import processor_turns
 from peridotmast.wire import request_body
+from peridotmast.wire import syntax
 
 LINGER_BYTES = 16 << 20
 LINGER_MS = 500
@@ -35,7 +36,7 @@
 _HEADERS_TOO_LARGE = 431
 
 _REQUEST_LINE = re.compile(
-    rb'(' + request_body.TOKEN + rb') ([\x21-\x7e]+) (HTTP/1\.[01])\r\n'
+    rb'(' + syntax.TOKEN + rb') ([\x21-\x7e]+) (HTTP/1\.[01])\r\n'
 )
 
 
@@ -174,7 +175,7 @@
             remaining -= len(raw)
             if remaining < 0:
                 return _HEADERS_TOO_LARGE
-            if request_body.HEADER.fullmatch(raw) is None:
+            if syntax.HEADER.fullmatch(raw) is None:
                 return 400
             lines += raw
             if len(lines) > charged_bytes:
@@ -185,11 +186,10 @@
 
     def _parse_headers(self, lines: bytes) -> None:
         self.account.charge(lines.count(b'\n') * _HEADER_BYTES)
-        for header in request_body.HEADER.finditer(lines):
+        for header in syntax.HEADER.finditer(lines):
             self.turn.count()
-            self.headers[header[1].decode('ascii')] = header[2].decode(
-                'latin-1'
-            )
+            value = header[2].strip(syntax.BLANKS)
+            self.headers[header[1].decode('ascii')] = value.decode('latin-1')
 
     def _check_framing(self) -> int:
         lengths = self.headers.get_all('Content-Length', [])
