Chunks and trailers of answers are read strictly

What callers saw: a 200 with a body that was not the upstream's, as complete, where chunks were no chunks: a size with a sign, a prefix or an underscore, a line feed alone as line end, two bytes of content in place of a line end, a trailer that is no header.

Cause: Python's int() reads the sizes, the two bytes after a chunk were discarded unread, trailers up to a blank line too.

Change: wire.content_reader matches size lines and trailers with patterns. Zeros before a size, blanks after it and extensions stay allowed.

Sound chunks pass as before.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -31,6 +31,13 @@
     When requests that may run once are answered with each status line that is none, with each framing
     Then no caller gets a success, and each gets a 502
 
+  # Guards against chunks and trailers that are read more leniently than HTTP defines them, so that the
+  # body that callers get is not the one that was sent.
+  Scenario: Chunks and trailers that are none
+    Given a fleet of 1 routers, and upstreams with scripted answers
+    When requests are answered with chunks and trailers that are none
+    Then no caller gets a success, and each gets a 502
+
   # Guards against answers of the store, the cloud API, engines and peers, which the same client reads.
   Scenario: A call of a router fails if its answer is broken
     Given an upstream whose answers are scripted
--- a/features/steps/broken_answer_steps.py
+++ b/features/steps/broken_answer_steps.py
@@ -350,6 +350,10 @@
         found = call(context, [OK, *framed_by, bad, b'A: b'], body)
         if not isinstance(found, failures.Failure):
             passed.append((bad, found))
+    for body in BAD_CHUNKS.values():
+        found = call(context, [OK, b'Transfer-Encoding: chunked'], body)
+        if not isinstance(found, failures.Failure):
+            passed.append((body, found))
     assert not passed, f'{len(passed)}: {passed[:3]}'
     for lines, sent, meant in sound_answers():
         found = call(context, lines, sent)
--- a/src/peridotmast/wire/content_reader.py
+++ b/src/peridotmast/wire/content_reader.py
@@ -1,12 +1,20 @@
-"""Reader for the content of responses."""
+"""Strict reader for the content of responses."""
 
 from __future__ import annotations
 
+import re
+
 from peridotmast.wire import framing as framing_
 from peridotmast.wire import response_head
 from peridotmast.wire import socket_reader
 from peridotmast.wire import syntax
 
+_CHUNK_SIZE = re.compile(
+    rb'0*([0-9A-Fa-f]{1,15})[ \t]*(?:;' + syntax.TEXT + rb')?\r\n'
+)
+"""Pattern of the line before a chunk. Servers may send zeros before the size,
+blanks after it, and extensions."""
+
 _CRLF = b'\r\n'
 
 Framing = framing_.Framing
@@ -74,20 +82,22 @@
 
     def _begin_chunk(self) -> None:
         """Read up to the content of the next chunk, or to the end."""
-        if self._has_read_chunk:
-            self._reader.read(len(_CRLF))
+        if self._has_read_chunk and self._read_line() != _CRLF:
+            raise syntax.MalformedError('chunk without line end')
         line = self._read_line()
-        self._left = int(line.partition(b';')[0], 16)
-        if self._left < 0:
+        found = _CHUNK_SIZE.fullmatch(line)
+        if found is None:
             raise syntax.MalformedError(f'chunk size {line[:80]!r}')
+        self._left = int(found[1], 16)
         self._has_read_chunk = True
         if not self._left:
             self._read_trailers()
 
     def _read_trailers(self) -> None:
         """Read and discard the trailers."""
-        while self._read_line() != _CRLF:
-            pass
+        while (line := self._read_line()) != _CRLF:
+            if syntax.HEADER.fullmatch(line) is None:
+                raise syntax.MalformedError(f'trailer {line[:80]!r}')
         self.is_complete = True
 
     def _read_line(self) -> bytes:
