A reset after the end of an early answer breaks it off

What callers saw: a part of an answer as a whole one. The upstream answered a long upload at once with a 200 without a length, sent a part, ended its side of the connection and reset it, while the upload was not read.

Cause: once a reader has read the end of a connection, recv goes on to return an end, and the error of a reset that follows is only in SO_ERROR.

Change: after the end of an answer without a frame to a request with a body, the connection is watched for an error: for 200 ms where the request may not have been read whole (over 64 KiB, or not wholly sent), else for 20 ms. Answers that end without a reset are passed on as before, that much later.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -56,3 +56,41 @@
   # Guards against a head that takes a router a long time to refuse.
   Scenario: A long line of blanks is read in little time
     Then a field of 100000 blanks and its line without an end are read in little time
+
+  # Guards against a part of an answer that is taken for the whole: it came early, while the request was
+  # still being sent, had neither a length nor chunks, and its connection was ended and then reset. The
+  # kernel reports no reset to a reader that has read the end before.
+  Scenario Outline: An early answer is broken off by <end>
+    Given a fleet of 1 routers, and upstreams with scripted answers
+    When a request with a body of <size> bytes is answered early, up to <end>, with <framing>
+    Then the caller gets no whole answer
+
+    Examples:
+      | size    | framing    | end                                 |
+      | 200000  | connection | a reset                             |
+      | 3900000 | connection | a reset                             |
+      | 3900000 | length     | a reset                             |
+      | 3900000 | chunks     | a reset                             |
+      | 3900000 | connection | a close                             |
+      | 6       | connection | its end and a reset                 |
+      | 200000  | connection | its end and a reset                 |
+      | 1000000 | connection | its end and a reset                 |
+      | 3900000 | connection | its end and a reset                 |
+      | 200000  | connection | its end and a close                 |
+      | 3900000 | connection | its end and a close                 |
+      | 200000  | connection | its end and a reset 30 ms later     |
+      | 3900000 | connection | its end and a reset 30 ms later     |
+
+  Scenario Outline: An early answer that is whole is passed on, <end>
+    Given a fleet of 1 routers, and upstreams with scripted answers
+    When a request with a body of <size> bytes is answered early, up to <end>, with <framing>
+    Then the caller gets the whole answer
+
+    Examples:
+      | size    | framing    | end                                 |
+      | 6       | connection | its end                             |
+      | 200000  | connection | its end                             |
+      | 3900000 | connection | its end                             |
+      | 3900000 | connection | its end, and the request is read on |
+      | 3900000 | length     | its end, and the request is read on |
+      | 3900000 | chunks     | its end, and the request is read on |
--- a/features/steps/answer_end_steps.py
+++ b/features/steps/answer_end_steps.py
@@ -6,7 +6,6 @@
 import dataclasses
 import itertools
 import re
-import socket
 
 from behave import given
 from behave import then
@@ -99,8 +98,7 @@
 
 def ask(context, path, version='1.1', body=b'letter', deadline_ms=4000):
     """Send a request; tell a reset from an orderly close."""
-    host, _, port = fleet_steps.router_address(context).rpartition(':')
-    sock = socket.create_connection((host, int(port)))
+    sender = helpers.raw_connect(fleet_steps.router_address(context))
     text = (
         f'POST {path} HTTP/{version}\r\nHost: {shape_.HOST}\r\n'
         f'{names.REQUEST_ID}: end-{next(_numbers)}\r\n'
@@ -108,8 +106,8 @@
         f'{names.DEADLINE_MS}: {deadline_ms}\r\n'
         f'{names.TOKEN_COUNTS}: 10,10\r\nContent-Length: {len(body)}\r\n\r\n'
     )
-    sock.sendall(text.encode() + body)
-    sock.setblocking(False)
+    sender.sendall(text.encode() + body)
+    sock = sender.fd
     clock = clock_.SystemClock()
     reader = socket_reader.SocketReader(sock, clock)
     reader.deadline = clock.now() + helpers.LONG_MS
--- a/features/steps/broken_answer_steps.py
+++ b/features/steps/broken_answer_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import socket
 import time
 
 import answer_end_steps
@@ -11,11 +12,13 @@
 from behave import when
 import helpers
 import raw_upstream
+import upstream_steps
 
 from peridotmast import clock as clock_
 from peridotmast.embedded import shape as shape_
 from peridotmast.embedded import upstream_cut
 from peridotmast import failures
+from peridotmast import green
 from peridotmast.platform import names
 from peridotmast.serving import health as health_
 from peridotmast.wire import http_client
@@ -24,6 +27,8 @@
 BODY = b'the whole answer'
 OK = b'HTTP/1.1 200 OK'
 MAX_READ_S = 0.5
+EARLY_MS = 1500
+"""Time for which an upstream waits that reads no more, in ms."""
 
 BAD_LINES = (
     *(b'X%sBad: 1' % byte for byte in (
@@ -121,12 +126,14 @@
 
     def __init__(self):
         self.lines, self.body, self.before = (), b'', b''
+        self.end = lambda sock: None
         self.upstream = raw_upstream.RawUpstream(self._answer)
 
     def _answer(self, sock, request_id, number):
         head = b'\r\n'.join(self.lines) + b'\r\n\r\n'
         head = head.replace(b'{id}', request_id.encode())
         sock.sendall(self.before + head + self.body)
+        self.end(sock)
         return False
 
 
@@ -373,3 +380,68 @@
         began = time.process_time()
         call(context, [OK, b'Content-Length: 2', bad], b'{}')
         assert time.process_time() - began < MAX_READ_S, bad[:9]
+
+
+def reset(sock):
+    upstream_steps.set_reset_on_close(sock)
+
+
+def end_and_wait(sock):
+    """End the answer, and let the router close the connection."""
+    sock.shutdown(socket.SHUT_WR)
+    green.sleep_ms(EARLY_MS)
+
+
+def end_and_read(sock):
+    sock.shutdown(socket.SHUT_WR)
+    while sock.recv(65536):
+        pass
+
+
+def end_and_reset(sock, pause_ms=0):
+    sock.shutdown(socket.SHUT_WR)
+    if pause_ms:
+        green.sleep_ms(pause_ms)
+    reset(sock)
+
+
+EARLY_ENDS = {
+    'a reset': reset,
+    'a close': lambda sock: None,
+    'its end': end_and_wait,
+    'its end, and the request is read on': end_and_read,
+    'its end and a reset': end_and_reset,
+    'its end and a close': lambda sock: sock.shutdown(socket.SHUT_WR),
+    'its end and a reset 30 ms later': lambda sock: end_and_reset(sock, 30),
+}
+"""How an answer ends whose request has not been read. Unread bytes make a
+close a reset."""
+
+
+@when(
+    'a request with a body of {size:d} bytes is answered early, up to {end},'
+    ' with {framing}'
+)
+def answer_early(context, size, end, framing):
+    scripted = context.scripted[shape_.PLAIN_SERVICE]
+    is_whole = end.split(',')[0] == 'its end'
+    framed_by, body = FRAMINGS[framing](BODY)
+    scripted.lines = [OK, *own_lines(), *framed_by]
+    scripted.body = body if is_whole else body[: len(body) // 2]
+    scripted.end = EARLY_ENDS[end]
+    scripted.upstream._reads_body = False
+    context.received = answer_end_steps.ask(
+        context, '/holds/x', body=b'x' * size
+    )
+    assert scripted.upstream.requests
+
+
+@then('the caller gets no whole answer')
+def check_no_whole(context):
+    assert context.received.status in (0, 502), context.received
+
+
+@then('the caller gets the whole answer')
+def check_whole(context):
+    assert context.received.status == 200, context.received
+    assert context.received.body == BODY, context.received
--- a/src/peridotmast/wire/connection.py
+++ b/src/peridotmast/wire/connection.py
@@ -13,6 +13,7 @@
 from peridotmast import failures
 from peridotmast import green
 from peridotmast.wire import content_reader
+from peridotmast.wire import framing
 from peridotmast.wire import response_head
 from peridotmast.wire import socket_reader
 from peridotmast.wire import syntax
@@ -54,6 +55,15 @@
 read for seconds, and no time would be left for another attempt."""
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 """SO_LINGER value with which closing a socket resets its connection."""
+_RESET_POLL_MS = 5
+_RESET_WAIT_MS = 20
+_UPLOAD_RESET_WAIT_MS = 200
+"""Time, in ms, in which a reset shows that an answer without a frame has been
+broken off. The longer one is for requests that may not have been read whole:
+an upstream that closes such a connection resets it, if not by itself then
+because of the bytes that still arrive."""
+_SURELY_READ_BYTES = 64 << 10
+"""Size up to which a request is read at once by common servers, in bytes."""
 _SECONDS = re.compile(r'[0-9]{1,9}')
 _SEND_ERRORS = (http.client.HTTPException, OSError, ValueError)
 _READ_ERRORS = (
@@ -95,6 +105,7 @@
         self._head: ty.Optional[ResponseHead] = None
         self._content: ty.Optional[content_reader.ContentReader] = None
         self._body_sent = True
+        self._request_bytes = 0
         self._cancelled = ''
         self.idle_since = 0
         """Time at which the last response ended, in ms of the clock."""
@@ -211,6 +222,7 @@
         self._head = self._content = None
         self._is_unanswered = True
         self._body_sent = True
+        self._request_bytes = len(body)
         conn = http.client.HTTPConnection(self._host, self._port)
         conn.sock = self._http_socket
         try:
@@ -256,6 +268,8 @@
             data = self._content.read_some(_READ_BYTES)
         except _READ_ERRORS as exc:
             return self._close_after_error(exc)
+        if not data and self._is_reset_after_end(deadline):
+            return self._close_with_failure('cut_short', 'reset after its end')
         self._is_unanswered = bool(data)
         return self._unless_cancelled(data)
 
@@ -333,6 +347,29 @@
             and self.is_clean()
         )
 
+    def _is_reset_after_end(self, deadline: int) -> bool:
+        """Return whether a reset follows the end of an answer without a frame.
+
+        The kernel reports no reset to a reader that has read the end, and
+        such an answer may have ended early, before the request was read.
+        """
+        is_unframed = (
+            self._head is not None
+            and self._head.framing is framing.Framing.CONNECTION
+        )
+        if not (is_unframed and self._request_bytes):
+            return False
+        is_read = self._request_bytes <= _SURELY_READ_BYTES and self._body_sent
+        wait_ms = _RESET_WAIT_MS if is_read else _UPLOAD_RESET_WAIT_MS
+        ends_at = min(self._clock.now() + wait_ms, deadline)
+        while self._sock is not None:
+            if self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                return True
+            if self._clock.now() >= ends_at:
+                break
+            green.sleep_ms(_RESET_POLL_MS)
+        return False
+
     def _unless_cancelled(self, found: T) -> ty.Union[T, failures.Failure]:
         """Return `found`, or a failure if the response was cancelled."""
         if not self._cancelled:
