What a stream holds of an unfinished event is counted

What callers saw: other requests at a router ended with its process, which had run out of memory, or were not answered, while an upstream sent bytes that completed no event.

Cause: each stream may hold 1 MiB of an unfinished event or of comments, and that was not in the memory budget of the process. Three more made it worse: an ended stream kept its buffer until the garbage collector ran, an attempt beside a silent one kept its parts uncounted too, and comments were taken one by one, 20,000 in a read, so that nobody else had a turn.

Change: each attempt at a stream has a hold, resized as it grows and shrinks, in steps of 4 KiB. A stream that finds no room is ended at once, its upstream is not blamed.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -42,6 +42,24 @@
       | hundreds of callers that read no streams        | streams       | callers   | 400     | 160    | 1024        | 20   |
       | silent connections for gRPC                     | silent        | rpc       | 300     | 160    | 128         | 20   |
 
+  # Guards against streams of which each keeps what it has received of an event, up to a limit of its own:
+  # all together took the memory of the process, and with it the requests of all other callers.
+  Scenario Outline: A router survives streams of <what>
+    Given a router process that may use 160 MB and 1024 descriptors
+    When <clients> clients take streams of "<what>" of <size> KiB
+    Then the process runs within its memory and its descriptors
+    And ordinary callers are answered beside the crowd and after it
+
+    Examples: 0 KiB for a stream without end
+      | what                    | size | clients |
+      | an event                | 0    | 400     |
+      | an event                | 960  | 400     |
+      | an event after an event | 960  | 400     |
+      | an event of short lines | 960  | 400     |
+      | short comment lines     | 960  | 400     |
+      | short comments          | 960  | 400     |
+      | blank lines             | 960  | 400     |
+
   # Guards against state that connections leave behind when they end early.
   Scenario: A router survives clients that connect again and again
     Given a router process that may use 160 MB and 1024 descriptors
--- a/features/request_memory.feature
+++ b/features/request_memory.feature
@@ -29,6 +29,11 @@
     Then it is not refused
     And a second request is refused as long as the first one runs
 
+  # Guards against counts that drift as streams grow, shrink and lose their memory.
+  Scenario: What streams hold is counted as it grows and shrinks
+    Given a budget of 1000000 bytes
+    Then in 200 random histories of streams the count is what they hold, and within the budget
+
   Scenario: Memory is taken from the body that has held the most for the longest time
     Given a budget of 1000000 bytes
     When bodies of 400000, 300000 and 60000 bytes have been read for 3000, 500 and 100 ms
--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -45,6 +45,12 @@
     play(context, crowd, work_ms=work)
 
 
+@when('{clients:d} clients take streams of "{what}" of {size:d} KiB')
+def take_streams(context, clients, what, size):
+    crowd = crowd_.Crowd(crowd_.Kind.STREAMS, clients)
+    play(context, crowd, streams=what, stream_bytes=size << 10)
+
+
 @when(
     '{clients:d} clients connect {rounds:d} times each and send heads without'
     ' end'
--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -27,6 +27,9 @@
 from peridotmast.standin import endless
 from peridotmast.wire import connection as connection_
 from peridotmast.wire import event_reader
+from peridotmast.wire.overload import events as events_
+from peridotmast.wire.overload import memory_budget
+from peridotmast.wire.overload import stream_hold
 
 FLOOD_S = 3
 """Time after which the upstream gives up, so that a router that would read
@@ -229,8 +232,14 @@
 )
 def comments_received(context, size, piece):
     # Each piece must not copy all bytes that wait for the first event.
+    budget = memory_budget.MemoryBudget(
+        clock_.SystemClock(), events_.OverloadEvents()
+    )
+    exchange = mock.Mock(last_event=None)
+    hold = stream_hold.StreamHold(budget.open())
+    exchange.caller.begin_hold = lambda: hold
     stream = stream_.Stream(
-        mock.Mock(last_event=None),
+        exchange,
         mock.Mock(),
         mock.Mock(),
         clock_.SystemClock(),
--- a/features/steps/peer_model.py
+++ b/features/steps/peer_model.py
@@ -34,6 +34,7 @@
 from peridotmast.wire import connection as connection_
 from peridotmast.wire import framing as framing_
 from peridotmast.wire.overload import shared_resources
+from peridotmast.wire.overload import stream_hold
 from peridotmast.wire import server as server_
 from peridotmast.wire import strict_protocol
 
@@ -206,7 +207,7 @@
             urgency=1,
             arrived_at=now,
             deadline=now + 9000,
-            caller=None,
+            caller=types.SimpleNamespace(begin_hold=begin_hold),
         )
         result = self.serving.gateway._dispatcher.answer(exchange, SERVICE)
         if isinstance(result, failures.Failure):
@@ -222,6 +223,12 @@
             result.close()
 
 
+def begin_hold():
+    """Return a hold of a request in a process with enough memory."""
+    account = shared_resources.SharedResources().memory.open()
+    return stream_hold.StreamHold(account)
+
+
 class Conn:
     """The parts that connections of both kinds share."""
 
@@ -340,6 +347,7 @@
             ),
             close_orderly=lambda: None,
             close_if_pressed=lambda: None,
+            begin_hold=begin_hold,
             account=shared_resources.SharedResources().memory.open(),
         )
         self.framing = framing_.Framing.CHUNKS
--- a/features/steps/request_memory_steps.py
+++ b/features/steps/request_memory_steps.py
@@ -21,10 +21,12 @@
 from peridotmast.standin import plain_service
 from peridotmast.wire.overload import events as events_
 from peridotmast.wire.overload import memory_budget
+from peridotmast.wire.overload import stream_hold
 
 Phase = memory_budget.Phase
 MAX_BYTES = 1_000_000
 LARGE_BYTES = 400_000
+STEP_BYTES = 4096
 
 
 class ManualClock:
@@ -377,3 +379,37 @@
     green.sleep_ms(200)
     held = [answer.account.held_bytes for answer in context.answers]
     assert held == numbers(sizes), held
+
+
+@then(
+    'in {count:d} random histories of streams the count is what they hold, and'
+    ' within the budget'
+)
+def stream_histories(context, count):
+    numbers = strategies.integers(0, 4)
+    steps = strategies.tuples(
+        numbers, strategies.integers(0, MAX_BYTES), strategies.booleans()
+    )
+
+    @hypothesis.settings(max_examples=count, deadline=None, derandomize=True)
+    @hypothesis.given(strategies.lists(steps, max_size=40))
+    def check(history):
+        make_budget(context, MAX_BYTES)
+        accounts = [context.budget.open() for _ in range(5)]
+        holds = [stream_hold.StreamHold(account) for account in accounts]
+        sizes = [0] * 5
+        for number, size, is_end in history:
+            if is_end:
+                accounts[number].close()
+                accounts[number] = context.budget.open()
+                holds[number] = stream_hold.StreamHold(accounts[number])
+                sizes[number] = 0
+            elif holds[number].resize(size):
+                sizes[number] = size
+            alone = sum(map(bool, sizes)) == 1
+            used = context.budget.used_bytes
+            assert used == sum(account.held_bytes for account in accounts)
+            assert sum(sizes) - 5 * STEP_BYTES < used <= sum(sizes)
+            assert alone or used <= MAX_BYTES
+
+    check()
--- a/src/peridotmast/load/crowds/play.py
+++ b/src/peridotmast/load/crowds/play.py
@@ -22,6 +22,9 @@
 from peridotmast.load import driver as driver_
 from peridotmast.load import report as report_
 from peridotmast.platform import names
+from peridotmast.platform import upstream_codec
+from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.standin import endless_engine
 from peridotmast.standin import engine as engine_
 from peridotmast.standin import plain_service
 
@@ -55,6 +58,12 @@
     """Time that the upstream takes for each request."""
     stops: bool = False
     """Whether the router is stopped as planned while the crowd is there."""
+    streams: str = ''
+    """What the engine sends in place of events, as `standin.endless` names
+    it; empty for an engine that behaves."""
+    stream_bytes: int = 0
+    """Size of such a stream, after which the engine is silent; 0 if it has no
+    end."""
     troubles: bool = False
     """Whether the limits on requests change and an upstream is reclaimed while
     the crowd is there."""
@@ -135,14 +144,17 @@
     shape = shape_.FleetShape(
         routers=1,
         domains=1,
-        engines=int(play.crowd.kind is crowd_.Kind.STREAMS),
+        engines=int(
+            play.crowd.kind is crowd_.Kind.STREAMS and not play.streams
+        ),
         engine_profile=engine_.EngineProfile(batch_size=_SLOTS),
         services=0,
         config=_CONFIG,
         machine={'memory_mb': play.memory_mb, 'descriptors': play.descriptors},
     )
     fleet = process_fleet.ProcessFleet(shape, seed, folder)
-    try:
+    with contextlib.ExitStack() as stack:
+        stack.callback(fleet.stop)
         service = plain_service.PlainService(
             'service-1', work_ms=play.work_ms, slots=_SLOTS
         )
@@ -151,13 +163,13 @@
         )
         if play.troubles:
             _add_reclaimable(fleet, play.work_ms)
+        if play.streams:
+            stack.callback(_start_endless_engine(fleet, play).stop)
         fleet.start()
         router: ty.Any = fleet.routers[0]
         limits = (play.descriptors, play.descriptors)
         resource.prlimit(router.pid, resource.RLIMIT_NOFILE, limits)
         return _play(play, router, fleet)
-    finally:
-        fleet.stop()
 
 
 def _add_reclaimable(
@@ -176,6 +188,28 @@
     )
 
 
+def _start_endless_engine(
+    fleet: process_fleet.ProcessFleet, play: Play
+) -> endless_engine.EndlessEngine:
+    """Start an engine whose streams hold no whole event, with its entry."""
+    engine = endless_engine.EndlessEngine(
+        'endless-1', play.streams, play.stream_bytes
+    )
+    record = pb.UpstreamRecord(
+        upstream=pb.Upstream(
+            name=engine.name,
+            address=engine.address,
+            failure_domain=fleet.domains[0],
+            service=shape_.ENGINE_SERVICE,
+            slots=_SLOTS,
+        ),
+        state=pb.UPSTREAM_STATE_LIVE,
+    )
+    entry = upstream_codec.write_upstream(record)
+    fleet.store.put(names.UPSTREAM_KIND, engine.name, entry)
+    return engine
+
+
 def _begin_troubles(fleet: process_fleet.ProcessFleet) -> None:
     """Lower a limit on requests, and reclaim an upstream, at once."""
     fleet.write_config(
--- a/src/peridotmast/serving/exchange.py
+++ b/src/peridotmast/serving/exchange.py
@@ -11,6 +11,7 @@
 from peridotmast.serving import crash_keys as crash_keys_
 from peridotmast.serving import fingerprint as fingerprint_
 from peridotmast.wire import connection as connection_
+from peridotmast.wire.overload import stream_hold
 
 Headers = connection_.Headers
 
@@ -57,6 +58,9 @@
         Return whether there is room by `deadline`, in ms.
         """
 
+    def begin_hold(self) -> stream_hold.StreamHold:
+        """Return what counts the memory of one attempt at a stream."""
+
 
 @dataclasses.dataclass
 class Exchange:
--- a/src/peridotmast/serving/second_attempts.py
+++ b/src/peridotmast/serving/second_attempts.py
@@ -16,8 +16,13 @@
 from peridotmast.serving import placement
 from peridotmast.serving import retry_budget
 from peridotmast.serving import sender as sender_
+from peridotmast.wire import connection as connection_
 from peridotmast.wire import event_reader
 from peridotmast.wire import framing
+from peridotmast.wire.overload import stream_hold
+
+_PART_BYTES = 64
+"""Memory of a part of a body beside its bytes, in bytes."""
 
 _READY = 'ready'
 """Outcome of an attempt that can replace a silent one."""
@@ -199,8 +204,21 @@
 
         What is read is kept in the attempt.
         """
+        hold = silence.exchange.caller.begin_hold()
+        try:
+            return self._read_event(silence, sent, hold)
+        finally:
+            hold.release()
+
+    def _read_event(
+        self,
+        silence: Silence,
+        sent: sender_.Sent,
+        hold: stream_hold.StreamHold,
+    ) -> ty.Optional[failures.Failure]:
         last = silence.last_event
         reader = event_reader.EventReader(-1 if last is None else last)
+        held_bytes = 0
         deadline = min(
             silence.exchange.deadline,
             self._clock.now() + silence.patience_ms,
@@ -220,4 +238,7 @@
             reader.feed(data)
             if reader.is_endless:
                 return failures.unknown('too_long', 'bytes without an event')
+            held_bytes += len(data) + _PART_BYTES
+            if not hold.resize(held_bytes):
+                return failures.unknown(connection_.NO_MEMORY, 'events')
         return None
--- a/src/peridotmast/serving/stream.py
+++ b/src/peridotmast/serving/stream.py
@@ -13,6 +13,7 @@
 from peridotmast.serving import placement
 from peridotmast.serving import sender as sender_
 from peridotmast.serving import standby as standby_
+from peridotmast.wire import connection as connection_
 from peridotmast.wire import event_reader
 from peridotmast.wire import framing
 
@@ -63,6 +64,8 @@
         self.unreached: set[str] = set()
         """Names of upstreams and peers that could not be connected to when the
         stream was resumed."""
+        self.hold = exchange.caller.begin_hold()
+        """Counts the memory of what was received and not forwarded yet."""
         self.pending = bytearray()
         """Received events that were not forwarded yet."""
         self.ended = False
@@ -102,6 +105,9 @@
             self._gap_start = self._clock.now(), self.reader.last_id
         if self.reader.is_endless:
             return failures.unknown('too_long', 'bytes without an event')
+        held_bytes = self.reader.buffered_bytes + len(self.pending)
+        if not self.hold.resize(held_bytes):
+            return failures.unknown(connection_.NO_MEMORY, 'events')
         return None
 
     def _end(self) -> ty.Optional[failures.Failure]:
@@ -133,6 +139,15 @@
         self.pending.clear()
         return pending
 
+    def drop_events(self) -> None:
+        """Release the memory of events that will not be forwarded.
+
+        Its tasks may refer to a stream until the garbage collector runs.
+        """
+        self.pending.clear()
+        self.reader.clear()
+        self.hold.release()
+
     def take_gap_ms(self, min_events: int = 1) -> ty.Optional[float]:
         """Return the mean time between the events of this attempt, in ms.
 
--- a/src/peridotmast/serving/stream_relay.py
+++ b/src/peridotmast/serving/stream_relay.py
@@ -120,6 +120,7 @@
             failure = self._first_event(stream)
         finally:
             if failure is not None:
+                stream.drop_events()
                 self._open.remove(stream)
         if failure is not None:
             return failure
@@ -155,6 +156,7 @@
         if stream.standby is not None:
             stream.standby.stop()
         stream.drop_migration()
+        stream.drop_events()
         stream.sent.reservation.release()
         if stream.ended:
             self._crashes.note_success(stream.exchange.crash_keys)
--- a/src/peridotmast/standin/endless.py
+++ b/src/peridotmast/standin/endless.py
@@ -60,6 +60,14 @@
 }
 """The same for bodies of streams."""
 
+FILLERS = {
+    'short comment lines': (b'\r\n', b':\n'),
+    'short comments': (b'\r\n', b':\n\n'),
+    'an event of short lines': (b'\r\n', b'a\n'),
+}
+"""Further bodies of streams, which take a router much memory if it keeps their
+lines one by one."""
+
 KINDS = tuple(
     kind for kind in (*HEADS, *BODIES, *STREAMS) if 'after' not in kind
 )
@@ -84,7 +92,7 @@
     Parameters
     ----------
     kind : str
-        Key of `HEADS`, `BODIES` or `STREAMS`.
+        Key of `HEADS`, `BODIES`, `STREAMS` or `FILLERS`.
     head : bytes
         Status line and header lines of a response whose body has no end,
         without the blank line.
@@ -92,7 +100,7 @@
     if kind in HEADS:
         first, repeated = HEADS[kind]
     else:
-        first, repeated = {**BODIES, **STREAMS}[kind]
+        first, repeated = {**BODIES, **STREAMS, **FILLERS}[kind]
         first = head + first
     yield first
     piece = repeated * max(1, PIECE_BYTES // len(repeated))
--- a/src/peridotmast/wire/caller_connection.py
+++ b/src/peridotmast/wire/caller_connection.py
@@ -10,6 +10,7 @@
 
 from peridotmast import green
 from peridotmast.wire.overload import memory_budget
+from peridotmast.wire.overload import stream_hold
 from peridotmast.wire import request_body
 
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -65,6 +66,10 @@
         """
         return self.account.reserve_answer(size, deadline)
 
+    def begin_hold(self) -> stream_hold.StreamHold:
+        """Return what counts the memory of one attempt at a stream."""
+        return stream_hold.StreamHold(self.account)
+
     def read_body(
         self, max_bytes: int, idle_timeout_ms: int, timeout_ms: int = 0
     ) -> bytes:
--- a/src/peridotmast/wire/event_reader.py
+++ b/src/peridotmast/wire/event_reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import typing as ty
 
 MAX_FILLER_BYTES = 1 << 20
 """Maximum number of bytes that are received without completing an event, in
@@ -16,7 +17,10 @@
 """Ids with more digits are ignored: they may overflow the messages between
 routers, and Python refuses to convert thousands of digits."""
 
-_CONTENT = re.compile(rb'^[^:\r\n]', re.MULTILINE)
+_LAST_ENDS = (b'\n\n', b'\n\r\n')
+"""Bytes that the end of an event ends with."""
+_CONTENT = re.compile(rb'[\r\n][^:\r\n]')
+"""Pattern of the first byte of a line that is no comment, past the first."""
 
 
 class EventReader:
@@ -42,6 +46,11 @@
         """Bytes of an incomplete event."""
         return bytes(self._buffer)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes of an incomplete event."""
+        return len(self._buffer)
+
     @property
     def is_endless(self) -> bool:
         """Whether so much was received without an event that none is expected.
@@ -54,8 +63,7 @@
     @property
     def is_inside_event(self) -> bool:
         """Whether a part of an event was received, not only a comment."""
-        lines = self._buffer.splitlines()
-        return any(line and not line.startswith(b':') for line in lines)
+        return _has_content(self._buffer)
 
     def feed(self, data: bytes) -> bytes:
         """Return the bytes of the events that `data` completes."""
@@ -64,26 +72,35 @@
         searched = max(0, len(self._buffer) - _MAX_PARTIAL_END)
         self._buffer += data
         self._filler_bytes += len(data)
-        complete: list[bytes] = []
-        start = 0
-        for match in _EVENT_END.finditer(self._buffer, searched):
-            event = bytes(self._buffer[start : match.end()])
-            start = match.end()
-            if self._is_new(event):
-                complete.append(event)
-        del self._buffer[:start]
-        return b''.join(complete)
+        end = self._find_last_end(searched)
+        if not end:
+            return b''
+        complete = bytes(self._buffer[:end])
+        del self._buffer[:end]
+        # Thousands of comments may arrive at once.
+        if not _has_content(complete):
+            return complete
+        return b''.join(e for e in _split(complete) if self._is_new(e))
+
+    def clear(self) -> None:
+        """Discard the incomplete event."""
+        self._buffer.clear()
 
     def restart(self) -> None:
         """Continue with another upstream, whose stream may repeat events."""
-        self._buffer.clear()
+        self.clear()
         self._filler_bytes = 0
         self._repeated_id = -1
         self._skipping_seen = True
 
+    def _find_last_end(self, start: int) -> int:
+        """Return where the last complete event ends, 0 if there is none."""
+        ends = ((self._buffer.rfind(t, start), len(t)) for t in _LAST_ENDS)
+        return max(at + size if at >= 0 else 0 for at, size in ends)
+
     def _is_new(self, event: bytes) -> bool:
         match = _EVENT_ID.search(event)
-        if match is None and _CONTENT.search(event) is None:
+        if match is None and not _has_content(event):
             return True
         if match is not None:
             number = int(match[1])
@@ -97,3 +114,17 @@
         self.has_event = True
         self._filler_bytes = 0
         return True
+
+
+def _split(events: bytes) -> ty.Iterator[bytes]:
+    """Yield complete events one by one."""
+    start = 0
+    for match in _EVENT_END.finditer(events):
+        yield events[start : match.end()]
+        start = match.end()
+
+
+def _has_content(events: ty.Union[bytes, bytearray]) -> bool:
+    """Return whether there is a line that is no comment."""
+    is_comment = events[:1] in (b'', b':', b'\r', b'\n')
+    return not is_comment or _CONTENT.search(events) is not None
--- a/src/peridotmast/wire/overload/memory_budget.py
+++ b/src/peridotmast/wire/overload/memory_budget.py
@@ -82,9 +82,19 @@
         OverloadedError
             If there is no room, or the request was evicted.
         """
-        if self.is_evicted or not self._budget.make_room(self, size):
+        if not self.try_charge(size):
             raise OverloadedError
+
+    def try_charge(self, size: int) -> bool:
+        """Count `size` more bytes, and return whether there is room."""
+        if self.is_evicted or not self._budget.make_room(self, size):
+            return False
         self._budget.add(self, size)
+        return True
+
+    def discharge(self, size: int) -> None:
+        """Take `size` bytes out of the count, unless it has lost them."""
+        self._budget.add(self, -min(size, self.held_bytes))
 
     def reserve_answer(self, size: int, deadline: int) -> bool:
         """Count bytes of an answer before they are read; wait for room.
