Answers that begin after a stop state that their connections close

What callers saw: the next request on a kept connection met a closed one, although the answer before it did not state the close.

Cause: the server set "Connection: close" when it read the head of a request; requests that were in flight at the signal had been read before.

Change: it is set when the answer begins, in one place, for all servers.

Evidence: the new scenario failed before (no such header on the answers in flight), and passes now; strict, bodyless and router_stop pass.

--- a/features/router_stop.feature
+++ b/features/router_stop.feature
@@ -70,6 +70,12 @@
       | with short work                              | 100  | 3400  |
       | with short work and a short limit            | 100  | 500   |
 
+  # Guards against answers after which their callers send a further request on a connection that is closed.
+  Scenario: Answers that are sent after the stop has begun state that their connections close
+    Given a fleet of 2 routers with a grace time of 4 s, whose services take 500 ms
+    When a router is stopped while requests of each kind wait for their answers
+    Then each of them is answered with 200 and "Connection: close"
+
   Scenario: A draining holder of the duties releases them
     Given a fleet of 3 routers
     When the holder of the duties starts to drain
--- a/src/peridotmast/wire/server.py
+++ b/src/peridotmast/wire/server.py
@@ -159,6 +159,21 @@
         for thread in list(self._pool.coroutines_running):
             thread.kill()
 
+    def _answer(
+        self, environ: dict[str, ty.Any], start: ty.Callable[..., ty.Any]
+    ) -> ty.Iterable[bytes]:
+        """Answer a request; state the close of its connection, if it will.
+
+        Whether the server is closing is known only once the answer begins.
+        """
+
+        def start_and_close(*args: ty.Any) -> ty.Any:
+            if self.is_closing:
+                environ[strict_protocol.CONNECTION].close_after()
+            return start(*args)
+
+        return self._app(environ, start_and_close)
+
     def _serve(self) -> None:
         protocol = type(
             '_Protocol',
@@ -168,7 +183,7 @@
         wsgi_server = wsgi.Server(
             self._sock,
             self._sock.getsockname(),
-            self._app,
+            self._answer,
             _DiscardLog(),
             protocol=protocol,
             log_output=False,
--- a/src/peridotmast/wire/strict_protocol.py
+++ b/src/peridotmast/wire/strict_protocol.py
@@ -138,8 +138,6 @@
 
     def get_environ(self) -> dict[str, ty.Any]:
         self._cancel_timer()
-        if self.http_server.is_closing:
-            self.close_connection = 1
         env = super().get_environ()
         env[TARGET] = self.path
         self._caller = caller_connection.CallerConnection(self)
