Requests that outlast the grace time are answered with a failure

What callers saw: a closed connection and no answer, at the end of the grace time of a planned stop.

Cause: the drain ended with requests in flight, and the router's stop killed their tasks with their connections.

Change: at the end of the drain, requests whose answers have not begun are answered with a failure of unknown outcome (502, reason "stopped"), to callers and to peers, and get 100 ms of the reserve for it. Streams that have begun break off visibly, as before. The log line drain_finished has their number.

--- a/features/router_stop.feature
+++ b/features/router_stop.feature
@@ -70,6 +70,12 @@
       | with short work                              | 100  | 3400  |
       | with short work and a short limit            | 100  | 500   |
 
+  # Guards against requests that end with their connection, and no answer, when the grace time is over.
+  Scenario: A request that outlasts the grace time is answered with a failure
+    Given a fleet of 2 routers with a grace time of 2 s, whose services take 5000 ms
+    When a router is stopped while requests of each kind wait for their answers
+    Then each of them is answered with 502 before the grace time is over
+
   # Guards against answers after which their callers send a further request on a connection that is closed.
   Scenario: Answers that are sent after the stop has begun state that their connections close
     Given a fleet of 2 routers with a grace time of 4 s, whose services take 500 ms
--- a/src/peridotmast/router/drain.py
+++ b/src/peridotmast/router/drain.py
@@ -18,6 +18,9 @@
 _EXIT_RESERVE_MS = 250
 """Part of the grace time that is reserved for the exit of the process."""
 
+_FAILURE_MS = 100
+"""Time in which requests are answered that have not ended by then, in ms."""
+
 
 class Drain:
     """Finishes a router's running requests within its grace time.
@@ -75,9 +78,13 @@
             green.sleep_ms(_POLL_MS)
         # No request may start between the last check and the end.
         self._gateway.close()
+        failed = self._gateway.fail_waiting()
+        if failed:
+            green.sleep_ms(_FAILURE_MS)
         self._log.info(
             'drain_finished',
             in_flight=self._gateway.in_flight,
+            failed=failed,
             ms=self._clock.now() - started_at,
         )
 
--- a/src/peridotmast/serving/gateway.py
+++ b/src/peridotmast/serving/gateway.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import typing as ty
 
 from peridotmast import clock as clock_
 from peridotmast import failures
+from peridotmast import green
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast.serving import decisions as decisions_
 from peridotmast.serving import demand as demand_
@@ -39,6 +41,15 @@
 and small VMs have some 4,000 descriptors."""
 
 
+_STOPPED = 'stopped'
+"""Reason of the failure of a request that its router has not ended before it
+stops."""
+
+
+class _RouterStopped(Exception):
+    """Raised in the task of a request that waits while its router stops."""
+
+
 @dataclasses.dataclass
 class IncomingRequest:
     """A request as parsed by one of the APIs."""
@@ -122,6 +133,8 @@
         """Deduct tokens from a team's limit and return 0, or return the time
         after which to retry, in ms."""
         self._forwarded = 0
+        self._waiting: set[ty.Any] = set()
+        """Tasks of requests whose responses have not begun."""
         self.in_flight = 0
         """Number of requests in progress, until their responses have ended."""
 
@@ -146,6 +159,16 @@
         self._quota.configure(config.teams)
         self._scarcity.configure(config.services)
 
+    def fail_waiting(self) -> int:
+        """Answer requests that wait with a failure; return their number."""
+        for task in self._waiting:
+            green.call_after_ms(0, functools.partial(self._fail, task))
+        return len(self._waiting)
+
+    def _fail(self, task: ty.Any) -> None:
+        if task in self._waiting:
+            green.raise_in_task(task, _RouterStopped())
+
     def handle(
         self, request: IncomingRequest
     ) -> ty.Union[reply_.Reply, failures.Failure]:
@@ -190,7 +213,7 @@
         exchange.traceparent = self._tracer.traceparent_of(span)
         result: ty.Union[reply_.Reply, failures.Failure, None] = None
         try:
-            result = self._dispatcher.answer(exchange, service)
+            result = self._dispatch(exchange, service)
         finally:
             if not isinstance(result, reply_.Reply):
                 self._begin_forwarded(-1)
@@ -262,7 +285,7 @@
             return self._record_refusal(request, ticket, service.name)
         result: ty.Union[reply_.Reply, failures.Failure, None] = None
         try:
-            result = self._dispatcher.answer(exchange, service)
+            result = self._dispatch(exchange, service)
         finally:
             if not isinstance(result, reply_.Reply):
                 ticket.end()
@@ -272,6 +295,19 @@
             return self._record_refusal(request, result, service.name)
         return self._record_response(exchange, service, result, span, ticket)
 
+    def _dispatch(
+        self, exchange: exchange_.Exchange, service: pb.Service
+    ) -> ty.Union[reply_.Reply, failures.Failure]:
+        """Return the response to a request, or a failure at the stop."""
+        task = green.current()
+        self._waiting.add(task)
+        try:
+            return self._dispatcher.answer(exchange, service)
+        except _RouterStopped:
+            return failures.unknown(_STOPPED)
+        finally:
+            self._waiting.discard(task)
+
     def _outlasts_router(self, exchange: exchange_.Exchange) -> bool:
         """Return whether the router may stop before the request ends."""
         return self._stops_at is not None and (
