What is read after a deadline is limited in time, not in turns

What callers saw: answers 10 s and more after their time limit, where many upstreams sent bytes without end (fields, interim heads, chunks of one byte).

Cause: 256 turns may be read after the deadline, for what had arrived before a pause of the process. A turn takes a millisecond alone, but 40 such readers wait for each other's turns.

Change: 300 ms from when it is noticed that the deadline has passed.

Evidence: with turns of 40 ms the new scenario failed before (a virtual clock; 256 turns are 10 s), and passes now. What had arrived before a pause is still read whole, as its scenario shows. Whole plays with 40 calls at once were not measured again.

--- a/features/endless_upstreams.feature
+++ b/features/endless_upstreams.feature
@@ -57,6 +57,11 @@
     And 1000000 bytes of comments in pieces of 8 bytes are received in little time
     And a response that arrived before a pause of the router is read whole
 
+  # Guards against a bound on what is read after the deadline that counts turns: while 40 responses
+  # without end were read, their turns took 40 times as long, and callers waited for 10 s more.
+  Scenario: A response without end is given up soon after its deadline, however long others take
+    Then a response without end is read for at most 1000 ms after its deadline, with turns of 40 ms
+
   # Guards against a soak that injects the fault and sees no violation of it.
   Scenario: A soak notices a response without end that a router goes on reading
     Then a soak counts a response without end that is read 5100 ms too long
--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -30,6 +30,7 @@
 from peridotmast.wire.overload import events as events_
 from peridotmast.wire.overload import memory_budget
 from peridotmast.wire.overload import stream_hold
+from peridotmast.wire import socket_reader
 
 FLOOD_S = 3
 """Time after which the upstream gives up, so that a router that would read
@@ -280,3 +281,37 @@
 
     assert count(1000 + ms, 99_000) == count(0, 1000 + ms) == 1
     assert count(900, 99_000) == count(0, 1500) == 0
+
+
+class BusyLoop:
+    """Clock and socket of a reader whose bytes never end.
+
+    Other tasks take `turn_ms` whenever it has used up a turn.
+    """
+
+    def __init__(self, turn_ms):
+        self.ms = 0
+        self._turn_ms = turn_ms
+
+    def now(self):
+        self.ms += self._turn_ms
+        return self.ms
+
+    def recv(self, size):
+        return b'1\r\nx\r\n' * (size // 6)
+
+
+@then(
+    'a response without end is read for at most {late:d} ms after its'
+    ' deadline, with turns of {turn:d} ms'
+)
+def read_after_deadline(context, late, turn):
+    loop = BusyLoop(turn)
+    reader = socket_reader.SocketReader(loop, loop)
+    reader.deadline = 400
+    try:
+        while True:
+            reader.line_bytes_left = 1 << 20
+            reader.readline()
+    except TimeoutError:
+        assert loop.ms <= reader.deadline + late, loop.ms
--- a/src/peridotmast/wire/socket_reader.py
+++ b/src/peridotmast/wire/socket_reader.py
@@ -19,10 +19,10 @@
 bytes always arrive."""
 _UNIT_BYTES = 256
 
-_MAX_LATE_TURNS = 256
-"""Number of turns that may be read after the deadline, without waiting. What
-had arrived before a pause of this process is read, such as a body of 1 MiB in
-chunks of 64 bytes; what arrives without end is not."""
+_MAX_LATE_MS = 300
+"""Time for which bytes may be read after it was noticed that the deadline has
+passed, in ms. What had arrived before a pause of this process is read; what
+arrives without end is not."""
 
 
 class LinesTooLongError(Exception):
@@ -57,7 +57,7 @@
         self.line_bytes_left = 0
         """Number of bytes that `readline` may still return."""
         self._turn_units = 0
-        self._late_turns = 0
+        self._late_since: ty.Optional[int] = None
 
     @property
     def pending(self) -> int:
@@ -161,9 +161,12 @@
         if self._turn_units < _TURN_UNITS:
             return
         self._turn_units = 0
-        is_late = self._clock.now() > self.deadline
-        self._late_turns = self._late_turns + 1 if is_late else 0
-        if self._late_turns > _MAX_LATE_TURNS:
+        now = self._clock.now()
+        if now <= self.deadline:
+            self._late_since = None
+        elif self._late_since is None:
+            self._late_since = now
+        elif now - self._late_since > _MAX_LATE_MS:
             raise TimeoutError('data still received after the deadline')
         green.sleep_ms(0)
 
