Answers of engines to a router's own calls are read up to 1 MiB

What callers saw: nothing so far; found by the search for other places that read answers. An engine whose report or move is answered without end fills 64 MiB of the router's memory for each call, outside its memory budget.

Cause: the limit on a body is that of the largest page of the store.

Change: clients of short calls may have a limit of their own; that for reports and moves is 1 MiB.

Evidence: both rows failed before (an answer of 2 MB was taken, by each framing) and pass now; answers of 50 KB pass.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -43,6 +43,17 @@
     Given an upstream whose answers are scripted
     Then a call fails whatever broken answer it gets, and succeeds with each sound one
 
+  # Guards against engines that fill the memory of a router with answers to its own calls, each of which
+  # was read up to 64 MiB.
+  Scenario Outline: A <call> whose answer is too long fails
+    Given an upstream whose answers are scripted
+    Then a <call> fails if its answer has 2000000 bytes, by each framing, and succeeds if it has 50000
+
+    Examples:
+      | call   |
+      | report |
+      | move   |
+
   # Guards against a reader that refuses what the protocol allows.
   Scenario Outline: Sound answers of unusual form are passed on whole
     Given a fleet of <routers> routers, and upstreams with scripted answers
--- a/features/steps/broken_answer_steps.py
+++ b/features/steps/broken_answer_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import json
 import socket
 import time
 
@@ -19,6 +20,7 @@
 from peridotmast.embedded import upstream_cut
 from peridotmast import failures
 from peridotmast import green
+from peridotmast.platform import engine_control
 from peridotmast.platform import names
 from peridotmast.serving import health as health_
 from peridotmast.wire import http_client
@@ -445,3 +447,25 @@
 def check_whole(context):
     assert context.received.status == 200, context.received
     assert context.received.body == BODY, context.received
+
+
+CALLS = {
+    'report': lambda control, address: control.remaining_ms(address, 0),
+    'move': lambda control, address: control.move(address, 'r-1', 'a:1'),
+}
+
+
+@then(
+    'a {name} fails if its answer has {many:d} bytes, by each framing, and'
+    ' succeeds if it has {few:d}'
+)
+def check_long_answers(context, name, many, few):
+    control = engine_control.EngineControl(2000, 2000)
+    address = context.upstream.upstream.address
+    for size, framed in itertools.product((many, few), FRAMINGS.values()):
+        fields = {names.HANDLE: 'h', 'padding': 'x' * size}
+        framed_by, context.upstream.body = framed(json.dumps(fields).encode())
+        context.upstream.lines = [OK, *framed_by]
+        found = CALLS[name](control, address)
+        has_failed = isinstance(found, failures.Failure)
+        assert has_failed == (size == many), (size, framed_by, found)
--- a/src/peridotmast/platform/engine_control.py
+++ b/src/peridotmast/platform/engine_control.py
@@ -13,6 +13,8 @@
 _COPY_REFUSED = 503
 _RUN_NOT_FOUND = 404
 _ALREADY_MOVING = 409
+_MAX_ANSWER_BYTES = 1 << 20
+"""Maximum size of an answer of an engine to a call of a router."""
 
 
 class EngineControl:
@@ -28,8 +30,12 @@
     """
 
     def __init__(self, report_timeout_ms: int, move_timeout_ms: int) -> None:
-        self._reports = http_client.HttpClient(report_timeout_ms)
-        self._moves = http_client.HttpClient(move_timeout_ms)
+        self._reports, self._moves = (
+            http_client.HttpClient(
+                timeout_ms, max_body_bytes=_MAX_ANSWER_BYTES
+            )
+            for timeout_ms in (report_timeout_ms, move_timeout_ms)
+        )
 
     def remaining_ms(
         self, address: str, born: int
--- a/src/peridotmast/wire/http_client.py
+++ b/src/peridotmast/wire/http_client.py
@@ -13,7 +13,7 @@
 from peridotmast.wire import pool as pool_
 
 _MAX_BODY_BYTES = 64 << 20
-"""Maximum size of a response body."""
+"""Maximum size of a response body that its client does not limit."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -54,13 +54,17 @@
         the time without a byte of the body.
     clock : clock.Clock, optional
         Measures the time-outs; the system clock by default.
+    max_body_bytes : int, optional
+        Maximum size of a response body.
     """
 
     def __init__(
         self,
         timeout_ms: int = 1500,
         clock: ty.Optional[clock_.Clock] = None,
+        max_body_bytes: int = _MAX_BODY_BYTES,
     ) -> None:
+        self._max_body_bytes = max_body_bytes
         self._timeout_ms = timeout_ms
         self._clock = clock or clock_.SystemClock()
         self._pool = pool_.ConnectionPool(self._clock, timeout_ms)
@@ -157,7 +161,7 @@
             deadline = self._clock.now() + body_timeout_ms
             idle_timeout_ms = self._timeout_ms
         body = conn.read_all(
-            deadline, _MAX_BODY_BYTES, idle_timeout_ms, on_bytes
+            deadline, self._max_body_bytes, idle_timeout_ms, on_bytes
         )
         if isinstance(body, failures.Failure):
             return body
