--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# TROUBLE=0: the same without the slow worker.
+# TROUBLE=0: the same without the unreadable entry.
 exec python3 "$(dirname "$0")/run.py"
