--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -463,4 +463,6 @@
         finally:
             await rig.stop()
 
+    # If the script is stopped, the routers end with it.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     sys.exit(asyncio.run(run()))
