--- a/review/6/run.py
+++ b/review/6/run.py
@@ -24,15 +24,15 @@
     for number in range(3):
         worker = rig_.Worker(rig.worker_ip, f'i-app-{number}')
         rig.workers.append((worker, 'entries-app', 'abc'[number], 6))
-    ok = await rig.start({
+    config = {
         'version': 7,
         'routes': [{'name': 'r-read', 'host': rig_.HOST, 'prefix': '/read/',
                     'kind': 'idempotent', 'timeout-ms': TIMEOUT_MS,
                     'target-latency-ms': 400, 'priority': 2, 'service': 'entries-app',
                     'attempts': 2, 'public': False}],
         'services': [{'name': 'entries-app', 'health-path': '/health', 'max-conns': 100}],
-        'limits': rig_.LIMITS, 'tenants': rig_.TENANTS})
-    if not ok:
+        'limits': rig_.LIMITS, 'tenants': rig_.TENANTS}
+    if not await rig.start(config):
         return rig.record.result(2, 'the routers did not become ready')
     rows = []
 
@@ -63,7 +63,9 @@
     rig.record.line(f'another writer puts servers/h-backup: {text}')
     rig.store.put('servers', 'h-backup', None, raw=text)
     await ask_for(BEFORE_S, False)
-    rig.record.line('all processes of the system are killed')
+    # The final fault comes right after a config was acknowledged.
+    rig.store.put('config', 'main', {**config, 'version': 9})
+    rig.record.line('config 9 is acknowledged; all processes of the system are killed')
     for router in rig.routers:
         router.signal(signal.SIGKILL)
         router.process.wait()
