--- a/review/6/run.py
+++ b/review/6/run.py
@@ -12,25 +12,25 @@
 
 TEXT = '[{"service":"backup"'
 """A list whose write was cut off inside its first object."""
-TIMEOUT_MS = 3000
+TIMEOUT_MS = 1500
 EVERY_S = 0.2
 BEFORE_S = 4
-DOWN_S = 0.9
-RECOVER_S = 12
+DOWN_S = 0.95
+RECOVER_S = 15
 JUDGED_S = 20
 
 
 async def case(rig, trouble: bool) -> int:
     for number in range(3):
         worker = rig_.Worker(rig.worker_ip, f'i-app-{number}')
-        rig.workers.append((worker, 'entries-app', 'abc'[number], 6))
+        rig.workers.append((worker, 'starting-grid', 'abc'[number], 6))
     config = {
         'version': 7,
         'routes': [{'name': 'r-read', 'host': rig_.HOST, 'prefix': '/read/',
                     'kind': 'idempotent', 'timeout-ms': TIMEOUT_MS,
-                    'target-latency-ms': 400, 'priority': 2, 'service': 'entries-app',
+                    'target-latency-ms': 120, 'priority': 2, 'service': 'starting-grid',
                     'attempts': 2, 'public': False}],
-        'services': [{'name': 'entries-app', 'health-path': '/health', 'max-conns': 100}],
+        'services': [{'name': 'starting-grid', 'health-path': '/health', 'max-conns': 100}],
         'limits': rig_.LIMITS, 'tenants': rig_.TENANTS}
     if not await rig.start(config):
         return rig.record.result(2, 'the routers did not become ready')
@@ -87,4 +87,4 @@
     return rig.record.result(1 if broken else 0, result)
 
 
-rig_.main(case, HERE, routers=3)
+rig_.main(case, HERE, routers=3, params=rig_.MAGNOLIA)
--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -24,11 +24,13 @@
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), '..', '..'))
 
 # The settings of further/brazos-entries.toml.
-PARAMS = {
+BRAZOS = {
     'drain-ms': 2000, 'grace-s': 8, 'budget-ratio': 0.2, 'budget-window-s': 10,
     'budget-slack': 54, 'lease-ms': 3000, 'usage-window-s': 5, 'ttl_max_s': 5,
     'quota-window-s': 8, 'quota-over': 0.1, 'quota-slack': 110000,
 }
+# The settings of demands/magnolia-lobby-grown.toml, where they are others.
+MAGNOLIA = {**BRAZOS, 'drain-ms': 3000, 'budget-slack': 184, 'quota-slack': 140000}
 LIMITS = {
     'max-header-bytes': 16384, 'max-body-bytes': 4194304,
     'header-timeout-ms': 3000, 'idle-timeout-ms': 15000,
@@ -316,7 +318,7 @@
             'port-range': f'{self.peer},{self.peer}',
             'platform.addr': self.rig.store.address, 'cloud-api.addr': self.rig.cloud.address,
             'limits.memory-mb': 300, 'limits.max-fds': 4100,
-            **{f'contract-params.{n}': v for n, v in PARAMS.items()},
+            **{f'contract-params.{n}': v for n, v in self.rig.params.items()},
         }
         with open(os.path.join(ROOT, 'deploy', 'router.ini'), encoding='utf-8') as file:
             text = file.read()
@@ -409,7 +411,8 @@
 class Rig:
     """Platform, workers and routers of one script; ends all it started."""
 
-    def __init__(self, case_folder: str, routers: int) -> None:
+    def __init__(self, case_folder: str, routers: int, params: dict) -> None:
+        self.params = params
         self.folder = tempfile.mkdtemp(prefix='peridotmast-review-')
         self.record = Record(case_folder)
         base = f'127.{random.randrange(10, 250)}.{random.randrange(1, 250)}'
@@ -449,12 +452,12 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def main(case, case_folder: str, routers: int) -> None:
+def main(case, case_folder: str, routers: int, params: dict) -> None:
     """Run `case(rig, trouble)` and exit with what it returns."""
     trouble = os.environ.get('TROUBLE', '1') != '0'
 
     async def run() -> int:
-        rig = Rig(case_folder, routers)
+        rig = Rig(case_folder, routers, params)
         try:
             return await asyncio.wait_for(case(rig, trouble), 112)
         except Exception as exc:
