--- a/review/7/run.py
+++ b/review/7/run.py
@@ -10,7 +10,7 @@
 import rig as rig_  # noqa: E402
 
 ENTRY_BYTES = 1_000_000
-TIMEOUT_MS = 3000
+TIMEOUT_MS = 1500
 EVERY_S = 0.2
 CALLED_S = 30
 
@@ -28,14 +28,14 @@
 async def case(rig, trouble: bool) -> int:
     for number in range(3):
         worker = rig_.Worker(rig.worker_ip, f'i-app-{number}')
-        rig.workers.append((worker, 'entries-app', 'abc'[number], 6))
+        rig.workers.append((worker, 'starting-grid', 'abc'[number], 6))
     ok = await rig.start({
         'version': 7,
         'routes': [{'name': 'r-read', 'host': rig_.HOST, 'prefix': '/read/',
                     'kind': 'idempotent', 'timeout-ms': TIMEOUT_MS,
-                    'target-latency-ms': 400, 'priority': 2, 'service': 'entries-app',
+                    'target-latency-ms': 120, 'priority': 2, 'service': 'starting-grid',
                     'attempts': 2, 'public': False}],
-        'services': [{'name': 'entries-app', 'health-path': '/health', 'max-conns': 100}],
+        'services': [{'name': 'starting-grid', 'health-path': '/health', 'max-conns': 100}],
         'limits': rig_.LIMITS, 'tenants': rig_.TENANTS})
     if not ok:
         return rig.record.result(2, 'the routers did not become ready')
@@ -79,4 +79,4 @@
     return rig.record.result(1 if broken else 0, text)
 
 
-rig_.main(case, HERE, routers=3)
+rig_.main(case, HERE, routers=3, params=rig_.MAGNOLIA)
