--- a/review/8/run.py
+++ b/review/8/run.py
@@ -11,10 +11,10 @@
 
 import rig as rig_  # noqa: E402
 
-TIMEOUT_MS = 3000
+TIMEOUT_MS = 1500
 WORK_MS = 90
-DRAIN_MS = rig_.PARAMS['drain-ms']
-STABLE_MS = 3000
+DRAIN_MS = rig_.MAGNOLIA['drain-ms']
+STABLE_MS = 4000
 SERVES_ON_MS = 14000
 """Time for which the worker serves on after its entry is removed."""
 
@@ -34,14 +34,14 @@
 async def case(rig, trouble: bool) -> int:
     for number in range(4):
         rig.workers.append(
-            (App(rig.worker_ip, f'i-app-{number}'), 'entries-app', 'abc'[number % 3], 6))
+            (App(rig.worker_ip, f'i-app-{number}'), 'starting-grid', 'abc'[number % 3], 6))
     ok = await rig.start({
         'version': 7,
         'routes': [{'name': 'r-commit', 'host': rig_.HOST, 'prefix': '/commit/',
                     'kind': 'non_idempotent', 'timeout-ms': TIMEOUT_MS,
-                    'target-latency-ms': 400, 'priority': 2, 'service': 'entries-app',
+                    'target-latency-ms': 120, 'priority': 2, 'service': 'starting-grid',
                     'attempts': 1, 'public': False}],
-        'services': [{'name': 'entries-app', 'health-path': '/health', 'max-conns': 100}],
+        'services': [{'name': 'starting-grid', 'health-path': '/health', 'max-conns': 100}],
         'limits': rig_.LIMITS, 'tenants': rig_.TENANTS})
     if not ok:
         return rig.record.result(2, 'the routers did not become ready')
@@ -68,9 +68,9 @@
 
     # A worker is added, as after each removal of a release.
     added = App(rig.worker_ip, 'i-app-9')
-    rig.workers.append((added, 'entries-app', 'a', 6))
+    rig.workers.append((added, 'starting-grid', 'a', 6))
     await added.start()
-    rig.store.put('servers', added.name, rig_.entry(added, 'entries-app', 'a', 6))
+    rig.store.put('servers', added.name, rig_.entry(added, 'starting-grid', 'a', 6))
     rig.record.line(f'{added.name} is added')
 
     router = rig.routers[0]
@@ -117,4 +117,4 @@
         f'after its removal; of these {sum(ends[i] != 200 for _, i in late)} were cut off'))
 
 
-rig_.main(case, HERE, routers=3)
+rig_.main(case, HERE, routers=3, params=rig_.MAGNOLIA)
