Listings continue after an unreadable object by its name

Cause: a page that is not JSON was searched for what looks like objects. The brackets of the objects after the entry closed those that it leaves open, so that they and the revision of the page were taken for its value.

Change: a page is read strictly up to its first unreadable object, and the listing goes on after the name of that object, as only the store can tell where it ends. Events are still searched; they follow.

Two scenario files read fixed answers; they now read a store that answers what it is asked, with the same checks: PagedHttp and the scripted answers gave way to RawStore. "No more places tried" counts the places that the strict reader tries, with the same bounds.

--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -13,6 +13,7 @@
 import histories
 import hypothesis
 from hypothesis import strategies
+import raw_store
 import store_outage_steps
 
 from peridotmast import addresses
@@ -276,11 +277,10 @@
 
 @given('a listing of "a", "b" and "c" in which the value of "b" is not JSON')
 def create_broken_listing(context):
-    context.raw_objects = [
-        raw_object('a', 1, '{"x":[1,"]}"]}'),
-        raw_object('b', 2, '{"x":nothing at all}'),
-        raw_object('c', 3, '{"x":3}'),
-    ]
+    context.store = raw_store.RawStore()
+    context.store.put('a', '{"x":[1,"]}"]}')
+    context.store.put('b', '{"x":nothing at all}')
+    context.store.put('c', '{"x":3}')
     context.expected = [
         objects.StoredObject('a', 1, {'x': [1, ']}']}),
         objects.StoredObject('b', 2, {}),
@@ -290,24 +290,14 @@
 
 @then('"a" and "c" are read unchanged, and "b" with an empty value')
 def check_listing(context):
-    text = ','.join(context.raw_objects)
-    body = (
-        f'{{"{names.ITEMS}":[{text}],"{names.HAS_MORE}":false,'
-        f'"{names.AT_REVISION}":9}}'
-    )
-    listing = make_answering_store(body.encode()).list('k')
-    assert listing == objects.Listing(context.expected, 9), listing
+    listing = context.store.client().list('k')
+    assert listing == objects.Listing(context.expected, 3), listing
 
 
 @then('changes of the three objects are read the same way')
 def check_changes(context):
-    text = ','.join(
-        f'{{"{names.DELETED}":false,"{names.OBJECT}":{item}}}'
-        for item in context.raw_objects
-    )
-    body = f'{{"{names.EVENTS}":[{text}],"{names.AT_REVISION}":9}}'
-    changes = make_answering_store(body.encode()).watch('k', 1, 0)
-    assert changes == objects.Changes(context.expected, 9), changes
+    changes = context.store.client().watch('k', 0, 0)
+    assert changes == objects.Changes(context.expected, 3), changes
 
 
 @then('none of {count:d} drawn answers causes an exception')
--- a/features/steps/foreign_entry_steps.py
+++ b/features/steps/foreign_entry_steps.py
@@ -13,6 +13,7 @@
 import hypothesis
 from hypothesis import strategies
 import memory_store
+import raw_store
 import registry_steps
 import store_outage_steps
 
@@ -23,12 +24,11 @@
 from peridotmast.coordination import upstream_feed
 from peridotmast.platform import config_codec
 from peridotmast.platform import fields as fields_
+from peridotmast.platform import framed_list
 from peridotmast.platform import names
-from peridotmast.platform import object_codec
 from peridotmast.platform import rollout_orders
 from peridotmast.platform import upstream_codec
 from peridotmast.serving import upstreams as upstreams_
-from peridotmast.wire import http_client
 
 HUGE = '9' * 400
 """Beyond the range of a double, and read by every JSON parser."""
@@ -111,40 +111,6 @@
 KINDS = {'upstreams': _Upstreams, 'rollouts': _Rollouts}
 
 
-class _Answers:
-    """Replaces the HTTP calls of a store by scripted answers."""
-
-    def __init__(self, *bodies):
-        self._bodies = list(bodies)
-
-    def request(self, *args, **kwargs):
-        return http_client.Response(200, [], self._bodies.pop(0))
-
-
-def item(name, revision, spec, is_meta_first):
-    meta = json.dumps({'name': name, names.REVISION: revision})
-    parts = f'"{names.META}":{meta}', f'"{names.SPEC}":{spec}'
-    return '{' + ','.join(parts if is_meta_first else reversed(parts)) + '}'
-
-
-def listing(*items):
-    text = ','.join(items)
-    return (
-        f'{{"{names.ITEMS}":[{text}],"{names.HAS_MORE}":false,'
-        f'"{names.AT_REVISION}":9}}'
-    ).encode(errors='surrogateescape')
-
-
-def changes(*items):
-    events = ','.join(
-        f'{{"{names.DELETED}":false,"{names.OBJECT}":{found}}}'
-        for found in items
-    )
-    return f'{{"{names.EVENTS}":[{events}],"{names.AT_REVISION}":19}}'.encode(
-        errors='surrogateescape'
-    )
-
-
 def read(kind, foreign, is_meta_first=False, after=()):
     """Read a listing and a change with foreign entries about another one.
 
@@ -157,27 +123,27 @@
     """
     state = KINDS[kind]()
     before = (foreign,) if isinstance(foreign, str) else tuple(foreign)
-
-    def page(spec, revision):
-        texts = [*before, json.dumps(spec), *after]
-        found = [f'x{number}' for number in range(len(texts))]
-        found[len(before)] = 'a'
-        return [
-            item(name, revision + number, text, is_meta_first)
-            for number, (name, text) in enumerate(zip(found, texts))
-        ]
-
-    store = entry_steps.make_answering_store(b'')
-    store._http = _Answers(
-        listing(*page(state.spec, 1)), changes(*page(state.changed, 11))
-    )
+    store = raw_store.RawStore(is_meta_first)
     watch = kind_watch.KindWatch(
-        store, state.kind, state.listener, clock_.ManualClock()
+        store.client(), state.kind, state.listener, clock_.ManualClock()
     )
+
+    def write_all(spec):
+        found = {f'Z{number}': text for number, text in enumerate(before)}
+        found['a'] = json.dumps(spec)
+        found |= {f'x{number}': text for number, text in enumerate(after)}
+        for name, text in found.items():
+            store.put(name, text)
+
     with mock.patch.object(kind_watch.green, 'sleep_ms'):
+        write_all(state.spec)
         watch.step()
         was_known = state.is_known()
-        watch.step()
+        write_all(state.changed)
+        # An event that is unreadable and has no revision before its value
+        # ends the watch, and the kind is listed anew.
+        for _ in range(3):
+            watch.step()
     return was_known, state.is_changed()
 
 
@@ -335,27 +301,21 @@
 
 @when('an entry has {depth:d} nested fields "{field}", which {end}')
 def parse_nested(context, depth, field, end):
-    value = f'{{"{field}":' * depth + '1' + '}' * depth * (end == 'end')
-    texts = [
-        f'{{"metadata":{{"name":"{name}","revision":{number}}},"spec":{spec}}}'
-        for number, (name, spec) in enumerate(
-            (('a', '{}'), ('odd', value), ('b', '{}')), 1
-        )
-    ]
-    page = f'{{"{names.ITEMS}":[{",".join(texts)}],"{names.AT_REVISION}":9}}'
-    decoder = mock.Mock(wraps=object_codec._DECODER)
-    with mock.patch.object(object_codec, '_DECODER', decoder):
-        context.page = object_codec.parse_list(page.encode(), names.ITEMS)
+    store = raw_store.RawStore()
+    store.put('a', '{}')
+    store.put(
+        'odd', f'{{"{field}":' * depth + '1' + '}' * depth * (end == 'end')
+    )
+    store.put('b', '{}')
+    decoder = mock.Mock(wraps=framed_list._DECODER)
+    with mock.patch.object(framed_list, '_DECODER', decoder):
+        context.listing = store.client().list('kind')
     context.tries = decoder.raw_decode.call_count
 
 
 @then('the other entries of its page are read')
 def check_others(context):
-    found = {
-        item[names.META]['name']
-        for item in context.page[names.ITEMS]
-        if isinstance(item.get(names.META), dict)
-    }
+    found = {stored.name for stored in context.listing.objects}
     assert {'a', 'b'} <= found, found
 
 
--- a/features/steps/store_read_steps.py
+++ b/features/steps/store_read_steps.py
@@ -11,6 +11,7 @@
 from behave import when
 import helpers
 import prometheus_client
+import raw_store
 import raw_upstream
 import store_outage_steps
 
@@ -499,49 +500,28 @@
     assert context.listener.names == ['x'], context.listener.names
 
 
-class PagedHttp:
-    """Answers the calls for a listing of pages with one object each."""
-
-    def __init__(self, pages, refused_page, refusals):
-        self._pages = pages
-        self._refused_page = refused_page
-        self._refusals = refusals
-        self.calls = 0
-
-    def request(self, method, address, path, body, **options):
-        self.calls += 1
-        after = path.partition('after=o-')[2]
-        page = int(after or 0) + 1
-        if page == self._refused_page and self._refusals:
-            self._refusals -= 1
-            return http_client.Response(429, [], b'')
-        item = {names.META: {'name': f'o-{page}', names.REVISION: page}}
-        document = {
-            names.ITEMS: [item],
-            names.HAS_MORE: page < self._pages,
-            names.AT_REVISION: 9,
-        }
-        return http_client.Response(200, [], json.dumps(document).encode())
-
-
 @given(
     'a store with {pages:d} pages, which refuses the second one {count:d}'
     ' times because of its rate'
 )
 def store_with_pages(context, pages, count):
-    outage = outage_.OutageTracker(clock_.ManualClock(), 2000)
-    context.store = store_.PlatformStore('127.0.0.1:9', 1000, outage)
-    context.http = context.store._http = PagedHttp(pages, 2, count)
+    second = f'{names.OBJECTS_PATH}/kind?{names.AFTER}=o-1'
+    context.raw_store = raw_store.RawStore(
+        page_size=1, refused={second: count}
+    )
+    for number in range(pages):
+        context.raw_store.put(f'o-{number + 1}', '{}')
 
 
 @when('the router lists the pages')
 def list_pages(context):
     with mock.patch.object(green, 'sleep_ms'):
-        context.listing = context.store.list('kind')
+        context.listing = context.raw_store.client().list('kind')
 
 
 @then('all {count:d} objects are listed with {calls:d} calls')
 def all_listed(context, count, calls):
     found = [stored.name for stored in context.listing.objects]
     assert found == [f'o-{n + 1}' for n in range(count)], found
-    assert context.http.calls == calls, context.http.calls
+    paths = context.raw_store.paths
+    assert len(paths) == calls, paths
--- a/src/peridotmast/platform/object_codec.py
+++ b/src/peridotmast/platform/object_codec.py
@@ -12,6 +12,7 @@
 
 from peridotmast.coordination import objects
 from peridotmast.platform import fields as fields_
+from peridotmast.platform import framed_list
 from peridotmast.platform import names
 
 _META = re.compile(rf'"{names.META}"\s*:\s*(?=\{{)')
@@ -91,6 +92,18 @@
     )
 
 
+def parse_unread(
+    unread: framed_list.Unread,
+) -> ty.Optional[objects.StoredObject]:
+    """Return the object of an item that can't be read, with an empty value.
+
+    Returns None if its metadata can't be told from what other programs have
+    written, because a value precedes them.
+    """
+    written = (names.SPEC, names.STATUS)
+    return parse_object(unread.leading_fields(names.OBJECT, written))
+
+
 def _recover_list(text: str, key: str) -> dict[str, ty.Any]:
     """Return the readable items and fields of a response that is not JSON."""
     start = re.search(rf'"{re.escape(key)}"\s*:\s*\[', text)
--- a/src/peridotmast/platform/store.py
+++ b/src/peridotmast/platform/store.py
@@ -13,14 +13,12 @@
 from peridotmast import failures
 from peridotmast import green
 from peridotmast import logs
+from peridotmast.platform import listing
 from peridotmast.platform import names
 from peridotmast.platform import store_answers
 from peridotmast import revisions
 from peridotmast.wire import http_client
 
-_MAX_PAGES = 1000
-"""Maximum number of pages of one listing, each of about 500 objects."""
-
 _WATCH_SLACK_MS = 1500
 """Time beyond the requested wait until a watch response must begin, in ms."""
 
@@ -95,31 +93,20 @@
 
     def list(self, kind: str) -> ty.Union[objects.Listing, failures.Failure]:
         """Return all objects of a kind."""
-        found: list[objects.StoredObject] = []
-        path = _path(kind)
-        revision = 0
-        for _ in range(_MAX_PAGES):
-            response = self._read_page(path)
+
+        def read_page(
+            after: str,
+        ) -> ty.Union[store_answers.Page, failures.Failure]:
+            query = f'?{names.AFTER}={_quoted(after)}' if after else ''
+            response = self._read_page(_path(kind) + query)
             if isinstance(response, failures.Failure):
                 return response
-            page = store_answers.parse_page(response, names.ITEMS)
-            if isinstance(page, failures.Failure):
-                return page
-            if revision and revisions.era_of(
-                page.revision
-            ) != revisions.era_of(revision):
-                return failures.unavailable('store_returned', kind)
-            # A watch must start from the revision of the first page: from
-            # the revision of the last page, it would miss changes that
-            # happened between two pages.
-            revision = revision or page.revision
-            found += self._valid_objects(kind, page)
-            if not page.has_more:
-                return objects.Listing(found, revision)
-            if not found:
-                return failures.unavailable('store_garbled', kind)
-            path = f'{_path(kind)}?after={_quoted(found[-1].name)}'
-        return failures.unavailable('too_many_pages', kind)
+            return store_answers.parse_page(response)
+
+        reader = listing.ListReader(
+            kind, read_page, lambda name: self.read(kind, name)
+        )
+        return reader.read_all()
 
     def _read_page(
         self, path: str
@@ -166,7 +153,7 @@
             return response
         if response.status == _GONE or store_answers.era_of(response) != era:
             return _history_gone(since)
-        page = store_answers.parse_page(response, names.EVENTS)
+        page = store_answers.parse_events(response)
         if isinstance(page, failures.Failure):
             return page
         changed = self._valid_objects(kind, page)
--- a/src/peridotmast/platform/store_answers.py
+++ b/src/peridotmast/platform/store_answers.py
@@ -5,20 +5,24 @@
 import dataclasses
 import typing as ty
 
-from peridotmast.coordination import objects
+from peridotmast.coordination import objects as objects_
 from peridotmast import failures
 from peridotmast.platform import fields as fields_
+from peridotmast.platform import framed_list
 from peridotmast.platform import names
 from peridotmast.platform import object_codec
 from peridotmast import revisions
 from peridotmast.wire import http_client
 
+GARBLED = 'store_garbled'
+"""Failure reason: the store has answered, and the answer can't be read."""
+
 _CONFLICT = 409
 
 
 def write_result(
     response: ty.Union[http_client.Response, failures.Failure], name: str
-) -> ty.Union[objects.StoredObject, failures.Failure]:
+) -> ty.Union[objects_.StoredObject, failures.Failure]:
     """Return the object after a write, or the failure of the write."""
     if isinstance(response, failures.Failure):
         # A write without a response may have taken effect or may do so
@@ -33,22 +37,22 @@
     if response.status not in (200, 201, 204):
         return failures.unknown('store_error', str(response.status))
     if not response.body:
-        return objects.StoredObject(name, 0)
+        return objects_.StoredObject(name, 0)
     return parse_object(response)
 
 
 def parse_object(
     response: http_client.Response,
-) -> ty.Union[objects.StoredObject, failures.Failure]:
+) -> ty.Union[objects_.StoredObject, failures.Failure]:
     """Return the object in an answer, with a revision of the answer's era."""
     if response.status not in (200, 201):
         return failures.unavailable('store_refused', str(response.status))
     try:
         stored = object_codec.parse_object(response.json())
     except ValueError as exc:
-        return failures.unavailable('store_garbled', str(exc)[:200])
+        return failures.unavailable(GARBLED, str(exc)[:200])
     if stored is None:
-        return failures.unavailable('store_garbled', 'response has no object')
+        return failures.unavailable(GARBLED, 'response has no object')
     return _in_era(stored, era_of(response))
 
 
@@ -56,38 +60,82 @@
 class Page:
     """A response with a list of objects or events."""
 
-    objects: list[ty.Optional[objects.StoredObject]]
-    """The objects; None for each one that failed to parse."""
+    objects: list[ty.Optional[objects_.StoredObject]]
+    """The objects; None for each one whose metadata can't be read."""
     revision: int
     has_more: bool
+    unread: ty.Optional[framed_list.Unread] = None
+    """The rest of the list, if its first item is not JSON."""
+    unread_object: ty.Optional[objects_.StoredObject] = None
+    """The object of that item, with an empty value; None if unknown."""
+
+    @property
+    def last(self) -> ty.Optional[objects_.StoredObject]:
+        """The last object that could be read."""
+        return next(filter(None, reversed(self.objects)), None)
+
+    def is_of_era(self, revision: int) -> bool:
+        """Return whether the page has the era of a revision."""
+        return revisions.era_of(self.revision) == revisions.era_of(revision)
+
+    def begins_with_list(self, rest: framed_list.Unread) -> bool:
+        """Return whether all items are those of the rest of another page."""
+        return (
+            not self.objects
+            and self.unread is not None
+            and self.unread.is_same_list(rest)
+        )
 
 
 def parse_page(
-    response: http_client.Response, key: str
+    response: http_client.Response,
 ) -> ty.Union[Page, failures.Failure]:
-    """Return the page in an answer, with revisions of the answer's era.
+    """Return the page of a listing, with revisions of the answer's era."""
+    if response.status not in (200, 201):
+        return failures.unavailable('store_refused', str(response.status))
+    try:
+        page = framed_list.read_list(response.body, names.ITEMS)
+        fields = fields_.Fields(page.fields, 'response')
+        number = fields.integer(names.AT_REVISION)
+        fields.raise_if_malformed()
+    except ValueError as exc:
+        return failures.unavailable(GARBLED, str(exc)[:200])
+    era = era_of(response)
+    found = [object_codec.parse_object(item.value) for item in page.items]
+    if page.unread is not None and None in found:
+        page = page.cut(found.index(None))
+        found = found[: len(page.items)]
+    unread = None
+    if page.unread is not None:
+        unread = object_codec.parse_unread(page.unread)
+    return Page(
+        [stored and _in_era(stored, era) for stored in found],
+        revisions.make(era, number),
+        bool(page.fields.get(names.HAS_MORE)),
+        page.unread,
+        unread and _in_era(unread, era),
+    )
+
 
-    Parameters
-    ----------
-    key : str
-        Field that has the objects or events.
-    """
+def parse_events(
+    response: http_client.Response,
+) -> ty.Union[Page, failures.Failure]:
+    """Return the events in an answer, with revisions of its era."""
     if response.status not in (200, 201):
         return failures.unavailable('store_refused', str(response.status))
     try:
-        body = object_codec.parse_list(response.body, key)
+        body = object_codec.parse_list(response.body, names.EVENTS)
         fields = fields_.Fields(body, 'response')
         revision = fields.integer(names.AT_REVISION)
         fields.raise_if_malformed()
     except ValueError as exc:
-        return failures.unavailable('store_garbled', str(exc)[:200])
+        return failures.unavailable(GARBLED, str(exc)[:200])
     era = era_of(response)
-    parse = _parse_event if key == names.EVENTS else object_codec.parse_object
-    found = map(parse, body[key])
+    found = map(_parse_event, body[names.EVENTS])
     return Page(
         [stored and _in_era(stored, era) for stored in found],
         revisions.make(era, revision),
-        bool(body.get(names.HAS_MORE)),
+        False,
     )
 
 
@@ -97,12 +145,12 @@
     return int(text) if text.isdecimal() else 0
 
 
-def _in_era(stored: objects.StoredObject, era: int) -> objects.StoredObject:
+def _in_era(stored: objects_.StoredObject, era: int) -> objects_.StoredObject:
     revision = revisions.make(era, stored.revision)
     return dataclasses.replace(stored, revision=revision)
 
 
-def _parse_event(event: ty.Any) -> ty.Optional[objects.StoredObject]:
+def _parse_event(event: ty.Any) -> ty.Optional[objects_.StoredObject]:
     if not isinstance(event, dict):
         return None
     deleted = bool(event.get(names.DELETED))
