Nothing inside an unreadable object is taken for an object of a listing

Cause: what an unreadable object holds was searched for objects.

Change: an object that may be part of a value is read by itself: if it holds the metadata of another one, lacks a field that others have, or is out of order; all of a page if the store does not show the same unreadable object after the last one. A read object must have the name that was asked for.

--- a/features/steps/unreadable_object_steps.py
+++ b/features/steps/unreadable_object_steps.py
@@ -3,12 +3,25 @@
 from __future__ import annotations
 
 import json
+from unittest import mock
 
 from behave import then
+from behave import when
+import foreign_entry_steps
+import histories
+import hypothesis
+from hypothesis import strategies
 import raw_store
 import store_outage_steps
 
+from peridotmast import clock as clock_
+from peridotmast.coordination import kind_watch
 from peridotmast.coordination import objects
+from peridotmast.coordination import upstream_feed
+from peridotmast.platform import names
+from peridotmast.platform import store_answers
+from peridotmast.platform import upstream_codec
+from peridotmast.serving import upstreams as upstreams_
 
 ORDERS = {'first': True, 'last': False}
 
@@ -28,6 +41,12 @@
     return True
 
 
+def address_in(text):
+    """Return the address in an entry; None if it names no upstream."""
+    value = json.loads(text) if is_json(text) else None
+    return value.get('addr') if isinstance(value, dict) else None
+
+
 def expected(name, revision, text):
     """Return an object as it is to be read."""
     spec = json.loads(text) if is_json(text) else {}
@@ -61,6 +80,28 @@
     return read
 
 
+def check_changes(values, is_meta_first, odd):
+    """Check changes; where an event has no revision, a listing replaces them.
+
+    That is so if the value of an unreadable object precedes its metadata.
+    """
+    store = raw_store.RawStore(is_meta_first)
+    wanted = wanted_objects(store, values, odd)
+    found, since = [], 0
+    while since < store.revision:
+        changes = store.client().watch('kind', since, 0)
+        if not changes:
+            assert changes.reason == objects.HISTORY_GONE, changes
+            assert not is_meta_first and not is_json(values[odd]), changes
+            return
+        found += [s for s in changes.objects if s.name != odd]
+        since = changes.revision
+    assert sorted(found, key=lambda s: s.name) == wanted, found
+
+
+CHECKS = {'a listing': check_listing, 'changes': check_changes}
+
+
 @then('no object and no revision of a listing is lost beside the value {text}')
 def open_brackets(context, text):
     for odd in ('a', 'u1x', 'z'):
@@ -68,3 +109,247 @@
             values = {f'u{n}': entry(n) for n in range(4)} | {odd: text}
             read = check_listing(values, is_meta_first, odd)
             assert read.spec == {}, read
+
+
+def copied_listing():
+    """Return the text of a list with entries that have changed since."""
+    store = raw_store.RawStore()
+    for number in range(3):
+        store.put(f'u{number}', entry(100 + number))
+    store.put('zz-left', entry(110))
+    return '[' + ','.join(store.texts().values()) + ']'
+
+
+def check_copy(what, odd, text):
+    values = {f'u{n}': entry(n) for n in range(3)} | {odd: text}
+    for is_meta_first in ORDERS.values():
+        CHECKS[what](values, is_meta_first, odd)
+
+
+@then(
+    'of {what} beside a copy in "{name}" only the objects of the store are'
+    ' read'
+)
+def cut_copies(context, what, name):
+    copy = copied_listing()
+    for end in range(1, len(copy), 3):
+        check_copy(what, name, copy[:end])
+    for start in range(1, len(copy)):
+        check_copy(what, name, copy[start:])
+
+
+@then(
+    'of {what} beside {count:d} drawn parts of a copy only the objects of the'
+    ' store are read'
+)
+def drawn_parts(context, what, count):
+    copy = copied_listing()
+    bounds = strategies.integers(0, len(copy) - 1)
+
+    @hypothesis.seed(84)
+    @histories.settings(count)
+    @hypothesis.given(
+        bounds, bounds, strategies.sampled_from(['a-copy', 'u1-copy', 'z'])
+    )
+    def test(start, end, name):
+        part = copy[min(start, end) : max(start, end) + 1]
+        check_copy(what, name, part)
+
+    test()
+
+
+class _Reader:
+    """A router's table of upstreams, which follows a store."""
+
+    def __init__(self, store):
+        self.table = upstreams_.UpstreamTable(clock_.ManualClock(), 2000, 2000)
+        self.watch = kind_watch.KindWatch(
+            store.client(),
+            names.UPSTREAM_KIND,
+            upstream_feed.UpstreamFeed(
+                self.table, upstream_codec.read_upstream
+            ),
+            clock_.ManualClock(),
+        )
+
+    def read(self):
+        """Read until nothing is left that the store has changed."""
+        with mock.patch.object(kind_watch.green, 'sleep_ms'):
+            for _ in range(3):
+                self.watch.step()
+
+    def in_use(self):
+        """Return the addresses of the upstreams in use, by name."""
+        live = self.table.live(store_outage_steps.SERVICE)
+        return {view.name: view.address for view in live}
+
+
+UPSTREAM_NAMES = strategies.sampled_from(['a', 'b', 'c', 'd'])
+OPERATIONS = strategies.one_of(
+    strategies.tuples(strategies.just('write'), UPSTREAM_NAMES),
+    strategies.tuples(strategies.just('remove'), UPSTREAM_NAMES),
+    strategies.tuples(
+        strategies.just('spoil'),
+        strategies.sampled_from(['A', 'a', 'b', 'b1', 'z']),
+        strategies.one_of(
+            strategies.sampled_from(foreign_entry_steps.ODD_TEXTS),
+            strategies.tuples(
+                strategies.floats(0, 1), strategies.floats(0, 1)
+            ),
+        ),
+    ),
+    strategies.tuples(strategies.just('restart')),
+    strategies.tuples(strategies.just('read')),
+)
+
+
+def part_of_copy(store, part):
+    """Return a part of the listing, with later revisions, as a text."""
+    copy = '[' + ','.join(store.texts().values()) + ']'
+    copy = copy.replace('"revision": ', '"revision": 9')
+    start, end = sorted(int(share * len(copy)) for share in part)
+    return copy[start : end + 1]
+
+
+@then(
+    'in {count:d} drawn histories the upstreams in use are those of the'
+    ' store, as it was last read'
+)
+def drawn_histories(context, count):
+    @hypothesis.seed(84)
+    @histories.settings(count)
+    @hypothesis.given(
+        strategies.lists(OPERATIONS, min_size=4, max_size=20),
+        strategies.booleans(),
+    )
+    def test(operations, is_meta_first):
+        store = raw_store.RawStore(is_meta_first)
+        values = {}
+        readers = [_Reader(store), _Reader(store)]
+        for number, (operation, *args) in enumerate(operations):
+            if operation == 'write':
+                values[args[0]] = entry(number)
+                store.put(args[0], values[args[0]])
+            elif operation == 'spoil':
+                name, text = args
+                if not isinstance(text, str):
+                    text = part_of_copy(store, text)
+                values[name] = text
+                store.put(name, text)
+            elif operation == 'remove' and args[0] in values:
+                del values[args[0]]
+                store.delete(args[0])
+                # Several removals in one change would count as an outage.
+                readers[0].read()
+            elif operation == 'restart':
+                readers[1] = _Reader(store)
+            readers[0].read()
+            if operation in ('restart', 'read', 'remove'):
+                readers[1].read()
+        for reader in readers:
+            reader.read()
+            wanted = {
+                name: address
+                for name, text in values.items()
+                if (address := address_in(text))
+            }
+            assert reader.in_use() == wanted, (reader.in_use(), wanted)
+
+    test()
+
+
+class _Work:
+    """Counts the characters that a decoder goes over.
+
+    A place that can't be decoded costs all that precedes it too: its line is
+    counted for the message.
+    """
+
+    def __init__(self):
+        self.chars = 0
+        self._decode = json.JSONDecoder.raw_decode
+
+    def decode(self, decoder, text, idx=0):
+        try:
+            value, end = self._decode(decoder, text, idx)
+        except json.JSONDecodeError as exc:
+            self.chars += exc.pos
+            raise
+        self.chars += end - idx
+        return value, end
+
+
+@then(
+    'a page and an event with a value of {kb:d} KB of {text} are read without'
+    ' going over them more than {times:d} times'
+)
+def work_of_reading(context, kb, text, times):
+    value = '[' + text * (1000 * kb // len(text))
+    for is_meta_first in ORDERS.values():
+        store = raw_store.RawStore(is_meta_first)
+        for name in ('a', 'b', 'odd', 'u', 'v'):
+            store.put(name, value if name == 'odd' else entry(1))
+        for key, path in (
+            (names.ITEMS, '/objects/k'),
+            (names.EVENTS, f'/objects/k?{names.WATCH}=0'),
+        ):
+            response = store.request('GET', '', path)
+            work = _Work()
+            with mock.patch.object(
+                json.JSONDecoder,
+                'raw_decode',
+                lambda *args, **options: work.decode(*args, **options),
+            ):
+                page = store_answers.parse_page(response, key)
+            assert isinstance(page, store_answers.Page), page
+            size = len(response.body)
+            assert work.chars <= times * size, (work.chars, size)
+
+
+@when(
+    '{count:d} of {most:d} objects are unreadable and their metadata come'
+    ' {order}'
+)
+def unreadable_objects(context, count, most, order):
+    context.store = raw_store.RawStore(ORDERS[order])
+    every = most // count if count else 0
+    for number in range(most):
+        is_odd = every and number % every == 1
+        text = '{"x":' if is_odd else entry(number)
+        context.store.put(f'u{number:02}', text)
+    context.count = most
+
+
+@then(
+    'a listing takes at most {calls:d} calls, and a watch at most {watches:d}'
+)
+def calls_of_reading(context, calls, watches):
+    client = context.store.client()
+    listing = client.list('kind')
+    assert len(listing.objects) == context.count, listing
+    listed = len(context.store.paths)
+    assert listed <= calls, listed
+    client.watch('kind', 0, 0)
+    watched = len(context.store.paths) - listed
+    assert watched <= watches, watched
+
+
+@when('a value has a copy of the whole listing')
+def copy_whole_listing(context):
+    context.store = raw_store.RawStore()
+    for number in range(3):
+        context.store.put(f'u{number}', entry(number))
+    copy = '[' + ','.join(context.store.texts().values()) + ']'
+    context.store.put('u1-copy', copy)
+    context.copy = json.loads(copy)
+
+
+@then('the value is read, and so are all other objects')
+def all_are_read(context):
+    client = context.store.client()
+    for found in (client.list('kind'), client.watch('kind', 0, 0)):
+        read = {stored.name: stored.spec for stored in found.objects}
+        assert read.pop('u1-copy') == context.copy, read
+        assert read == {
+            f'u{number}': json.loads(entry(number)) for number in range(3)
+        }, read
--- a/features/unreadable_objects.feature
+++ b/features/unreadable_objects.feature
@@ -16,3 +16,21 @@
       | "x\                            |
       | [{"n":1}]}],"has-more":true,"at":1 |
       | null}],"has-more":true,"at":1} |
+
+  # Guards against work for an upstream that has left: a router that had started again took a copy of
+  # its entry, which another writer's value held, for the entry.
+  Scenario Outline: A value with a copy of the listing that was cut off anywhere
+    Then of <what> beside a copy in "<name>" only the objects of the store are read
+
+    Examples:
+      | what      | name    |
+      | a listing | a-copy  |
+      | a listing | u1-copy |
+      | a listing | z-copy  |
+
+  Scenario Outline: A value with a part of a copy of the listing
+    Then of <what> beside 300 drawn parts of a copy only the objects of the store are read
+
+    Examples:
+      | what      |
+      | a listing |
--- a/src/peridotmast/platform/framed_list.py
+++ b/src/peridotmast/platform/framed_list.py
@@ -17,6 +17,8 @@
 _INVALID_UTF8 = re.compile('[\udc80-\udcff]')
 """Bytes that are not UTF-8, as `surrogateescape` decodes them."""
 _NAME = re.compile(r'"name"[ \t\n\r]*:[ \t\n\r]*("(?:[^"\\]|\\.){1,1024}")')
+_COMPARED_CHARS = 256
+"""Length of the texts of two items that are compared to identify an item."""
 
 
 def _reject_constant(text: str) -> ty.NoReturn:
@@ -44,6 +46,10 @@
     start: int
     """Offset of the item."""
 
+    def is_same_item(self, other: Unread) -> bool:
+        """Return whether both texts begin with the same item."""
+        return self._compared_item() == other._compared_item()
+
     def is_same_list(self, other: Unread) -> bool:
         """Return whether the lists have the same items from here on."""
         return self._rest_of_list() == other._rest_of_list()
@@ -68,6 +74,9 @@
         texts = {match.group(1) for match in found}
         return {name for text in texts if (name := _decode_name(text))}
 
+    def _compared_item(self) -> str:
+        return self.text[self.start : self.start + _COMPARED_CHARS]
+
     def _rest_of_list(self) -> str:
         return self.text[self.start : self.text.rindex(']')]
 
@@ -91,6 +100,10 @@
             self, items=self.items[:number], unread=unread
         )
 
+    def count(self, item: Item, text: str) -> int:
+        """Return how often a text occurs in the text of an item."""
+        return self.text.count(text, item.start, item.end)
+
 
 def read_list(body: bytes, key: str) -> FramedList:
     """Read the list under `key` in an answer, in time linear in its size.
@@ -118,6 +131,21 @@
     return FramedList(text, items, {**fields, **after}, Unread(text, at))
 
 
+def read_value(body: bytes) -> Json:
+    """Return the value that an answer has.
+
+    Raises
+    ------
+    ValueError
+        If the answer is not JSON.
+    """
+    text = body.decode()
+    found = _decode(text, _skip(text, 0))
+    if found is None or _skip(text, found[1]) != len(text):
+        raise ValueError('not JSON, or nested too deeply')
+    return found[0]
+
+
 def _read_items(text: str, at: int) -> tuple[list[Item], int, bool]:
     """Return the items from an offset on, and where they end.
 
--- a/src/peridotmast/platform/listing.py
+++ b/src/peridotmast/platform/listing.py
@@ -7,6 +7,7 @@
 from peridotmast.coordination import objects
 from peridotmast import failures
 from peridotmast import logs
+from peridotmast.platform import confirmation
 from peridotmast.platform import framed_list
 from peridotmast.platform import store_answers
 from peridotmast.platform import unnamed_object
@@ -15,11 +16,6 @@
 """Maximum number of pages of one listing, each of about 500 objects. Each
 unreadable object costs one or two more."""
 
-ReadObject = ty.Callable[
-    [str], ty.Union[objects.StoredObject, failures.Failure]
-]
-"""Reads one object by its name."""
-
 _NextPage = ty.Union[store_answers.Page, failures.Failure, None]
 """The page that follows; None after the last one."""
 
@@ -31,7 +27,7 @@
     does not tell where the object ends. The store does: the listing continues
     after the name of the object. Only the first object of a page is certain to
     begin where it seems to. So a page that has an unreadable object elsewhere
-    is continued from the object before it.
+    is continued from the object before it, to see the same one there.
 
     Parameters
     ----------
@@ -47,11 +43,11 @@
         self,
         kind: str,
         read_page: unnamed_object.ReadPage,
-        read: ReadObject,
+        read: confirmation.ReadObject,
     ) -> None:
         self._kind = kind
         self._read_page = read_page
-        self._read = read
+        self._confirmer = confirmation.Confirmer(kind, read)
         self._log = logs.get('store', kind=kind)
         self._found: dict[str, objects.StoredObject] = {}
         self._continued: set[str] = set()
@@ -80,19 +76,59 @@
 
     def _use(self, page: store_answers.Page) -> _NextPage:
         """Use what is certain of a page, and return the next one."""
-        for stored in page.objects:
-            if stored is None:
-                self._log.error('object_unreadable', revision=page.revision)
-            else:
-                self._use_object(stored)
-        if page.last is None and page.unread is not None:
-            return self._pass_unreadable(page, page.unread)
-        if page.unread is None and not page.has_more:
+        if page.unread is None:
+            return self._use_whole(page)
+        if page.last is not None:
+            return self._use_part(page, page.unread, page.last)
+        return self._pass_unreadable(page, page.unread)
+
+    def _use_whole(self, page: store_answers.Page) -> _NextPage:
+        """Use a page that can be read to its end."""
+        differing = self._use_objects(page, page.suspects)
+        if differing is not None:
+            return self._continue_after(differing)
+        if not page.has_more:
             return None
         if page.last is None:
             return self._garbled('no object on a page')
         return self._continue_after(page.last)
 
+    def _use_part(
+        self,
+        page: store_answers.Page,
+        unread: framed_list.Unread,
+        last: objects.StoredObject,
+    ) -> _NextPage:
+        """Use the objects before an unreadable one.
+
+        If the store does not show the same one after them, one of them may be
+        part of another object.
+        """
+        following = self._continue_after(last)
+        if isinstance(following, failures.Failure):
+            return following
+        suspects: ty.Collection[int] = page.suspects
+        if not following.begins_with_item(unread):
+            suspects = range(len(page.objects))
+        differing = self._use_objects(page, suspects)
+        if differing is None or differing == last:
+            return following
+        return self._continue_after(differing)
+
+    def _use_objects(
+        self, page: store_answers.Page, suspects: ty.Collection[int]
+    ) -> ty.Union[objects.StoredObject, failures.Failure, None]:
+        """Use the objects of a page up to one that the store shows otherwise.
+
+        Returns that one; None if there is none.
+        """
+        confirmed = self._confirmer.confirm(page, suspects)
+        if isinstance(confirmed, failures.Failure):
+            return confirmed
+        for stored in confirmed.objects:
+            self._use_object(stored)
+        return confirmed.differing
+
     def _use_object(self, stored: objects.StoredObject) -> None:
         if stored.spec is None:
             self._found.pop(stored.name, None)
@@ -121,12 +157,9 @@
             return self._garbled('unreadable object without a name')
         if isinstance(name, failures.Failure):
             return name
-        shown = self._read(name)
-        if not isinstance(shown, failures.Failure):
-            return shown
-        if shown.reason != store_answers.GARBLED:
-            return shown
-        return objects.StoredObject(name, page.revision, {})
+        seen = objects.StoredObject(name, page.revision, {})
+        shown = self._confirmer.read_current(seen)
+        return shown if isinstance(shown, failures.Failure) else shown.object
 
     def _continue_after(
         self, last: ty.Union[objects.StoredObject, failures.Failure]
--- a/src/peridotmast/platform/object_codec.py
+++ b/src/peridotmast/platform/object_codec.py
@@ -15,6 +15,12 @@
 from peridotmast.platform import framed_list
 from peridotmast.platform import names
 
+_WRITTEN_FIELDS = (names.SPEC, names.STATUS)
+"""Fields of an object that other programs write."""
+_FRAME_FIELDS = frozenset(
+    (*_WRITTEN_FIELDS, names.META, names.OBJECT, names.DELETED)
+)
+_META_KEY = f'"{names.META}"'
 _META = re.compile(rf'"{names.META}"\s*:\s*(?=\{{)')
 _BEGINS_WITH_META = re.compile(
     rf'\s*\{{(\s*"{names.DELETED}"\s*:\s*\w+\s*,)?'
@@ -100,8 +106,35 @@
     Returns None if its metadata can't be told from what other programs have
     written, because a value precedes them.
     """
-    written = (names.SPEC, names.STATUS)
-    return parse_object(unread.leading_fields(names.OBJECT, written))
+    return parse_object(unread.leading_fields(names.OBJECT, _WRITTEN_FIELDS))
+
+
+def find_suspects(page: framed_list.FramedList) -> set[int]:
+    """Return the indices of the items that may be several, or none.
+
+    The value of an object that is not JSON can close the brackets of another
+    one, so that both are read as one that has the text of all objects between
+    them. It can also close its own object, which then lacks the fields that
+    follow the value.
+    """
+    nested = {
+        number
+        for number, item in enumerate(page.items)
+        if page.count(item, _META_KEY) > 1
+    }
+    fields = [_frame_fields(item.value) for item in page.items]
+    usual = frozenset(itertools.chain.from_iterable(fields))
+    return nested | {
+        number for number, found in enumerate(fields) if found != usual
+    }
+
+
+def _frame_fields(item: ty.Any) -> frozenset[str]:
+    """Return the fields of the store in an object or an event."""
+    if not isinstance(item, dict):
+        return frozenset()
+    inner = item.get(names.OBJECT)
+    return _FRAME_FIELDS & {*item, *(inner if isinstance(inner, dict) else ())}
 
 
 def _recover_list(text: str, key: str) -> dict[str, ty.Any]:
--- a/src/peridotmast/platform/store.py
+++ b/src/peridotmast/platform/store.py
@@ -89,7 +89,7 @@
             return response
         if response.status == 404:
             return objects.StoredObject(name, 0)
-        return store_answers.parse_object(response)
+        return store_answers.parse_object(response, name)
 
     def list(self, kind: str) -> ty.Union[objects.Listing, failures.Failure]:
         """Return all objects of a kind."""
--- a/src/peridotmast/platform/store_answers.py
+++ b/src/peridotmast/platform/store_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 import typing as ty
 
 from peridotmast.coordination import objects as objects_
@@ -38,21 +39,22 @@
         return failures.unknown('store_error', str(response.status))
     if not response.body:
         return objects_.StoredObject(name, 0)
-    return parse_object(response)
+    return parse_object(response, name)
 
 
 def parse_object(
-    response: http_client.Response,
+    response: http_client.Response, name: str
 ) -> ty.Union[objects_.StoredObject, failures.Failure]:
-    """Return the object in an answer, with a revision of the answer's era."""
+    """Return the object `name` in an answer, with a revision of its era."""
     if response.status not in (200, 201):
         return failures.unavailable('store_refused', str(response.status))
     try:
-        stored = object_codec.parse_object(response.json())
+        value = framed_list.read_value(response.body)
     except ValueError as exc:
         return failures.unavailable(GARBLED, str(exc)[:200])
-    if stored is None:
-        return failures.unavailable(GARBLED, 'response has no object')
+    stored = object_codec.parse_object(value)
+    if stored is None or stored.name != name:
+        return failures.unavailable(GARBLED, f'response is not {name}')
     return _in_era(stored, era_of(response))
 
 
@@ -64,6 +66,8 @@
     """The objects; None for each one whose metadata can't be read."""
     revision: int
     has_more: bool
+    suspects: frozenset[int] = frozenset()
+    """Indices of objects that are not certain to be objects of the store."""
     unread: ty.Optional[framed_list.Unread] = None
     """The rest of the list, if its first item is not JSON."""
     unread_object: ty.Optional[objects_.StoredObject] = None
@@ -78,6 +82,14 @@
         """Return whether the page has the era of a revision."""
         return revisions.era_of(self.revision) == revisions.era_of(revision)
 
+    def begins_with_item(self, item: framed_list.Unread) -> bool:
+        """Return whether the first item is this one, which is not JSON."""
+        return (
+            not self.objects
+            and self.unread is not None
+            and self.unread.is_same_item(item)
+        )
+
     def begins_with_list(self, rest: framed_list.Unread) -> bool:
         """Return whether all items are those of the rest of another page."""
         return (
@@ -105,6 +117,8 @@
     if page.unread is not None and None in found:
         page = page.cut(found.index(None))
         found = found[: len(page.items)]
+    suspects = object_codec.find_suspects(page)
+    suspects |= _find_disordered(found, number)
     unread = None
     if page.unread is not None:
         unread = object_codec.parse_unread(page.unread)
@@ -112,6 +126,7 @@
         [stored and _in_era(stored, era) for stored in found],
         revisions.make(era, number),
         bool(page.fields.get(names.HAS_MORE)),
+        frozenset(suspects),
         page.unread,
         unread and _in_era(unread, era),
     )
@@ -155,3 +170,22 @@
         return None
     deleted = bool(event.get(names.DELETED))
     return object_codec.parse_object(event.get(names.OBJECT), deleted)
+
+
+def _find_disordered(
+    found: list[ty.Optional[objects_.StoredObject]],
+    revision: int,
+) -> set[int]:
+    """Return the indices up to the last object that is out of order.
+
+    The store lists objects by name, and no object has a later revision than
+    the answer.
+    """
+    known = [(n, stored) for n, stored in enumerate(found) if stored]
+    late = (n for n, stored in known if stored.revision > revision)
+    keys = [(n, stored.name) for n, stored in known]
+    swapped = (
+        n for (_, key), (n, next_) in itertools.pairwise(keys) if next_ <= key
+    )
+    last = max(itertools.chain(late, swapped), default=-1)
+    return set(range(last + 1))
