Two import circles are broken up

framing took the head of a response for its type, and response_head needs framing; the queue of answers took the memory budget for its type, which has the queue. The framing is now told status and headers, and the queue states by a protocol what it needs of a budget. Behaviour is unchanged: the features broken_answers, answer_ends, request_memory, bodyless, odd_upstreams pass.

--- a/src/peridotmast/wire/framing.py
+++ b/src/peridotmast/wire/framing.py
@@ -5,13 +5,9 @@
 import dataclasses
 import enum
 import http
-import typing as ty
 
 from peridotmast.wire import syntax
 
-if ty.TYPE_CHECKING:
-    from peridotmast.wire import response_head
-
 BODYLESS_STATUSES = frozenset(
     (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
 )
@@ -40,33 +36,37 @@
 _EMPTY = Frame(Framing.LENGTH)
 
 
-def of_response(method: str, head: response_head.ResponseHead) -> Frame:
+def of_response(
+    method: str, status: int, codings: list[str], lengths: list[str]
+) -> Frame:
     """Return the framing of the body of a response.
 
     Parameters
     ----------
     method : str
         Method of the request.
-    head : response_head.ResponseHead
-        Status and headers of the response.
+    status : int
+        Status of the response.
+    codings : list of str
+        Its ``Transfer-Encoding`` headers.
+    lengths : list of str
+        Its ``Content-Length`` headers.
 
     Raises
     ------
     MalformedError
         If the framing is ambiguous.
     """
-    codings = head.get_all('Transfer-Encoding')
-    lengths = set(head.get_all('Content-Length'))
     if codings and [text.lower() for text in codings] != ['chunked']:
         raise syntax.MalformedError(f'Transfer-Encoding {codings}')
-    if len(lengths) > 1 or codings and lengths:
+    if len(set(lengths)) > 1 or codings and lengths:
         raise syntax.MalformedError(f'Content-Length {lengths}')
     if any(not (text.isascii() and text.isdigit()) for text in lengths):
         raise syntax.MalformedError(f'Content-Length {lengths}')
-    if method == 'HEAD' or head.status in BODYLESS_STATUSES:
+    if method == 'HEAD' or status in BODYLESS_STATUSES:
         return _EMPTY
     if codings:
         return Frame(Framing.CHUNKS)
     if lengths:
-        return Frame(Framing.LENGTH, int(lengths.pop()))
+        return Frame(Framing.LENGTH, int(lengths[0]))
     return Frame(Framing.CONNECTION)
--- a/src/peridotmast/wire/overload/answer_queue.py
+++ b/src/peridotmast/wire/overload/answer_queue.py
@@ -7,15 +7,34 @@
 
 from peridotmast import green
 
-if ty.TYPE_CHECKING:
-    from peridotmast.wire.overload import memory_budget
+_Account = ty.TypeVar('_Account', bound=ty.Hashable)
+_Account_contra = ty.TypeVar('_Account_contra', contravariant=True)
 
 _POLL_MS = 50
 """Time after which the first answer in the queue looks for room again: answers
 that are not read may be broken off as time passes."""
 
 
-class AnswerQueue:
+class Budget(ty.Protocol[_Account_contra]):
+    """Memory of all requests, each of which has an account."""
+
+    def now(self) -> int:
+        """Return the time, in ms."""
+
+    def is_small(self, account: _Account_contra, size: int) -> bool:
+        """Return whether a request is small with `size` more bytes."""
+
+    def make_room(self, account: _Account_contra, size: int) -> bool:
+        """Free memory if necessary; return whether there is room."""
+
+    def may_be_freed(self, account: _Account_contra) -> bool:
+        """Return whether others may free memory."""
+
+    def add(self, account: _Account_contra, size: int) -> None:
+        """Count `size` more bytes for a request."""
+
+
+class AnswerQueue(ty.Generic[_Account]):
     """Lets answers that find no memory wait, and proceed one after the other.
 
     An answer that is not read yet stays in the buffers of its upstream. The
@@ -24,26 +43,26 @@
 
     Parameters
     ----------
-    budget : memory_budget.MemoryBudget
+    budget : Budget
         Memory of all requests.
     """
 
-    def __init__(self, budget: memory_budget.MemoryBudget) -> None:
+    def __init__(self, budget: Budget[_Account]) -> None:
         self._budget = budget
-        self._waiting: collections.OrderedDict[
-            memory_budget.MemoryAccount, green.Event
-        ] = collections.OrderedDict()
+        self._waiting: collections.OrderedDict[_Account, green.Event] = (
+            collections.OrderedDict()
+        )
 
     def __len__(self) -> int:
         return len(self._waiting)
 
-    def has(self, account: memory_budget.MemoryAccount) -> bool:
+    def has(self, account: _Account) -> bool:
         """Return whether the answer of a request waits."""
         return account in self._waiting
 
     def reserve(
         self,
-        account: memory_budget.MemoryAccount,
+        account: _Account,
         size: int,
         deadline: int,
     ) -> bool:
@@ -67,7 +86,7 @@
 
     def _wait_for_turn(
         self,
-        account: memory_budget.MemoryAccount,
+        account: _Account,
         turn: green.Event,
         deadline: int,
     ) -> bool:
@@ -82,7 +101,7 @@
 
     def _wait_for_room(
         self,
-        account: memory_budget.MemoryAccount,
+        account: _Account,
         size: int,
         deadline: int,
     ) -> bool:
--- a/src/peridotmast/wire/response_head.py
+++ b/src/peridotmast/wire/response_head.py
@@ -91,7 +91,12 @@
         if first.status == _SWITCHING_PROTOCOLS:
             raise syntax.MalformedError('protocol switched unasked')
     head = ResponseHead(first.status, headers)
-    frame = framing_.of_response(method, head)
+    frame = framing_.of_response(
+        method,
+        head.status,
+        head.get_all('Transfer-Encoding'),
+        head.get_all('Content-Length'),
+    )
     is_until_close = frame.framing is framing_.Framing.CONNECTION
     return dataclasses.replace(
         head,
