The stand-in of the store shows unreadable values, and the soak writes them

Change: a raw text in the place of a value; the fault of foreign entries draws from a list that was cut off, a copy of the entries that was cut off anywhere, and 110 KB of broken objects, besides the six kinds that it had.

--- a/features/steps/unreadable_object_steps.py
+++ b/features/steps/unreadable_object_steps.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import json
+import random
 from unittest import mock
 
+from behave import given
 from behave import then
 from behave import when
 import foreign_entry_steps
@@ -17,11 +19,15 @@
 from peridotmast import clock as clock_
 from peridotmast.coordination import kind_watch
 from peridotmast.coordination import objects
+from peridotmast.coordination import outage as outage_
 from peridotmast.coordination import upstream_feed
+from peridotmast.load import unreadable_values
 from peridotmast.platform import names
+from peridotmast.platform import store as store_
 from peridotmast.platform import store_answers
 from peridotmast.platform import upstream_codec
 from peridotmast.serving import upstreams as upstreams_
+from peridotmast.standin import store as store_standin
 
 ORDERS = {'first': True, 'last': False}
 
@@ -357,3 +363,47 @@
         assert read == {
             f'u{number}': json.loads(entry(number)) for number in range(3)
         }, read
+
+
+@given(
+    'a stand-in of the store with unreadable values of all kinds among its'
+    ' upstreams'
+)
+def standin_with_unreadable_values(context):
+    context.standin = store_standin.StoreStandin()
+    context.closing.append(context.standin.stop)
+    for number in range(4):
+        context.standin.put(
+            names.UPSTREAM_KIND, f'u{number}', json.loads(entry(number))
+        )
+    values = unreadable_values.make_values(context.standin, random.Random(84))
+    context.odd = [f'u{number}-odd' for number, _ in enumerate(values)]
+    for name, value in zip(context.odd, values, strict=True):
+        context.standin.put(names.UPSTREAM_KIND, name, value)
+
+
+@when('a router lists the upstreams, and watches while one of them is removed')
+def list_and_watch_standin(context):
+    outage = outage_.OutageTracker(clock_.SystemClock(), 1000)
+    store = store_.PlatformStore(context.standin.address, 2000, outage)
+    context.closing.append(store.close)
+    context.listing = store.list(names.UPSTREAM_KIND)
+    since = context.listing.revision
+    odd = context.standin.spec(names.UPSTREAM_KIND, context.odd[0])
+    context.standin.put(names.UPSTREAM_KIND, 'u9-odd', odd)
+    context.standin.delete(names.UPSTREAM_KIND, 'u2')
+    context.changes = store.watch(names.UPSTREAM_KIND, since, 2000)
+
+
+@then(
+    'it knows the upstreams and the removal, and an unreadable object by its'
+    ' name'
+)
+def check_standin_read(context):
+    found = {stored.name: stored.spec for stored in context.listing.objects}
+    assert found == {
+        **{f'u{number}': json.loads(entry(number)) for number in range(4)},
+        **dict.fromkeys(context.odd, {}),
+    }, found
+    changed = [(s.name, s.spec) for s in context.changes.objects]
+    assert changed == [('u9-odd', {}), ('u2', None)], changed
--- a/features/unreadable_objects.feature
+++ b/features/unreadable_objects.feature
@@ -79,3 +79,10 @@
   Scenario: A sound value with the metadata of other objects
     When a value has a copy of the whole listing
     Then the value is read, and so are all other objects
+
+  # Guards against a stand-in of the store that can't show what the platform's store may show, so that
+  # no run beside it has such objects.
+  Scenario: The stand-in of the store shows unreadable values over its protocol
+    Given a stand-in of the store with unreadable values of all kinds among its upstreams
+    When a router lists the upstreams, and watches while one of them is removed
+    Then it knows the upstreams and the removal, and an unreadable object by its name
--- a/src/peridotmast/load/faults.py
+++ b/src/peridotmast/load/faults.py
@@ -17,6 +17,7 @@
 from peridotmast import green
 from peridotmast.load import oracle as oracle_
 from peridotmast.load import rollout_fault
+from peridotmast.load import unreadable_values
 from peridotmast.platform import names
 from peridotmast.platform import upstream_codec
 from peridotmast import rpc
@@ -304,9 +305,9 @@
         """Write an entry of another system among those of the upstreams."""
         rng = random.Random(fault.target)
         name = f'foreign-{fault.name}'
-        spec = rng.choice(
-            upstream_codec.foreign_entries(shape_.ENGINE_SERVICE)
-        )
+        foreign = upstream_codec.foreign_entries(shape_.ENGINE_SERVICE)
+        values = unreadable_values.make_values(self._fleet.store, rng)
+        spec = rng.choice([*foreign, *values])
         self._fleet.store.put(names.UPSTREAM_KIND, name, spec)
         green.sleep_ms(fault.for_ms)
         self._fleet.store.delete(names.UPSTREAM_KIND, name)
--- a/src/peridotmast/standin/store.py
+++ b/src/peridotmast/standin/store.py
@@ -12,6 +12,7 @@
 from peridotmast.platform import names
 from peridotmast.standin import faulty_app
 from peridotmast.standin import http_standin
+from peridotmast.standin import raw_text
 from peridotmast import web
 from peridotmast.wire import caller_connection
 
@@ -95,8 +96,14 @@
         )
         self.app.route('DELETE', f'{kind}/([^/]+)', self._delete)
 
-    def put(self, kind: str, name: str, spec: Json) -> int:
-        """Write an object unconditionally; return its revision."""
+    def put(
+        self, kind: str, name: str, spec: ty.Union[Json, raw_text.RawText]
+    ) -> int:
+        """Write an object unconditionally; return its revision.
+
+        A raw text is shown in the place of the value, as the platform's store
+        shows bytes that are not JSON.
+        """
         return self._write(kind, name, spec)[names.META][names.REVISION]
 
     def delete(self, kind: str, name: str) -> None:
@@ -160,7 +167,7 @@
             for name in self.object_names(kind)
             if name > after
         ]
-        return web.json_response(
+        return _json_response(
             {
                 names.ITEMS: found[:_PAGE_SIZE],
                 names.HAS_MORE: len(found) > _PAGE_SIZE,
@@ -189,22 +196,22 @@
                     names.EVENTS: events,
                     names.AT_REVISION: self._revision,
                 }
-                return web.json_response(body)
+                return _json_response(body)
             green.sleep_ms(_POLL_INTERVAL_MS)
 
     def _get(self, req: web.Request, kind: str, name: str) -> web.Response:
         body = self._find(kind, name)
         if body is None:
             return web.error_response(404, 'missing', name)
-        return web.json_response(body)
+        return _json_response(body)
 
     def _create(self, req: web.Request, kind: str) -> web.Response:
         requested = req.json()
         name = requested[names.META]['name']
         existing = self._find(kind, name)
         if existing is not None:
-            return web.json_response(existing, 409)
-        return web.json_response(
+            return _json_response(existing, 409)
+        return _json_response(
             self._write(
                 urllib.parse.unquote(kind), name, requested[names.SPEC]
             )
@@ -217,8 +224,8 @@
             return web.error_response(404, 'missing', name)
         revision = requested[names.META].get(names.REVISION)
         if revision not in (None, existing[names.META][names.REVISION]):
-            return web.json_response(existing, 409)
-        return web.json_response(
+            return _json_response(existing, 409)
+        return _json_response(
             self._write(
                 urllib.parse.unquote(kind),
                 urllib.parse.unquote(name),
@@ -235,10 +242,10 @@
             return web.error_response(404, 'missing', name)
         revision = requested[names.META].get(names.REVISION)
         if revision not in (None, existing[names.META][names.REVISION]):
-            return web.json_response(existing, 409)
+            return _json_response(existing, 409)
         status = requested[names.STATUS]
         if existing[names.STATUS] == status:
-            return web.json_response(existing)
+            return _json_response(existing)
         kind = urllib.parse.unquote(kind)
         meta = {
             **existing[names.META],
@@ -248,7 +255,7 @@
         self._objects[kind][existing[names.META]['name']] = body
         self.writes[f'{kind}/{names.STATUS}'] += 1
         self._record_change(kind, body)
-        return web.json_response(body)
+        return _json_response(body)
 
     def _delete(self, req: web.Request, kind: str, name: str) -> web.Response:
         existing = self._find(kind, name)
@@ -256,15 +263,17 @@
             return web.error_response(404, 'missing', name)
         revision = int(req.query.get(names.REVISION, 0))
         if revision and revision != existing[names.META][names.REVISION]:
-            return web.json_response(existing, 409)
+            return _json_response(existing, 409)
         self.delete(urllib.parse.unquote(kind), urllib.parse.unquote(name))
-        return web.json_response(existing)
+        return _json_response(existing)
 
     def _find(self, kind: str, name: str) -> ty.Optional[Json]:
         objects = self._objects.get(urllib.parse.unquote(kind), {})
         return objects.get(urllib.parse.unquote(name))
 
-    def _write(self, kind: str, name: str, spec: Json) -> Json:
+    def _write(
+        self, kind: str, name: str, spec: ty.Union[Json, raw_text.RawText]
+    ) -> Json:
         objects = self._objects.setdefault(kind, {})
         existing = objects.get(name)
         if existing is not None and existing[names.SPEC] == spec:
@@ -278,7 +287,7 @@
                 'finalizers': [],
                 'deleting': False,
             },
-            names.SPEC: json.loads(json.dumps(spec)),
+            names.SPEC: _copy(spec),
             names.STATUS: existing[names.STATUS] if existing else None,
         }
         objects[name] = body
@@ -301,3 +310,14 @@
         self._copies.append(_Copy(now, copied, self._revision))
         while self._copies[0].at < now - _COPIES_MS:
             self._copies.popleft()
+
+
+def _json_response(value: ty.Any, status: int = 200) -> web.Response:
+    return web.Response(status, raw_text.encode(value))
+
+
+def _copy(spec: ty.Union[Json, raw_text.RawText]) -> ty.Any:
+    """Return a copy of a value, which its writer may change later."""
+    if isinstance(spec, raw_text.RawText):
+        return spec
+    return json.loads(json.dumps(spec))
