--- a/features/steps/raw_store.py
+++ b/features/steps/raw_store.py
@@ -37,6 +37,8 @@
         self.revision = 0
         self.paths = []
         """Paths of all calls."""
+        self.repeats_revisions = False
+        """Whether a removal shows the revision of the object's last change."""
         self._objects = {}
         self._history = []
 
@@ -44,14 +46,15 @@
         """Write an object with a text as its value; return its revision."""
         self.revision += 1
         self._objects[name] = self.revision, value
-        self._history.append((name, self.revision, value, False))
+        self._record(name, self.revision, value, False)
         return self.revision
 
     def delete(self, name):
         """Remove an object, which the history shows with its last value."""
         self.revision += 1
-        _, value = self._objects.pop(name)
-        self._history.append((name, self.revision, value, True))
+        last, value = self._objects.pop(name)
+        shown = last if self.repeats_revisions else self.revision
+        self._record(name, shown, value, True)
 
     def text_of(self, name, revision, value):
         """Return the text of an object."""
@@ -100,6 +103,14 @@
         client._http = self
         return client
 
+    def _record(self, name, shown, value, deleted):
+        text = self.text_of(name, shown, value)
+        event = (
+            f'{{"{names.DELETED}":{json.dumps(deleted)},'
+            f'"{names.OBJECT}":{text}}}'
+        )
+        self._history.append((self.revision, event))
+
     def _page(self, after):
         found = [text for name, text in self.texts().items() if name > after]
         items = ','.join(found[: self.page_size])
@@ -111,10 +122,7 @@
 
     def _events(self, since):
         events = ','.join(
-            f'{{"{names.DELETED}":{json.dumps(deleted)},'
-            f'"{names.OBJECT}":{self.text_of(name, revision, value)}}}'
-            for name, revision, value, deleted in self._history
-            if revision > since
+            event for revision, event in self._history if revision > since
         )
         return (
             f'{{"{names.EVENTS}":[{events}],'
--- a/features/steps/unreadable_object_steps.py
+++ b/features/steps/unreadable_object_steps.py
@@ -365,6 +365,32 @@
         }, read
 
 
+@given('a watch that has read an unreadable object')
+def watch_unreadable(context):
+    context.store = raw_store.RawStore()
+    context.store.put('odd', '{"x":')
+    context.reader = _Reader(context.store)
+    context.reader.read()
+
+
+@when('the object is removed, and the removal shows the same revision')
+def remove_at_same_revision(context):
+    context.store.repeats_revisions = True
+    context.store.delete('odd')
+    context.store.paths.clear()
+    context.reader.read()
+
+
+@then(
+    'the kind is listed once more, and the watch continues after the removal'
+)
+def check_listed_once(context):
+    kind = f'{names.OBJECTS_PATH}/{names.UPSTREAM_KIND}'
+    assert context.store.paths.count(kind) == 1, context.store.paths
+    since = f'{kind}?{names.WATCH}={context.store.revision}&'
+    assert context.store.paths[-1].startswith(since), context.store.paths
+
+
 @given(
     'a stand-in of the store with unreadable values of all kinds among its'
     ' upstreams'
--- a/features/unreadable_objects.feature
+++ b/features/unreadable_objects.feature
@@ -80,6 +80,13 @@
     When a value has a copy of the whole listing
     Then the value is read, and so are all other objects
 
+  # Guards against a watch that reads the same event again and again: its object shows a revision up to
+  # which the watch has read.
+  Scenario: A removal shows an unreadable object with the revision of its last change
+    Given a watch that has read an unreadable object
+    When the object is removed, and the removal shows the same revision
+    Then the kind is listed once more, and the watch continues after the removal
+
   # Guards against a stand-in of the store that can't show what the platform's store may show, so that
   # no run beside it has such objects.
   Scenario: The stand-in of the store shows unreadable values over its protocol
