--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,4 @@
 	$(BIN)/python tools/pages.py --check
 	$(BIN)/python tools/wire_names.py
 	$(BIN)/python tools/layers.py
+	$(BIN)/python tools/mutate.py --check
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -1,6 +1,9 @@
 """Mutation tests: removes safety checks and verifies that a test fails.
 
-Usage: python tools/mutate.py [NAME ...]
+Usage: python tools/mutate.py [--check | NAME ...]
+
+With --check, no test is run: each mutation must have the text that it
+replaces, once.
 
 Each mutation is applied to a copy of src/ that takes precedence over the
 installed package. The feature named in the mutation is run, and one of its
@@ -497,15 +500,15 @@
     Mutation(
         'retry without a budget',
         SERVING + 'retry_budget.py',
-        'granted = is_usable and len(retries) + 1 <= allowed * _USED_SHARE',
-        'granted = is_usable',
+        'granted = self.has_left(service)',
+        'granted = True',
         'limits',
     ),
     Mutation(
         'grant retries that an earlier run may have sent',
         SERVING + 'retry_budget.py',
-        'granted = is_usable and ',
-        'granted = ',
+        'if run_ms < self._window_ms and not self.is_first_run():',
+        'if False:',
         'retry_budget',
     ),
     Mutation(
@@ -686,9 +689,9 @@
     Mutation(
         'accept a truncated request body',
         WIRE + 'request_body.py',
-        '    if len(body) < length:\n'
-        "        raise InvalidBodyError(400, 'body_broken')\n",
-        '',
+        '                raise InvalidBodyError(400, reason)\n'
+        '            size -= read_bytes',
+        '                return\n            size -= read_bytes',
         'strict',
     ),
     Mutation(
@@ -700,25 +703,25 @@
     ),
     Mutation(
         'end a broken stream as if it were complete',
-        PLATFORM + 'caller_app.py',
+        SERVING + 'response_body.py',
+        '        except reply_.BrokenAnswer as exc:\n'
         '            self._conn.reset()\n',
+        '        except reply_.BrokenAnswer as exc:\n'
         '            raise StopIteration from None\n',
         'streams',
     ),
     Mutation(
         'forward an incomplete event',
         WIRE + 'event_reader.py',
-        '        self._buffer = self._buffer[start:]\n        return',
-        '        complete.append(self._buffer[start:])\n'
-        "        self._buffer = b''\n"
-        '        return',
+        "        if not end:\n            return b''\n",
+        '        if not end:\n            end = len(self._buffer)\n',
         'streams',
     ),
     Mutation(
         'no time-out for a stalled stream',
         SERVING + 'stream_relay.py',
-        'min(exchange.deadline, self._clock.now() + stall_ms)',
-        'exchange.deadline',
+        'lambda: stream.heard_at + stall_ms - self._clock.now(),',
+        'lambda: stream.exchange.deadline - self._clock.now(),',
         'streams',
     ),
     Mutation(
@@ -1182,7 +1185,7 @@
     Mutation(
         'close a connection that has received a request',
         WIRE + 'server.py',
-        'if not _has_unread_bytes(sock):',
+        'if not connection_table.has_unread_bytes(sock):',
         'if True:',
         'router_stop',
     ),
@@ -1397,7 +1400,7 @@
     Mutation(
         'refuse large bodies permanently by old limits',
         PLATFORM + 'caller_app.py',
-        'retry_ms = self._gateway.retry_ms() if is_too_large else 0',
+        'retry_ms = self._gateway.retry_ms()',
         'retry_ms = 0',
         'spread',
     ),
@@ -1523,7 +1526,7 @@
     Mutation(
         'count a cancelled attempt as a failure',
         SERVING + 'sender.py',
-        'if failure.reason == crash_tracker_.BLOCK_REASON:',
+        'if failure.reason in _OWN_REASONS:',
         'if False:',
         'crashes',
     ),
@@ -2041,9 +2044,22 @@
     return f'caught by {failures[0] if failures else "an error"}'
 
 
+def check() -> int:
+    """Print the mutations whose text is not there; return 1 if there are."""
+    stale = [
+        mutation.name
+        for mutation in MUTATIONS
+        if (ROOT / 'src' / mutation.file).read_text().count(mutation.old) != 1
+    ]
+    print(f'{len(MUTATIONS)} mutations, stale: {stale or "none"}')
+    return 1 if stale else 0
+
+
 def main() -> int:
     """Run the named mutations, or all; return 1 if one was not caught."""
     names = sys.argv[1:]
+    if names == ['--check']:
+        return check()
     mutations = [m for m in MUTATIONS if not names or m.name in names]
     not_caught = 0
     for mutation in mutations:
