A refusal of the cloud API with any bytes is a refusal

An order that was answered 409 with a text that is no UTF-8, or whose 200th byte is inside a character, raised UnicodeDecodeError: the round of orders ended, and the ones after it were not made. Cause: the part of the text for the failure's detail was decoded strictly, that of other refusals was not. Both are decoded in one place now, with what can't be read replaced.

--- a/features/entries.feature
+++ b/features/entries.feature
@@ -58,6 +58,19 @@
   Scenario: A call ends whatever bytes the store answers with
     Then none of 300 drawn answers causes an exception
 
+  # Guards against a round of orders that ends at a refusal whose text is no UTF-8, or is cut off inside
+  # a character, so that no other order of the round is made.
+  Scenario Outline: A refusal of the cloud API with any bytes is a refusal
+    Then an order that is answered <status> with <bytes> is refused as <reason>
+
+    Examples:
+      | status | bytes                       | reason        |
+      | 409    | no text                     | none_to_have  |
+      | 409    | bytes that are no UTF-8     | none_to_have  |
+      | 409    | 300 bytes of odd characters | none_to_have  |
+      | 500    | bytes that are no UTF-8     | cloud_refused |
+      | 500    | 300 bytes of odd characters | cloud_refused |
+
   Scenario: A peer's beacon is accepted or rejected as a whole
     Then none of 400 drawn beacons causes an exception or changes the known upstreams
 
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -22,6 +22,7 @@
 from peridotmast.coordination import objects
 from peridotmast.coordination import outage as outage_
 from peridotmast import failures
+from peridotmast.platform import cloud_api
 from peridotmast.platform import config_codec
 from peridotmast.platform import fields as fields_
 from peridotmast.platform import names
@@ -251,13 +252,14 @@
 
 
 class _FixedAnswer:
-    """Replaces the HTTP calls of a store; returns one answer to each."""
+    """Replaces HTTP calls; returns one answer to each."""
 
-    def __init__(self, body):
+    def __init__(self, body, status=200):
         self.body = body
+        self.status = status
 
     def request(self, *args, **kwargs):
-        return http_client.Response(200, [], self.body)
+        return http_client.Response(self.status, [], self.body)
 
 
 def make_answering_store(body):
@@ -331,6 +333,24 @@
     )
 
 
+REFUSALS = {
+    'no text': b'',
+    'bytes that are no UTF-8': b'none \xff\xfe',
+    '300 bytes of odd characters': b'x' + 'é'.encode() * 150,
+}
+
+
+@then(
+    'an order that is answered {status:d} with {body} is refused as {reason}'
+)
+def check_refused_order(context, status, body, reason):
+    cloud = cloud_api.PlatformCloud('127.0.0.1:1', 100, 'router-1')
+    cloud._http = _FixedAnswer(REFUSALS[body], status)
+    failure = cloud.order('pool', 'fd-1', 3, False, 1)
+    assert isinstance(failure, failures.Failure), failure
+    assert failure.reason == reason, failure
+
+
 NUMBERS = strategies.integers(-(1 << 62), 1 << 62)
 TEXTS = strategies.one_of(
     strategies.sampled_from(['', '127.0.0.1:7', 'a', 'u-1', '127.0.0.1:0']),
--- a/src/peridotmast/platform/cloud_api.py
+++ b/src/peridotmast/platform/cloud_api.py
@@ -15,6 +15,8 @@
 """Failure reason: this router does not hold the duties, or not for long."""
 
 _CONFLICT = 409
+_MAX_DETAIL_BYTES = 200
+"""Maximum length of the part of an answer that a failure shows, in bytes."""
 
 
 class PlatformCloud:
@@ -93,10 +95,10 @@
         )
         if isinstance(response, failures.Failure):
             return response
+        detail = response.body[:_MAX_DETAIL_BYTES].decode('utf-8', 'replace')
         if response.status == _CONFLICT:
-            return failures.conflict(NO_CAPACITY, response.body[:200].decode())
+            return failures.conflict(NO_CAPACITY, detail)
         if response.status not in (200, 201, 204):
-            detail = response.body[:200].decode('latin-1')
             return failures.unavailable(
                 'cloud_refused', f'{response.status} {detail}'
             )
