Logs tell which answer goes on with a stream, and which ended it

stream_goes_on and standby state the status of the answer, the first one its type too; resumed_stream_ended says which answer has ended a stream that was interrupted, and whether it had any event. Without them nothing tells an error's end from a stream's.

No logic has changed.

--- a/src/peridotmast/serving/second_attempts.py
+++ b/src/peridotmast/serving/second_attempts.py
@@ -175,6 +175,7 @@
             upstream=reservation.view.name,
             service=silence.service.name,
             outcome=outcome,
+            status=sent.head.status if isinstance(sent, sender_.Sent) else 0,
             silent_ms=self._clock.now() - silence.heard_at,
         )
         is_ready = outcome == _READY and isinstance(sent, sender_.Sent)
--- a/src/peridotmast/serving/stream.py
+++ b/src/peridotmast/serving/stream.py
@@ -74,6 +74,8 @@
         """What marks the end of the body for the caller."""
         self.is_answering = False
         """Whether the current attempt has sent a new event."""
+        self.was_resumed = False
+        """Whether an attempt other than the first has continued it."""
         self.is_broken = False
         """Whether the stream was interrupted and could not be resumed."""
         self.heard_at = clock.now()
@@ -205,6 +207,7 @@
     def continue_from(self, sent: sender_.Sent) -> None:
         """Continue the stream from another attempt."""
         self.sent = sent
+        self.was_resumed = True
         self.heard_at = self._clock.now()
         self.is_answering = False
         self._gap_start = None
--- a/src/peridotmast/serving/stream_relay.py
+++ b/src/peridotmast/serving/stream_relay.py
@@ -36,6 +36,9 @@
 """Upstreams that all fall silent at once have sent their last data within
 this time, in ms."""
 
+_MAX_LOGGED_CHARS = 40
+"""Maximum number of characters of a header of an upstream that are logged."""
+
 _GAP_EVENTS = 6
 """Number of events after the first one from which the time between events is
 taken: a slow version is noticed long before its streams end."""
@@ -159,6 +162,7 @@
         stream.drop_events()
         stream.sent.reservation.release()
         if stream.ended:
+            self._note_resumed_end(stream)
             self._crashes.note_success(stream.exchange.crash_keys)
             self._sender.finish(stream.sent)
             self._note_gap(stream)
@@ -259,6 +263,19 @@
             ),
         )
 
+    def _note_resumed_end(self, stream: stream_.Stream) -> None:
+        """Log which attempt has ended a stream that was interrupted."""
+        if not stream.was_resumed:
+            return
+        self._decisions.note(
+            stream.exchange.id,
+            'resumed_stream_ended',
+            upstream=stream.sent.reservation.view.name,
+            status=stream.sent.head.status,
+            last_event=stream.reader.last_id,
+            new_events=stream.is_answering,
+        )
+
     def _note_failure(
         self, stream: stream_.Stream, failure: failures.Failure
     ) -> None:
@@ -470,4 +487,6 @@
             version=view.version,
             last_event=stream.reader.last_id,
             copy=resume_point.kv_location,
+            status=sent.head.status,
+            type=sent.head.get('Content-Type')[:_MAX_LOGGED_CHARS],
         )
