An error never continues a stream: the head of each new attempt is judged

Callers found an error's text in the middle of their stream, or the stream ended as complete after it. Cause: whether an answer goes on with a stream was the verdict on first answers, where a 404 is the caller's own answer. Inside a stream whose head is out its body passed as events, and its end as the stream's.

Now one function decides for all new attempts (resumes, moves, attempts beside a silent upstream, peers' answers): the verdict, the status of the stream's own head, its type and its coding. What does not go on is closed, logged (resume_refused) and followed by another attempt while attempts, budget and deadline allow; else the stream breaks off visibly. It has run: it counts as an attempt and as an error of its upstream and version, but as no crash.

--- a/src/peridotmast/router/chat_answers.py
+++ b/src/peridotmast/router/chat_answers.py
@@ -10,9 +10,6 @@
 from peridotmast import web
 from peridotmast.wire import connection
 
-EVENT_STREAM = 'text/event-stream'
-"""Content type of event streams."""
-
 _TEXT_BYTES = 64
 """Memory of a short text beside its characters, in bytes."""
 
--- a/src/peridotmast/router/chat_api.py
+++ b/src/peridotmast/router/chat_api.py
@@ -18,6 +18,7 @@
 from peridotmast.router import chat_answers
 from peridotmast.schema import peridotmast_pb2 as pb
 from peridotmast import schema_json
+from peridotmast.serving import continuation
 from peridotmast.serving import exchange as exchange_
 from peridotmast.serving import gateway as gateway_
 from peridotmast import tracing
@@ -104,7 +105,7 @@
         return web.Response(
             200,
             answer.event_stream(),
-            chat_answers.EVENT_STREAM,
+            continuation.EVENT_STREAM,
             headers,
             answer.close,
         )
--- a/src/peridotmast/serving/second_attempts.py
+++ b/src/peridotmast/serving/second_attempts.py
@@ -8,6 +8,7 @@
 from peridotmast import clock as clock_
 from peridotmast import failures
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import continuation
 from peridotmast.serving import crash_tracker as crash_tracker_
 from peridotmast.serving import decisions as decisions_
 from peridotmast.serving import dialect as dialect_
@@ -54,6 +55,8 @@
     """Where the stream goes on; None from its beginning."""
     last_event: ty.Optional[int]
     """Id of the last event that the caller has; None if it has none."""
+    begun: ty.Optional[connection_.ResponseHead] = None
+    """Head of the stream that its caller receives; None before it."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -191,6 +194,10 @@
         """Return whether an attempt can replace a silent one, or why not."""
         if isinstance(sent, failures.Failure):
             return sent.reason
+        if silence.begun is not None:
+            mismatch = continuation.find_mismatch(silence.begun, sent)
+            if mismatch is not None:
+                return mismatch.reason
         if sent.verdict is not dialect_.Verdict.ANSWER:
             return sent.verdict.value
         if not (silence.exchange.is_stream and sent.head.is_success):
--- a/src/peridotmast/serving/stream.py
+++ b/src/peridotmast/serving/stream.py
@@ -70,6 +70,8 @@
         """Received events that were not forwarded yet."""
         self.ended = False
         """Whether the stream has ended, as far as the caller can see."""
+        self.begun = sent.head
+        """Head of the response as the caller receives it."""
         self.framing = sent.head.framing
         """What marks the end of the body for the caller."""
         self.is_answering = False
--- a/src/peridotmast/serving/stream_relay.py
+++ b/src/peridotmast/serving/stream_relay.py
@@ -7,6 +7,7 @@
 from peridotmast import clock as clock_
 from peridotmast import failures
 from peridotmast.schema import peridotmast_pb2 as pb
+from peridotmast.serving import continuation
 from peridotmast.serving import crash_tracker as crash_tracker_
 from peridotmast.serving import decisions as decisions_
 from peridotmast.serving import dialect as dialect_
@@ -333,6 +334,7 @@
             stall_ms,
             dialect_.ResumePoint(stream.last_event),
             stream.last_event,
+            stream.begun,
         )
         reservation = self._second_attempts.reserve(silence, may_ask_peer=True)
         if reservation is None:
@@ -463,12 +465,38 @@
                 reservation.release()
         if isinstance(result, failures.Failure):
             return result
-        if result.verdict is not dialect_.Verdict.ANSWER:
-            reservation.release()
-            result.conn.close()
-            return failures.not_run(result.verdict.value)
+        mismatch = continuation.find_mismatch(stream.begun, result)
+        if mismatch is not None:
+            self._refuse(stream, result, mismatch)
+            return mismatch
         return result
 
+    def _refuse(
+        self,
+        stream: stream_.Stream,
+        sent: sender_.Sent,
+        mismatch: failures.Failure,
+    ) -> None:
+        """Close a response that does not go on with a stream."""
+        view = sent.reservation.view
+        sent.reservation.release()
+        sent.conn.close()
+        self._decisions.note(
+            stream.exchange.id,
+            'resume_refused',
+            upstream=view.name,
+            version=view.version,
+            last_event=stream.reader.last_id,
+            reason=mismatch.reason,
+            status=sent.head.status,
+            type=sent.head.get('Content-Type')[:_MAX_LOGGED_CHARS],
+        )
+        is_unrun = mismatch.kind is failures.FailureKind.NOT_RUN
+        if not is_unrun and not view.is_peer:
+            view.health.record_error()
+            route = stream.exchange.route.name
+            self._versions.note_end(route, view, sent.sent_at, failed=True)
+
     def _go_on(
         self,
         stream: stream_.Stream,
