Only events are passed on inside a stream

Callers found an error's text, at times with its whole head, in the middle of their stream, also where no other upstream was asked. Cause: whatever stood between two blank lines counted as an event.

The reader of events now ends an attempt at the first bytes that are none: a line that is neither a comment nor a field, fields of unknown names only, a status line with a header after it or with a line end of its own; an event without an id after events with ids, an id that goes back. The events before them are passed on; the stream goes on elsewhere or breaks off visibly. Comments, CR LF, all fields, unknown fields beside known ones, the version's line, streams without ids pass as before.

--- a/src/peridotmast/serving/second_attempts.py
+++ b/src/peridotmast/serving/second_attempts.py
@@ -244,6 +244,8 @@
                 )
                 return None if is_stated else failures.unknown('cut_short')
             reader.feed(data)
+            if reader.fault is not None and not reader.has_event:
+                return failures.unknown(reader.fault.value)
             if reader.is_endless:
                 return failures.unknown('too_long', 'bytes without an event')
             held_bytes += len(data) + _PART_BYTES
--- a/src/peridotmast/serving/stream.py
+++ b/src/peridotmast/serving/stream.py
@@ -114,6 +114,14 @@
             return failures.unknown(connection_.NO_MEMORY, 'events')
         return None
 
+    def find_fault(self) -> ty.Optional[failures.Failure]:
+        """Return why the bytes after the last event are not the next one.
+
+        Events that came before them are passed on first.
+        """
+        fault = self.reader.fault
+        return None if fault is None else failures.unknown(fault.value)
+
     def _end(self) -> ty.Optional[failures.Failure]:
         """End the stream, unless its last event shows that it broke off.
 
--- a/src/peridotmast/serving/stream_relay.py
+++ b/src/peridotmast/serving/stream_relay.py
@@ -211,6 +211,10 @@
     def _read(self, stream: stream_.Stream) -> ty.Optional[failures.Failure]:
         """Read the next bytes; return why the stream is interrupted."""
         conn, early = stream.sent.conn, stream.sent.early
+        fault = stream.find_fault()
+        if fault is not None:
+            conn.close()
+            return fault
         data = (
             early.popleft()
             if early
--- a/src/peridotmast/wire/event_reader.py
+++ b/src/peridotmast/wire/event_reader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import re
 import typing as ty
 
@@ -23,6 +24,33 @@
 """Pattern of the first byte of a line that is no comment, past the first."""
 
 
+_FIELDS = rb'(?:data|event|id|retry)'
+"""Pattern of the names of the fields that events consist of."""
+_EVENT = re.compile(
+    rb'(?:\xef\xbb\xbf)?'
+    rb'(?:(?::|[A-Za-z][A-Za-z0-9_-]*:)[^\n]*\n|' + _FIELDS + rb'?\r?\n)*'
+)
+"""Pattern of an event: comments and fields, also such with names of their
+own. A byte order mark may come first."""
+_KNOWN_FIELD = re.compile(rb'^' + _FIELDS + rb'[:\r\n]', re.MULTILINE)
+_DATA = re.compile(rb'^data[:\r\n]', re.MULTILINE)
+_ANY_ID = re.compile(rb'^id[:\r\n]', re.MULTILINE)
+_STATUS_LINE = re.compile(rb'HTTP/1\.[0-9] [0-9]{3}\b[^\n]*\n')
+_HEADER = re.compile(rb'(?!' + _FIELDS + rb'[:\r\n])[A-Za-z]')
+"""Pattern of the beginning of a line that is no field of an event."""
+
+
+class Fault(enum.Enum):
+    """Why bytes are not the next event of a stream."""
+
+    NO_EVENT = 'no_event'
+    """They hold a line that is no field, or the head of a response."""
+    NO_ID = 'no_id'
+    """The event has no id, but those before it have."""
+    ID_WENT_BACK = 'id_went_back'
+    """The id is not above that of the event before it."""
+
+
 class EventReader:
     """Returns only complete events and tracks the id of the last one.
 
@@ -40,6 +68,8 @@
         """Whether an event was returned, not only comments."""
         self.last_id = last_id
         """Id of the last event that was returned; -1 before the first."""
+        self.fault: ty.Optional[Fault] = None
+        """Why nothing that follows the last event is returned any more."""
 
     @property
     def buffered(self) -> bytes:
@@ -66,7 +96,12 @@
         return _has_content(self._buffer)
 
     def feed(self, data: bytes) -> bytes:
-        """Return the bytes of the events that `data` completes."""
+        """Return the bytes of the events that `data` completes.
+
+        After a fault nothing is returned until the next `restart`.
+        """
+        if self.fault is not None:
+            return b''
         # What was searched before is not searched again: an event may arrive
         # in many small pieces.
         searched = max(0, len(self._buffer) - _MAX_PARTIAL_END)
@@ -80,7 +115,7 @@
         # Thousands of comments may arrive at once.
         if not _has_content(complete):
             return complete
-        return b''.join(e for e in _split(complete) if self._is_new(e))
+        return b''.join(self._new_events(complete))
 
     def clear(self) -> None:
         """Discard the incomplete event."""
@@ -89,6 +124,7 @@
     def restart(self) -> None:
         """Continue with another upstream, whose stream may repeat events."""
         self.clear()
+        self.fault = None
         self._filler_bytes = 0
         self._repeated_id = -1
         self._skipping_seen = True
@@ -98,22 +134,78 @@
         ends = ((self._buffer.rfind(t, start), len(t)) for t in _LAST_ENDS)
         return max(at + size if at >= 0 else 0 for at, size in ends)
 
-    def _is_new(self, event: bytes) -> bool:
-        match = _EVENT_ID.search(event)
-        if match is None and not _has_content(event):
-            return True
-        if match is not None:
-            number = int(match[1])
-            if self._skipping_seen and number <= self.last_id:
-                if number > self._repeated_id:
-                    self._repeated_id = number
-                    self._filler_bytes = 0
-                return False
+    def _new_events(self, events: bytes) -> ty.Iterator[bytes]:
+        """Yield the events that are new, up to the first fault."""
+        for event in _split(events):
+            if not _has_content(event):
+                yield event
+                continue
+            match = _EVENT_ID.search(event)
+            number = int(match[1]) if match is not None else None
+            if self._is_repeated(number):
+                continue
+            self.fault = self._find_fault(event, number)
+            if self.fault is not None:
+                return
+            self._note(number)
+            yield event
+
+    def _is_repeated(self, number: ty.Optional[int]) -> bool:
+        """Return whether an upstream repeats an event that was returned."""
+        if number is None or not self._skipping_seen or number > self.last_id:
+            return False
+        if number > self._repeated_id:
+            self._repeated_id = number
+            self._filler_bytes = 0
+        return True
+
+    def _find_fault(
+        self, event: bytes, number: ty.Optional[int]
+    ) -> ty.Optional[Fault]:
+        """Return why bytes are not the next event; None if they are."""
+        if not _is_event(event):
+            return Fault.NO_EVENT
+        if self.last_id < 0:
+            return None
+        if number is not None:
+            return Fault.ID_WENT_BACK if number <= self.last_id else None
+        may_lack_id = not self._skipping_seen and _ANY_ID.search(event)
+        if may_lack_id or not _DATA.search(event):
+            return None
+        return Fault.NO_ID
+
+    def _note(self, number: ty.Optional[int]) -> None:
+        """Record an event that is returned."""
+        if number is not None:
             self._skipping_seen = False
             self.last_id = number
         self.has_event = True
         self._filler_bytes = 0
-        return True
+
+
+def _is_event(event: bytes) -> bool:
+    """Return whether all lines are fields or comments, one of them known."""
+    if not _EVENT.fullmatch(event) or not _KNOWN_FIELD.search(event):
+        return False
+    return b'HTTP/1.' not in event or not _holds_head(event)
+
+
+def _holds_head(event: bytes) -> bool:
+    """Return whether the head of a response follows a part of an event.
+
+    A status line may be text of an event, but then neither a header follows
+    it, nor does its line end in another way than the one before.
+    """
+    for match in _STATUS_LINE.finditer(event):
+        if _HEADER.match(event, match.end()):
+            return True
+        before = event[: match.start()].rpartition(b'\n')[0]
+        is_first = b'\n' not in event[: match.start()]
+        if not is_first and match[0].endswith(b'\r\n') > before.endswith(
+            b'\r'
+        ):
+            return True
+    return False
 
 
 def _split(events: bytes) -> ty.Iterator[bytes]:
