A resumed stream ends only where its end is known

A stream that had broken off after 4 of 12 events ended as complete where the next upstream answered with a sound head and no new event, and events were missing where that one went on after a gap.

Cause: the end of the attempt was taken for the end of the stream, as in a first answer, though the attempt before it shows that more was to come. Now an attempt that resumes a stream and brings no event ends it only if all tokens of the request have come (X-Token-Counts), or if another attempt has ended in order after the same event; else the next one is asked, or the stream breaks off visibly. Ids that have followed one another may not skip where a stream goes on. An attempt beside a silent upstream replaces it only by an event, unless all tokens have come.

The check of own streams allows whole ones that end with their connection, and comments, which keep a connection alive, are no part of a stream.

--- a/features/steps/stream_answer_steps.py
+++ b/features/steps/stream_answer_steps.py
@@ -285,7 +285,7 @@
     'beside a silent engine': (beside_silent, 0, (12,), stream_answers.FEW),
     'after a move': (after_move, 0, (4,), stream_answers.ALL),
     'after a move before the first event': (
-        after_early_move, 0, (0,), stream_answers.ALL
+        after_early_move, 0, (0,), stream_answers.EARLY
     ),
     'through a peer': (through_peer, 0, (4,), stream_answers.ALL),
     'to a caller that takes the stream up': (
@@ -321,9 +321,11 @@
     if found.status != 200:
         return found.status != 0 and min(ends) <= before
     bodies = [stream_answers.events(before + 1, last) for last in ends]
-    if found.body not in bodies:
+    # Comments keep a connection alive, and are no part of a stream.
+    body = found.body.replace(stream_answers.COMMENT, b'')
+    if body not in bodies:
         return False
-    is_whole = found.body == stream_answers.events(before + 1)
+    is_whole = body == stream_answers.events(before + 1)
     return is_whole == (found.result in ('complete', 'until close'))
 
 
@@ -358,7 +360,8 @@
         followed = ask(
             context, '/tries-2/x', OwnStream(answer, framing), SoundStream()
         )
-        if followed.body != whole or followed.result != 'complete':
+        ends = {'chunks': 'complete', 'connection': 'until close'}
+        if followed.body != whole or followed.result != ends[framing]:
             wrong.append((framing, answer, followed))
     count = 4 * len(OWN)
     assert not wrong, '\n'.join([f'{len(wrong)} of {count}', *map(str, wrong)])
--- a/features/steps/stream_answers.py
+++ b/features/steps/stream_answers.py
@@ -18,6 +18,7 @@
     301, 307, 400, 401, 403, 404, 408, 409, 410, 412, 413, 416, 418, 421,
     422, 425, 429, 431, 499, 500, 501, 502, 503, 504, 599,
 )  # fmt: skip
+COMMENT = b': gone\n\n'
 ERROR_TEXT = b'upstream request failed: engine is gone\n\n'
 ERROR_EVENT = b'data: {"error": "engine is gone"}\n\n'
 ERROR_HEAD = (
@@ -105,7 +106,7 @@
         ('a head', ERROR_HEAD + b'\n\n', 'text/event-stream'),
         ('a page of events', event(5), 'text/html'),
         ('nothing', b'', 'text/event-stream'),
-        ('comments', b': gone\n\n', 'text/event-stream'),
+        ('comments', COMMENT, 'text/event-stream'),
         ('old events', events(1, 4), 'text/event-stream'),
         ('events that skip', events(8), 'text/event-stream'),
     )
@@ -164,6 +165,13 @@
 ]
 """Answers for the first attempt of a request that takes a stream up. The
 others are whole answers of an engine's own, whatever they lack."""
+EARLY = [
+    answer
+    for answer in ALL
+    if not answer.name.startswith(('200, events that', '200, old'))
+    and not answer.name.startswith('200, an event without')
+]
+"""Answers before the first event, where the ids of a stream are unknown."""
 FEW = [
     answer
     for answer in ALL
--- a/features/stream_answers.feature
+++ b/features/stream_answers.feature
@@ -33,6 +33,7 @@
   Scenario: A stream of which only the end was lost is complete
     Given a fleet of 2 routers with engines that play answers
     Then a stream that has all its tokens ends where no event follows
+    And a stream ends early where two engines say that no event follows
 
   # Guards against answers to the chat API that are complete after an error in their middle.
   Scenario: A chat that goes on with an error does not look complete
--- a/src/peridotmast/serving/attempts/standby_search.py
+++ b/src/peridotmast/serving/attempts/standby_search.py
@@ -12,6 +12,7 @@
 from peridotmast.serving import second_attempts
 from peridotmast.serving import sender as sender_
 from peridotmast.serving import standby as standby_
+from peridotmast.wire import event_reader
 
 _FIRST_BYTES_SHARE = 0.5
 """Fraction of the remaining time that an attempt may take to send its first
@@ -111,7 +112,7 @@
             state.heard_at,
             patience_ms,
             state.resume_point,
-            state.exchange.last_event,
+            event_reader.EventReader(state.exchange.position),
         )
         reservation = self._second_attempts.reserve(
             silence, may_ask_peer=False
--- a/src/peridotmast/serving/exchange.py
+++ b/src/peridotmast/serving/exchange.py
@@ -125,6 +125,11 @@
         """Whether the response is a stream of events."""
         return self.route.kind == pb.RequestKind.STREAMING
 
+    @property
+    def position(self) -> int:
+        """Id of the event before the first of the response; -1 if none."""
+        return -1 if self.last_event is None else self.last_event
+
     def drop_body(self) -> None:
         """Release the body once no further attempt can follow."""
         # They are computed from the body, and needed until the end.
--- a/src/peridotmast/serving/second_attempts.py
+++ b/src/peridotmast/serving/second_attempts.py
@@ -53,10 +53,13 @@
     """Time after which an attempt counts as silent, in ms."""
     resume_point: ty.Optional[dialect_.ResumePoint]
     """Where the stream goes on; None from its beginning."""
-    last_event: ty.Optional[int]
-    """Id of the last event that the caller has; None if it has none."""
+    reader: event_reader.EventReader
+    """Reads the events of the attempt, from the last one on that the caller
+    has."""
     begun: ty.Optional[connection_.ResponseHead] = None
     """Head of the stream that its caller receives; None before it."""
+    needs_event: bool = False
+    """Whether an attempt that ends in order without an event is no use."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -224,8 +227,7 @@
         sent: sender_.Sent,
         hold: stream_hold.StreamHold,
     ) -> ty.Optional[failures.Failure]:
-        last = silence.last_event
-        reader = event_reader.EventReader(-1 if last is None else last)
+        reader = silence.reader
         held_bytes = 0
         deadline = min(
             silence.exchange.deadline,
@@ -242,7 +244,9 @@
                     sent.head.framing is not framing.Framing.CONNECTION
                     and not reader.is_inside_event
                 )
-                return None if is_stated else failures.unknown('cut_short')
+                if is_stated and not silence.needs_event:
+                    return None
+                return failures.unknown('cut_short')
             reader.feed(data)
             if reader.fault is not None and not reader.has_event:
                 return failures.unknown(reader.fault.value)
--- a/src/peridotmast/serving/stream.py
+++ b/src/peridotmast/serving/stream.py
@@ -51,9 +51,7 @@
         self.service = service
         self.sent = sent
         """The attempt that currently supplies the events."""
-        self._first_position = (
-            -1 if exchange.last_event is None else exchange.last_event
-        )
+        self._first_position = exchange.position
         self.reader = event_reader.EventReader(self._first_position)
         self.tried: set[str] = {sent.reservation.view.name}
         """Names of the upstreams chosen to run the stream from its prompt."""
@@ -76,8 +74,11 @@
         """What marks the end of the body for the caller."""
         self.is_answering = False
         """Whether the current attempt has sent a new event."""
-        self.was_resumed = False
-        """Whether an attempt other than the first has continued it."""
+        self._resumed_after: ty.Optional[int] = None
+        """Id of the last event before the current attempt; None in the first
+        attempt."""
+        self._stated_end: ty.Optional[int] = None
+        """Id of the last event at which an attempt has ended in order."""
         self.is_broken = False
         """Whether the stream was interrupted and could not be resumed."""
         self.heard_at = clock.now()
@@ -131,15 +132,42 @@
         """
         if self.reader.is_inside_event:
             return failures.unknown('cut_short', 'inside an event')
+        if self._ends_unconfirmed():
+            self._stated_end = self.reader.last_id
+            return failures.unknown(END_UNKNOWN, 'no event follows')
         if self.sent.head.framing is framing.Framing.CONNECTION:
             if self.reader.last_id < 0:
                 return failures.unknown('cut_short', 'before the first event')
             if self._migration is not None or not self._may_end_unknown():
+                self._stated_end = self.reader.last_id
                 return failures.unknown(END_UNKNOWN)
         self.ended = True
         self.pending += self.reader.buffered
         return None
 
+    def _ends_unconfirmed(self) -> bool:
+        """Return whether an attempt to resume may have ended too early.
+
+        The attempt before it was interrupted, so that more events were to
+        follow. One that brings none may have lost them. That none are left
+        takes a second attempt that says so, or all tokens.
+        """
+        last_id = self.reader.last_id
+        if self._resumed_after != last_id or self.has_all_tokens:
+            return False
+        return self._stated_end != last_id
+
+    @property
+    def has_all_tokens(self) -> bool:
+        """Whether the events hold as many tokens as the request allows."""
+        tokens = self.reader.last_id * self.service.event_tokens
+        return 0 < self.exchange.prompt.tokens_out <= tokens
+
+    @property
+    def was_resumed(self) -> bool:
+        """Whether an attempt other than the first has continued it."""
+        return self._resumed_after is not None
+
     def _may_end_unknown(self) -> bool:
         """Return whether the response to the caller states no end."""
         is_by_connection = self.framing is framing.Framing.CONNECTION
@@ -217,7 +245,7 @@
     def continue_from(self, sent: sender_.Sent) -> None:
         """Continue the stream from another attempt."""
         self.sent = sent
-        self.was_resumed = True
+        self._resumed_after = self.reader.last_id
         self.heard_at = self._clock.now()
         self.is_answering = False
         self._gap_start = None
--- a/src/peridotmast/serving/stream_relay.py
+++ b/src/peridotmast/serving/stream_relay.py
@@ -337,8 +337,9 @@
             stream.heard_at,
             stall_ms,
             dialect_.ResumePoint(stream.last_event),
-            stream.last_event,
+            stream.reader.at_last_event(),
             stream.begun,
+            not stream.has_all_tokens,
         )
         reservation = self._second_attempts.reserve(silence, may_ask_peer=True)
         if reservation is None:
--- a/src/peridotmast/wire/event_reader.py
+++ b/src/peridotmast/wire/event_reader.py
@@ -49,6 +49,8 @@
     """The event has no id, but those before it have."""
     ID_WENT_BACK = 'id_went_back'
     """The id is not above that of the event before it."""
+    IDS_SKIP = 'ids_skip'
+    """A stream whose ids follow one another goes on after a gap."""
 
 
 class EventReader:
@@ -64,6 +66,9 @@
         self._filler_bytes = 0
         self._repeated_id = -1
         self._skipping_seen = last_id >= 0
+        self._has_read_id = False
+        self._follows: ty.Optional[bool] = None
+        """Whether each id is one above the id before it; None before two."""
         self.has_event = False
         """Whether an event was returned, not only comments."""
         self.last_id = last_id
@@ -129,6 +134,12 @@
         self._repeated_id = -1
         self._skipping_seen = True
 
+    def at_last_event(self) -> EventReader:
+        """Return a reader for another attempt, which goes on from here."""
+        reader = EventReader(self.last_id)
+        reader._has_read_id, reader._follows = self._has_read_id, self._follows
+        return reader
+
     def _find_last_end(self, start: int) -> int:
         """Return where the last complete event ends, 0 if there is none."""
         ends = ((self._buffer.rfind(t, start), len(t)) for t in _LAST_ENDS)
@@ -168,15 +179,26 @@
         if self.last_id < 0:
             return None
         if number is not None:
-            return Fault.ID_WENT_BACK if number <= self.last_id else None
+            return self._find_id_fault(number)
         may_lack_id = not self._skipping_seen and _ANY_ID.search(event)
         if may_lack_id or not _DATA.search(event):
             return None
         return Fault.NO_ID
 
+    def _find_id_fault(self, number: int) -> ty.Optional[Fault]:
+        if number <= self.last_id:
+            return Fault.ID_WENT_BACK
+        is_resumed = self._skipping_seen and self._follows
+        if is_resumed and number > self.last_id + 1:
+            return Fault.IDS_SKIP
+        return None
+
     def _note(self, number: ty.Optional[int]) -> None:
         """Record an event that is returned."""
         if number is not None:
+            if self._has_read_id and self._follows is not False:
+                self._follows = number == self.last_id + 1
+            self._has_read_id = True
             self._skipping_seen = False
             self.last_id = number
         self.has_event = True
