A caller that takes a stream up has its position known to the router

A caller that takes a stream up with Last-Event-Id got events again that it had, if its engine began anew, and an event without an id where the ids should go on. In a stream that a router resumes the first are skipped and the second is refused; for a caller's own try the router read the events as of a new stream.

Now a position that is one plain number (1 to 18 digits, no leading zero) counts, on routes whose streams may be resumed. Others pass as they are, and so does what the engine itself states: a whole answer without an event.

--- a/features/steps/stream_answer_steps.py
+++ b/features/steps/stream_answer_steps.py
@@ -464,3 +464,15 @@
         if not first.error_reported:
             wrong.append((answer.name, found))
     assert not wrong, '\n'.join(map(str, wrong))
+
+
+@then('a caller that takes a stream up has each event once')
+def taken_up_once(context):
+    follows = stream_answers.events(5)
+    for repeats in (0, 2, 4):
+        again = stream_answers.Sound(
+            'again', stream_answers.PLAIN, repeats=repeats
+        )
+        found = take_up(context, again)
+        assert found.body == follows, (repeats, found)
+        assert found.result == 'complete', (repeats, found)
--- a/features/stream_answers.feature
+++ b/features/stream_answers.feature
@@ -39,3 +39,9 @@
   Scenario: A chat that goes on with an error does not look complete
     Given a fleet of 2 routers with engines that play answers
     Then a chat that goes on with an error reports that it broke off
+
+  # Guards against events that a caller has already, and that come again because its engine begins
+  # anew: nobody skipped them, as in a stream that a router resumes.
+  Scenario: A caller that takes a stream up receives no event again
+    Given a fleet of 2 routers with engines that play answers
+    Then a caller that takes a stream up has each event once
--- a/src/peridotmast/platform/caller_app.py
+++ b/src/peridotmast/platform/caller_app.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import typing as ty
 
 from peridotmast import clock as clock_
@@ -63,6 +64,8 @@
 _MAX_BODY_MS = 86_400_000
 """Longest time limit of a body, in ms: a caller may state any number."""
 _TOO_LARGE = 413
+_POSITION = re.compile(r'[1-9][0-9]{0,17}')
+"""Pattern of an event id that readers of events know as a number."""
 
 
 class PlatformCallerApp:
@@ -126,6 +129,7 @@
             caller_timeout_ms=caller_timeout_ms,
             prompt=prompt,
             resumes=_resumed_id(headers),
+            last_event=_last_event(headers),
             caller=conn,
         )
         conn.watch_for_close()
@@ -258,6 +262,18 @@
     return _get_header(headers, names.RESUMES).strip()
 
 
+def _last_event(headers: ty.Iterable[tuple[str, str]]) -> ty.Optional[int]:
+    """Return the position from which a stream is taken up.
+
+    None unless it is one number in its only usual form: others came from an
+    upstream that may mean something else by them, and pass as they are.
+    """
+    wanted = names.LAST_EVENT.lower()
+    texts = [value for name, value in headers if name.lower() == wanted]
+    text = texts[0].strip() if len(texts) == 1 else ''
+    return int(text) if _POSITION.fullmatch(text) else None
+
+
 def _parse_integer(text: str) -> int:
     """Return a number of a header, at most `_MAX_DIGITS` nines; 0 if none."""
     if not text.isascii() or not text.isdigit():
--- a/src/peridotmast/serving/exchange.py
+++ b/src/peridotmast/serving/exchange.py
@@ -92,8 +92,8 @@
     """Cost under the limit of the team, in tokens, or 1 if that limit is in
     requests."""
     last_event: ty.Optional[int] = None
-    """Id of the last event that the caller has received of a stream that a
-    peer resumes; None for a request from its beginning."""
+    """Id of the last event that the caller has received of a stream that it
+    takes up or that a peer resumes; None for a request from its beginning."""
     version: ty.Optional[ids.SoftwareVersion] = None
     """Software version at which the stream began: only upstreams of this
     version may go on with it. None before its first event, and for a response
--- a/src/peridotmast/serving/gateway.py
+++ b/src/peridotmast/serving/gateway.py
@@ -77,6 +77,9 @@
     resumes: ty.Optional[str] = None
     """Id of the attempt that brought the first event of the stream that the
     caller takes up; empty if it does not state it, None for a new request."""
+    last_event: ty.Optional[int] = None
+    """Id of the last event that the caller has of the stream that it takes
+    up; None if there is none or if it is not known to be a number."""
     needs_known_end: bool = False
     """Whether the API states the end of a stream to the caller."""
     traceparent: str = ''
@@ -409,6 +412,7 @@
             prompt=request.prompt,
             cost=_cost(request.prompt, team),
             resumes=request.resumes,
+            last_event=request.last_event if route.resumable else None,
             needs_known_end=request.needs_known_end,
             traceparent=request.traceparent,
         )
