--- a/src/peridotmast/router/serving.py
+++ b/src/peridotmast/router/serving.py
@@ -33,6 +33,7 @@
 from peridotmast.serving.speeds import speeds as speeds_
 from peridotmast.serving import stream_migrator as migrator_
 from peridotmast.serving import stream_relay
+from peridotmast.serving import stream_resumer
 from peridotmast.serving import stream_versions
 from peridotmast.serving import team_limit_log
 from peridotmast.serving import tolerance as tolerance_
@@ -196,7 +197,7 @@
             self.crashes,
             self.decisions,
         )
-        self._relay = stream_relay.StreamRelay(
+        resumer = stream_resumer.StreamResumer(
             clock,
             self._sender,
             self.placement,
@@ -204,8 +205,17 @@
             self.retry_budget,
             self.crashes,
             self.versions,
+            self.decisions,
+        )
+        self._relay = stream_relay.StreamRelay(
+            clock,
+            self._sender,
+            self.placement,
+            self.crashes,
+            self.versions,
             self._metrics,
             self.decisions,
+            resumer,
             self._second_attempts,
         )
         migrator = migrator_.StreamMigrator(
--- a/src/peridotmast/serving/stream_relay.py
+++ b/src/peridotmast/serving/stream_relay.py
@@ -7,28 +7,21 @@
 from peridotmast import clock as clock_
 from peridotmast import failures
 from peridotmast.schema import peridotmast_pb2 as pb
-from peridotmast.serving import continuation
 from peridotmast.serving import crash_tracker as crash_tracker_
 from peridotmast.serving import decisions as decisions_
 from peridotmast.serving import dialect as dialect_
 from peridotmast.serving import exchange as exchange_
 from peridotmast.serving import metrics as metrics_
-from peridotmast.serving import peer_sender as peer_sender_
 from peridotmast.serving import placement
 from peridotmast.serving import reply as reply_
-from peridotmast.serving import retry_budget
 from peridotmast.serving import second_attempts
 from peridotmast.serving import sender as sender_
 from peridotmast.serving import standby as standby_
 from peridotmast.serving import stream as stream_
+from peridotmast.serving import stream_resumer
 from peridotmast.serving import upstream_view
 from peridotmast.serving import version_gate
 
-_STALL_GAPS = 4
-"""Multiple of the route's target gap after which a stream counts as stalled:
-the prefill of a long prompt between two tokens can exceed one target gap."""
-
-
 _PEER_STALL_FACTOR = 3
 """Factor by which a stream through a peer may stall longer: the peer resumes
 it first, at another upstream."""
@@ -37,9 +30,6 @@
 """Upstreams that all fall silent at once have sent their last data within
 this time, in ms."""
 
-_MAX_LOGGED_CHARS = 40
-"""Maximum number of characters of a header of an upstream that are logged."""
-
 _GAP_EVENTS = 6
 """Number of events after the first one from which the time between events is
 taken: a slow version is noticed long before its streams end."""
@@ -53,13 +43,9 @@
     clock : clock.Clock
         Clock for stall time-outs and deadlines.
     sender : sender.Sender
-        Sends the resume request to another upstream.
+        Receives the outcomes of attempts.
     places : placement.Placement
-        Selects the upstream at which a stream is resumed.
-    peers : peer_sender.PeerSender
-        Selects the peer through which a stream is resumed.
-    budget : retry_budget.RetryBudget
-        Limits how often streams are resumed.
+        Knows which upstreams have sent data.
     crashes : crash_tracker.CrashTracker
         Tracks requests that crash upstreams.
     versions : version_gate.VersionGate
@@ -68,6 +54,8 @@
         Counts resumed streams.
     decisions : decisions.Decisions
         Records interruptions and resumes of each request.
+    resumer : stream_resumer.StreamResumer
+        Makes attempts after interrupted ones.
     attempts : second_attempts.SecondAttempts
         Makes attempts beside silent ones.
     """
@@ -77,23 +65,21 @@
         clock: clock_.Clock,
         sender: sender_.Sender,
         places: placement.Placement,
-        peers: peer_sender_.PeerSender,
-        budget: retry_budget.RetryBudget,
         crashes: crash_tracker_.CrashTracker,
         versions: version_gate.VersionGate,
         metrics: metrics_.ServingMetrics,
         decisions: decisions_.Decisions,
+        resumer: stream_resumer.StreamResumer,
         attempts: second_attempts.SecondAttempts,
     ) -> None:
         self._clock = clock
         self._sender = sender
         self._placement = places
-        self._peers = peers
-        self._budget = budget
         self._crashes = crashes
         self._versions = versions
         self._metrics = metrics
         self._decisions = decisions
+        self._resumer = resumer
         self._second_attempts = attempts
         self._open: list[stream_.Stream] = []
 
@@ -313,7 +299,9 @@
         stream.standby = None
         if not stream.may_resume():
             return
-        stall_ms = _STALL_GAPS * stream.exchange.route.target_gap_ms
+        stall_ms = (
+            stream_resumer.STALL_GAPS * stream.exchange.route.target_gap_ms
+        )
         if stream.sent.reservation.view.is_peer:
             stall_ms *= _PEER_STALL_FACTOR
         stream.standby = standby_.Standby(
@@ -379,129 +367,22 @@
         resume_point = dialect_.ResumePoint(
             stream.last_event, migrated.kv_location
         )
-        return self._send_resume(stream, migrated.reservation, resume_point)
-
-    def _resume(
-        self, stream: stream_.Stream, failure: failures.Failure
-    ) -> ty.Union[sender_.Sent, failures.Failure]:
-        """Resume at another upstream, which recomputes the prefill.
-
-        Raises
-        ------
-        BrokenAnswer
-            If the stream may not be resumed or no upstream is available.
-        """
-        exchange = stream.exchange
-        expired = self._clock.now() >= exchange.deadline
-        if expired or not stream.may_resume():
-            raise reply_.BrokenAnswer(failure.reason)
-        if not stream.has_position:
-            raise reply_.BrokenAnswer(stream_.NO_POSITION)
-        if self._crashes.retry_after_ms(exchange.crash_keys):
-            raise reply_.BrokenAnswer(crash_tracker_.BLOCK_REASON)
-        was_unsent = failure.reason == peer_sender_.NO_CONNECTION
-        if not was_unsent and not self._budget.take(
-            stream.service.name, exchange.id
-        ):
-            raise reply_.BrokenAnswer('no_budget')
-        stream.sent.reservation.release()
-        avoid = stream.tried | stream.unreached
-        reservation = self._placement.choose(
-            exchange, stream.service, avoid
-        ) or self._peers.choose(
-            exchange, stream.service, avoid, exchange.route.attempts - 1
-        )
-        if reservation is None:
-            lacks_version = self._placement.lacks_version(
-                exchange, stream.service.name
-            )
-            raise reply_.BrokenAnswer(
-                peer_sender_.NO_VERSION
-                if lacks_version
-                else peer_sender_.NO_UPSTREAM
-            )
-        resume_point = dialect_.ResumePoint(stream.last_event)
-        result = self._send_resume(stream, reservation, resume_point)
-        is_unsent = (
-            isinstance(result, failures.Failure)
-            and result.reason == peer_sender_.NO_CONNECTION
-        )
-        known = stream.unreached if is_unsent else stream.tried
-        known.add(reservation.view.name)
-        stream.runs += not is_unsent
-        return result
-
-    def _send_resume(
-        self,
-        stream: stream_.Stream,
-        reservation: placement.Reservation,
-        resume_point: dialect_.ResumePoint,
-    ) -> ty.Union[sender_.Sent, failures.Failure]:
-        # Silence ends this attempt only if another one may follow.
-        stall_ms = 2 * _STALL_GAPS * stream.exchange.route.target_gap_ms
-        can_retry = stream.may_resume() and self._budget.has_left(
-            stream.service.name
-        )
-        timeout_ms = (
-            stall_ms
-            if can_retry
-            else stream.exchange.deadline - self._clock.now()
-        )
-        result = self._ask(stream, reservation, resume_point, timeout_ms)
+        result = self._resumer.send(stream, migrated.reservation, resume_point)
         if isinstance(result, sender_.Sent):
             self._go_on(stream, result, resume_point)
         return result
 
-    def _ask(
-        self,
-        stream: stream_.Stream,
-        reservation: placement.Reservation,
-        resume_point: dialect_.ResumePoint,
-        timeout_ms: int,
+    def _resume(
+        self, stream: stream_.Stream, failure: failures.Failure
     ) -> ty.Union[sender_.Sent, failures.Failure]:
-        """Send a request to resume, and read the head of its response."""
-        result: ty.Union[sender_.Sent, failures.Failure, None] = None
-        try:
-            result = self._sender.send(
-                stream.exchange, reservation, timeout_ms, resume_point
+        """Resume at another upstream, which recomputes the prefill."""
+        result = self._resumer.resume(stream, failure)
+        if isinstance(result, sender_.Sent):
+            self._go_on(
+                stream, result, dialect_.ResumePoint(stream.last_event)
             )
-        finally:
-            if not isinstance(result, sender_.Sent):
-                reservation.release()
-        if isinstance(result, failures.Failure):
-            return result
-        mismatch = continuation.find_mismatch(stream.begun, result)
-        if mismatch is not None:
-            self._refuse(stream, result, mismatch)
-            return mismatch
         return result
 
-    def _refuse(
-        self,
-        stream: stream_.Stream,
-        sent: sender_.Sent,
-        mismatch: failures.Failure,
-    ) -> None:
-        """Close a response that does not go on with a stream."""
-        view = sent.reservation.view
-        sent.reservation.release()
-        sent.conn.close()
-        self._decisions.note(
-            stream.exchange.id,
-            'resume_refused',
-            upstream=view.name,
-            version=view.version,
-            last_event=stream.reader.last_id,
-            reason=mismatch.reason,
-            status=sent.head.status,
-            type=sent.head.get('Content-Type')[:_MAX_LOGGED_CHARS],
-        )
-        is_unrun = mismatch.kind is failures.FailureKind.NOT_RUN
-        if not is_unrun and not view.is_peer:
-            view.health.record_error()
-            route = stream.exchange.route.name
-            self._versions.note_end(route, view, sent.sent_at, failed=True)
-
     def _go_on(
         self,
         stream: stream_.Stream,
@@ -521,5 +402,7 @@
             last_event=stream.reader.last_id,
             copy=resume_point.kv_location,
             status=sent.head.status,
-            type=sent.head.get('Content-Type')[:_MAX_LOGGED_CHARS],
+            type=sent.head.get('Content-Type')[
+                : stream_resumer.MAX_TYPE_CHARS
+            ],
         )
