--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -236,7 +236,7 @@
     budget = memory_budget.MemoryBudget(
         clock_.SystemClock(), events_.OverloadEvents()
     )
-    exchange = mock.Mock(last_event=None)
+    exchange = mock.Mock(position=-1)
     hold = stream_hold.StreamHold(budget.open())
     exchange.caller.begin_hold = lambda: hold
     stream = stream_.Stream(
