A retried chat never joins the texts of two answers

Users of the caller library, `peridotmast send` among them, got the beginning of an answer twice ("a b a b c "), or "a b " and a success, where a stream broke off and the chat was sent again. Cause: each attempt was read as if it were the first; the call discarded its own text, which `on_text` had passed on already.

Now a further attempt is passed on only from where the received text ends, and only if it begins with that text. An answer that differs or ends before it fails the call with another_answer, which is not retried. The text stays with the answer, so the oracle of load runs also compares what an interrupted attempt brought; so far it saw the last attempt only. Arrival times count new text once.

--- a/features/chat.feature
+++ b/features/chat.feature
@@ -55,3 +55,16 @@
     When a caller is told of only one router, which then stops
     Then the other router answers the caller
 
+  # Guards against a retry that is taken for a first answer: what the caller had
+  # received came again, or the call was complete without any of it. The caller
+  # discarded its own text before each attempt, and had passed it on already.
+  Scenario: A caller that retries a chat receives the text of one answer
+    Then a caller whose first attempt brings "a b " receives
+      | second attempt | text    | result         |
+      | a b c          | a b c   | complete       |
+      | a b            | a b     | complete       |
+      | a c            | a b     | another_answer |
+      | x              | a b     | another_answer |
+      | a              | a b     | another_answer |
+      |                | a b     | another_answer |
+      | status 404     | a b     | no_route       |
--- a/features/steps/chat_steps.py
+++ b/features/steps/chat_steps.py
@@ -7,7 +7,9 @@
 from behave import then
 from behave import when
 import helpers
+import raw_upstream
 
+from peridotmast.client import caller
 from peridotmast.embedded import shape as shape_
 from peridotmast import green
 from peridotmast.load import oracle
@@ -121,7 +123,7 @@
     ' is killed'
 )
 def chat_with_engine_kill(context, tokens):
-    caller = context.fleet.caller('noor')
+    client = context.fleet.caller('noor')
     texts = []
 
     def on_text(text):
@@ -131,7 +133,7 @@
                 if guest.upstream.app.in_progress:
                     context.fleet.kill_upstream(guest)
 
-    context.answer = caller.chat(
+    context.answer = client.chat(
         oracle.MODEL, PROMPT, tokens, idempotent=False, on_text=on_text
     )
 
@@ -192,3 +194,75 @@
     assert answer.complete, answer
     other = context.fleet.routers[1].chat_address
     assert answer.attempts[-1].address == other, answer.attempts
+
+
+class ScriptedRouter:
+    """A router of the chat API whose first answer breaks off.
+
+    Parameters
+    ----------
+    second : str
+        Words of the second answer, separated by blanks, or ``status N``.
+    """
+
+    def __init__(self, second):
+        self._second = second
+        self._chats = 0
+        self._router = raw_upstream.RawUpstream(self._answer)
+        self.address = self._router.address
+        self.stop = self._router.stop
+
+    def _answer(self, sock, request_id, number):
+        if self._router.requests[-1].startswith(b'GET /resolve'):
+            body = json.dumps({'addresses': [self.address]}).encode()
+            sock.sendall(response(200, body))
+            return True
+        self._chats += 1
+        if self._chats == 1:
+            sock.sendall(response(200) + chat_events('a b'))
+            return False
+        name, _, status = self._second.partition(' ')
+        if name == 'status':
+            error = json.dumps({'error': {'reason': 'no_route'}}).encode()
+            sock.sendall(response(int(status), error))
+            return False
+        sock.sendall(response(200) + chat_events(self._second))
+        sock.sendall(b'data: [DONE]\n\n')
+        return False
+
+
+def response(status, body=None):
+    """Return a response; without a body, the head of a stream."""
+    length = b'' if body is None else b'Content-Length: %d\r\n' % len(body)
+    return b'HTTP/1.1 %d X\r\n%s\r\n%s' % (status, length, body or b'')
+
+
+def chat_events(text):
+    """Return an event for each word of a text."""
+    return b''.join(
+        b'data: %s\n\n'
+        % json.dumps(
+            {'choices': [{'delta': {'content': f'{word} '}}]}
+        ).encode()
+        for word in text.split()
+    )
+
+
+@then('a caller whose first attempt brings "a b " receives')
+def caller_receives_one_answer(context):
+    found = []
+    for row in context.table:
+        router = ScriptedRouter(row['second attempt'])
+        context.closing.append(router.stop)
+        passed_on = []
+        answer = caller.Caller([router.address], 'key-noor').chat(
+            oracle.MODEL, PROMPT, 3, deadline_ms=3000, on_text=passed_on.append
+        )
+        text = ''.join(passed_on)
+        assert answer.text == text, (answer, text)
+        assert len(answer.arrivals) == len(passed_on), answer
+        assert answer.complete is (answer.failure is None), answer
+        failure = answer.failure
+        result = 'complete' if failure is None else failure.reason
+        found.append([row['second attempt'], text.strip(), result])
+    assert found == [row.cells for row in context.table], found
--- a/src/peridotmast/client/caller.py
+++ b/src/peridotmast/client/caller.py
@@ -19,6 +19,9 @@
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _DEFAULT_RETRY_MS = 200
 
+ANOTHER_ANSWER = 'another_answer'
+"""Failure reason: an attempt does not begin with the text received so far."""
+
 
 @dataclasses.dataclass
 class Attempt:
@@ -42,7 +45,7 @@
     """Result of a call, over all its attempts."""
 
     text: str = ''
-    """Text received so far."""
+    """Text received so far, over all attempts; never taken back."""
     complete: bool = False
     """Whether the response was received completely."""
     failure: ty.Optional[failures.Failure] = None
@@ -50,7 +53,7 @@
     started_at: int = 0
     """Time at which the call started, in ms."""
     arrivals: list[int] = dataclasses.field(default_factory=list)
-    """Arrival time of each event, in ms."""
+    """Arrival time of each event with new text, in ms."""
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
     """Attempts in the order in which they were sent."""
 
@@ -63,6 +66,9 @@
     either and is retried. A request that may have run is retried only if it
     is idempotent.
 
+    A repeated chat begins anew. Its text is received only from where the text
+    of the earlier attempts ends, and only if it begins with that text.
+
     Parameters
     ----------
     addresses : sequence of str
@@ -164,7 +170,7 @@
         answer = Answer(started_at=self._clock.now())
         deadline = answer.started_at + deadline_ms
         while True:
-            answer.text, answer.failure = '', None
+            answer.failure = None
             self._attempt(path, body, deadline, answer, on_text)
             failure = answer.failure
             if failure is None:
@@ -172,7 +178,10 @@
             not_run = failure.kind is failures.FailureKind.NOT_RUN
             wait_ms = failure.retry_after_ms or _DEFAULT_RETRY_MS
             left_ms = deadline - self._clock.now()
-            final = failure.kind is failures.FailureKind.INVALID
+            final = (
+                failure.kind is failures.FailureKind.INVALID
+                or failure.reason == ANOTHER_ANSWER
+            )
             if final or wait_ms >= left_ms or not (not_run or is_idempotent):
                 return answer
             green.sleep_ms(wait_ms)
@@ -247,6 +256,7 @@
         on_text: ty.Callable[[str], None],
     ) -> ty.Optional[failures.Failure]:
         buffer = b''
+        position = 0  # Length of the text of this attempt.
         while True:
             data = conn.read_some(deadline)
             if isinstance(data, failures.Failure):
@@ -259,6 +269,8 @@
             for event in events:
                 line = event.partition(b'data: ')[2]
                 if line == b'[DONE]':
+                    if position < len(answer.text):
+                        return failures.unknown(ANOTHER_ANSWER, 'shorter')
                     answer.complete = True
                     return None
                 chunk = json.loads(line)
@@ -266,10 +278,15 @@
                     attempt.error_reported = True
                     return failures.unknown(chunk['error']['reason'])
                 text = chunk['choices'][0]['delta'].get('content', '')
-                answer.text += text
-                if text:
+                known = answer.text[position : position + len(text)]
+                if not text.startswith(known):
+                    return failures.unknown(ANOTHER_ANSWER, 'differs')
+                position += len(text)
+                new_text = text[len(known) :]
+                if new_text:
+                    answer.text += new_text
                     answer.arrivals.append(self._clock.now())
-                    on_text(text)
+                    on_text(new_text)
 
 
 def _refusal(head: connection_.ResponseHead, body: bytes) -> failures.Failure:
