Each move of a run is asked for on its own connection

A stream could be sent on with the handle of another one, and so go on from the memory of another request. Cause: an answer to a move does not name its run, and the call took the first bytes on a kept connection for its own answer. Where an engine sent the answer to one move again while the next one was awaited, both moves got the same handle. The check of idle connections sees only bytes that came before the call.

Now the connection is closed after each move, so that a late answer finds no other call. Cost: a new connection for each move.

--- a/features/reclaim.feature
+++ b/features/reclaim.feature
@@ -21,6 +21,13 @@
     And the fullest failure domain is reclaimed with 1500 ms notice
     Then each stream is complete and in order
 
+  # Guards against a stream that goes on from the memory of another request. Found by a
+  # trial: an engine answered a move a second time where the answer to the next one was
+  # awaited, on the same connection, and both streams were given the same handle.
+  Scenario: An engine answers a move a second time, when it is asked for another one
+    When an engine that repeats its answers late is asked to move two runs
+    Then each move has the handle of its own run
+
   Scenario: Two engines issue the same handle for copies
     Given two engines that run one stream each and a third engine
     When both streams are migrated to the third engine with equal handles
--- a/features/steps/stream_steps.py
+++ b/features/steps/stream_steps.py
@@ -10,6 +10,7 @@
 from behave import when
 import fleet_steps
 import helpers
+import raw_upstream
 
 from peridotmast import clock as clock_
 from peridotmast.embedded import shape as shape_
@@ -412,6 +413,34 @@
     assert handles == {'h77'}, context.copies
 
 
+@when('an engine that repeats its answers late is asked to move two runs')
+def move_at_repeating_engine(context):
+    handles = iter(('of-one', 'of-two'))
+    sent = []
+
+    def script(sock, request_id, number):
+        body = json.dumps({names.HANDLE: next(handles)}).encode()
+        response = raw_upstream.ok_response(request_id, body)
+        repeated = sent[-1] if number > 1 else b''
+        sent.append(response)
+        sock.sendall(repeated + response)
+        return True
+
+    engine = raw_upstream.RawUpstream(script)
+    context.closing.append(engine.stop)
+    control = engine_control.EngineControl(2000, 2000)
+    context.copies = [
+        control.move(engine.address, run, '127.0.0.1:9')
+        for run in ('one', 'two')
+    ]
+
+
+@then('each move has the handle of its own run')
+def moves_have_own_handles(context):
+    handles = [copy.location.partition('/')[2] for copy in context.copies]
+    assert handles == ['of-one', 'of-two'], context.copies
+
+
 @then('each stream resumes there with its own content')
 def resumes_with_own_content(context):
     for name, body in context.bodies.items():
--- a/src/peridotmast/platform/engine_control.py
+++ b/src/peridotmast/platform/engine_control.py
@@ -70,6 +70,9 @@
         """
         body = {'id': request_id, names.TARGET: target, names.LAST: True}
         response = self._moves.request('POST', address, names.MOVE_PATH, body)
+        # Answers don't name their run: one that is sent twice would be read
+        # as the answer to the next move.
+        self._moves.close()
         if isinstance(response, failures.Failure):
             return failures.unknown(response.reason, response.detail)
         if response.status == _RUN_NOT_FOUND:
