The soak answers requests that resume streams with errors

Cause: stand-in engines answered a request to resume a stream well or not at all, so the soak missed errors inside streams (docs/incidents).

Change: fault `resume_errors`, drawn apart from the others. For 4 s engines cut streams, or write an error's head and text into them and then cut, and answer a share of the requests with Last-Event-Id with a sealed 404, JSON, or a stream without an event. The last one comes once a request: two upstreams that state an end have ended a stream.

--- a/features/experiments.feature
+++ b/features/experiments.feature
@@ -34,6 +34,34 @@
   Scenario: The schedule of a soak contains all kinds of faults
     Then the schedules of seeds 1 to 20 contain each kind of fault
 
+  Scenario Outline: An error's text or an early end is a wrong answer
+    # Guards against soaks that pass although errors get into streams.
+    When callers receive <part> of a stream, then <what>
+    Then the soak counts <count> wrong answers
+
+    Examples:
+      | part | what                        | count |
+      | all  | its end                     | 0     |
+      | half | its end                     | 1     |
+      | half | a break                     | 0     |
+      | half | an error's text and a break | 1     |
+      | half | a break and a whole retry   | 0     |
+      | half | an error's text and a retry | 1     |
+
+  Scenario Outline: An engine answers requests to resume streams with errors
+    Given a stand-in engine with the fault "<fault>"
+    When a stream is requested from event <position>
+    Then it answers <status> of type <type>, with <text> of an error in its body
+
+    Examples:
+      | fault           | position | status | type              | text         |
+      | resume_404      | 2        | 404    | text/plain        | the text     |
+      | resume_json     | 2        | 200    | application/json  | the text     |
+      | resume_empty    | 2        | 200    | text/event-stream | nothing      |
+      | resume_404      | none     | 200    | text/event-stream | nothing      |
+      | error_in_stream | none     | 200    | text/event-stream | the head     |
+      | error_in_stream | 2        | 200    | text/event-stream | the head     |
+
   Scenario Outline: Engine crashes caused by a blocked request are limited
     # Guards against soaks that pass although routers send blocked requests.
     When one request crashes engines at <crashes> ms, and routers start at <starts> ms
--- a/features/steps/experiment_steps.py
+++ b/features/steps/experiment_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import pathlib
 
@@ -9,11 +10,18 @@
 from behave import then
 from behave import when
 
+from peridotmast.client import caller as caller_
+from peridotmast import clock as clock_
+from peridotmast.embedded import fleet as fleet_
+from peridotmast import failures
 from peridotmast.load import arrivals
 from peridotmast.load import experiment
 from peridotmast.load import faults
 from peridotmast.load import oracle
 from peridotmast.load import soak
+from peridotmast.platform import names
+from peridotmast.standin import engine
+from peridotmast.wire import connection as connection_
 
 EXPERIMENTS = pathlib.Path(__file__).parents[2] / 'experiments'
 
@@ -95,6 +103,68 @@
     assert context.report['answered_whole'], context.report
 
 
+@when('callers receive {part} of a stream, then {what}')
+def callers_receive(context, part, what):
+    arrival = arrivals.draw(soak.WORKLOADS[:1], 9, 1)[0]
+    whole = oracle.expected_answer(arrival)
+    text = whole if part == 'all' else whole[: len(whole) // 2]
+    if what.startswith("an error's text"):
+        text += '{"error": "engine is gone"}'
+    attempts = [caller_.Attempt('r1', 'a', text=text)]
+    if what.endswith('retry'):
+        text = whole
+        attempts.append(caller_.Attempt('r2', 'a', text=text))
+    answer = caller_.Answer(text, not what.endswith('break'))
+    answer.attempts = attempts
+    if not answer.complete:
+        answer.failure = failures.unknown('cut_short')
+    context.fleet = fleet_.Fleet()
+    judge = oracle.Oracle(context.fleet)
+    judge.add(oracle.Outcome(arrival, answer))
+    context.verdict = judge.judge({}, {}, [])
+
+
+@then('the soak counts {count:d} wrong answers')
+def check_wrong_answers(context, count):
+    assert context.verdict.wrong_answers == count, context.verdict
+
+
+@given('a stand-in engine with the fault "{fault}"')
+def faulty_engine(context, fault):
+    context.engine = engine.Engine('engine-1')
+    context.add_cleanup(context.engine.stop)
+    context.engine.app.stream_faults = {fault: 1.0}
+
+
+@when('a stream is requested from event {position}')
+def request_stream(context, position):
+    clock = clock_.SystemClock()
+    deadline = clock.now() + 5000
+    conn = connection_.Connection(context.engine.address, clock)
+    assert conn.connect(1000) is None
+    headers = [('Host', 'e'), (names.REQUEST_ID, 'r1')]
+    if position != 'none':
+        headers.append((names.LAST_EVENT, position))
+    assert conn.send('POST', '/x', headers, b'{}', deadline) is None
+    context.head = conn.read_head('POST', deadline)
+    parts = iter(lambda: conn.read_some(deadline), b'')
+    received = itertools.takewhile(lambda p: isinstance(p, bytes), parts)
+    context.body = b''.join(received)
+    conn.close()
+
+
+@then(
+    'it answers {status:d} of type {type_}, with {what} of an error in its'
+    ' body'
+)
+def check_engine_answer(context, status, type_, what):
+    head, body = context.head, context.body
+    assert (head.status, head.get('Content-Type')) == (status, type_), head
+    assert head.get(names.SEAL), head
+    assert (b'engine is gone' in body) == (what != 'nothing'), body
+    assert (b'HTTP/1.1 500' in body) == (what == 'the head'), body
+
+
 def parse_times(text):
     return [int(word) for word in text.split()]
 
--- a/src/peridotmast/client/caller.py
+++ b/src/peridotmast/client/caller.py
@@ -38,6 +38,8 @@
     error_reported: bool = False
     """Whether the router reported why the response is incomplete; otherwise
     the connection ended without a reason."""
+    text: str = ''
+    """Text of the events that the attempt has received."""
 
 
 @dataclasses.dataclass
@@ -256,7 +258,6 @@
         on_text: ty.Callable[[str], None],
     ) -> ty.Optional[failures.Failure]:
         buffer = b''
-        position = 0  # Length of the text of this attempt.
         while True:
             data = conn.read_some(deadline)
             if isinstance(data, failures.Failure):
@@ -269,7 +270,7 @@
             for event in events:
                 line = event.partition(b'data: ')[2]
                 if line == b'[DONE]':
-                    if position < len(answer.text):
+                    if len(attempt.text) < len(answer.text):
                         return failures.unknown(ANOTHER_ANSWER, 'shorter')
                     answer.complete = True
                     return None
@@ -278,10 +279,11 @@
                     attempt.error_reported = True
                     return failures.unknown(chunk['error']['reason'])
                 text = chunk['choices'][0]['delta'].get('content', '')
+                position = len(attempt.text)
+                attempt.text += text
                 known = answer.text[position : position + len(text)]
                 if not text.startswith(known):
                     return failures.unknown(ANOTHER_ANSWER, 'differs')
-                position += len(text)
                 new_text = text[len(known) :]
                 if new_text:
                     answer.text += new_text
--- a/src/peridotmast/load/faults.py
+++ b/src/peridotmast/load/faults.py
@@ -59,6 +59,7 @@
     ROLL_OUT = 'roll_out'
     STORE_RETURN = 'store_return'
     ENDLESS_ANSWERS = 'endless_answers'
+    RESUME_ERRORS = 'resume_errors'
 
 
 PROCESS_FAULT_KINDS = tuple(FaultKind)
@@ -100,6 +101,17 @@
 """Time for which they do so: routers send them few requests once two have
 failed."""
 
+_STREAM_FAULTS = {
+    'cut': 0.03,
+    'error_in_stream': 0.01,
+    'resume_404': 0.2,
+    'resume_json': 0.2,
+    'resume_empty': 0.3,
+}
+"""Faults of all engines while they answer requests to resume streams with
+errors: shares of the events, and of these requests."""
+_RESUME_ERRORS_DURATION_MS = 4000
+
 _COPY_AGE_MS = 500, 6000
 """Shortest and longest age of the copy that the store returns from, when it
 does, in ms."""
@@ -113,6 +125,7 @@
 _DRAWN_APART = {
     FaultKind.STORE_RETURN: ('returns', 'r'),
     FaultKind.ENDLESS_ANSWERS: ('endless', 'e'),
+    FaultKind.RESUME_ERRORS: ('resumes', 'u'),
 }
 """Kinds that are drawn apart, so that they do not change the schedule of the
 other kinds for a seed: the word in the seed of each, and the first letter of
@@ -380,6 +393,20 @@
         for guest in guests:
             guest.upstream.app.faults = {}
 
+    def _resume_errors(self, fault: pb.Fault) -> None:
+        """Let streams break off, and requests to resume them get errors."""
+        engines = self._fleet.running_upstreams(shape_.ENGINE_SERVICE)
+        apps = [guest.upstream.app for guest in engines]
+        if not apps or any(app.stream_faults for app in apps):
+            return
+        ended_early: set[str] = set()
+        for app in apps:
+            app.stream_faults = dict(_STREAM_FAULTS)
+            app.ended_early = ended_early
+        green.sleep_ms(_RESUME_ERRORS_DURATION_MS)
+        for app in apps:
+            app.stream_faults = {}
+
     def _health_says_up(self, fault: pb.Fault) -> None:
         self._set_engine_faults(fault, error=0.7)
 
--- a/src/peridotmast/load/oracle.py
+++ b/src/peridotmast/load/oracle.py
@@ -261,7 +261,9 @@
     ) -> None:
         answer = outcome.answer
         expected_text = expected_answer(outcome.arrival)
-        if not expected_text.startswith(answer.text) or (
+        # A retry may cover up what an earlier attempt has received.
+        texts = [answer.text, *(attempt.text for attempt in answer.attempts)]
+        if not all(map(expected_text.startswith, texts)) or (
             answer.complete and answer.text != expected_text
         ):
             verdict.wrong_answers += 1
--- a/src/peridotmast/standin/engine.py
+++ b/src/peridotmast/standin/engine.py
@@ -14,6 +14,7 @@
 from peridotmast.platform import names
 from peridotmast.standin import answers
 from peridotmast.standin import http_standin
+from peridotmast.standin import stream_errors
 from peridotmast.standin import upstream_app
 from peridotmast import web
 from peridotmast.wire import http_client
@@ -149,6 +150,9 @@
         self._stalled_below = 0
         self._stalled_until = 0
         self.totals: collections.Counter[str] = collections.Counter()
+        self.ended_early: set[str] = set()
+        """Ids of the requests that were answered with an early end. Engines
+        may share it: a stream has ended once two of them state its end."""
         self.moves_refused = False
         """Whether it refuses copies of runs from other engines."""
         self.leaves_at = 0
@@ -176,15 +180,32 @@
             headers = [(names.NOT_RUN, '1'), (names.REQUEST_ID, request_id)]
             start('503 Service Unavailable', headers)
             return
-        headers = [
-            *self.answer_headers(request_id),
-            ('Content-Type', 'text/event-stream'),
-        ]
-        start('200 OK', headers)
-        environ['eventlet.minimum_write_chunk_size'] = 1
+        headers = self.answer_headers(request_id)
         last = upstream_app.header(environ, names.LAST_EVENT)
+        error = self._draw_resume_error(request_id) if last else None
+        if error is not None:
+            run.stopped = True
+            length = str(len(error.body))
+            headers.append(('Content-Type', error.media_type))
+            start(error.status, [*headers, ('Content-Length', length)])
+            yield error.body
+            return
+        start('200 OK', [*headers, ('Content-Type', 'text/event-stream')])
+        environ['eventlet.minimum_write_chunk_size'] = 1
         yield from self._events(run, int(last or 0), environ)
 
+    def _draw_resume_error(
+        self, request_id: str
+    ) -> ty.Optional[stream_errors.ResumeError]:
+        for name, error in stream_errors.RESUME_ERRORS.items():
+            is_end = name == stream_errors.EARLY_END
+            if is_end and request_id in self.ended_early:
+                continue
+            if self.fault_occurs(name):
+                self.ended_early.update([request_id] if is_end else ())
+                return error
+        return None
+
     def _events(
         self, run: Run, sent: int, environ: dict[str, ty.Any]
     ) -> ty.Iterator[bytes]:
@@ -208,6 +229,12 @@
                         raise ConnectionResetError(
                             'injected fault: stream cut within an event'
                         )
+                    if self.fault_occurs('error_in_stream'):
+                        yield stream_errors.IN_STREAM
+                        conn.reset()
+                        raise ConnectionResetError(
+                            'injected fault: error inside a stream'
+                        )
                     yield data
                     sent = event
                 if ended:
--- a/src/peridotmast/standin/upstream_app.py
+++ b/src/peridotmast/standin/upstream_app.py
@@ -61,6 +61,9 @@
         self.faults: dict[str, float] = {}
         """Fraction of requests that each fault affects: ``refuse``, ``error``,
         ``lose``, ``cut``, ``hang``, ``garble``, ``extra``, ``endless``."""
+        self.stream_faults: dict[str, float] = {}
+        """The same for faults that may coincide with others: ``cut`` and
+        ``error_in_stream``, for each event, and the resume errors."""
         self.endless_responses: list[endless.EndlessResponse] = []
         """Responses without end, in the order in which they began."""
         self.limit = ''
@@ -114,7 +117,7 @@
 
     def fault_occurs(self, fault: str) -> bool:
         """Decide at random whether `fault` affects the current request."""
-        share = self.faults.get(fault, 0)
+        share = self.faults.get(fault) or self.stream_faults.get(fault, 0)
         return bool(share) and self._rng.random() < share
 
     def delay_factor(self, environ: dict[str, ty.Any]) -> float:
