--- a/src/peridotmast/serving/continuation.py
+++ b/src/peridotmast/serving/continuation.py
@@ -60,4 +60,5 @@
 
 
 def _coding(head: connection_.ResponseHead) -> str:
-    return head.get(_CODING).strip().lower()
+    coding = head.get(_CODING).strip().lower()
+    return '' if coding == 'identity' else coding
--- a/src/peridotmast/wire/event_reader.py
+++ b/src/peridotmast/wire/event_reader.py
@@ -46,9 +46,8 @@
         self._filler_bytes = 0
         self._repeated_id = -1
         self._skipping_seen = last_id >= 0
-        self._has_read_id = False
-        self._follows: ty.Optional[bool] = None
-        """Whether each id is one above the id before it; None before two."""
+        self._follows = True
+        """Whether each id is one above the id before it, the first one 1."""
         self.has_event = False
         """Whether an event was returned, not only comments."""
         self.last_id = last_id
@@ -66,6 +65,11 @@
         """Number of bytes of an incomplete event."""
         return len(self._buffer)
 
+    @property
+    def last_repeated_id(self) -> int:
+        """Id of the last event that was skipped as repeated; -1 if none."""
+        return self._repeated_id
+
     @property
     def is_endless(self) -> bool:
         """Whether so much was received without an event that none is expected.
@@ -117,7 +121,7 @@
     def at_last_event(self) -> EventReader:
         """Return a reader for another attempt, which goes on from here."""
         reader = EventReader(self.last_id)
-        reader._has_read_id, reader._follows = self._has_read_id, self._follows
+        reader._follows = self._follows
         return reader
 
     def _find_last_end(self, start: int) -> int:
@@ -161,7 +165,7 @@
             return self._find_id_fault(number)
         if not event_syntax.has_data(event):
             return None
-        if event_syntax.has_id(event) and not self._skipping_seen:
+        if event_syntax.has_long_id(event) and not self._skipping_seen:
             return None
         return Fault.NO_ID
 
@@ -176,9 +180,7 @@
     def _note(self, number: ty.Optional[int]) -> None:
         """Record an event that is returned."""
         if number is not None:
-            if self._has_read_id and self._follows is not False:
-                self._follows = number == self.last_id + 1
-            self._has_read_id = True
+            self._follows &= number == max(0, self.last_id) + 1
             self._skipping_seen = False
             self.last_id = number
         self.has_event = True
