An end needs proof that comes from a stream's own engine

A close without a frame counted as a stated end: of an attempt that brought nothing, and of an upstream that had just moved the run away and so closed its stream without an end. With an empty answer after it the caller's stream ended as complete after 4 of 12. A caller that took a stream up got an empty whole answer where its engine began anew and ended before its position. An attempt beside a silent upstream replaced it by a field without an event.

Now such closes prove nothing, that answer is a failed attempt, and only an event with a new id replaces a silent stream whose ids are known.

--- a/features/steps/stream_answer_steps.py
+++ b/features/steps/stream_answer_steps.py
@@ -6,6 +6,7 @@
 import itertools
 import json
 import re
+from unittest import mock
 
 import answer_end_steps
 from behave import given
@@ -34,7 +35,7 @@
 """Target gap of the routes: an engine counts as silent after four of them."""
 SILENT_MS = 400
 MOVE_MS = 2000
-CHAT_MS = 250
+CHAT_MS = 4000
 
 _numbers = itertools.count(1)
 
@@ -214,7 +215,12 @@
 
 def after_move(context, answer, last=stream_answers.BROKEN_AFTER):
     """The run is moved to the engine that gives the answer."""
-    moved = MovedStream(context.engines, last)
+    return move(context, MovedStream(context.engines, last), answer)
+
+
+def move(context, moved, answer):
+    """Play a stream whose run is moved after its last event."""
+    last = moved.last
     task = green.spawn(ask, context, '/moves/x', moved, answer)
     router = context.fleet.routers[0]
     relay = router.serving._relay
@@ -348,6 +354,8 @@
     stream_answers.event(5)[:-4]
     + b'HTTP/1.1 502 Bad Gateway\r\n\r\ngone\r\n\r\n',
     stream_answers.event(3),
+    b'id:\ndata: {"error": "gone"}\n\n',
+    b'id: err\nevent: error\ndata: {"error": "gone"}\n\n',
 ]
 """What engines write into their own streams."""
 
@@ -458,12 +466,15 @@
         engines = context.engines
         engines.plays.clear()
         engines.plays.extend((BrokenStream(), answer))
-        found = caller.Caller([address], 'key-noor').chat(
-            oracle.MODEL,
-            f'letter {answer.name}',
-            stream_answers.OUTPUT_TOKENS,
-            deadline_ms=CHAT_MS,
-        )
+        # Another request of the caller would take the next play.
+        with mock.patch.object(caller, '_DEFAULT_RETRY_MS', CHAT_MS):
+            found = caller.Caller([address], 'key-noor').chat(
+                oracle.MODEL,
+                f'letter {answer.name}',
+                stream_answers.OUTPUT_TOKENS,
+                deadline_ms=CHAT_MS,
+            )
+        assert len(found.attempts) == 1, found
         first = found.attempts[0]
         if not first.error_reported:
             wrong.append((answer.name, found))
@@ -487,7 +498,7 @@
         junk
         for junk in OWN
         # Sound where no event stands before them.
-        if junk not in (stream_answers.event(3), stream_answers.ERROR_EVENT)
+        if junk != stream_answers.event(3) and b'data: {"error"' not in junk
     ]
 ) | strategies.builds(
     lambda text: text + b'\n\n',
@@ -539,3 +550,45 @@
 def contents(data):
     """Return the ids and texts of all events."""
     return re.findall(rb'^(?:id|data)(?![a-z])[^\r\n]*', data, re.MULTILINE)
+
+
+@then('streams break off where an attempt proves too little')
+def little_proof(context):
+    early = BrokenStream()
+    early.last = 1
+    empty = Nothing('connection')
+    gap = stream_answers.Answer(
+        'a gap', '200 OK', stream_answers.events(8), (), 'length'
+    )
+    for plays in (
+        (early, gap),
+        (BrokenStream(), empty, Nothing('length')),
+        (BrokenStream(), empty, empty),
+    ):
+        found = ask(context, f'/tries-{len(plays)}/x', *plays)
+        last = getattr(plays[0], 'last')
+        assert found.body == stream_answers.events(1, last), (plays, found)
+        assert found.result == 'broken', (plays, found)
+
+
+@then('a run that is moved and brings nothing has not ended')
+def moved_without_event(context):
+    moved = MovedStream(context.engines, stream_answers.BROKEN_AFTER)
+    moved.begin = lambda sock, request_id: sock.sendall(
+        upstream_steps.make_head(request_id, stream_answers.STREAM_TYPE)
+    )
+    moved.send_events = lambda sock, first, last: sock.sendall(
+        stream_answers.events(first, last)
+    )
+    found = move(context, moved, Nothing('length'))
+    assert found.body == stream_answers.events(1, 4), found
+    assert found.result == 'broken', found
+
+
+@then('a caller whose engine ends before its position gets no whole answer')
+def ends_before_position(context):
+    short = stream_answers.Answer(
+        'short', '200 OK', stream_answers.events(1, 3), (), 'length'
+    )
+    found = take_up(context, short, short)
+    assert found.status == 502, found
--- a/features/steps/stream_answers.py
+++ b/features/steps/stream_answers.py
@@ -226,6 +226,12 @@
     Sound('a head as data', 'id: {n}\ndata: HTTP/1.1 500 No w{n}\n\n'),
     Sound('an error as data', 'id: {n}\ndata: {{"error": "w{n}"}}\n\n'),
     Sound('repeated events', PLAIN, repeats=3),
+    Sound(
+        'a quoted head', 'id: {n}\ndata: HTTP/1.1 200 OK\r\ndata: A: w{n}\n\n'
+    ),
+    Sound('a dotted field', 'id: {n}\na.b: 3\ndata: w{n}\n\n'),
+    Sound('a mark', '\ufeffid: {n}\ndata: w{n}\n\n'),
+    Sound('no coding', PLAIN, (STREAM_TYPE, 'Content-Encoding: identity')),
     Sound('binary data', 'id: {n}\ndata: \u00fc \u2028 w{n}\n\n'),
 ]
 """Sound streams, which pass whole."""
--- a/features/stream_answers.feature
+++ b/features/stream_answers.feature
@@ -40,6 +40,14 @@
     Then a stream that has all its tokens ends where no event follows
     And a stream ends early where two engines say that no event follows
 
+  # Guards against streams that end as complete, or lack events, on the word of a connection's close,
+  # of an engine that moved its run away, or of one that began anew and had less.
+  Scenario: A stream ends only where its end is proved
+    Given a fleet of 2 routers with engines that play answers
+    Then streams break off where an attempt proves too little
+    And a run that is moved and brings nothing has not ended
+    And a caller whose engine ends before its position gets no whole answer
+
   # Guards against answers to the chat API that are complete after an error in their middle.
   Scenario: A chat that goes on with an error does not look complete
     Given a fleet of 2 routers with engines that play answers
--- a/src/peridotmast/serving/second_attempts.py
+++ b/src/peridotmast/serving/second_attempts.py
@@ -233,7 +233,12 @@
             silence.exchange.deadline,
             self._clock.now() + silence.patience_ms,
         )
-        while not reader.has_event:
+        position = reader.last_id
+        # Where ids are known, an event without one brings the stream no
+        # further.
+        while reader.last_id == position and not (
+            reader.has_event and position < 0
+        ):
             data = sent.conn.read_some(deadline)
             if isinstance(data, failures.Failure):
                 return data
@@ -248,7 +253,7 @@
                     return None
                 return failures.unknown('cut_short')
             reader.feed(data)
-            if reader.fault is not None and not reader.has_event:
+            if reader.fault is not None and reader.last_id == position:
                 return failures.unknown(reader.fault.value)
             if reader.is_endless:
                 return failures.unknown('too_long', 'bytes without an event')
--- a/src/peridotmast/serving/stream.py
+++ b/src/peridotmast/serving/stream.py
@@ -132,13 +132,18 @@
         """
         if self.reader.is_inside_event:
             return failures.unknown('cut_short', 'inside an event')
+        if self._repeats_too_few():
+            return failures.unknown('cut_short', 'before the position')
         if self._ends_unconfirmed():
-            self._stated_end = self.reader.last_id
+            self._note_stated_end()
             return failures.unknown(END_UNKNOWN, 'no event follows')
         if self.sent.head.framing is framing.Framing.CONNECTION:
             if self._lacks_first_event():
                 return failures.unknown('cut_short', 'before the first event')
-            if self._migration is not None or not self._may_end_unknown():
+            if self._migration is not None:
+                # The upstream closes the stream of a run that it moves.
+                return failures.unknown(END_UNKNOWN)
+            if not self._may_end_unknown():
                 self._stated_end = self.reader.last_id
                 return failures.unknown(END_UNKNOWN)
         self.ended = True
@@ -155,6 +160,25 @@
         is_taken_up = self.exchange.resumes is not None
         return last_id < 0 or is_taken_up and last_id == self._first_position
 
+    def _repeats_too_few(self) -> bool:
+        """Return whether an upstream began anew and ended before the position.
+
+        Its stream is not the one that the caller takes up.
+        """
+        is_first = self._resumed_after is None
+        position = self._first_position
+        if not is_first or self.reader.last_id > position:
+            return False
+        return 0 <= self.reader.last_repeated_id < position
+
+    def _note_stated_end(self) -> None:
+        """Record that an attempt has brought nothing and stated its end.
+
+        A close alone states nothing where nothing came.
+        """
+        if self.sent.head.framing is not framing.Framing.CONNECTION:
+            self._stated_end = self.reader.last_id
+
     def _ends_unconfirmed(self) -> bool:
         """Return whether an attempt to resume may have ended too early.
 
