--- a/src/peridotmast/serving/stream.py
+++ b/src/peridotmast/serving/stream.py
@@ -140,11 +140,10 @@
         if self.sent.head.framing is framing.Framing.CONNECTION:
             if self._lacks_first_event():
                 return failures.unknown('cut_short', 'before the first event')
-            if self._migration is not None:
-                # The upstream closes the stream of a run that it moves.
-                return failures.unknown(END_UNKNOWN)
-            if not self._may_end_unknown():
-                self._stated_end = self.reader.last_id
+            if self._migration is not None or not self._may_end_unknown():
+                # An upstream closes the stream of a run that it moves.
+                if self._migration is None:
+                    self._stated_end = self.reader.last_id
                 return failures.unknown(END_UNKNOWN)
         self.ended = True
         self.pending += self.reader.buffered
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -752,6 +752,27 @@
         'if False:',
         'stream_answers',
     ),
+    Mutation(
+        'take the close of a moved stream for its end',
+        SERVING + 'stream.py',
+        'if self._migration is None:\n                    self._stated_end',
+        'if True:\n                    self._stated_end',
+        'stream_answers',
+    ),
+    Mutation(
+        'take a close after nothing for an end',
+        SERVING + 'stream.py',
+        'if self.sent.head.framing is not framing.Framing.CONNECTION:',
+        'if True:',
+        'stream_answers',
+    ),
+    Mutation(
+        'pass on an event whose id is a word',
+        WIRE + 'event_syntax.py',
+        "rb'id:[ ]?[0-9]+[ ]*\\r?$'",
+        "rb'id:'",
+        'stream_answers',
+    ),
     Mutation(
         'pass on lines that are no fields',
         WIRE + 'event_reader.py',
